--- /dev/null
+++ b/include/arbutusgate/config.hpp
@@ -0,0 +1,45 @@
+/// Limits and defaults of the library, with their units.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace arbutusgate::limits {
+
+using namespace std::chrono_literals;
+
+// Claims.
+inline constexpr std::uint32_t claim_shards    = 64;
+inline constexpr std::size_t   claim_voters    = 5;
+inline constexpr std::size_t   claim_majority  = 3;
+inline constexpr auto          claim_use_limit = 10s;
+inline constexpr auto          retry_window    = 120s;
+inline constexpr std::size_t   recorded_body   = 64 * 1024; // bytes
+
+// Membership and gossip.
+inline constexpr auto        gossip_interval = 1s;
+inline constexpr std::size_t gossip_fanout   = 2;
+inline constexpr std::size_t gossip_entries  = 24;
+inline constexpr auto        member_suspect  = 5s;
+inline constexpr auto        member_dead     = 15s;
+inline constexpr auto        pause_threshold = 2s;
+
+// Configuration.
+inline constexpr std::size_t config_value_size = 1024 * 1024; // bytes
+inline constexpr auto        config_in_force   = 17s;
+inline constexpr auto        config_self_read  = 10s;
+inline constexpr std::size_t config_sample     = 9;
+
+// Targets.
+inline constexpr auto leaving_bound = 5s;
+
+// Requests.
+inline constexpr std::size_t   request_body     = 1024 * 1024; // bytes
+inline constexpr std::size_t   request_header   = 16 * 1024;   // bytes
+inline constexpr auto          request_read     = 10s;
+inline constexpr std::size_t   idempotency_key  = 200; // bytes
+inline constexpr std::uint32_t request_retries  = 2;
+inline constexpr double        pool_retry_ratio = 0.1;
+
+} // namespace arbutusgate::limits
--- /dev/null
+++ b/include/arbutusgate/configuration.hpp
@@ -0,0 +1,50 @@
+/// Base and overlay documents of the operators, to an effective deployment.
+#pragma once
+
+#include "arbutusgate/deployment.hpp"
+
+#include "absl/status/statusor.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace arbutusgate {
+
+/// One error or warning in a document. Lines and columns count from 1.
+struct config_issue
+{
+    std::string   document;
+    std::uint32_t line   = 0;
+    std::uint32_t column = 0;
+    std::string   message; ///< Names the nearest known key for a wrong one.
+};
+
+/// A leaf of the effective configuration and where it was set.
+struct config_value
+{
+    std::string   path; ///< Such as "pipelines.quote.deadline_ms".
+    std::string   value;
+    std::string   document;
+    std::uint32_t line = 0;
+};
+
+/// Text of the documents by name: "base", "site/NAME".
+using config_documents = std::map<std::string, std::string>;
+
+/// Outcome of checking one site.
+struct checked_config
+{
+    std::vector<config_issue> issues; ///< Empty: the deployment is valid.
+    std::vector<config_value> values;
+    deployment                effective;
+};
+
+/// Merges the base with the site's overlay and checks the result. Mappings
+/// merge deep, lists replace, explicit null removes; an overlay may override
+/// only what the base opens.
+checked_config check_config(const config_documents& documents,
+                            const std::string& site, std::uint64_t version);
+
+} // namespace arbutusgate
--- /dev/null
+++ b/include/arbutusgate/pipeline_run.hpp
@@ -0,0 +1,150 @@
+/// State machine of one request. The driver carries out the actions it
+/// returns and reports results back; it does no I/O and reads no clock.
+#pragma once
+
+#include "arbutusgate/types.hpp"
+
+#include <cstdint>
+#include <variant>
+#include <vector>
+
+namespace arbutusgate {
+
+class policy;
+
+/// What the driver knows of a request when it arrives.
+struct request_info
+{
+    std::uint64_t run = 0; ///< Unique in the process.
+    pipeline_id   pipeline;
+    account_id    account;
+    time_point    deadline;
+    std::uint64_t prefix_hash = 0; ///< Of the prompt's prefix; 0: none.
+    std::uint32_t max_tokens  = 0; ///< Asked for by the caller; 0: default.
+};
+
+/// Send the stage's work to the target; report with on_attempt.
+struct start_attempt
+{
+    std::uint32_t attempt = 0; ///< Unique in the request, from 1.
+    std::uint32_t stage   = 0; ///< Index in pipeline_config::stages.
+    target_id     target;
+    milliseconds  timeout{0};
+    /// Characters of streamed text already passed on; the attempt goes on
+    /// from there.
+    std::uint64_t resume_offset = 0;
+};
+
+/// Obtain the claim for the request's idempotency key; report with on_claim.
+struct obtain_claim
+{
+};
+
+/// Give the claim back: the work certainly did not run.
+struct release_claim
+{
+};
+
+/// Stop the attempt; no result of it is wanted.
+struct cancel_attempt
+{
+    std::uint32_t attempt = 0;
+};
+
+/// Call on_wake at this time, or earlier when the policy reports the run
+/// ready.
+struct wait_until
+{
+    time_point at;
+};
+
+/// The request is over; no further call is made.
+struct finish
+{
+    execution      result = execution::done;
+    refusal_reason reason = refusal_reason::none;
+    /// Time after which a retry makes sense; zero: none.
+    milliseconds retry_after{0};
+};
+
+using run_action  = std::variant<start_attempt, obtain_claim, release_claim,
+                                cancel_attempt, wait_until, finish>;
+using run_actions = std::vector<run_action>;
+
+/// How an attempt ended.
+enum class attempt_status
+{
+    done,
+    connect_failed, ///< No byte of the work was sent.
+    not_run,        ///< The target said that it did not run the work.
+    failed,         ///< The target reported a failure.
+    timeout,        ///< No whole answer within the attempt's timeout.
+    silent,         ///< The connection went silent or broke.
+    wrong_result,   ///< The result belongs to another request or attempt.
+};
+
+/// Result of one attempt.
+struct attempt_result
+{
+    std::uint32_t  attempt = 0;
+    attempt_status status  = attempt_status::done;
+    /// Characters of streamed text received so far, over all attempts.
+    std::uint64_t stream_offset = 0;
+    std::uint32_t tokens        = 0; ///< Generated in this attempt.
+    /// The target asked for this pause before more work; zero: none.
+    milliseconds retry_after{0};
+};
+
+/// Outcome of obtain_claim.
+enum class claim_outcome
+{
+    granted,
+    taken_done,        ///< An earlier use ended; the driver has its answer.
+    taken_in_progress, ///< An earlier use has not ended or its end is unknown.
+    reused,            ///< The key was used with another body.
+    unavailable,       ///< No majority of voters; nothing ran.
+};
+
+/// Decides each step of one request. Not thread-safe; one driver owns it.
+class pipeline_run
+{
+public:
+    /// \param shared outlives the run.
+    pipeline_run(policy& shared, const request_info& info, time_point now);
+    ~pipeline_run();
+
+    pipeline_run(const pipeline_run&)            = delete;
+    pipeline_run& operator=(const pipeline_run&) = delete;
+
+    run_actions start(time_point now);
+    run_actions on_claim(claim_outcome outcome, time_point now);
+    run_actions on_attempt(const attempt_result& result, time_point now);
+    run_actions on_wake(time_point now);
+    /// The caller closed its connection; running work is cancelled.
+    run_actions on_client_gone(time_point now);
+
+    const request_info& info() const { return info_; }
+    bool                finished() const { return finished_; }
+
+private:
+    run_actions step(time_point now);
+    run_actions end(execution result, refusal_reason reason, time_point now,
+                    milliseconds retry_after);
+    run_actions retry(attempt_status status, time_point now,
+                      milliseconds retry_after);
+
+    policy&       policy_;
+    request_info  info_;
+    std::uint32_t stage_   = 0;
+    std::uint32_t attempt_ = 0;
+    std::uint32_t retries_ = 0;
+    std::uint64_t offset_  = 0;
+    target_id     target_;
+    time_point    attempt_start_;
+    bool          running_  = false;
+    bool          claimed_  = false;
+    bool          sent_     = false; ///< Non-idempotent work may have run.
+    bool          finished_ = false;
+};
+
+} // namespace arbutusgate
--- /dev/null
+++ b/include/arbutusgate/policy.hpp
@@ -0,0 +1,67 @@
+/// Decisions shared by all requests of a process: admission, routing, limits.
+#pragma once
+
+#include "arbutusgate/deployment.hpp"
+#include "arbutusgate/pipeline_run.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace arbutusgate {
+
+class reason_counters;
+
+/// Load as a target reported it.
+struct load_report
+{
+    std::uint32_t in_flight = 0;
+    std::uint32_t queued    = 0;
+    std::uint32_t capacity  = 0;
+    milliseconds  lag{0}; ///< Age of the figures when sent.
+    bool          leaving = false;
+};
+
+/// Start values of a policy.
+struct policy_init
+{
+    std::uint64_t seed = 1;
+    /// Number of daemons believed alive, which share the pools.
+    std::uint32_t daemons = 1;
+    /// Called without locks held when a waiting run may go on.
+    std::function<void(std::uint64_t run)> on_ready;
+};
+
+/// Thread-safe. State is kept in shards with a lock each.
+class policy
+{
+public:
+    /// \param counters outlives the policy.
+    policy(std::shared_ptr<const deployment> config, const policy_init& init,
+           reason_counters& counters);
+    ~policy();
+
+    policy(const policy&)            = delete;
+    policy& operator=(const policy&) = delete;
+
+    /// Puts a newer configuration in force. Targets keep their learned state
+    /// by name; running requests end under the configuration they began with.
+    void set_deployment(std::shared_ptr<const deployment> config,
+                        time_point                        now);
+    std::shared_ptr<const deployment> current() const;
+
+    /// Number of daemons believed alive; sets this daemon's share of limits.
+    void set_daemons(std::uint32_t n);
+    void on_load_report(target_id target, const load_report& report,
+                        time_point now);
+    /// A leaving target gets no new work.
+    void set_leaving(target_id target, bool leaving);
+
+private:
+    friend class pipeline_run;
+    struct impl;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace arbutusgate
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
