Add the node core

Claims, membership, configuration propagation and leaving targets behind node_core.hpp.

- Settling without a majority that kept its memory needs an answer from every other voter, each of one process that has known the voter for the retry window.
- The window is extended by 12 s for calls that were sent at its end.
- A voter keeps all competing claims of a key; keeping one would free the key when that one is released.
- Ages are summed from gaps of at most 2 s between calls, so that clock jumps and pauses expire nothing.
- After a pause, claims are refused for 1 s, because calls may have waited in socket buffers.

12 tests pass, among them 10 of the node core.

--- a/include/arbutusgate/config.hpp
+++ b/include/arbutusgate/config.hpp
@@ -15,7 +15,18 @@
 inline constexpr std::size_t   claim_majority  = 3;
 inline constexpr auto          claim_use_limit = 10s;
 inline constexpr auto          retry_window    = 120s;
-inline constexpr std::size_t   recorded_body   = 64 * 1024; // bytes
+inline constexpr auto          claim_timeout   = 1s;
+inline constexpr auto          claim_resend    = 200ms;
+/// Time that a caller's call may take from its sending at the end of the
+/// retry window to the last grant of its claim: request_read, claim_timeout
+/// and a second of transit.
+inline constexpr auto        claim_settle_margin = 12s;
+inline constexpr std::size_t claim_store_entries = 200'000;
+inline constexpr std::size_t claim_answer_bytes  = 16 * 1024 * 1024;
+inline constexpr std::size_t recover_part_bytes  = 256 * 1024;
+/// Releases, records and hand-offs are resent this long.
+inline constexpr auto        claim_delivery = 10s;
+inline constexpr std::size_t recorded_body  = 64 * 1024; // bytes
 
 // Membership and gossip.
 inline constexpr auto        gossip_interval = 1s;
@@ -24,6 +35,10 @@
 inline constexpr auto        member_suspect  = 5s;
 inline constexpr auto        member_dead     = 15s;
 inline constexpr auto        pause_threshold = 2s;
+/// Calls that waited in socket buffers during a pause are refused for this
+/// time after it; their age is unknown.
+inline constexpr auto        pause_hold   = 1s;
+inline constexpr std::size_t hello_fanout = 8;
 
 // Configuration.
 inline constexpr std::size_t config_value_size = 1024 * 1024; // bytes
@@ -32,7 +47,10 @@
 inline constexpr std::size_t config_sample     = 9;
 
 // Targets.
-inline constexpr auto leaving_bound = 5s;
+inline constexpr auto        leaving_bound   = 5s;
+inline constexpr auto        leaving_kept    = 300s;
+inline constexpr std::size_t leaving_entries = 256;
+inline constexpr std::size_t leaving_sent    = 32;
 
 // Requests.
 inline constexpr std::size_t   request_body     = 1024 * 1024; // bytes
--- a/include/arbutusgate/node_core.hpp
+++ b/include/arbutusgate/node_core.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "arbutusgate/deployment.hpp"
+#include "arbutusgate/node_guards.hpp"
 #include "arbutusgate/pipeline_run.hpp"
 #include "arbutusgate/types.hpp"
 
@@ -28,6 +29,8 @@
     std::uint64_t seed        = 1;
     std::vector<slot_config> slots;
     milliseconds             retry_window = limits::retry_window;
+    std::uint32_t            claim_shards = limits::claim_shards;
+    node_guards              guards; ///< Only tests change this.
 };
 
 /// A message for another daemon. Delivery may fail without notice.
@@ -66,8 +69,16 @@
     std::string target;
 };
 
-using node_event =
-    std::variant<claim_event, config_event, target_leaving_event>;
+/// A peer has other documents under the version in force here. Both keep
+/// theirs until a higher version arrives.
+struct config_conflict_event
+{
+    std::uint64_t version = 0;
+    slot_id       peer;
+};
+
+using node_event = std::variant<claim_event, config_event, target_leaving_event,
+                                config_conflict_event>;
 
 /// What a daemon shows of its peers.
 struct member_view
@@ -120,9 +131,11 @@
     /// True when this daemon should hold a watch on the service now.
     bool should_read_config(time_point now) const;
     /// Version and documents as read from the service.
-    void          on_config_read(std::uint64_t                      version,
-                                 std::map<std::string, std::string> documents,
-                                 time_point                         now);
+    void on_config_read(std::uint64_t                      version,
+                        std::map<std::string, std::string> documents,
+                        time_point                         now);
+    /// Puts an offered version in force unless it is older than the one in
+    /// force; config_version() tells.
     void          accept_config(std::uint64_t version, time_point now);
     void          reject_config(std::uint64_t version, time_point now);
     std::uint64_t config_version() const; ///< In force; 0: none.
@@ -134,7 +147,9 @@
     bool drained(time_point now) const;
 
     /// True when a version is in force that may be served.
-    bool                     ready(time_point now) const;
+    bool ready(time_point now) const;
+    /// False while this voter recovers, or confirms itself after a pause.
+    bool                     settled() const;
     std::uint32_t            alive_count(time_point now) const;
     std::vector<member_view> members(time_point now) const;
 
--- /dev/null
+++ b/src/config_tracker.cpp
@@ -0,0 +1,239 @@
+#include "config_tracker.hpp"
+
+#include "sha256.hpp"
+
+#include <algorithm>
+
+namespace arbutusgate {
+
+namespace {
+
+constexpr auto        fetch_resend   = seconds{1};
+constexpr std::size_t rejected_kept  = 64;
+constexpr auto        sample_purpose = 0x73616d70;
+
+} // namespace
+
+config_tracker::config_tracker(node_context& context, time_point t)
+    : context_(context), confirmed_(t)
+{
+    std::vector<std::pair<std::uint64_t, slot_id>> order;
+    for (std::uint32_t n = 0; n < context_.slot_count(); ++n) {
+        if (slot_id{n} != context_.init.self)
+            order.emplace_back(
+                rendezvous_weight(context_.init.slots[n].name,
+                                  sample_purpose + context_.init.self.idx),
+                slot_id{n});
+    }
+    std::sort(order.begin(), order.end());
+    sample_.push_back(context_.init.self);
+    for (const auto& it : order) {
+        if (sample_.size() < limits::config_sample)
+            sample_.push_back(it.second);
+    }
+    heard_.insert(context_.init.self);
+}
+
+config_tracker::content config_tracker::make_content(std::uint64_t version,
+                                                     documents     texts)
+{
+    content     it;
+    std::string all;
+    for (const auto& [name, text] : texts) {
+        const auto digest = sha256(text);
+        it.digests[name]  = digest;
+        all += std::to_string(name.size()) + ":" + name + digest;
+    }
+    it.version = version;
+    it.texts   = std::move(texts);
+    it.digest  = sha256(all);
+    return it;
+}
+
+bool config_tracker::heard_enough() const
+{
+    return heard_.size() >= sample_.size() / 2 + 1;
+}
+
+std::vector<slot_id> config_tracker::unheard() const
+{
+    std::vector<slot_id> out;
+    for (const auto it : sample_) {
+        if (!heard_.contains(it))
+            out.push_back(it);
+    }
+    return out;
+}
+
+bool config_tracker::confirmed(time_point t) const
+{
+    return t - confirmed_ < limits::config_self_read;
+}
+
+void config_tracker::digest(pb::ConfigDigest& out) const
+{
+    out.set_version(version_);
+    out.set_sha256(current_.digest);
+}
+
+bool config_tracker::wanted(std::uint64_t version) const
+{
+    return version > version_ && version > offered_ &&
+           (!candidate_ || version > candidate_->version) &&
+           !rejected_.contains(version);
+}
+
+void config_tracker::on_digest(slot_id from, const pb::ConfigDigest& digest,
+                               bool answer, time_point t)
+{
+    const auto version = digest.version();
+    if (!rejected_.contains(version))
+        highest_heard_ = std::max(highest_heard_, version);
+    if (version == version_ && digest.sha256() == current_.digest) {
+        confirmed_ = t;
+    }
+    else if (version == version_ && conflict_ != version) {
+        conflict_ = version;
+        context_.events.emplace_back(config_conflict_event{version, from});
+    }
+    if ((answer || !context_.on(node_guard::fresh_echo)) &&
+        std::find(sample_.begin(), sample_.end(), from) != sample_.end())
+        heard_.insert(from);
+    if (wanted(version)) {
+        const bool newer = !fetch_ || version > fetch_->version;
+        if (newer || t - fetch_->asked >= fetch_resend) {
+            const bool whole = !newer && fetch_->whole;
+            fetch_           = fetch{version, digest.sha256(), from, t, whole};
+            ask(t);
+        }
+    }
+    offer_candidate();
+}
+
+void config_tracker::ask(time_point t)
+{
+    fetch_->asked = t;
+    auto& request = *context_.out.add(fetch_->peer).mutable_config_request();
+    request.set_version(fetch_->version);
+    if (fetch_->whole)
+        return;
+    for (const auto& [name, digest] : current_.digests)
+        (*request.mutable_known())[name] = digest;
+}
+
+void config_tracker::tick(time_point t)
+{
+    if (fetch_ && !wanted(fetch_->version))
+        fetch_.reset();
+    if (fetch_ && t - fetch_->asked >= fetch_resend)
+        ask(t);
+}
+
+void config_tracker::on_request(slot_id from, const pb::ConfigRequest& request)
+{
+    if (version_ == 0 || version_ < request.version())
+        return;
+    auto& reply = *context_.out.add(from).mutable_config_reply();
+    reply.set_version(version_);
+    for (const auto& [name, text] : current_.texts) {
+        const auto& digest   = current_.digests.at(name);
+        auto&       document = *reply.add_documents();
+        document.set_name(name);
+        document.set_sha256(digest);
+        const auto known = request.known().find(name);
+        if (known == request.known().end() || known->second != digest)
+            document.set_text(text);
+    }
+}
+
+void config_tracker::on_reply(const pb::ConfigReply& reply, time_point t)
+{
+    if (!fetch_ || reply.version() < fetch_->version ||
+        !wanted(reply.version()))
+        return;
+    const bool check = context_.on(node_guard::config_digest);
+    documents  texts;
+    for (const auto& it : reply.documents()) {
+        const auto known = current_.digests.find(it.name());
+        const bool use   = it.text().empty() && known != current_.digests.end();
+        auto       text  = use ? current_.texts.at(it.name()) : it.text();
+        if (check && (use ? known->second : sha256(text)) != it.sha256()) {
+            fetch_->whole = true;
+            return;
+        }
+        texts.emplace(it.name(), std::move(text));
+    }
+    auto content = make_content(reply.version(), std::move(texts));
+    if (check && reply.version() == fetch_->version &&
+        content.digest != fetch_->sha256)
+    {
+        fetch_->whole = true;
+        return;
+    }
+    offer(std::move(content), t);
+}
+
+void config_tracker::on_read(std::uint64_t version, documents texts,
+                             time_point t)
+{
+    if (version == version_) {
+        if (make_content(version, texts).digest == current_.digest)
+            confirmed_ = t;
+        return;
+    }
+    if (wanted(version) || !context_.on(node_guard::config_monotonic))
+        offer(make_content(version, std::move(texts)), t);
+}
+
+void config_tracker::offer(content&& it, time_point)
+{
+    candidate_ = std::move(it);
+    offer_candidate();
+}
+
+void config_tracker::offer_candidate()
+{
+    if (!candidate_ || candidate_->version == offered_)
+        return;
+    if (version_ == 0) {
+        if (!heard_enough() && context_.on(node_guard::fresh_majority))
+            return;
+        if (candidate_->version < highest_heard_ &&
+            context_.on(node_guard::fresh_highest))
+            return;
+    }
+    offered_ = candidate_->version;
+    context_.events.emplace_back(
+        config_event{candidate_->version, candidate_->texts});
+}
+
+bool config_tracker::accept(std::uint64_t version, time_point t)
+{
+    if (!candidate_ || candidate_->version != version || offered_ != version)
+        return false;
+    if (version <= version_ && context_.on(node_guard::config_monotonic))
+        return false;
+    current_   = std::move(*candidate_);
+    version_   = version;
+    confirmed_ = t;
+    candidate_.reset();
+    offered_ = 0;
+    return true;
+}
+
+void config_tracker::reject(std::uint64_t version, time_point)
+{
+    if (context_.on(node_guard::rejected_version)) {
+        rejected_.insert(version);
+        if (rejected_.size() > rejected_kept)
+            rejected_.erase(rejected_.begin());
+    }
+    if (highest_heard_ == version)
+        highest_heard_ = version_;
+    if (candidate_ && candidate_->version == version)
+        candidate_.reset();
+    if (offered_ == version)
+        offered_ = 0;
+}
+
+} // namespace arbutusgate
--- /dev/null
+++ b/src/leaving_targets.hpp
@@ -0,0 +1,46 @@
+/// Targets that some daemon saw leaving.
+#pragma once
+
+#include "node_context.hpp"
+
+#include <map>
+#include <string>
+
+namespace arbutusgate {
+
+/// Bounded; the oldest entry gives way.
+class leaving_targets
+{
+public:
+    explicit leaving_targets(node_context& context) : context_(context) {}
+
+    /// \return true when the target was not known to leave.
+    bool note(std::string_view name, microseconds age, time_point t)
+    {
+        if (seen_.contains(std::string(name)) || age >= limits::leaving_kept)
+            return false;
+        if (seen_.size() >= limits::leaving_entries)
+            seen_.erase(oldest());
+        seen_.emplace(name, t - age);
+        return true;
+    }
+
+    void expire(time_point t)
+    {
+        std::erase_if(seen_, [&](const auto& it) {
+            return t - it.second >= limits::leaving_kept;
+        });
+    }
+
+    /// The newest entries, at most limits::leaving_sent.
+    void send(google::protobuf::RepeatedPtrField<pb::LeavingTarget>& out,
+              time_point                                             t) const;
+
+private:
+    std::map<std::string, time_point>::iterator oldest();
+
+    node_context&                     context_;
+    std::map<std::string, time_point> seen_;
+};
+
+} // namespace arbutusgate
--- /dev/null
+++ b/src/member_table.hpp
@@ -0,0 +1,53 @@
+/// Heartbeats of the other daemons, and what is believed of them.
+#pragma once
+
+#include "node_context.hpp"
+
+#include <vector>
+
+namespace arbutusgate {
+
+/// Hints only: no claim depends on it.
+class member_table
+{
+public:
+    explicit member_table(node_context& context);
+
+    /// The own entry; its counter grows with each gossip round.
+    void beat(time_point t);
+    void set_leaving() { leaving_ = true; }
+    void note(const pb::MemberEntry& entry, time_point t);
+    /// Up to limits::gossip_entries members, other ones in each call.
+    void sample(google::protobuf::RepeatedPtrField<pb::MemberEntry>& out,
+                time_point                                           t);
+    /// Peers for a gossip round: every slot in turn, in random order.
+    std::vector<slot_id> next_peers(std::size_t count);
+
+    member_view::state       state(slot_id slot, time_point t) const;
+    std::uint32_t            alive_count(time_point t) const;
+    std::vector<member_view> view(time_point t) const;
+    /// True when this daemon is one of the readers of the service: the first
+    /// alive one by rendezvous weight in each failure domain, and one more.
+    bool is_reader(time_point t) const;
+
+private:
+    struct member
+    {
+        std::uint64_t incarnation = 0;
+        std::uint64_t heartbeat   = 0;
+        time_point    increased;
+        bool          leaving = false;
+    };
+
+    bool self(slot_id slot) const { return slot == context_.init.self; }
+
+    node_context&        context_;
+    std::vector<member>  members_;
+    std::vector<slot_id> order_; ///< Of the others.
+    std::vector<slot_id> by_weight_;
+    std::size_t          next_peer_   = 0;
+    std::size_t          next_sample_ = 0;
+    bool                 leaving_     = false;
+};
+
+} // namespace arbutusgate
--- /dev/null
+++ b/src/node_context.hpp
@@ -0,0 +1,36 @@
+/// What the parts of a node core share.
+#pragma once
+
+#include "arbutusgate/node_core.hpp"
+#include "claim_group.hpp"
+#include "incarnation_table.hpp"
+#include "message_sink.hpp"
+
+#include <random>
+
+namespace arbutusgate {
+
+/// Owned by the node core; its parts keep a reference.
+struct node_context
+{
+    explicit node_context(const node_init& it)
+        : init(it), incarnation(it.incarnation), newest(it.slots.size()),
+          groups(it.slots, it.claim_shards), out(it.self, it.incarnation),
+          random(it.seed)
+    {
+        newest.note(it.self, it.incarnation);
+    }
+
+    bool        on(node_guard it) const { return init.guards.on(it); }
+    std::size_t slot_count() const { return init.slots.size(); }
+
+    node_init               init;
+    std::uint64_t           incarnation; ///< Of this process.
+    incarnation_table       newest;
+    claim_groups            groups;
+    message_sink            out;
+    std::mt19937_64         random;
+    std::vector<node_event> events;
+};
+
+} // namespace arbutusgate
--- /dev/null
+++ b/src/node_core.cpp
@@ -0,0 +1,386 @@
+#include "arbutusgate/node_core.hpp"
+
+#include "claim_client.hpp"
+#include "claim_store.hpp"
+#include "config_tracker.hpp"
+#include "leaving_targets.hpp"
+#include "member_table.hpp"
+#include "observed_clock.hpp"
+
+#include <optional>
+
+namespace arbutusgate {
+
+namespace {
+
+constexpr auto confirm_resend = milliseconds{500};
+// A process this young may raise its incarnation over a higher one that the
+// slot's previous process got from a wrong wall clock.
+constexpr auto raise_age = seconds{10};
+
+} // namespace
+
+struct node_core::impl
+{
+    /// Set from a pause until a peer has confirmed this process.
+    struct pause
+    {
+        time_point    at;
+        std::uint64_t nonce   = 0;
+        bool          heard   = false;
+        std::uint64_t version = 0; ///< Highest that peers reported since.
+    };
+
+    impl(const node_init& init, time_point now)
+        : context(init), clock(now, context.on(node_guard::gap_limit)),
+          store(context, {}), client(context), members(context),
+          config(context, {}), leaving(context),
+          hello_nonce(context.random() | 1)
+    {
+        members.beat({});
+    }
+
+    time_point advance(time_point now)
+    {
+        const auto it = clock.advance(now);
+        if (it.paused)
+            on_pause(it.at);
+        check_superseded(it.at);
+        return it.at;
+    }
+
+    void on_pause(time_point t)
+    {
+        paused = pause{t, context.random() | 1, context.slot_count() == 1, 0};
+        next_confirm = t;
+        client.on_pause(t);
+        store.on_pause(t);
+        confirm(t);
+    }
+
+    void check_superseded(time_point t)
+    {
+        const auto newest = context.newest.newest(context.init.self);
+        if (newest <= context.incarnation)
+            return;
+        if (store.ever_settled() || t - time_point{} > raise_age) {
+            superseded = true;
+            return;
+        }
+        context.incarnation = newest + 1 + context.random() % 1024;
+        context.newest.note(context.init.self, context.incarnation);
+        context.out.set_incarnation(context.incarnation);
+        members.beat(t);
+        store.restart(t);
+    }
+
+    bool may_claim(time_point t) const
+    {
+        if (superseded)
+            return false;
+        if (!paused)
+            return true;
+        if (context.on(node_guard::pause_hold) &&
+            t - paused->at < limits::pause_hold)
+            return false;
+        return !context.on(node_guard::pause_confirm) ||
+               (paused->heard && !config.behind(paused->version));
+    }
+
+    void fill_gossip(pb::Gossip& gossip, time_point t)
+    {
+        members.sample(*gossip.mutable_members(), t);
+        config.digest(*gossip.mutable_config());
+        leaving.send(*gossip.mutable_leaving(), t);
+    }
+
+    void send_gossip(slot_id to, std::uint64_t nonce, time_point t)
+    {
+        auto& gossip = *context.out.add(to).mutable_gossip();
+        fill_gossip(gossip, t);
+        gossip.set_nonce(nonce);
+        gossip.set_reply_wanted(nonce != 0);
+    }
+
+    /// Passes news on at once.
+    void spread(time_point t)
+    {
+        for (const auto peer : members.next_peers(limits::hello_fanout))
+            send_gossip(peer, 0, t);
+    }
+
+    void confirm(time_point t)
+    {
+        if (!paused || t < next_confirm)
+            return;
+        if (paused->heard && !config.behind(paused->version) &&
+            t - paused->at >= limits::pause_hold)
+        {
+            paused.reset();
+            return;
+        }
+        next_confirm = t + confirm_resend;
+        for (const auto peer : members.next_peers(limits::hello_fanout))
+            send_gossip(peer, paused->nonce, t);
+    }
+
+    void gossip_round(time_point t)
+    {
+        if (t < next_gossip)
+            return;
+        next_gossip = t + limits::gossip_interval;
+        members.beat(t);
+        leaving.expire(t);
+        for (const auto peer : members.next_peers(limits::gossip_fanout))
+            send_gossip(peer, 0, t);
+        if (!config.heard_enough()) {
+            for (const auto peer : config.unheard())
+                send_gossip(peer, hello_nonce, t);
+        }
+    }
+
+    void on_gossip(slot_id from, const pb::Gossip& gossip, time_point t)
+    {
+        for (const auto& it : gossip.members())
+            members.note(it, t);
+        config.on_digest(from, gossip.config(), gossip.echo() == hello_nonce,
+                         t);
+        if (paused && gossip.echo() == paused->nonce) {
+            paused->heard = true;
+            paused->version =
+                std::max(paused->version, gossip.config().version());
+        }
+        bool news = false;
+        for (const auto& it : gossip.leaving()) {
+            if (!leaving.note(it.name(), milliseconds{it.age_ms()}, t))
+                continue;
+            news = true;
+            context.events.emplace_back(target_leaving_event{it.name()});
+        }
+        if (news)
+            spread(t);
+        if (gossip.reply_wanted()) {
+            auto& reply = *context.out.add(from).mutable_gossip();
+            fill_gossip(reply, t);
+            reply.set_echo(gossip.nonce());
+        }
+    }
+
+    void note_voters(
+        const google::protobuf::RepeatedPtrField<pb::VoterIncarnation>& voters)
+    {
+        for (const auto& it : voters)
+            context.newest.note(slot_id{it.slot()}, it.incarnation());
+    }
+
+    void handle(const pb::PeerMessage& message, time_point t)
+    {
+        const slot_id from{message.from_slot()};
+        const auto    incarnation = message.from_incarnation();
+        if (from.idx >= context.slot_count())
+            return;
+        context.newest.note(from, incarnation);
+        switch (message.body_case()) {
+        case pb::PeerMessage::kGossip:
+            return on_gossip(from, message.gossip(), t);
+        case pb::PeerMessage::kClaimRequest:
+            return store.on_request(from, message.claim_request(), t);
+        case pb::PeerMessage::kClaimReply:
+            note_voters(message.claim_reply().voters());
+            return client.on_reply(from, incarnation, message.claim_reply(), t);
+        case pb::PeerMessage::kClaimRelease:
+            return store.on_release(from, message.claim_release(), t);
+        case pb::PeerMessage::kClaimRecord:
+            return store.on_record(from, message.claim_record(), t);
+        case pb::PeerMessage::kClaimAck:
+            return client.on_ack(from, message.claim_ack());
+        case pb::PeerMessage::kRecoverRequest:
+            return store.on_recover_request(from, incarnation,
+                                            message.recover_request(), t);
+        case pb::PeerMessage::kRecoverReply:
+            note_voters(message.recover_reply().voters());
+            return store.on_recover_reply(from, incarnation,
+                                          message.recover_reply(), t);
+        case pb::PeerMessage::kClaimHandoff:
+            return store.on_handoff(from, message.claim_handoff(), t);
+        case pb::PeerMessage::kHandoffAck:
+            return store.on_handoff_ack(from, message.handoff_ack());
+        case pb::PeerMessage::kConfigRequest:
+            return config.on_request(from, message.config_request());
+        case pb::PeerMessage::kConfigReply:
+            return config.on_reply(message.config_reply(), t);
+        case pb::PeerMessage::BODY_NOT_SET:
+            return;
+        }
+    }
+
+    /// Handles messages to the own slot until none is left.
+    void handle_local(time_point t)
+    {
+        for (auto queue = context.out.take_local(); !queue.empty();
+             queue      = context.out.take_local())
+        {
+            for (const auto& it : queue)
+                handle(*it.message, t);
+        }
+    }
+
+    node_context         context;
+    observed_clock       clock;
+    claim_store          store;
+    claim_client         client;
+    member_table         members;
+    config_tracker       config;
+    leaving_targets      leaving;
+    std::optional<pause> paused;
+    std::uint64_t        hello_nonce;
+    time_point           next_gossip;
+    time_point           next_confirm;
+    bool                 superseded = false;
+};
+
+node_core::node_core(const node_init& init, time_point now)
+    : impl_(std::make_unique<impl>(init, now))
+{
+}
+
+node_core::~node_core() = default;
+
+void node_core::tick(time_point now)
+{
+    const auto t = impl_->advance(now);
+    impl_->gossip_round(t);
+    impl_->confirm(t);
+    impl_->client.tick(t);
+    impl_->store.tick(t);
+    impl_->config.tick(t);
+    impl_->handle_local(t);
+}
+
+void node_core::on_message(const pb::PeerMessage& message, time_point now)
+{
+    const auto t = impl_->advance(now);
+    impl_->handle(message, t);
+    impl_->check_superseded(t);
+    impl_->handle_local(t);
+}
+
+std::vector<outgoing_message> node_core::take_outgoing()
+{
+    return impl_->context.out.take_outgoing();
+}
+
+std::vector<node_event> node_core::take_events()
+{
+    return std::exchange(impl_->context.events, {});
+}
+
+std::uint64_t node_core::begin_claim(std::string_view account,
+                                     std::string_view key,
+                                     std::uint64_t body_hash, time_point now)
+{
+    const auto t = impl_->advance(now);
+    const auto claim =
+        impl_->client.begin(account, key, body_hash, impl_->may_claim(t), t);
+    impl_->handle_local(t);
+    return claim;
+}
+
+bool node_core::use_claim(std::uint64_t claim, time_point now)
+{
+    const auto t = impl_->advance(now);
+    return impl_->client.use(claim, t);
+}
+
+void node_core::release_claim(std::uint64_t claim, time_point now)
+{
+    const auto t = impl_->advance(now);
+    impl_->client.release(claim, t);
+    impl_->handle_local(t);
+}
+
+void node_core::record_answer(std::uint64_t claim, recorded_answer answer,
+                              time_point now)
+{
+    const auto t = impl_->advance(now);
+    impl_->client.record(claim, std::move(answer), t);
+    impl_->handle_local(t);
+}
+
+bool node_core::should_read_config(time_point now) const
+{
+    const auto t = impl_->clock.at(now);
+    return !impl_->superseded &&
+           (impl_->members.is_reader(t) || !impl_->config.confirmed(t));
+}
+
+void node_core::on_config_read(std::uint64_t                      version,
+                               std::map<std::string, std::string> documents,
+                               time_point                         now)
+{
+    const auto t = impl_->advance(now);
+    impl_->config.on_read(version, std::move(documents), t);
+}
+
+void node_core::accept_config(std::uint64_t version, time_point now)
+{
+    const auto t = impl_->advance(now);
+    if (impl_->config.accept(version, t))
+        impl_->spread(t);
+}
+
+void node_core::reject_config(std::uint64_t version, time_point now)
+{
+    const auto t = impl_->advance(now);
+    impl_->config.reject(version, t);
+}
+
+std::uint64_t node_core::config_version() const
+{
+    return impl_->config.version();
+}
+
+void node_core::note_leaving_target(std::string_view name, time_point now)
+{
+    const auto t = impl_->advance(now);
+    if (impl_->leaving.note(name, microseconds{0}, t))
+        impl_->spread(t);
+}
+
+void node_core::begin_drain(time_point now)
+{
+    const auto t = impl_->advance(now);
+    impl_->members.set_leaving();
+    impl_->members.beat(t);
+    impl_->store.begin_drain(t);
+    impl_->spread(t);
+}
+
+bool node_core::drained(time_point now) const
+{
+    return impl_->client.drained() &&
+           impl_->store.handed_off(impl_->clock.at(now));
+}
+
+bool node_core::ready(time_point) const
+{
+    return impl_->config.version() != 0 && !impl_->superseded &&
+           impl_->config.heard_enough();
+}
+
+bool node_core::settled() const
+{
+    return impl_->store.settled();
+}
+
+std::uint32_t node_core::alive_count(time_point now) const
+{
+    return impl_->members.alive_count(impl_->clock.at(now));
+}
+
+std::vector<member_view> node_core::members(time_point now) const
+{
+    return impl_->members.view(impl_->clock.at(now));
+}
+
+} // namespace arbutusgate
--- /dev/null
+++ b/tests/node_core_test.cpp
@@ -0,0 +1,150 @@
+#include "node_fleet.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace arbutusgate;
+
+namespace {
+
+const std::map<std::string, std::string> documents = {{"base", "b1"},
+                                                      {"site/x", "x1"}};
+
+} // namespace
+
+// Guards against a key that runs twice through two daemons, and against a
+// finished key whose answer is lost.
+TEST_CASE("a key is granted once and its answer is found elsewhere")
+{
+    node_fleet fleet(9);
+    CHECK(fleet.claim(0, "k").outcome == claim_outcome::unavailable);
+    fleet.run(seconds{35});
+    const auto first = fleet.claim(0, "k");
+    REQUIRE(first.outcome == claim_outcome::granted);
+    CHECK(fleet.nodes[0]->use_claim(first.claim, fleet.now));
+    CHECK(fleet.claim(4, "k").outcome == claim_outcome::taken_in_progress);
+    fleet.nodes[0]->record_answer(first.claim, {200, "ok"}, fleet.now);
+    fleet.run(seconds{1});
+    const auto again = fleet.claim(7, "k");
+    CHECK(again.outcome == claim_outcome::taken_done);
+    CHECK(again.answer.body == "ok");
+    CHECK(fleet.claim(7, "k", 2).outcome == claim_outcome::reused);
+}
+
+// Guards against a refused call that blocks its key.
+TEST_CASE("a released key can be claimed again")
+{
+    node_fleet fleet(5);
+    fleet.run(seconds{35});
+    const auto first = fleet.claim(0, "k");
+    REQUIRE(first.outcome == claim_outcome::granted);
+    fleet.nodes[0]->release_claim(first.claim, fleet.now);
+    CHECK_FALSE(fleet.nodes[0]->use_claim(first.claim, fleet.now));
+    fleet.run(seconds{1});
+    CHECK(fleet.claim(3, "k").outcome == claim_outcome::granted);
+}
+
+// Guards against a replaced voter that forgets a claim.
+TEST_CASE("claims survive the replacement of two voters")
+{
+    node_fleet fleet(5);
+    fleet.run(seconds{35});
+    REQUIRE(fleet.claim(0, "k").outcome == claim_outcome::granted);
+    fleet.start(1);
+    fleet.start(2);
+    fleet.run(seconds{2});
+    CHECK(fleet.nodes[1]->settled());
+    CHECK(fleet.claim(1, "k").outcome == claim_outcome::taken_in_progress);
+}
+
+// Guards against work that is sent after a pause or long after its claim.
+TEST_CASE("a claim is not used after a pause or too late")
+{
+    node_fleet fleet(5);
+    fleet.run(seconds{35});
+    const auto late = fleet.claim(0, "late");
+    REQUIRE(fleet.nodes[0]->use_claim(late.claim, fleet.now));
+    fleet.run(seconds{11});
+    CHECK_FALSE(fleet.nodes[0]->use_claim(late.claim, fleet.now));
+    const auto paused = fleet.claim(0, "paused");
+    fleet.asleep      = 0;
+    fleet.run(seconds{3});
+    CHECK_FALSE(fleet.nodes[0]->use_claim(paused.claim, fleet.now));
+}
+
+// Guards against a version that does not reach every daemon, or that an
+// older one replaces.
+TEST_CASE("the highest version reaches every daemon")
+{
+    node_fleet fleet(9);
+    fleet.run(seconds{2});
+    fleet.nodes[3]->on_config_read(7, documents, fleet.now);
+    fleet.run(seconds{3});
+    for (const auto& it : fleet.nodes)
+        CHECK(it->config_version() == 7);
+    fleet.nodes[3]->on_config_read(6, documents, fleet.now);
+    fleet.run(seconds{1});
+    CHECK(fleet.nodes[3]->config_version() == 7);
+    CHECK(fleet.nodes[3]->ready(fleet.now));
+}
+
+// Guards against a fresh process that serves what a stale service told it.
+TEST_CASE("a fresh process without peers puts nothing in force")
+{
+    node_fleet fleet(9);
+    fleet.drop = [](auto, const auto&) {
+        return true;
+    };
+    fleet.nodes[0]->on_config_read(7, documents, fleet.now);
+    fleet.run(seconds{30});
+    CHECK(fleet.nodes[0]->config_version() == 0);
+    CHECK_FALSE(fleet.nodes[0]->ready(fleet.now));
+}
+
+// Guards against two contents under one version that go unnoticed.
+TEST_CASE("two contents under one version are reported")
+{
+    node_fleet fleet(9);
+    fleet.run(seconds{2});
+    fleet.nodes[3]->on_config_read(7, documents, fleet.now);
+    fleet.nodes[4]->on_config_read(7, {{"base", "other"}}, fleet.now);
+    fleet.run(seconds{5});
+    CHECK(fleet.conflicts > 0);
+}
+
+// Guards against work that goes on to a target which another daemon saw
+// leaving.
+TEST_CASE("a leaving target is known everywhere at once")
+{
+    node_fleet fleet(9);
+    fleet.run(seconds{1});
+    fleet.nodes[2]->note_leaving_target("t1", fleet.now);
+    fleet.run(seconds{1});
+    CHECK(fleet.leaving.size() == 8);
+}
+
+// Guards against a service that all daemons read at once.
+TEST_CASE("one daemon for each failure domain and one more read")
+{
+    node_fleet fleet(9);
+    fleet.run(seconds{5});
+    fleet.nodes[3]->on_config_read(7, documents, fleet.now);
+    fleet.run(seconds{5});
+    int readers = 0;
+    for (const auto& it : fleet.nodes)
+        readers += it->should_read_config(fleet.now);
+    CHECK(readers == 4);
+}
+
+// Guards against a draining daemon that ends before its claims are stored.
+TEST_CASE("a daemon with a claim in use is not drained")
+{
+    node_fleet fleet(9);
+    fleet.run(seconds{35});
+    const auto claim = fleet.claim(0, "k");
+    fleet.nodes[0]->begin_drain(fleet.now);
+    fleet.run(seconds{1});
+    CHECK_FALSE(fleet.nodes[0]->drained(fleet.now));
+    fleet.nodes[0]->record_answer(claim.claim, {200, "ok"}, fleet.now);
+    fleet.run(seconds{1});
+    CHECK(fleet.nodes[0]->drained(fleet.now));
+}
