Add the mesh between daemons

Cause: node cores need to exchange messages under keys. Change: ZeroMQ PUSH and PULL sockets with CURVE, a ZAP handler that accepts listed keys only, heartbeats, bounded queues, idle links closed. Result: 3 tests pass: delivery, unknown key rejected, invalid keys refused. Conclusion: the daemon can carry node core messages.

--- /dev/null
+++ b/src/mesh.cpp
@@ -0,0 +1,283 @@
+#include "mesh.hpp"
+
+#include "curve_authenticator.hpp"
+#include "unique_fd.hpp"
+
+#include "peer.pb.h"
+
+#include <sys/eventfd.h>
+
+#include <array>
+#include <atomic>
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <unordered_map>
+
+namespace arbutusgate {
+
+namespace {
+
+// A peer that does not read loses messages; every protocol on the mesh
+// tolerates that and resends.
+constexpr int          queue_limit       = 256; // messages for each peer
+constexpr std::int64_t message_limit     = 8 * 1024 * 1024; // bytes
+constexpr std::size_t  outbox_limit      = 4096;            // messages
+constexpr int          receive_batch     = 64;              // messages
+constexpr milliseconds heartbeat_period  = seconds{2};
+constexpr milliseconds heartbeat_timeout = seconds{6};
+constexpr milliseconds reconnect_min{100};
+constexpr milliseconds reconnect_max = seconds{2};
+constexpr seconds      idle_limit{60};
+constexpr milliseconds poll_limit = seconds{5};
+
+int ms(milliseconds it)
+{
+    return static_cast<int>(it.count());
+}
+
+struct peer_link
+{
+    zmq::socket_t                         socket;
+    std::chrono::steady_clock::time_point last_use;
+};
+
+} // namespace
+
+struct mesh::impl
+{
+    struct outgoing
+    {
+        slot_id     to;
+        std::string frame;
+    };
+
+    explicit impl(mesh_init it) : init(std::move(it)) {}
+
+    absl::Status bind();
+    void         run();
+    void         wake();
+    void         receive_all();
+    void         send_all();
+    void         send_one(const outgoing& it);
+    peer_link*   link_to(slot_id slot);
+    void         close_idle();
+    void         secure(zmq::socket_t& socket);
+
+    mesh_init                              init;
+    zmq::context_t                         context{1};
+    std::optional<curve_authenticator>     authenticator;
+    zmq::socket_t                          inbox;
+    unique_fd                              wake_fd;
+    std::unordered_map<slot_id, peer_link> links; ///< Mesh thread only.
+
+    std::mutex                               mutex;
+    std::unordered_map<slot_id, std::string> addresses;
+    std::vector<slot_id>                     moved; ///< Address changed.
+    std::deque<outgoing>                     outbox;
+
+    std::atomic<bool>          stop{false};
+    std::atomic<std::uint64_t> sent{0}, received{0}, bytes_out{0}, bytes_in{0},
+        dropped{0}, malformed{0}, rejected{0};
+    std::thread thread;
+};
+
+void mesh::impl::secure(zmq::socket_t& socket)
+{
+    socket.set(zmq::sockopt::curve_publickey, init.keys.public_key);
+    socket.set(zmq::sockopt::curve_secretkey, init.keys.secret_key);
+    socket.set(zmq::sockopt::linger, 0);
+    socket.set(zmq::sockopt::heartbeat_ivl, ms(heartbeat_period));
+    socket.set(zmq::sockopt::heartbeat_timeout, ms(heartbeat_timeout));
+    socket.set(zmq::sockopt::maxmsgsize, message_limit);
+}
+
+absl::Status mesh::impl::bind()
+try {
+    authenticator.emplace(context, init.keys.allowed);
+    inbox = zmq::socket_t(context, zmq::socket_type::pull);
+    secure(inbox);
+    inbox.set(zmq::sockopt::curve_server, true);
+    inbox.set(zmq::sockopt::zap_domain, "arbutusgate");
+    inbox.bind("tcp://" + init.listen);
+    wake_fd = unique_fd(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC));
+    if (!wake_fd.valid())
+        return absl::ResourceExhaustedError("cannot create an eventfd");
+    return absl::OkStatus();
+}
+catch (const zmq::error_t& e) {
+    if (e.num() == EINVAL)
+        return absl::InvalidArgumentError(
+            "peer address or CURVE keys are invalid: " + init.listen);
+    return absl::UnavailableError("cannot listen on " + init.listen + ": " +
+                                  e.what());
+}
+
+void mesh::impl::wake()
+{
+    const std::uint64_t one = 1;
+    // A full counter already wakes the thread.
+    [[maybe_unused]] const auto n = ::write(wake_fd.get(), &one, sizeof(one));
+}
+
+void mesh::impl::run()
+{
+    while (!stop) {
+        std::array<zmq::pollitem_t, 3> items{{
+            {inbox.handle(), 0, ZMQ_POLLIN, 0},
+            {authenticator->socket().handle(), 0, ZMQ_POLLIN, 0},
+            {nullptr, wake_fd.get(), ZMQ_POLLIN, 0},
+        }};
+        zmq::poll(items, poll_limit);
+        if (items[2].revents != 0) {
+            std::uint64_t               count = 0;
+            [[maybe_unused]] const auto n =
+                ::read(wake_fd.get(), &count, sizeof(count));
+        }
+        if (items[1].revents != 0 && !authenticator->handle_request())
+            ++rejected;
+        if (items[0].revents != 0)
+            receive_all();
+        send_all();
+        close_idle();
+    }
+}
+
+void mesh::impl::receive_all()
+{
+    zmq::message_t frame;
+    for (int n = 0; n < receive_batch; ++n) {
+        if (!inbox.recv(frame, zmq::recv_flags::dontwait))
+            return;
+        pb::PeerMessage message;
+        bytes_in += frame.size();
+        if (!message.ParseFromArray(frame.data(),
+                                    static_cast<int>(frame.size()))) {
+            ++malformed;
+            continue;
+        }
+        ++received;
+        init.on_message(message);
+    }
+}
+
+void mesh::impl::send_all()
+{
+    std::deque<outgoing> batch;
+    std::vector<slot_id> closing;
+    {
+        std::lock_guard lock(mutex);
+        batch.swap(outbox);
+        closing.swap(moved);
+    }
+    for (const auto& it : closing)
+        links.erase(it);
+    for (const auto& it : batch)
+        send_one(it);
+}
+
+void mesh::impl::send_one(const outgoing& it)
+{
+    auto* link = link_to(it.to);
+    if (link == nullptr ||
+        !link->socket.send(zmq::buffer(it.frame), zmq::send_flags::dontwait))
+    {
+        ++dropped;
+        return;
+    }
+    ++sent;
+    bytes_out += it.frame.size();
+}
+
+peer_link* mesh::impl::link_to(slot_id slot)
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (const auto it = links.find(slot); it != links.end()) {
+        it->second.last_use = now;
+        return &it->second;
+    }
+    std::string address;
+    {
+        std::lock_guard lock(mutex);
+        const auto      it = addresses.find(slot);
+        if (it == addresses.end())
+            return nullptr;
+        address = it->second;
+    }
+    zmq::socket_t socket(context, zmq::socket_type::push);
+    secure(socket);
+    // All daemons of a fleet share one server key.
+    socket.set(zmq::sockopt::curve_serverkey, init.keys.public_key);
+    socket.set(zmq::sockopt::sndhwm, queue_limit);
+    socket.set(zmq::sockopt::reconnect_ivl, ms(reconnect_min));
+    socket.set(zmq::sockopt::reconnect_ivl_max, ms(reconnect_max));
+    socket.connect("tcp://" + address);
+    return &links.emplace(slot, peer_link{std::move(socket), now})
+                .first->second;
+}
+
+// At 360 daemons an idle connection to each would cost more memory than
+// opening one anew for an occasional message.
+void mesh::impl::close_idle()
+{
+    const auto limit = std::chrono::steady_clock::now() - idle_limit;
+    std::erase_if(links,
+                  [&](const auto& it) { return it.second.last_use < limit; });
+}
+
+mesh::mesh(mesh_init init) : impl_(std::make_unique<impl>(std::move(init))) {}
+
+mesh::~mesh()
+{
+    impl_->stop = true;
+    if (impl_->thread.joinable()) {
+        impl_->wake();
+        impl_->thread.join();
+    }
+}
+
+absl::Status mesh::start()
+{
+    auto status = impl_->bind();
+    if (status.ok())
+        impl_->thread = std::thread([this] { impl_->run(); });
+    return status;
+}
+
+std::string mesh::bound_address() const
+{
+    constexpr std::string_view scheme = "tcp://";
+    return impl_->inbox.get(zmq::sockopt::last_endpoint).substr(scheme.size());
+}
+
+void mesh::set_peer(slot_id slot, std::string address)
+{
+    std::lock_guard lock(impl_->mutex);
+    auto&           known = impl_->addresses[slot];
+    if (known == address)
+        return;
+    known = std::move(address);
+    impl_->moved.push_back(slot);
+}
+
+void mesh::send(slot_id to, const pb::PeerMessage& message)
+{
+    {
+        std::lock_guard lock(impl_->mutex);
+        if (impl_->outbox.size() >= outbox_limit) {
+            ++impl_->dropped;
+            return;
+        }
+        impl_->outbox.push_back({to, message.SerializeAsString()});
+    }
+    impl_->wake();
+}
+
+mesh_stats mesh::stats() const
+{
+    return {impl_->sent,    impl_->received,  impl_->bytes_out, impl_->bytes_in,
+            impl_->dropped, impl_->malformed, impl_->rejected};
+}
+
+} // namespace arbutusgate
--- /dev/null
+++ b/tests/mesh_test.cpp
@@ -0,0 +1,87 @@
+#include "mesh.hpp"
+
+#include "peer.pb.h"
+
+#include <catch2/catch.hpp>
+#include <zmq.hpp>
+
+#include <array>
+#include <future>
+
+using namespace arbutusgate;
+
+namespace {
+
+peer_keys make_keys()
+{
+    std::array<char, 41> public_key{};
+    std::array<char, 41> secret_key{};
+    REQUIRE(zmq_curve_keypair(public_key.data(), secret_key.data()) == 0);
+    return {public_key.data(), secret_key.data(), {public_key.data()}};
+}
+
+mesh_init make_init(const peer_keys&                            keys,
+                    std::function<void(const pb::PeerMessage&)> handler)
+{
+    return {"127.0.0.1:0", keys, std::move(handler)};
+}
+
+void ignore(const pb::PeerMessage&) {}
+
+/// Generous bound; the wait ends as soon as the condition holds.
+constexpr seconds wait_limit{20};
+
+} // namespace
+
+// Guards against a message being lost between two daemons that share a key.
+TEST_CASE("a message reaches a peer with the same key")
+{
+    const auto                  keys = make_keys();
+    std::promise<std::uint32_t> arrived;
+    mesh                        receiver(make_init(
+                               keys, [&](const auto& it) { arrived.set_value(it.from_slot()); }));
+    mesh                        sender(make_init(keys, ignore));
+    REQUIRE(receiver.start().ok());
+    REQUIRE(sender.start().ok());
+    sender.set_peer(slot_id{1}, receiver.bound_address());
+    pb::PeerMessage message;
+    message.set_from_slot(7);
+    sender.send(slot_id{1}, message);
+    auto future = arrived.get_future();
+    REQUIRE(future.wait_for(wait_limit) == std::future_status::ready);
+    CHECK(future.get() == 7);
+}
+
+// Guards against a process without a known key taking part in the fleet. It
+// knows the server's public key, which is not a secret.
+TEST_CASE("a peer with an unknown key is rejected")
+{
+    const auto                 keys    = make_keys();
+    auto                       unknown = make_keys();
+    std::atomic<std::uint64_t> count{0};
+    mesh receiver(make_init(keys, [&](const auto&) { ++count; }));
+    REQUIRE(receiver.start().ok());
+    zmq::context_t context;
+    zmq::socket_t  socket(context, zmq::socket_type::push);
+    socket.set(zmq::sockopt::linger, 0);
+    socket.set(zmq::sockopt::curve_publickey, unknown.public_key);
+    socket.set(zmq::sockopt::curve_secretkey, unknown.secret_key);
+    socket.set(zmq::sockopt::curve_serverkey, keys.public_key);
+    socket.connect("tcp://" + receiver.bound_address());
+    socket.send(zmq::str_buffer("x"), zmq::send_flags::dontwait);
+    const auto until = std::chrono::steady_clock::now() + wait_limit;
+    while (receiver.stats().rejected == 0 &&
+           std::chrono::steady_clock::now() < until)
+        std::this_thread::sleep_for(milliseconds{5});
+    CHECK(receiver.stats().rejected > 0);
+    CHECK(receiver.stats().received == 0);
+    CHECK(count == 0);
+}
+
+// Guards against a daemon that starts without protection because its keys
+// are wrong.
+TEST_CASE("a mesh does not start with invalid keys")
+{
+    mesh it(make_init(peer_keys{"short", "short", {}}, ignore));
+    CHECK(it.start().code() == absl::StatusCode::kInvalidArgument);
+}
