Add configuration documents with overlays and examples

Cause: the daemon and the operators' command line need the effective deployment of a site, with every error of the documents at its place.

Change: a tree of YAML nodes with positions, a declarative schema that both checks the documents and fills deployment, a merge that lets an overlay touch only what the base opens, and rules over several keys. check_all_sites() reports the issues of all sites, since a version is valid as a whole or not at all. Account keys are noted as digests.

--- a/include/arbutusgate/configuration.hpp
+++ b/include/arbutusgate/configuration.hpp
@@ -24,9 +24,9 @@
 /// A leaf of the effective configuration and where it was set.
 struct config_value
 {
-    std::string   path; ///< Such as "pipelines.quote.deadline_ms".
-    std::string   value;
-    std::string   document;
+    std::string   path;     ///< Such as "pipelines.quote.deadline_ms".
+    std::string   value;    ///< Canonical text; a digest for account keys.
+    std::string   document; ///< "default" for values that no document sets.
     std::uint32_t line = 0;
 };
 
@@ -37,7 +37,7 @@
 struct checked_config
 {
     std::vector<config_issue> issues; ///< Empty: the deployment is valid.
-    std::vector<config_value> values;
+    std::vector<config_value> values; ///< In document order; none with issues.
     deployment                effective;
 };
 
@@ -47,4 +47,11 @@
 checked_config check_config(const config_documents& documents,
                             const std::string& site, std::uint64_t version);
 
+/// Names of the sites that have an overlay, sorted.
+std::vector<std::string> config_sites(const config_documents& documents);
+
+/// Issues of all sites, sorted, each once. A version is valid as a whole or
+/// not at all, so a daemon checks the sites of others too.
+std::vector<config_issue> check_all_sites(const config_documents& documents);
+
 } // namespace arbutusgate
--- /dev/null
+++ b/src/config_check.cpp
@@ -0,0 +1,112 @@
+#include "arbutusgate/configuration.hpp"
+
+#include "config_merge.hpp"
+#include "deployment_schema.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace arbutusgate {
+
+namespace {
+
+constexpr std::string_view base_name   = "base";
+constexpr std::string_view site_prefix = "site/";
+
+auto order_of(const config_issue& it)
+{
+    return std::tie(it.document, it.line, it.column, it.message);
+}
+
+void sort_issues(std::vector<config_issue>& issues)
+{
+    std::sort(issues.begin(), issues.end(),
+              [](const config_issue& a, const config_issue& b) {
+                  return order_of(a) < order_of(b);
+              });
+    const auto same = [](const config_issue& a, const config_issue& b) {
+        return order_of(a) == order_of(b);
+    };
+    issues.erase(std::unique(issues.begin(), issues.end(), same), issues.end());
+}
+
+/// Parses the named document; a document that is absent is an issue.
+parsed_document load_document(const config_documents& documents,
+                              std::string_view        name)
+{
+    const auto found = documents.find(std::string(name));
+    if (found != documents.end())
+        return parse_document(found->first, found->second);
+    parsed_document out;
+    out.issues.push_back({std::string(name), 1, 1, "document missing"});
+    return out;
+}
+
+/// Merges and checks two documents without syntax errors.
+void check_trees(checked_config& out, parsed_document base,
+                 parsed_document overlay)
+{
+    config_reader reader;
+    if (base.root.kind == node_kind::mapping) {
+        const auto open =
+            read_open_patterns(reader, base.root, overlay_shape());
+        std::erase_if(base.root.children,
+                      [](const config_node& it) { return it.key == "open"; });
+        merge_overlay(reader, base.root, std::move(overlay.root), open);
+    }
+    deployment_draft draft;
+    read_mapping(reader, {base.root, ""}, deployment_schema(), draft);
+    check_rules(reader, base.root, draft);
+    out.issues = std::move(reader.issues());
+    if (!out.issues.empty())
+        return;
+    out.values    = std::move(reader.values());
+    out.effective = to_deployment(std::move(draft));
+}
+
+} // namespace
+
+std::vector<std::string> config_sites(const config_documents& documents)
+{
+    std::vector<std::string> out;
+    for (const auto& it : documents) {
+        if (it.first.starts_with(site_prefix))
+            out.push_back(it.first.substr(site_prefix.size()));
+    }
+    return out;
+}
+
+checked_config check_config(const config_documents& documents,
+                            const std::string& site, std::uint64_t version)
+{
+    checked_config out;
+    auto           base = load_document(documents, base_name);
+    auto overlay = load_document(documents, std::string(site_prefix) + site);
+    out.issues   = std::move(base.issues);
+    out.issues.insert(out.issues.end(), overlay.issues.begin(),
+                      overlay.issues.end());
+    // Parts that a syntax error hides would be reported as missing.
+    if (out.issues.empty())
+        check_trees(out, std::move(base), std::move(overlay));
+    sort_issues(out.issues);
+    out.effective.version = version;
+    out.effective.site    = site;
+    return out;
+}
+
+std::vector<config_issue> check_all_sites(const config_documents& documents)
+{
+    std::vector<config_issue> out;
+    const auto                sites = config_sites(documents);
+    if (sites.empty())
+        out.push_back({std::string(site_prefix), 1, 1,
+                       "no site; each needs a document site/NAME"});
+    for (const auto& it : sites) {
+        auto checked = check_config(documents, it, 0);
+        out.insert(out.end(), checked.issues.begin(), checked.issues.end());
+    }
+    sort_issues(out);
+    return out;
+}
+
+} // namespace arbutusgate
--- /dev/null
+++ b/src/config_codecs.cpp
@@ -0,0 +1,184 @@
+#include "config_codecs.hpp"
+
+#include "absl/strings/escaping.h"
+
+#include <arpa/inet.h>
+#include <openssl/sha.h>
+
+#include <algorithm>
+
+namespace arbutusgate {
+
+namespace {
+
+constexpr std::size_t longest_name = 63;
+constexpr std::size_t digest_shown = 6; // bytes
+
+bool is_name(std::string_view text)
+{
+    constexpr std::string_view allowed =
+        "abcdefghijklmnopqrstuvwxyz0123456789-_";
+    return !text.empty() && text.size() <= longest_name && text[0] != '-' &&
+           text[0] != '_' &&
+           text.find_first_not_of(allowed) == std::string_view::npos;
+}
+
+std::string_view kind_name(const config_node& it)
+{
+    switch (it.kind) {
+    case node_kind::null:
+        return "empty";
+    case node_kind::scalar:
+        return "a scalar";
+    case node_kind::sequence:
+        return "a list";
+    case node_kind::mapping:
+        return "a mapping";
+    }
+    return "";
+}
+
+bool is_numeric_ip(const std::string& host, int family)
+{
+    in6_addr out;
+    return inet_pton(family, host.c_str(), &out) == 1;
+}
+
+bool is_address(const std::string& text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos)
+        return false;
+    const char*   first  = text.data() + colon + 1;
+    const char*   end    = text.data() + text.size();
+    std::uint16_t port   = 0;
+    const auto    result = std::from_chars(first, end, port);
+    if (result.ec != std::errc{} || result.ptr != end || port == 0)
+        return false;
+    const auto host = text.substr(0, colon);
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']')
+        return is_numeric_ip(host.substr(1, host.size() - 2), AF_INET6);
+    return is_numeric_ip(host, AF_INET);
+}
+
+std::string digest(std::string_view text)
+{
+    unsigned char out[SHA256_DIGEST_LENGTH];
+    SHA256(reinterpret_cast<const unsigned char*>(text.data()), text.size(),
+           out);
+    return concat("sha256:", absl::BytesToHexString(
+                                 {reinterpret_cast<char*>(out), digest_shown}));
+}
+
+} // namespace
+
+void report_wrong_value(config_reader& reader, const located_node& at,
+                        std::string_view wanted)
+{
+    const auto& it    = at.node;
+    std::string found = it.kind == node_kind::scalar
+                            ? quote_text(it.text)
+                            : std::string(kind_name(it));
+    if (it.quoted)
+        found += " in quotes";
+    reader.error(at, concat("must be ", wanted, ", is ", found));
+}
+
+bool require_scalar(config_reader& reader, const located_node& at,
+                    std::string_view wanted)
+{
+    if (at.node.kind == node_kind::scalar)
+        return true;
+    report_wrong_value(reader, at, wanted);
+    return false;
+}
+
+std::optional<std::string>
+duration_value::read(config_reader& reader, const located_node& at,
+                     std::chrono::milliseconds& out) const
+{
+    const number_value<std::int64_t> codec{least.count(), most.count(),
+                                           "milliseconds"};
+    std::int64_t                     n    = 0;
+    auto                             text = codec.read(reader, at, n);
+    if (text)
+        out = std::chrono::milliseconds(n);
+    return text;
+}
+
+std::optional<std::string>
+bool_value::read(config_reader& reader, const located_node& at, bool& out) const
+{
+    const auto& it = at.node;
+    if (it.kind != node_kind::scalar || it.quoted ||
+        (it.text != "true" && it.text != "false"))
+    {
+        report_wrong_value(reader, at, "true or false");
+        return std::nullopt;
+    }
+    out = it.text == "true";
+    return it.text;
+}
+
+std::optional<std::string> text_value::read(config_reader&      reader,
+                                            const located_node& at,
+                                            std::string&        out) const
+{
+    const auto wanted = concat("text of ", shortest, " to ", longest,
+                               " visible ASCII characters");
+    if (!require_scalar(reader, at, wanted))
+        return std::nullopt;
+    const auto& text    = at.node.text;
+    const bool  visible = std::all_of(
+         text.begin(), text.end(), [](char c) { return c > ' ' && c <= '~'; });
+    if (!visible || text.size() < shortest || text.size() > longest) {
+        if (secret)
+            reader.error(at, concat("must be ", wanted));
+        else
+            report_wrong_value(reader, at, wanted);
+        return std::nullopt;
+    }
+    if (!unique_as.empty())
+        reader.require_unique(unique_as, text, at, at.node.position);
+    out = text;
+    return secret ? digest(text) : text;
+}
+
+std::optional<std::string> name_value::read(config_reader&      reader,
+                                            const located_node& at,
+                                            std::string&        out) const
+{
+    constexpr std::string_view wanted =
+        "a name of at most 63 of a-z, 0-9, - and _, from a letter or digit";
+    if (!require_scalar(reader, at, wanted))
+        return std::nullopt;
+    if (!is_name(at.node.text)) {
+        report_wrong_value(reader, at, wanted);
+        return std::nullopt;
+    }
+    if (!known_as.empty() && !reader.resolve(known_as, at))
+        return std::nullopt;
+    if (!declared_as.empty())
+        reader.declare(declared_as, at.node.text, 0);
+    out = at.node.text;
+    return out;
+}
+
+std::optional<std::string> address_value::read(config_reader&      reader,
+                                               const located_node& at,
+                                               std::string&        out) const
+{
+    constexpr std::string_view wanted = "a numeric IP:port";
+    if (!require_scalar(reader, at, wanted))
+        return std::nullopt;
+    if (!is_address(at.node.text)) {
+        report_wrong_value(reader, at, wanted);
+        return std::nullopt;
+    }
+    if (!unique_as.empty())
+        reader.require_unique(unique_as, at.node.text, at, at.node.position);
+    out = at.node.text;
+    return out;
+}
+
+} // namespace arbutusgate
--- /dev/null
+++ b/src/config_tree.cpp
@@ -0,0 +1,228 @@
+#include "config_tree.hpp"
+
+#include "config_reader.hpp"
+#include "text.hpp"
+
+#include <yaml-cpp/eventhandler.h>
+#include <yaml-cpp/exceptions.h>
+#include <yaml-cpp/parser.h>
+
+#include <algorithm>
+#include <optional>
+#include <sstream>
+#include <unordered_map>
+
+namespace arbutusgate {
+
+namespace {
+
+source_position to_position(std::string_view document, const YAML::Mark& mark)
+{
+    if (mark.is_null())
+        return {document, 1, 1};
+    return {document, static_cast<std::uint32_t>(mark.line) + 1,
+            static_cast<std::uint32_t>(mark.column) + 1};
+}
+
+config_issue make_issue(const source_position& at, std::string message)
+{
+    return {std::string(at.document), at.line, at.column, std::move(message)};
+}
+
+/// Builds the tree from the parser's events.
+class tree_builder : public YAML::EventHandler
+{
+public:
+    tree_builder(std::string_view document, parsed_document& out)
+        : document_(document), out_(out)
+    {
+    }
+
+    void OnDocumentStart(const YAML::Mark&) override {}
+    void OnDocumentEnd() override {}
+
+    void OnNull(const YAML::Mark& mark, YAML::anchor_t anchor) override
+    {
+        add_leaf(node_kind::null, mark, anchor, {}, false);
+    }
+
+    void OnAlias(const YAML::Mark& mark, YAML::anchor_t) override
+    {
+        refuse_anchor(mark);
+        add_leaf(node_kind::null, mark, 0, {}, false);
+    }
+
+    void OnScalar(const YAML::Mark& mark, const std::string& tag,
+                  YAML::anchor_t anchor, const std::string& value) override
+    {
+        add_leaf(node_kind::scalar, mark, anchor, value, tag != "?");
+    }
+
+    void OnSequenceStart(const YAML::Mark& mark, const std::string&,
+                         YAML::anchor_t    anchor,
+                         YAML::EmitterStyle::value) override
+    {
+        open(node_kind::sequence, mark, anchor);
+    }
+
+    void OnMapStart(const YAML::Mark& mark, const std::string&,
+                    YAML::anchor_t anchor, YAML::EmitterStyle::value) override
+    {
+        open(node_kind::mapping, mark, anchor);
+    }
+
+    void OnSequenceEnd() override { close(); }
+    void OnMapEnd() override { close(); }
+
+private:
+    struct key_text
+    {
+        std::string     text;
+        source_position position;
+    };
+
+    /// A collection that is still open.
+    struct frame
+    {
+        config_node             node;
+        std::optional<key_text> key; ///< Waits for its value.
+        std::unordered_map<std::string, std::uint32_t> lines; ///< By key.
+    };
+
+    void report(const source_position& at, std::string message)
+    {
+        out_.issues.push_back(make_issue(at, std::move(message)));
+    }
+
+    // Aliases would give one value two origins, and nested ones can expand
+    // a small document without bound.
+    void refuse_anchor(const YAML::Mark& mark)
+    {
+        report(to_position(document_, mark),
+               "anchors and aliases are not supported");
+    }
+
+    void add_leaf(node_kind kind, const YAML::Mark& mark, YAML::anchor_t anchor,
+                  std::string text, bool quoted)
+    {
+        if (anchor != 0)
+            refuse_anchor(mark);
+        config_node it;
+        it.kind     = kind;
+        it.text     = std::move(text);
+        it.quoted   = quoted;
+        it.position = to_position(document_, mark);
+        attach(std::move(it));
+    }
+
+    void open(node_kind kind, const YAML::Mark& mark, YAML::anchor_t anchor)
+    {
+        if (anchor != 0)
+            refuse_anchor(mark);
+        frame it;
+        it.node.kind     = kind;
+        it.node.position = to_position(document_, mark);
+        stack_.push_back(std::move(it));
+    }
+
+    void close()
+    {
+        config_node it = std::move(stack_.back().node);
+        stack_.pop_back();
+        attach(std::move(it));
+    }
+
+    void attach(config_node it)
+    {
+        if (stack_.empty()) {
+            it.key_position = it.position;
+            out_.root       = std::move(it);
+            return;
+        }
+        frame& top = stack_.back();
+        if (top.node.kind == node_kind::sequence) {
+            it.key          = concat(top.node.children.size());
+            it.key_position = it.position;
+            top.node.children.push_back(std::move(it));
+        }
+        else if (!top.key) {
+            set_key(top, it);
+        }
+        else {
+            add_entry(top, std::move(it));
+        }
+    }
+
+    void set_key(frame& top, config_node& it)
+    {
+        if (it.kind != node_kind::scalar)
+            report(it.position, "a key must be plain text");
+        top.key = key_text{std::move(it.text), it.position};
+    }
+
+    void add_entry(frame& top, config_node it)
+    {
+        it.key          = std::move(top.key->text);
+        it.key_position = top.key->position;
+        // The parser's mark of an empty value is that of the next token.
+        if (it.kind == node_kind::null)
+            it.position = it.key_position;
+        top.key.reset();
+        auto [found, added] =
+            top.lines.try_emplace(it.key, it.key_position.line);
+        if (added) {
+            top.node.children.push_back(std::move(it));
+            return;
+        }
+        report(it.key_position, concat("duplicate key ", quote_text(it.key),
+                                       ", first on line ", found->second));
+    }
+
+    std::string_view   document_;
+    parsed_document&   out_;
+    std::vector<frame> stack_;
+};
+
+} // namespace
+
+const config_node* config_node::find(std::string_view name) const
+{
+    if (kind != node_kind::mapping)
+        return nullptr;
+    auto it = std::find_if(
+        children.begin(), children.end(),
+        [&](const config_node& entry) { return entry.key == name; });
+    return it == children.end() ? nullptr : &*it;
+}
+
+parsed_document parse_document(std::string_view name, const std::string& text)
+{
+    parsed_document out;
+    out.root.position = out.root.key_position = {name, 1, 1};
+    if (text.size() > limits::config_value_size) {
+        out.issues.push_back(make_issue(
+            {name, 1, 1},
+            concat("document has ", text.size(),
+                   " bytes; the configuration service holds at most ",
+                   limits::config_value_size)));
+        return out;
+    }
+    // yaml-cpp reports errors by exceptions only.
+    try {
+        std::istringstream in(text);
+        YAML::Parser       parser(in);
+        tree_builder       builder(name, out);
+        parsed_document    rest;
+        tree_builder       ignored(name, rest);
+        if (parser.HandleNextDocument(builder) &&
+            parser.HandleNextDocument(ignored))
+            out.issues.push_back(make_issue(
+                rest.root.position, "only one YAML document is allowed"));
+    }
+    catch (const YAML::Exception& e) {
+        out.issues.push_back(make_issue(to_position(name, e.mark), e.msg));
+    }
+    return out;
+}
+
+} // namespace arbutusgate
--- /dev/null
+++ b/src/text.hpp
@@ -0,0 +1,31 @@
+/// Text helpers. Debian builds absl with a string_view of its own, to which
+/// std::string_view does not convert.
+#pragma once
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/string_view.h"
+
+#include <string>
+#include <string_view>
+
+namespace arbutusgate {
+
+inline absl::string_view to_absl(std::string_view it)
+{
+    return {it.data(), it.size()};
+}
+
+template <class T>
+const T& to_absl(const T& it)
+{
+    return it;
+}
+
+/// absl::StrCat that also takes std::string_view.
+template <class... Args>
+std::string concat(const Args&... args)
+{
+    return absl::StrCat(to_absl(args)...);
+}
+
+} // namespace arbutusgate
