Add policy strategies and target names to the policy interface

Load reports and leaving marks can name the target, because an index changes its meaning with set_deployment. pipeline_run keeps and exposes the deployment it began with.

--- a/include/arbutusgate/pipeline_run.hpp
+++ b/include/arbutusgate/pipeline_run.hpp
@@ -5,12 +5,14 @@
 #include "arbutusgate/types.hpp"
 
 #include <cstdint>
+#include <memory>
 #include <variant>
 #include <vector>
 
 namespace arbutusgate {
 
 class policy;
+struct deployment;
 
 /// What the driver knows of a request when it arrives.
 struct request_info
@@ -125,6 +127,8 @@
 
     const request_info& info() const { return info_; }
     bool                finished() const { return finished_; }
+    /// Deployment that the run began with; its actions refer to it.
+    const std::shared_ptr<const deployment>& config() const { return config_; }
 
 private:
     run_actions step(time_point now);
@@ -133,8 +137,11 @@
     run_actions retry(attempt_status status, time_point now,
                       milliseconds retry_after);
 
-    policy&       policy_;
-    request_info  info_;
+    policy&      policy_;
+    request_info info_;
+
+    std::shared_ptr<const deployment> config_;
+
     std::uint32_t stage_   = 0;
     std::uint32_t attempt_ = 0;
     std::uint32_t retries_ = 0;
--- a/include/arbutusgate/policy.hpp
+++ b/include/arbutusgate/policy.hpp
@@ -7,7 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <optional>
+#include <string_view>
 
 namespace arbutusgate {
 
@@ -23,6 +23,16 @@
     bool          leaving = false;
 };
 
+/// How targets are chosen. All but adaptive are baselines for comparison:
+/// they admit everything and retry up to the pipeline's limit.
+enum class policy_strategy
+{
+    adaptive,
+    random,
+    round_robin,
+    least_inflight,
+};
+
 /// Start values of a policy.
 struct policy_init
 {
@@ -31,6 +41,7 @@
     std::uint32_t daemons = 1;
     /// Called without locks held when a waiting run may go on.
     std::function<void(std::uint64_t run)> on_ready;
+    policy_strategy                        strategy = policy_strategy::adaptive;
 };
 
 /// Thread-safe. State is kept in shards with a lock each.
@@ -53,10 +64,17 @@
 
     /// Number of daemons believed alive; sets this daemon's share of limits.
     void set_daemons(std::uint32_t n);
+    /// \param target index in the deployment in force; the name is safe while
+    /// set_deployment may run at the same time. Unknown targets are ignored.
     void on_load_report(target_id target, const load_report& report,
                         time_point now);
+    /// \copydoc on_load_report
+    void on_load_report(std::string_view target, const load_report& report,
+                        time_point now);
     /// A leaving target gets no new work.
     void set_leaving(target_id target, bool leaving);
+    /// \copydoc set_leaving
+    void set_leaving(std::string_view target, bool leaving);
 
 private:
     friend class pipeline_run;
--- a/src/pipeline_run.cpp
+++ b/src/pipeline_run.cpp
@@ -5,7 +5,7 @@
 namespace arbutusgate {
 
 pipeline_run::pipeline_run(policy& shared, const request_info& info, time_point)
-    : policy_(shared), info_(info)
+    : policy_(shared), info_(info), config_(shared.current())
 {
 }
 
@@ -17,8 +17,7 @@
 
 run_actions pipeline_run::start(time_point now)
 {
-    const auto config = policy_.current();
-    if (config->pipelines[info_.pipeline.idx].has_non_idempotent())
+    if (config_->pipelines[info_.pipeline.idx].has_non_idempotent())
         return {obtain_claim{}};
     return step(now);
 }
@@ -46,8 +45,7 @@
 
 run_actions pipeline_run::step(time_point now)
 {
-    const auto  config   = policy_.current();
-    const auto& pipeline = config->pipelines[info_.pipeline.idx];
+    const auto& pipeline = config_->pipelines[info_.pipeline.idx];
     if (stage_ == pipeline.stages.size())
         return end(execution::done, refusal_reason::none, now, milliseconds{0});
     if (now >= info_.deadline)
@@ -87,8 +85,7 @@
 run_actions pipeline_run::retry(attempt_status status, time_point now,
                                 milliseconds retry_after)
 {
-    const auto  config   = policy_.current();
-    const auto& pipeline = config->pipelines[info_.pipeline.idx];
+    const auto& pipeline = config_->pipelines[info_.pipeline.idx];
     const bool  not_run  = status == attempt_status::connect_failed ||
                          status == attempt_status::not_run;
     const bool idempotent = pipeline.stages[stage_].idempotent;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -6,13 +6,23 @@
 {
     std::lock_guard lock(mutex);
     target_id       best;
-    const auto&     ids   = config->pools[pool.idx].targets;
-    const auto      first = ids.empty() ? 0 : random() % ids.size();
+    const auto&     ids = config->pools[pool.idx].targets;
+    if (ids.empty())
+        return best;
+    const auto first =
+        strategy == policy_strategy::round_robin ? turn++ : random();
     for (std::size_t n = 0; n < ids.size(); ++n) {
         const auto  it    = ids[(first + n) % ids.size()];
         const auto& state = targets[it.idx];
-        if (state.leaving || it == avoid)
+        if (state.leaving ||
+            (strategy == policy_strategy::adaptive && it == avoid))
             continue;
+        if (strategy == policy_strategy::random ||
+            strategy == policy_strategy::round_robin)
+        {
+            best = it;
+            break;
+        }
         if (!best.valid() || state.in_flight < targets[best.idx].in_flight)
             best = it;
     }
@@ -35,6 +45,7 @@
     impl_->config = std::move(config);
     impl_->random.seed(init.seed);
     impl_->counters = &counters;
+    impl_->strategy = init.strategy;
 }
 
 policy::~policy() = default;
@@ -61,6 +72,21 @@
     set_leaving(target, report.leaving);
 }
 
+void policy::on_load_report(std::string_view target, const load_report& report,
+                            time_point)
+{
+    set_leaving(target, report.leaving);
+}
+
+void policy::set_leaving(std::string_view target, bool leaving)
+{
+    const auto config = current();
+    for (std::uint32_t n = 0; n < config->targets.size(); ++n) {
+        if (config->targets[n].name == target)
+            set_leaving(target_id{n}, leaving);
+    }
+}
+
 void policy::set_leaving(target_id target, bool leaving)
 {
     std::lock_guard lock(impl_->mutex);
--- a/src/policy_impl.hpp
+++ b/src/policy_impl.hpp
@@ -29,6 +29,8 @@
     std::vector<target_state>         targets;
     std::mt19937_64                   random;
     reason_counters*                  counters = nullptr;
+    policy_strategy                   strategy = policy_strategy::adaptive;
+    std::uint64_t                     turn     = 0; ///< Of round_robin.
 };
 
 } // namespace arbutusgate
