--- /dev/null
+++ b/src/replay_report.hpp
@@ -0,0 +1,60 @@
+/// Stated outcomes and figures of a replay.
+#pragma once
+
+#include "replay.hpp"
+#include "replay_trace.hpp"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace arbutusgate {
+
+/// One stated outcome and what was measured.
+struct replay_check
+{
+    std::string text; ///< Kind, window and filters.
+    double      value = 0;
+    double      min   = 0;
+    double      max   = 0;
+
+    bool holds() const { return value >= min && value <= max; }
+};
+
+/// Replays a trace and evaluates it. Replays that several outcomes need, such
+/// as those of the baselines, run once.
+class replay_report
+{
+public:
+    replay_report(const replay_trace& trace, policy_strategy strategy);
+
+    const replay_result&      result() { return run({strategy_, {}}); }
+    const replay_result&      run(const replay_options& options);
+    std::vector<replay_check> checks();
+
+    /// Figures for reading; one JSON object with json set.
+    std::string text(const replay_result& it, const std::string& policy) const;
+    std::string json(const replay_result& it, const std::string& policy,
+                     const std::vector<replay_check>& checks) const;
+
+private:
+    bool   counts(const replay_record& it, const replay_expect& expect) const;
+    double attainment(const replay_result& it,
+                      const replay_expect& expect) const;
+    double of_capacity(const replay_expect& expect);
+    double cost_per_answer(const replay_result& it,
+                           const replay_expect& expect) const;
+    double value(const replay_expect& expect);
+
+    const replay_trace&                  trace_;
+    policy_strategy                      strategy_;
+    std::map<std::string, replay_result> results_;
+};
+
+/// Name of a strategy on the command line: "arbutusgate", "random",
+/// "round_robin", "least_inflight".
+std::string_view to_string(policy_strategy);
+/// \return false for an unknown name.
+bool parse_strategy(std::string_view name, policy_strategy& it);
+
+} // namespace arbutusgate
