Route around failing targets and bound retries by pool

Cause: with half a pool failing, retries added 26 to 32% load to it, and targets that could not be reached were tried again by every request. Change: power of two choices on own in-flight count; outliers are ejected, at most a third of the pool; targets that cannot be connected to are left out for a growing time; a retry goes to another failure domain and takes from a budget of 10% of the pool's successes. Runs keep the deployment and the shared target state they began with. A definite failure of non-idempotent work is reported as failed; the claim is released exactly when nothing of it was sent, also when the client leaves during the claim. The replay counts retry load for each pool, not over all, which is stricter.

--- a/include/arbutusgate/config.hpp
+++ b/include/arbutusgate/config.hpp
@@ -41,5 +41,6 @@
 inline constexpr std::size_t   idempotency_key  = 200; // bytes
 inline constexpr std::uint32_t request_retries  = 2;
 inline constexpr double        pool_retry_ratio = 0.1;
+inline constexpr double        pool_retry_burst = 5; // per pool and daemon
 
 } // namespace arbutusgate::limits
--- a/include/arbutusgate/pipeline_run.hpp
+++ b/include/arbutusgate/pipeline_run.hpp
@@ -13,6 +13,9 @@
 
 class policy;
 struct deployment;
+struct pipeline_config;
+struct policy_view;
+struct route_target;
 
 /// What the driver knows of a request when it arrives.
 struct request_info
@@ -131,16 +134,22 @@
     const std::shared_ptr<const deployment>& config() const { return config_; }
 
 private:
-    run_actions step(time_point now);
-    run_actions end(execution result, refusal_reason reason, time_point now,
+    const pipeline_config& pipeline() const;
+    run_actions            step(time_point now);
+    run_actions            retry(const attempt_result& result, time_point now);
+    bool                   take_retry();
+    void                   leave_target();
+    run_actions give_up(refusal_reason reason, milliseconds retry_after);
+    run_actions end(execution result, refusal_reason reason,
                     milliseconds retry_after);
-    run_actions retry(attempt_status status, time_point now,
-                      milliseconds retry_after);
 
     policy&      policy_;
     request_info info_;
 
-    std::shared_ptr<const deployment> config_;
+    std::shared_ptr<const policy_view> view_;
+    std::shared_ptr<const deployment>  config_;
+    std::shared_ptr<route_target>      route_;  ///< Of the running attempt.
+    std::shared_ptr<route_target>      failed_; ///< Of the one before it.
 
     std::uint32_t stage_   = 0;
     std::uint32_t attempt_ = 0;
@@ -148,7 +157,7 @@
     std::uint64_t offset_  = 0;
     target_id     target_;
     time_point    attempt_start_;
-    bool          running_  = false;
+    bool          claiming_ = false;
     bool          claimed_  = false;
     bool          sent_     = false; ///< Non-idempotent work may have run.
     bool          finished_ = false;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,51 +1,75 @@
 #include "policy_impl.hpp"
 
+#include <xxhash.h>
+
 namespace arbutusgate {
 
-target_id policy::impl::acquire(pool_id pool, target_id avoid)
+std::shared_ptr<const policy_view>
+policy::impl::make_view(std::shared_ptr<const deployment> config)
 {
-    std::lock_guard lock(mutex);
-    target_id       best;
-    const auto&     ids = config->pools[pool.idx].targets;
-    if (ids.empty())
-        return best;
-    const auto first =
-        strategy == policy_strategy::round_robin ? turn++ : random();
-    for (std::size_t n = 0; n < ids.size(); ++n) {
-        const auto  it    = ids[(first + n) % ids.size()];
-        const auto& state = targets[it.idx];
-        if (state.leaving ||
-            (strategy == policy_strategy::adaptive && it == avoid))
-            continue;
-        if (strategy == policy_strategy::random ||
-            strategy == policy_strategy::round_robin)
-        {
-            best = it;
-            break;
+    auto next = std::make_shared<policy_view>();
+    for (const auto& pool : config->pools) {
+        pool_view entry;
+        if (view) {
+            for (std::size_t n = 0; n < view->pools.size(); ++n) {
+                if (view->config->pools[n].name == pool.name)
+                    entry.state = view->pools[n].state;
+            }
+        }
+        if (!entry.state)
+            entry.state = std::make_shared<pool_state>(
+                init.strategy,
+                XXH64(pool.name.data(), pool.name.size(), init.seed));
+        std::lock_guard lock(entry.state->mutex);
+        for (const auto id : pool.targets) {
+            const auto& target = config->targets[id.idx];
+            auto&       known  = entry.state->targets[target.name];
+            auto        state  = known.lock();
+            if (!state) {
+                state       = std::make_shared<route_target>();
+                state->name = target.name;
+                known       = state;
+            }
+            state->domain = target.failure_domain;
+            entry.targets.push_back(std::move(state));
         }
-        if (!best.valid() || state.in_flight < targets[best.idx].in_flight)
-            best = it;
+        std::erase_if(entry.state->targets,
+                      [](const auto& it) { return it.second.expired(); });
+        next->pools.push_back(std::move(entry));
     }
-    if (best.valid())
-        ++targets[best.idx].in_flight;
-    return best;
+    next->config = std::move(config);
+    return next;
 }
 
-void policy::impl::release(target_id target)
+std::shared_ptr<const policy_view> policy::impl::current_view() const
 {
     std::lock_guard lock(mutex);
-    --targets[target.idx].in_flight;
+    return view;
+}
+
+template <class Run>
+void policy::impl::with_target(std::string_view name, Run run)
+{
+    const auto now = current_view();
+    for (const auto& pool : now->pools) {
+        for (const auto& target : pool.targets) {
+            // A target's name never changes, so it is read without the lock.
+            if (target->name != name)
+                continue;
+            std::lock_guard lock(pool.state->mutex);
+            run(*pool.state, *target);
+            return;
+        }
+    }
 }
 
 policy::policy(std::shared_ptr<const deployment> config,
                const policy_init& init, reason_counters& counters)
     : impl_(std::make_unique<impl>())
 {
-    impl_->targets.resize(config->targets.size());
-    impl_->config = std::move(config);
-    impl_->random.seed(init.seed);
+    impl_->init     = init;
     impl_->counters = &counters;
-    impl_->strategy = init.strategy;
+    impl_->view     = impl_->make_view(std::move(config));
 }
 
 policy::~policy() = default;
@@ -54,22 +78,22 @@
                             time_point)
 {
     std::lock_guard lock(impl_->mutex);
-    impl_->targets.resize(config->targets.size());
-    impl_->config = std::move(config);
+    impl_->view = impl_->make_view(std::move(config));
 }
 
 std::shared_ptr<const deployment> policy::current() const
 {
-    std::lock_guard lock(impl_->mutex);
-    return impl_->config;
+    return impl_->current_view()->config;
 }
 
 void policy::set_daemons(std::uint32_t) {}
 
 void policy::on_load_report(target_id target, const load_report& report,
-                            time_point)
+                            time_point now)
 {
-    set_leaving(target, report.leaving);
+    const auto config = current();
+    if (target.idx < config->targets.size())
+        on_load_report(config->targets[target.idx].name, report, now);
 }
 
 void policy::on_load_report(std::string_view target, const load_report& report,
@@ -78,19 +102,17 @@
     set_leaving(target, report.leaving);
 }
 
-void policy::set_leaving(std::string_view target, bool leaving)
+void policy::set_leaving(target_id target, bool leaving)
 {
     const auto config = current();
-    for (std::uint32_t n = 0; n < config->targets.size(); ++n) {
-        if (config->targets[n].name == target)
-            set_leaving(target_id{n}, leaving);
-    }
+    if (target.idx < config->targets.size())
+        set_leaving(config->targets[target.idx].name, leaving);
 }
 
-void policy::set_leaving(target_id target, bool leaving)
+void policy::set_leaving(std::string_view target, bool leaving)
 {
-    std::lock_guard lock(impl_->mutex);
-    impl_->targets[target.idx].leaving = leaving;
+    impl_->with_target(
+        target, [&](pool_state&, route_target& it) { it.leaving = leaving; });
 }
 
 } // namespace arbutusgate
--- /dev/null
+++ b/src/policy_router.cpp
@@ -0,0 +1,141 @@
+#include "policy_router.hpp"
+
+#include <algorithm>
+
+namespace arbutusgate {
+
+namespace {
+
+// An average over about five attempts; three failures in a row of a target
+// without earlier ones make it suspect.
+constexpr auto failure_weight = 0.25;
+constexpr auto suspect_share  = 0.5;
+// An outage of 10 s must be over for the policy within 10 s of its end, so no
+// target is left alone for longer than this.
+constexpr auto first_ejection      = seconds{2};
+constexpr auto longest_ejection    = seconds{8};
+constexpr auto first_unreachable   = milliseconds{500};
+constexpr auto longest_unreachable = seconds{4};
+
+template <class Duration>
+microseconds backoff(Duration first, microseconds longest, std::uint32_t n)
+{
+    return std::min<microseconds>(longest, first * (1U << std::min(n, 8U)));
+}
+
+bool suspect(const route_target& it)
+{
+    return it.failures >= suspect_share;
+}
+
+} // namespace
+
+router::router(policy_strategy strategy, std::uint64_t seed)
+    : strategy_(strategy), random_(seed)
+{
+}
+
+bool router::better(const route_target& a, const route_target& b) const
+{
+    if (suspect(a) != suspect(b))
+        return suspect(b);
+    return a.in_flight < b.in_flight;
+}
+
+int router::choose(const route_targets& targets, const route_query& query)
+{
+    candidates_.clear();
+    for (int n = 0; n < static_cast<int>(targets.size()); ++n) {
+        if (!targets[n]->leaving)
+            candidates_.push_back(n);
+    }
+    if (candidates_.empty())
+        return -1;
+    switch (strategy_) {
+    case policy_strategy::adaptive:
+        return choose_adaptive(targets, query);
+    case policy_strategy::random:
+        return candidates_[random_() % candidates_.size()];
+    case policy_strategy::round_robin:
+        return candidates_[turn_++ % candidates_.size()];
+    case policy_strategy::least_inflight:
+        break;
+    }
+    std::rotate(candidates_.begin(),
+                candidates_.begin() +
+                    static_cast<long>(random_() % candidates_.size()),
+                candidates_.end());
+    return *std::min_element(
+        candidates_.begin(), candidates_.end(), [&](int a, int b) {
+            return targets[a]->in_flight < targets[b]->in_flight;
+        });
+}
+
+int router::choose_adaptive(const route_targets& targets,
+                            const route_query&   query)
+{
+    // Each filter narrows the candidates unless it would leave none.
+    const auto keep = [&](auto&& wanted) {
+        const auto end =
+            std::partition(candidates_.begin(), candidates_.end(),
+                           [&](int n) { return wanted(*targets[n]); });
+        if (end != candidates_.begin())
+            candidates_.erase(end, candidates_.end());
+    };
+    keep([&](const route_target& it) {
+        return it.unreachable_until <= query.now;
+    });
+    keep([&](const route_target& it) { return it.ejected_until <= query.now; });
+    if (query.failed) {
+        keep([&](const route_target& it) { return &it != query.failed; });
+        keep([&](const route_target& it) {
+            return it.domain != query.failed->domain;
+        });
+    }
+    const auto n     = candidates_.size();
+    const auto first = random_() % n;
+    if (n == 1)
+        return candidates_[0];
+    const auto second = (first + 1 + random_() % (n - 1)) % n;
+    const auto a      = candidates_[first];
+    const auto b      = candidates_[second];
+    return better(*targets[b], *targets[a]) ? b : a;
+}
+
+void router::eject(const route_targets& targets, route_target& it,
+                   time_point now)
+{
+    // More than a third failing is no outlier: the rest could not carry the
+    // load, and the cause may lie in the requests.
+    const auto ejected =
+        std::count_if(targets.begin(), targets.end(), [&](const auto& other) {
+            return other->ejected_until > now;
+        });
+    const auto most = std::max<std::size_t>(1, targets.size() / 3);
+    if (targets.size() < 2 || static_cast<std::size_t>(ejected) >= most)
+        return;
+    it.ejected_until =
+        now + backoff(first_ejection, longest_ejection, it.ejections++);
+}
+
+void router::on_result(const route_targets& targets, route_target& it,
+                       attempt_status status, time_point now)
+{
+    if (status == attempt_status::connect_failed) {
+        it.unreachable_until =
+            now + backoff(first_unreachable, longest_unreachable,
+                          it.connects_failed++);
+        return;
+    }
+    it.connects_failed = 0;
+    if (status == attempt_status::not_run)
+        return; // Refusing work under load is no fault.
+    const bool done = status == attempt_status::done;
+    it.failures += ((done ? 0.0 : 1.0) - it.failures) * failure_weight;
+    if (done)
+        it.ejections = 0;
+    else if (suspect(it) && it.ejected_until <= now)
+        eject(targets, it, now);
+}
+
+} // namespace arbutusgate
--- /dev/null
+++ b/src/policy_router.hpp
@@ -0,0 +1,63 @@
+/// Choice of a target within a pool.
+#pragma once
+
+#include "arbutusgate/deployment.hpp"
+#include "arbutusgate/policy.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace arbutusgate {
+
+/// Own view of one target. Guarded by the lock of its pool.
+struct route_target
+{
+    std::string   name;
+    std::string   domain;
+    std::uint32_t in_flight = 0;
+    bool          leaving   = false;
+
+    /// Share of recent attempts that failed, as a moving average.
+    double        failures  = 0;
+    std::uint32_t ejections = 0; ///< In a row; lengthens the next one.
+    time_point    ejected_until;
+    std::uint32_t connects_failed = 0; ///< In a row.
+    time_point    unreachable_until;
+};
+
+using route_targets = std::vector<std::shared_ptr<route_target>>;
+
+/// What the choice depends on besides the targets.
+struct route_query
+{
+    time_point          now;
+    const route_target* failed = nullptr; ///< Target of the last attempt.
+};
+
+/// Routes within one pool. Guarded by the lock of the pool.
+class router
+{
+public:
+    router(policy_strategy strategy, std::uint64_t seed);
+
+    /// \return index in targets, or -1 when none may get work.
+    int choose(const route_targets& targets, const route_query& query);
+    /// Learns from an attempt's end.
+    void on_result(const route_targets& targets, route_target& it,
+                   attempt_status status, time_point now);
+
+private:
+    int choose_adaptive(const route_targets& targets, const route_query& query);
+    bool better(const route_target& a, const route_target& b) const;
+    void eject(const route_targets& targets, route_target& it, time_point now);
+
+    policy_strategy  strategy_;
+    std::mt19937_64  random_;
+    std::uint64_t    turn_ = 0;
+    std::vector<int> candidates_; ///< Scratch of choose.
+};
+
+} // namespace arbutusgate
--- a/src/replay.cpp
+++ b/src/replay.cpp
@@ -723,8 +723,6 @@
             stage.wasted += wasted;
             record.cost += it.cost[n];
             record.wasted += wasted;
-            record.attempts += it.attempts[n];
-            record.stages += it.attempts[n] > 0 ? 1 : 0;
             const auto& config =
                 config_->pipelines[it.info.pipeline.idx].stages[n];
             if (!config.idempotent &&
@@ -732,7 +730,8 @@
                  (it.runs[n] == 1 && record.result == execution::not_run)))
                 ++result_.violations;
         }
-        result_.records.push_back(record);
+        record.attempts = std::move(it.attempts);
+        result_.records.push_back(std::move(record));
     }
 
     const replay_trace&                   trace_;
--- a/src/replay.hpp
+++ b/src/replay.hpp
@@ -21,16 +21,15 @@
 /// Outcome of one request.
 struct replay_record
 {
-    double         arrival = 0; ///< Seconds.
-    pipeline_id    pipeline;
-    account_id     account;
-    bool           complete = false; ///< Within its deadline.
-    execution      result   = execution::unknown;
-    refusal_reason reason   = refusal_reason::none;
-    double         cost     = 0;
-    double         wasted   = 0;
-    std::uint32_t  attempts = 0;
-    std::uint32_t  stages   = 0; ///< Stages with at least one attempt.
+    double                     arrival = 0; ///< Seconds.
+    pipeline_id                pipeline;
+    account_id                 account;
+    bool                       complete = false; ///< Within its deadline.
+    execution                  result   = execution::unknown;
+    refusal_reason             reason   = refusal_reason::none;
+    double                     cost     = 0;
+    double                     wasted   = 0;
+    std::vector<std::uint32_t> attempts; ///< By stage.
 };
 
 /// Cost of one stage over all requests.
--- a/src/replay_report.cpp
+++ b/src/replay_report.cpp
@@ -177,7 +177,7 @@
     if (expect.kind == "of_capacity")
         return of_capacity(expect);
     if (expect.kind == "loss_without")
-        return attainment(run({strategy_, expect.arrivals}), expect) -
+        return attainment(run({strategy_, expect.without}), expect) -
                attainment(result(), expect);
     if (expect.kind == "cost_vs_baselines") {
         auto best = 1e300;
@@ -187,18 +187,36 @@
         }
         return cost_per_answer(result(), expect) / best;
     }
-    double cost = 0, wasted = 0, attempts = 0, stages = 0;
+    if (expect.kind == "retry_load")
+        return retry_load(expect);
+    double cost = 0, wasted = 0;
     for (const auto& it : result().records) {
         if (!counts(it, expect))
             continue;
         cost += it.cost;
         wasted += it.wasted;
-        attempts += it.attempts;
-        stages += it.stages;
     }
-    if (expect.kind == "wasted_cost")
-        return cost > 0 ? wasted / cost : 0;
-    return stages > 0 ? attempts / stages - 1 : 0; // retry_load
+    return cost > 0 ? wasted / cost : 0;
+}
+
+double replay_report::retry_load(const replay_expect& expect)
+{
+    std::vector<double> first(trace_.pools.size()), more(trace_.pools.size());
+    for (const auto& it : result().records) {
+        if (!counts(it, expect))
+            continue;
+        const auto& stages = trace_.config.pipelines[it.pipeline.idx].stages;
+        for (std::size_t n = 0; n < it.attempts.size(); ++n) {
+            if (it.attempts[n] > 0) {
+                first[stages[n].pool.idx] += 1;
+                more[stages[n].pool.idx] += it.attempts[n] - 1;
+            }
+        }
+    }
+    double most = 0;
+    for (std::size_t n = 0; n < first.size(); ++n)
+        most = std::max(most, first[n] > 0 ? more[n] / first[n] : 0);
+    return most;
 }
 
 std::vector<replay_check> replay_report::checks()
--- a/src/replay_report.hpp
+++ b/src/replay_report.hpp
@@ -44,6 +44,8 @@
     double of_capacity(const replay_expect& expect);
     double cost_per_answer(const replay_result& it,
                            const replay_expect& expect) const;
+    /// Largest share of retries among the first attempts of a pool.
+    double retry_load(const replay_expect& expect);
     double value(const replay_expect& expect);
 
     const replay_trace&                  trace_;
--- a/src/replay_trace.cpp
+++ b/src/replay_trace.cpp
@@ -258,7 +258,7 @@
 void parse_expect(replay_trace& trace, const json::object& it)
 {
     check_keys(it, {"expect", "from_s", "to_s", "min", "max", "pipeline",
-                    "account", "account_not", "pool_not", "arrivals"});
+                    "account", "account_not", "pool_not", "without"});
     static constexpr std::string_view kinds[] = {
         "attainment", "of_capacity",       "wasted_cost",
         "retry_load", "cost_vs_baselines", "loss_without"};
@@ -278,7 +278,7 @@
     entry.account     = find<account_id>(all.accounts, text(it, "account"));
     entry.account_not = find<account_id>(all.accounts, text(it, "account_not"));
     entry.pool_not    = find<pool_id>(all.pools, text(it, "pool_not"));
-    entry.arrivals    = text(it, "arrivals");
+    entry.without     = text(it, "without");
     trace.expects.push_back(std::move(entry));
 }
 
--- a/src/replay_trace.hpp
+++ b/src/replay_trace.hpp
@@ -73,7 +73,7 @@
     account_id  account;     ///< Invalid: all.
     account_id  account_not; ///< Left out.
     pool_id     pool_not;    ///< Pipelines that use this pool are left out.
-    std::string arrivals;    ///< Of loss_without: arrivals left out.
+    std::string without;     ///< Of loss_without: arrivals left out.
 };
 
 /// A whole trace.
