Add slopes benchmark for policy and configuration

Cause: docs/CAPACITY.md needs measured growth by size. Change: arbutusgate-bench with heap accounting, least-squares slopes and an HTML report of plots.

--- /dev/null
+++ b/src/bench_config.cpp
@@ -0,0 +1,88 @@
+/// Benchmarks of the configuration: time to check and merge documents.
+#include "arbutusgate/configuration.hpp"
+#include "bench_heap.hpp"
+
+#include <benchmark/benchmark.h>
+
+#include "absl/strings/str_format.h"
+
+namespace arbutusgate {
+
+namespace {
+
+std::string make_base(std::int64_t targets, std::int64_t accounts)
+{
+    std::string out = "open:\n  - pipelines.*.deadline_ms\n"
+                      "fleet:\n  slots:\n";
+    for (char it = 'a'; it < 'f'; ++it)
+        absl::StrAppendFormat(&out, "    %c1: { failure_domain: %c }\n", it,
+                              it);
+    out += "pools:\n  models:\n    kind: generate\n    targets:\n";
+    for (std::int64_t n = 0; n < targets; ++n)
+        absl::StrAppendFormat(
+            &out, "      m%d: { address: 127.0.0.1:%d, failure_domain: %c }\n",
+            n, 10000 + n, char('a' + n % 5));
+    out += "pipelines:\n  draft:\n    deadline_ms: 5000\n    stages:\n"
+           "      - { name: write, pool: models, model: m, max_tokens: 9 }\n"
+           "accounts:\n";
+    for (std::int64_t n = 0; n < accounts; ++n)
+        absl::StrAppendFormat(&out, "  c%d: { key: example-key-%08d }\n", n, n);
+    return out;
+}
+
+/// A daemon merges its own site's overlay only, however many sites there are.
+void config_merge(benchmark::State& state)
+{
+    config_documents documents{{"base", make_base(45, 5)}};
+    for (std::int64_t n = 0; n < state.range(0); ++n)
+        documents[absl::StrFormat("site/s%d", n)] = absl::StrFormat(
+            "pipelines:\n  draft:\n    deadline_ms: %d\n", 4000 + n);
+    for (auto _ : state) {
+        auto it = check_config(documents, "s0", 1);
+        if (!it.issues.empty())
+            state.SkipWithError(it.issues.front().message.c_str());
+    }
+}
+BENCHMARK(config_merge)->Arg(10)->Arg(50)->Arg(200)->Arg(1000);
+
+void config_check_accounts(benchmark::State& state)
+{
+    const config_documents documents{
+        {"base", make_base(45, state.range(0))},
+        {"site/s0", "pipelines:\n  draft:\n    deadline_ms: 4000\n"}};
+    for (auto _ : state) {
+        auto it = check_config(documents, "s0", 1);
+        if (!it.issues.empty())
+            state.SkipWithError(it.issues.front().message.c_str());
+    }
+    state.counters["document_bytes"] =
+        static_cast<double>(documents.at("base").size());
+}
+BENCHMARK(config_check_accounts)
+    ->Arg(100)
+    ->Arg(1000)
+    ->Arg(3000)
+    ->Arg(9000)
+    ->Unit(benchmark::kMillisecond);
+
+void config_check_targets(benchmark::State& state)
+{
+    const config_documents documents{
+        {"base", make_base(state.range(0), 5)},
+        {"site/s0", "pipelines:\n  draft:\n    deadline_ms: 4000\n"}};
+    for (auto _ : state) {
+        auto it = check_config(documents, "s0", 1);
+        if (!it.issues.empty())
+            state.SkipWithError(it.issues.front().message.c_str());
+    }
+}
+BENCHMARK(config_check_targets)
+    ->Arg(10)
+    ->Arg(60)
+    ->Arg(200)
+    ->Arg(600)
+    ->Unit(benchmark::kMillisecond);
+
+} // namespace
+
+} // namespace arbutusgate
--- /dev/null
+++ b/src/bench_reporter.hpp
@@ -0,0 +1,40 @@
+/// Collects benchmark runs into slopes.
+#pragma once
+
+#include "bench_slope.hpp"
+
+#include <benchmark/benchmark.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace arbutusgate {
+
+/// Prints the usual console table and keeps each quantity's points.
+class bench_reporter final : public benchmark::ConsoleReporter
+{
+public:
+    bench_reporter() : ConsoleReporter(OO_Tabular) {}
+
+    void ReportRuns(const std::vector<Run>& runs) override;
+
+    /// Points by "benchmark/quantity", such as "route/ns".
+    const std::map<std::string, std::vector<slope_point>>& series() const
+    {
+        return series_;
+    }
+
+private:
+    std::map<std::string, std::vector<slope_point>> series_;
+};
+
+/// Table of the fitted slopes, for docs/CAPACITY.md.
+std::string
+slope_table(const std::map<std::string, std::vector<slope_point>>& series);
+
+/// Self-contained HTML page with one plot for each quantity.
+std::string
+slope_report(const std::map<std::string, std::vector<slope_point>>& series);
+
+} // namespace arbutusgate
