--- a/include/arbutusgate/config.hpp
+++ b/include/arbutusgate/config.hpp
@@ -18,9 +18,9 @@
 inline constexpr auto          claim_timeout   = 1s;
 inline constexpr auto          claim_resend    = 200ms;
 /// Time that a caller's call may take from its sending at the end of the
-/// retry window to the last grant of its claim: request_read, claim_timeout
-/// and a second of transit.
-inline constexpr auto        claim_settle_margin = 12s;
+/// retry window to the last grant of its claim: request_read, a pause below
+/// pause_threshold, claim_timeout and 2 s of transit.
+inline constexpr auto        claim_settle_margin = 15s;
 inline constexpr std::size_t claim_store_entries = 200'000;
 inline constexpr std::size_t claim_answer_bytes  = 16 * 1024 * 1024;
 inline constexpr std::size_t recover_part_bytes  = 256 * 1024;
--- a/include/arbutusgate/node_core.hpp
+++ b/include/arbutusgate/node_core.hpp
@@ -29,7 +29,9 @@
     std::uint64_t seed        = 1;
     std::vector<slot_config> slots;
     milliseconds             retry_window = limits::retry_window;
-    std::uint32_t            claim_shards = limits::claim_shards;
+    /// Added to the window when a voter settles after a loss of memory.
+    milliseconds  settle_margin = limits::claim_settle_margin;
+    std::uint32_t claim_shards  = limits::claim_shards;
     node_guards              guards; ///< Only tests change this.
 };
 
--- a/src/claim_client.cpp
+++ b/src/claim_client.cpp
@@ -223,7 +223,10 @@
         return false;
     if (it.current == phase::granted)
         return t - it.begun > 2 * context_.init.retry_window;
-    return t - it.ended > limits::claim_delivery ||
+    const auto limit = it.current == phase::releasing
+                           ? 2 * context_.init.retry_window
+                           : milliseconds{limits::claim_delivery};
+    return t - it.ended > limit ||
            std::all_of(it.votes.begin(), it.votes.end(),
                        [](const vote& v) { return v.stored; });
 }
--- a/src/claim_store.cpp
+++ b/src/claim_store.cpp
@@ -186,7 +186,7 @@
     const bool  window = context_.on(node_guard::settle_window);
     const bool  by_all = context_.on(node_guard::settle_by_all);
     const auto  margin = context_.on(node_guard::settle_margin)
-                             ? milliseconds{limits::claim_settle_margin}
+                             ? context_.init.settle_margin
                              : milliseconds{0};
     const auto  since  = t - context_.init.retry_window - margin;
     const auto  others = context_.groups.voters(it.id).size() - 1;
--- /dev/null
+++ b/src/fuzz_process.hpp
@@ -0,0 +1,98 @@
+/// One daemon process in the fuzzer.
+#pragma once
+
+#include "arbutusgate/node_core.hpp"
+#include "arbutusgate/pipeline_run.hpp"
+#include "arbutusgate/policy.hpp"
+#include "peer.pb.h"
+#include "reason_counters.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace arbutusgate {
+
+enum class fuzz_event_kind
+{
+    tick,
+    message,
+    request,     ///< A caller's call arrives.
+    send,        ///< An attempt's work is sent.
+    result,      ///< An attempt ended.
+    config_read, ///< The service answered.
+};
+
+/// Something that happens to a process at a true time.
+struct fuzz_event
+{
+    time_point                             at{};
+    std::uint64_t                          number     = 0; ///< Order of equals.
+    fuzz_event_kind                        kind       = fuzz_event_kind::tick;
+    std::uint32_t                          process    = 0;
+    std::uint32_t                          call       = 0;
+    std::uint32_t                          key        = 0;
+    bool                                   other_body = false;
+    start_attempt                          attempt{};
+    attempt_result                         result{};
+    std::string                            body{};
+    std::shared_ptr<const pb::PeerMessage> message{};
+
+    bool operator>(const fuzz_event& b) const
+    {
+        return at != b.at ? at > b.at : number > b.number;
+    }
+};
+
+/// A request that a process handles.
+struct fuzz_run
+{
+    std::uint32_t                 key = 0;
+    std::unique_ptr<pipeline_run> run;
+    std::uint64_t                 claim = 0;
+    std::string                   body;  ///< Of the last finished attempt.
+    std::optional<std::string>    found; ///< Answer of an earlier use.
+};
+
+struct fuzz_process
+{
+    std::uint32_t slot       = 0;
+    bool          superseded = false;
+    bool          alive      = true;
+    bool          paused     = false;
+    bool          draining   = false;
+    microseconds  clock_offset{0};
+    time_point    started;
+    time_point    next_read;
+    time_point    drain_end;
+
+    std::unique_ptr<node_core>        core;
+    std::unique_ptr<reason_counters>  counters;
+    std::unique_ptr<policy>           routes;
+    std::map<std::uint32_t, fuzz_run> runs;    ///< By call.
+    std::vector<fuzz_event>           mailbox; ///< Arrived during a pause.
+
+    std::vector<std::pair<time_point, std::uint64_t>> versions;
+    std::set<std::uint64_t>                           rejected;
+    /// Lowest version of the peers that may confirm this process after its
+    /// last pause.
+    std::uint64_t wake_floor = 0;
+
+    time_point clock(time_point now) const { return now + clock_offset; }
+
+    std::uint64_t version_at(time_point at) const
+    {
+        std::uint64_t version = 0;
+        for (const auto& it : versions) {
+            if (it.first <= at)
+                version = it.second;
+        }
+        return version;
+    }
+};
+
+} // namespace arbutusgate
--- /dev/null
+++ b/src/fuzz_world.hpp
@@ -0,0 +1,125 @@
+/// Daemons, network, service, targets and callers in virtual time.
+#pragma once
+
+#include "fuzz_oracle.hpp"
+#include "fuzz_process.hpp"
+#include "fuzz_scenario.hpp"
+
+#include <queue>
+
+namespace arbutusgate {
+
+/// Runs one scenario. Deterministic from the scenario and the guards.
+class fuzz_world
+{
+public:
+    fuzz_world(const fuzz_scenario& scenario, const node_guards& guards);
+
+    /// \return the violated rule, if any.
+    std::optional<std::string> run();
+
+    time_point         now() const { return now_; }
+    const fuzz_oracle& oracle() const { return oracle_; }
+
+private:
+    using documents = std::map<std::string, std::string>;
+
+    struct cut
+    {
+        std::uint32_t from = 0;
+        std::uint32_t to   = 0;
+    };
+
+    struct leaving_note
+    {
+        time_point    at;
+        std::uint32_t process = 0;
+    };
+
+    // Steps.
+    void apply(const fuzz_op& op);
+    void apply_process(const fuzz_op& op);
+    void apply_network(const fuzz_op& op);
+    void apply_platform(const fuzz_op& op);
+    void run_until(time_point end);
+    void wait_settled(milliseconds limit);
+
+    // Processes.
+    void          start(std::uint32_t slot);
+    void          kill(std::uint32_t process);
+    void          supersede(std::uint32_t slot);
+    void          pause(std::uint32_t process);
+    void          wake(std::uint32_t process);
+    void          drain(std::uint32_t process);
+    std::uint32_t current(std::uint32_t slot) const { return current_[slot]; }
+    std::uint32_t old_of(std::uint32_t slot) const;
+    void          end_drain(fuzz_process& it);
+
+    // Events of a process.
+    void push(fuzz_event event, microseconds in);
+    void handle(const fuzz_event& event);
+    void on_tick(std::uint32_t process);
+    void on_request(const fuzz_event& event);
+    void on_send(const fuzz_event& event);
+    void on_config_read(fuzz_process& it);
+    void on_config_event(fuzz_process& it, const config_event& event);
+    void on_claim(std::uint32_t process, const claim_event& event);
+    void act(std::uint32_t process, std::uint32_t call,
+             const run_actions& actions);
+    void on_finish(fuzz_process& it, std::uint32_t call, const finish& end);
+    void pump(std::uint32_t process);
+
+    // Network and targets.
+    void send(std::uint32_t from, const outgoing_message& message);
+    bool passes(const fuzz_process& from, const fuzz_process& to) const;
+    void execute(const fuzz_event& event);
+
+    // Callers.
+    void call(std::uint32_t slot, std::uint32_t key, bool other_body);
+
+    // Rules that need the whole world.
+    void check_first_version(const fuzz_process& it, std::uint64_t version);
+    void check_dispatch(std::uint32_t process, const fuzz_event& event);
+    void finale();
+    void stop_faults();
+    void check_convergence();
+    void check_claims();
+    void check_repeats();
+    bool handlers_live(std::uint32_t key) const;
+
+    std::uint32_t    draw(std::uint32_t n) { return random_() % n; }
+    static documents documents_of(std::uint64_t version);
+    static bool      valid(std::uint64_t version);
+    bool             done() const { return oracle_.violated().has_value(); }
+
+    fuzz_scenario                     scenario_;
+    node_init                         init_;
+    std::shared_ptr<const deployment> deployment_;
+    std::mt19937                      random_;
+    fuzz_oracle                       oracle_;
+    time_point                        now_;
+    time_point                        calm_since_;
+    std::uint64_t                     number_      = 0;
+    std::uint64_t                     incarnation_ = 1000;
+    std::uint64_t                     published_   = 1;
+
+    std::priority_queue<fuzz_event, std::vector<fuzz_event>, std::greater<>>
+                                                        events_;
+    std::vector<std::unique_ptr<fuzz_process>>          processes_;
+    std::vector<std::uint32_t>                          current_; ///< By slot.
+    std::map<std::uint32_t, std::uint32_t>              handler_; ///< By call.
+    std::map<std::uint32_t, std::vector<std::uint32_t>> calls_;   ///< By key.
+    std::map<std::uint32_t, leaving_note>               leaving_;
+
+    std::vector<cut>                      cuts_;
+    std::uint32_t                         loss_    = 0;
+    std::uint32_t                         doubles_ = 0;
+    milliseconds                          delay_{1};
+    std::map<std::uint32_t, milliseconds> slow_to_;
+    std::set<std::uint32_t>               stale_; ///< Slots.
+    bool                                  service_down_ = false;
+    fuzz_target_mode                      target_mode_{};
+    milliseconds                          stage_time_{1};
+};
+
+} // namespace arbutusgate
--- a/src/node_core.cpp
+++ b/src/node_core.cpp
@@ -14,9 +14,6 @@
 namespace {
 
 constexpr auto confirm_resend = milliseconds{500};
-// A process this young may raise its incarnation over a higher one that the
-// slot's previous process got from a wrong wall clock.
-constexpr auto raise_age = seconds{10};
 
 } // namespace
 
@@ -51,6 +48,7 @@
 
     void on_pause(time_point t)
     {
+        ever_paused = true;
         paused = pause{t, context.random() | 1, context.slot_count() == 1, 0};
         next_confirm = t;
         client.on_pause(t);
@@ -58,15 +56,24 @@
         confirm(t);
     }
 
+    /// A newer process of the slot makes this one step back. Where a
+    /// majority of the slots shows no heartbeat of it, a wrong wall clock gave
+    /// the slot's previous process the higher incarnation: this one rises above
+    /// it and recovers anew, which is as safe as a restart.
     void check_superseded(time_point t)
     {
         const auto newest = context.newest.newest(context.init.self);
         if (newest <= context.incarnation)
             return;
-        if (store.ever_settled() || t - time_point{} > raise_age) {
-            superseded = true;
+        if (!superseded)
+            rival_seen = std::max(rival_seen, t);
+        superseded       = true;
+        const bool fresh = !store.ever_settled() && !ever_paused;
+        const bool gone  = t - rival_seen >= limits::member_suspect &&
+                          members.alive_count(t) > context.slot_count() / 2;
+        if (!fresh && !gone)
             return;
-        }
+        superseded          = false;
         context.incarnation = newest + 1 + context.random() % 1024;
         context.newest.note(context.init.self, context.incarnation);
         context.out.set_incarnation(context.incarnation);
@@ -74,6 +81,20 @@
         store.restart(t);
     }
 
+    void note_rival(const pb::MemberEntry& entry, time_point t)
+    {
+        if (entry.slot() != context.init.self.idx ||
+            entry.incarnation() <= context.incarnation)
+            return;
+        const bool same = entry.incarnation() == rival.incarnation();
+        if (entry.incarnation() < rival.incarnation() ||
+            (same && entry.heartbeat() <= rival.heartbeat()))
+            return;
+        if (same)
+            rival_seen = t;
+        rival = entry;
+    }
+
     bool may_claim(time_point t) const
     {
         if (superseded)
@@ -141,11 +162,15 @@
 
     void on_gossip(slot_id from, const pb::Gossip& gossip, time_point t)
     {
-        for (const auto& it : gossip.members())
+        for (const auto& it : gossip.members()) {
+            note_rival(it, t);
             members.note(it, t);
+        }
         config.on_digest(from, gossip.config(), gossip.echo() == hello_nonce,
                          t);
-        if (paused && gossip.echo() == paused->nonce) {
+        // A peer without a version cannot confirm one.
+        if (paused && gossip.echo() == paused->nonce &&
+            gossip.config().version() != 0) {
             paused->heard = true;
             paused->version =
                 std::max(paused->version, gossip.config().version());
@@ -236,7 +261,10 @@
     std::uint64_t        hello_nonce;
     time_point           next_gossip;
     time_point           next_confirm;
-    bool                 superseded = false;
+    pb::MemberEntry      rival; ///< Newer process of the own slot.
+    time_point           rival_seen;
+    bool                 superseded  = false;
+    bool                 ever_paused = false;
 };
 
 node_core::node_core(const node_init& init, time_point now)
--- a/tests/node_fleet.hpp
+++ b/tests/node_fleet.hpp
@@ -20,6 +20,7 @@
     explicit node_fleet(std::uint32_t slots, milliseconds window = seconds{20})
     {
         init_.retry_window = window;
+        init_.settle_margin = seconds{12};
         init_.claim_shards = 2;
         for (std::uint32_t n = 0; n < slots; ++n)
             init_.slots.push_back({"s" + std::to_string(n),
