--- a/src/claim_store.cpp
+++ b/src/claim_store.cpp
@@ -96,6 +96,7 @@
         request.set_brief(answer.complete ||
                           it.state == shard_state::confirming);
         request.set_after(answer.after);
+        add_voters(it, *request.mutable_voters());
     }
 }
 
--- a/src/member_table.cpp
+++ b/src/member_table.cpp
@@ -58,11 +58,13 @@
     google::protobuf::RepeatedPtrField<pb::MemberEntry>& out, time_point t)
 {
     const auto add = [&](slot_id slot) {
-        const auto& it    = members_[slot.idx];
-        auto&       entry = *out.Add();
+        // A newer process may be known that sent no heartbeat yet.
+        const auto& it     = members_[slot.idx];
+        const auto  newest = context_.newest.newest(slot);
+        auto&       entry  = *out.Add();
         entry.set_slot(slot.idx);
-        entry.set_incarnation(it.incarnation);
-        entry.set_heartbeat(it.heartbeat);
+        entry.set_incarnation(newest);
+        entry.set_heartbeat(newest == it.incarnation ? it.heartbeat : 0);
         entry.set_state(it.leaving ? pb::MEMBER_LEAVING : pb::MEMBER_ALIVE);
     };
     add(context_.init.self);
--- a/src/node_core.cpp
+++ b/src/node_core.cpp
@@ -220,6 +220,7 @@
         case pb::PeerMessage::kClaimAck:
             return client.on_ack(from, message.claim_ack());
         case pb::PeerMessage::kRecoverRequest:
+            note_voters(message.recover_request().voters());
             return store.on_recover_request(from, incarnation,
                                             message.recover_request(), t);
         case pb::PeerMessage::kRecoverReply:
