--- a/src/claim_store.cpp
+++ b/src/claim_store.cpp
@@ -6,11 +6,11 @@
 
 namespace {
 
-constexpr auto ask_interval     = milliseconds{500};
+constexpr auto ask_interval     = seconds{1};
 constexpr auto handoff_interval = milliseconds{500};
 constexpr auto expiry_interval  = seconds{1};
-// An answer of a voter counts as current for six asks.
-constexpr auto answer_current = seconds{3};
+// An answer of a voter counts as current for four asks.
+constexpr auto answer_current = seconds{4};
 
 bool same_token(const pb::ClaimToken& a, const pb::ClaimToken& b)
 {
--- a/src/fuzz_finale.cpp
+++ b/src/fuzz_finale.cpp
@@ -95,7 +95,7 @@
         call(n, first_final_key + n, false);
         calls.push_back(calls_.at(first_final_key + n).back());
     }
-    run_until(now_ + answer_time);
+    wait_answers(calls, answer_time);
     for (const auto it : calls) {
         if (!done() && processes_[handler_.at(it)]->alive &&
             oracle_.answer(it) != fuzz_answer::done)
@@ -104,6 +104,18 @@
     }
 }
 
+void fuzz_world::wait_answers(const std::vector<std::uint32_t>& calls,
+                              milliseconds                      limit)
+{
+    const auto answered = [&] {
+        return std::all_of(calls.begin(), calls.end(), [&](std::uint32_t it) {
+            return oracle_.answer(it) != fuzz_answer::none;
+        });
+    };
+    for (const auto end = now_ + limit; !done() && now_ < end && !answered();)
+        run_until(now_ + milliseconds{10});
+}
+
 bool fuzz_world::handlers_live(std::uint32_t key) const
 {
     const auto& calls = calls_.at(key);
@@ -126,7 +138,7 @@
         const auto before = oracle_.executions();
         call(draw(scenario_.slots), key, false);
         const auto it = calls_.at(key).back();
-        run_until(now_ + seconds{2});
+        wait_answers({it}, seconds{2});
         const auto answer = oracle_.answer(it);
         if (answer == fuzz_answer::unknown)
             oracle_.violation(only_not_run ? "a key that never ran is blocked"
--- a/src/fuzz_motifs.cpp
+++ b/src/fuzz_motifs.cpp
@@ -291,7 +291,7 @@
 void fuzz_motifs::late_gossip()
 {
     const auto d = slot();
-    add(kind::slow_to, d, 4000);
+    add(kind::slow_to, d, 5000);
     add(kind::wait, 0, 0, 3500);
     add(kind::publish);
     add(kind::wait, 0, 0, 2500);
--- a/src/fuzz_process.hpp
+++ b/src/fuzz_process.hpp
@@ -27,11 +27,9 @@
     config_read, ///< The service answered.
 };
 
-/// Something that happens to a process at a true time.
+/// Something that happens to a process.
 struct fuzz_event
 {
-    time_point                             at{};
-    std::uint64_t                          number     = 0; ///< Order of equals.
     fuzz_event_kind                        kind       = fuzz_event_kind::tick;
     std::uint32_t                          process    = 0;
     std::uint32_t                          call       = 0;
@@ -41,11 +39,6 @@
     attempt_result                         result{};
     std::string                            body{};
     std::shared_ptr<const pb::PeerMessage> message{};
-
-    bool operator>(const fuzz_event& b) const
-    {
-        return at != b.at ? at > b.at : number > b.number;
-    }
 };
 
 /// A request that a process handles.
--- a/src/fuzz_world.cpp
+++ b/src/fuzz_world.cpp
@@ -78,9 +78,15 @@
 void fuzz_world::run_until(time_point end)
 {
     while (!done() && !events_.empty() && events_.top().at <= end) {
-        const auto event = events_.top();
+        const auto top = events_.top();
         events_.pop();
-        now_ = event.at;
+        now_       = top.at;
+        auto event = std::move(pool_[top.event]);
+        free_.push_back(top.event);
+        // A queue of the transport outlives the process at its other end.
+        const auto& to = *processes_[event.process];
+        if (!to.alive && event.kind == fuzz_event_kind::message)
+            event.process = current(to.slot);
         handle(event);
     }
     now_ = std::max(now_, end);
@@ -358,9 +364,14 @@
 
 void fuzz_world::push(fuzz_event event, microseconds in)
 {
-    event.at     = now_ + in;
-    event.number = ++number_;
-    events_.push(std::move(event));
+    if (free_.empty()) {
+        free_.push_back(static_cast<std::uint32_t>(pool_.size()));
+        pool_.emplace_back();
+    }
+    const auto n = free_.back();
+    free_.pop_back();
+    pool_[n] = std::move(event);
+    events_.push({now_ + in, ++number_, n});
 }
 
 void fuzz_world::handle(const fuzz_event& event)
--- a/src/fuzz_world.hpp
+++ b/src/fuzz_world.hpp
@@ -86,6 +86,9 @@
     void check_claims();
     void check_repeats();
     bool handlers_live(std::uint32_t key) const;
+    /// Runs until all the calls are answered, at most for the limit.
+    void wait_answers(const std::vector<std::uint32_t>& calls,
+                      milliseconds                      limit);
 
     std::uint32_t    draw(std::uint32_t n) { return random_() % n; }
     static documents documents_of(std::uint64_t version);
@@ -103,9 +106,23 @@
     std::uint64_t                     incarnation_ = 1000;
     std::uint64_t                     published_   = 1;
 
-    std::priority_queue<fuzz_event, std::vector<fuzz_event>, std::greater<>>
-                                                        events_;
-    std::vector<std::unique_ptr<fuzz_process>>          processes_;
+    /// An entry of the queue; the event is in pool_.
+    struct queued
+    {
+        time_point    at;
+        std::uint64_t number = 0;
+        std::uint32_t event  = 0;
+
+        bool operator>(const queued& b) const
+        {
+            return at != b.at ? at > b.at : number > b.number;
+        }
+    };
+
+    std::vector<fuzz_event>                                          pool_;
+    std::vector<std::uint32_t>                                       free_;
+    std::priority_queue<queued, std::vector<queued>, std::greater<>> events_;
+    std::vector<std::unique_ptr<fuzz_process>>                       processes_;
     std::vector<std::uint32_t>                          current_; ///< By slot.
     std::map<std::uint32_t, std::uint32_t>              handler_; ///< By call.
     std::map<std::uint32_t, std::vector<std::uint32_t>> calls_;   ///< By key.
--- a/src/message_sink.hpp
+++ b/src/message_sink.hpp
@@ -5,11 +5,32 @@
 
 #include "peer.pb.h"
 
+#include <google/protobuf/arena.h>
+
 #include <utility>
 #include <vector>
 
 namespace arbutusgate {
 
+/// A message with the memory of its parts, in one allocation for most.
+class arena_message
+{
+public:
+    arena_message()
+        : arena_(first_block_, sizeof first_block_),
+          message_(
+              google::protobuf::Arena::CreateMessage<pb::PeerMessage>(&arena_))
+    {
+    }
+
+    pb::PeerMessage* get() { return message_; }
+
+private:
+    alignas(8) char first_block_[1536];
+    google::protobuf::Arena arena_;
+    pb::PeerMessage*        message_;
+};
+
 /// Messages to the own slot are kept apart; the node core handles them itself.
 class message_sink
 {
@@ -22,7 +43,8 @@
     /// \return the new message, with its sender set, for the caller to fill.
     pb::PeerMessage& add(slot_id to)
     {
-        auto message = std::make_shared<pb::PeerMessage>();
+        const auto memory = std::make_shared<arena_message>();
+        auto message = std::shared_ptr<pb::PeerMessage>(memory, memory->get());
         message->set_from_slot(self_.idx);
         message->set_from_incarnation(incarnation_);
         auto& queue = to == self_ ? local_ : outgoing_;
