Add stand-ins for platform, engines and services

One process serves many replicas, each with its own listener; texts are deterministic functions of their input so that clients can verify them.

--- /dev/null
+++ b/src/standin_documents.cpp
@@ -0,0 +1,91 @@
+#include "standin_documents.hpp"
+
+#include "arbutusgate/config.hpp"
+
+#include "absl/strings/str_cat.h"
+
+#include <boost/json/array.hpp>
+
+#include <openssl/sha.h>
+
+#include <array>
+
+namespace arbutusgate {
+
+namespace json = boost::json;
+
+namespace {
+
+// Every version stays readable; old ones go when there are this many.
+constexpr std::size_t kept_versions = 64;
+
+std::string sha256_hex(const std::string& text)
+{
+    static constexpr char digits[] = "0123456789abcdef";
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> hash{};
+    SHA256(reinterpret_cast<const unsigned char*>(text.data()), text.size(),
+           hash.data());
+    std::string hex;
+    for (const auto it : hash) {
+        hex += digits[it >> 4];
+        hex += digits[it & 15];
+    }
+    return hex;
+}
+
+} // namespace
+
+absl::Status
+document_store::publish(const std::map<std::string, std::string>& changes)
+{
+    auto next = newest_ ? versions_.at(newest_) : document_set{};
+    for (const auto& [name, text] : changes) {
+        if (text.size() > limits::config_value_size)
+            return absl::InvalidArgumentError(absl::StrCat(
+                name, " has ", text.size(), " bytes; the limit is ",
+                limits::config_value_size));
+        if (text.empty())
+            next.erase(name);
+        else
+            next[name] = {text, sha256_hex(text)};
+    }
+    versions_[++newest_] = std::move(next);
+    while (versions_.size() > kept_versions &&
+           versions_.begin()->first != pinned_)
+        versions_.erase(versions_.begin());
+    return absl::OkStatus();
+}
+
+absl::Status document_store::pin(std::uint64_t version)
+{
+    if (version != 0 && !versions_.contains(version))
+        return absl::NotFoundError(absl::StrCat("no version ", version));
+    pinned_ = version;
+    return absl::OkStatus();
+}
+
+json::object document_store::head() const
+{
+    json::array documents;
+    const auto  set = versions_.find(served());
+    if (set != versions_.end()) {
+        for (const auto& [name, it] : set->second)
+            documents.push_back(
+                json::object{{"name", name}, {"sha256", it.sha256}});
+    }
+    return {{"version", served()}, {"documents", std::move(documents)}};
+}
+
+const std::string* document_store::find(const std::string& name,
+                                        std::uint64_t      version) const
+{
+    if (version > served())
+        return nullptr;
+    const auto set = versions_.find(version);
+    if (set == versions_.end())
+        return nullptr;
+    const auto it = set->second.find(name);
+    return it == set->second.end() ? nullptr : &it->second.text;
+}
+
+} // namespace arbutusgate
--- /dev/null
+++ b/src/standin_engine.hpp
@@ -0,0 +1,76 @@
+/// Simulated model engine with continuous batching.
+#pragma once
+
+#include "standin_cache.hpp"
+#include "standin_replica.hpp"
+
+#include <deque>
+#include <string>
+#include <unordered_map>
+
+namespace arbutusgate {
+
+/// Start values of an engine, besides those of a replica.
+struct engine_init
+{
+    double batch_slope = 0.05; ///< Growth of the token time per sequence.
+    double prefill_ms  = 150;  ///< Median prompt phase of an uncached prompt.
+    double cached_ms   = 10;   ///< Prompt phase when all of it is cached.
+    std::size_t  cache_blocks = 512;
+    milliseconds event_delay{500};
+    double       event_loss     = 0.05;
+    bool         checks_fencing = true;
+    milliseconds load_time{500}; ///< To change model, version or adapters.
+};
+
+/// OpenAI-compatible completions over SSE, KV export and import, cache events
+/// and orders.
+class standin_engine final : public standin_replica
+{
+public:
+    standin_engine(replica_init init, const engine_init& engine,
+                   execution_log& executions);
+
+protected:
+    bool handle(http_exchange& exchange, const request_path& path) override;
+
+private:
+    struct completion;
+    /// Progress of one request, as exported and imported.
+    struct kv_entry
+    {
+        std::string   prompt;
+        std::uint64_t offset = 0; ///< Bytes of text generated.
+    };
+    /// What an order sets.
+    struct engine_state
+    {
+        std::int64_t        fence = 0;
+        boost::json::object wanted;
+    };
+
+    void   complete(http_exchange& exchange);
+    void   run(http_exchange& exchange, completion& it);
+    bool   prefill(http_exchange& exchange, const completion& it);
+    bool   generate(http_exchange& exchange, completion& it);
+    bool   emit(http_exchange& exchange, const completion& it,
+                std::uint64_t offset, std::string_view text);
+    double token_ms(const completion& it) const;
+    bool   serves(const std::string& model) const;
+    void   save_kv(const std::string& request_id, const std::string& prompt,
+                   std::uint64_t offset);
+    void   export_kv(http_exchange& exchange, const std::string& request_id);
+    void   import_kv(http_exchange& exchange);
+    void   take_order(http_exchange& exchange);
+    boost::json::object state_json() const;
+
+    engine_init                               engine_;
+    prefix_cache                              cache_;
+    cache_event_log                           events_;
+    std::unordered_map<std::string, kv_entry> kv_;
+    std::deque<std::string>                   kv_order_;
+    engine_state                              state_;
+    std::chrono::steady_clock::time_point     ready_at_;
+};
+
+} // namespace arbutusgate
--- /dev/null
+++ b/src/standin_executions.hpp
@@ -0,0 +1,41 @@
+/// Record of what the simulated replicas of one process executed.
+#pragma once
+
+#include <boost/json/object.hpp>
+
+#include <cstdint>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace arbutusgate {
+
+/// One kind of work and how often it was started.
+struct execution_record
+{
+    std::string   request_id;
+    std::string   stage;
+    std::string   idempotency_key; ///< Empty when the call carried none.
+    std::string   tag;             ///< request_tag of the input.
+    std::uint64_t count = 0;
+};
+
+/// Counts executions by request, stage and key. Thread-safe. Holds a bounded
+/// number of records; once full, `complete` is false in its reports.
+class execution_log
+{
+public:
+    void add(const execution_record& work);
+    /// One page: {"complete","next","total","executions":[...]}.
+    /// \param after number of records to skip.
+    boost::json::object page(std::uint64_t after, std::uint64_t limit) const;
+
+private:
+    mutable std::mutex                           mutex_;
+    std::vector<execution_record>                records_;
+    std::unordered_map<std::string, std::size_t> index_;
+    bool                                         complete_ = true;
+};
+
+} // namespace arbutusgate
--- /dev/null
+++ b/src/standin_main.cpp
@@ -0,0 +1,293 @@
+#include "standin_main.hpp"
+
+#include "http_client.hpp"
+#include "io_thread.hpp"
+#include "option_table.hpp"
+#include "standin_fleet.hpp"
+#include "standin_platform.hpp"
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+
+#include <pthread.h>
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+
+namespace arbutusgate {
+
+namespace {
+
+constexpr const char* usage =
+    "arbutusgate-standin platform|engine|service [options]";
+constexpr double engine_token_ms = 7;
+
+/// Blocks the signals that end the program, for all threads started later.
+sigset_t block_end_signals()
+{
+    sigset_t set;
+    sigemptyset(&set);
+    sigaddset(&set, SIGINT);
+    sigaddset(&set, SIGTERM);
+    pthread_sigmask(SIG_BLOCK, &set, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    return set;
+}
+
+void wait_for_end(const sigset_t& set)
+{
+    int number = 0;
+    sigwait(&set, &number);
+}
+
+int fail(const absl::Status& status)
+{
+    std::fprintf(stderr, "arbutusgate-standin: %s\n",
+                 std::string(status.message()).c_str());
+    return exit_status::failed;
+}
+
+int wrong_use(const char* text)
+{
+    std::fprintf(stderr, "arbutusgate-standin: %s\n", text);
+    return exit_status::wrong_use;
+}
+
+/// "SLOT=IP:PORT"; the slot is also the VM's first id.
+bool add_vm(const std::string& text, std::vector<platform_vm>& vms)
+{
+    const std::pair<std::string, std::string> parts =
+        absl::StrSplit(text, absl::MaxSplits('=', 1));
+    std::string   host;
+    std::uint16_t port = 0;
+    if (parts.first.empty() || !parse_address(parts.second, host, port))
+        return false;
+    vms.push_back({"vm-" + parts.first, parts.first, parts.second, false});
+    return true;
+}
+
+template <class Duration>
+auto set_time(Duration& time)
+{
+    return [&time](const std::string& text) {
+        double n = 0;
+        if (std::sscanf(text.c_str(), "%lf", &n) != 1 || n < 0)
+            return false;
+        time = Duration{static_cast<std::int64_t>(n)};
+        return true;
+    };
+}
+
+int run_platform(int argc, char** argv)
+{
+    platform_init init;
+    std::string   folder;
+    option_table  table("arbutusgate-standin platform [options]");
+    table.add_text("listen", "IP:PORT", "address for readers", init.address);
+    table.add_text("control", "IP:PORT", "address for control", init.control);
+    table.add_text("config", "DIR", "folder with base.yaml and site/*.yaml",
+                   folder);
+    table.add("vm", "SLOT=IP:PORT", "live VM; may be repeated",
+              [&](const std::string& it) { return add_vm(it, init.vms); });
+    table.add("list-lag-ms", "N", "age of the list of VMs",
+              set_time(init.list_lag));
+    table.add("latency-ms", "N", "time of each answer", set_time(init.latency));
+    table.add_number("read-rate", "N", "calls/s of all readers", init.read_rate,
+                     1);
+    table.add_number("read-burst", "N", "calls at once", init.read_burst, 1);
+    table.add_number("weight-rate", "N", "reads/s of weights", init.weight_rate,
+                     0);
+    table.add_number("weight-bytes", "N", "size of weights", init.weight_size);
+    if (const auto status = table.parse(argc, argv))
+        return *status;
+    if (init.address.empty() || folder.empty())
+        return wrong_use("--listen and --config are needed");
+    auto documents = read_documents(folder);
+    if (!documents.ok())
+        return fail(documents.status());
+    init.documents = *std::move(documents);
+
+    const auto       signals = block_end_signals();
+    io_thread        thread;
+    standin_platform platform(std::move(init), thread);
+    if (const auto status = platform.start(); !status.ok())
+        return fail(status);
+    wait_for_end(signals);
+    platform.stop();
+    return exit_status::ok;
+}
+
+/// Options of the stand-ins for targets.
+struct replica_options
+{
+    std::string  listen;
+    std::string  replicas;
+    std::string  deployment;
+    std::string  control;
+    std::size_t  threads     = 1;
+    bool         latency_set = false;
+    bool         slots_set   = false;
+    bool         no_fencing  = false;
+    replica_init replica;
+    engine_init  engine;
+};
+
+void add_replica_options(option_table& table, replica_options& it)
+{
+    auto& faults = it.replica.behaviour;
+    table.add_text("listen", "IP:PORT[,...]", "one replica for each address",
+                   it.listen);
+    table.add_text("replicas", "FILE", "lines: engine|service NAME IP:PORT",
+                   it.replicas);
+    table.add_text("deployment", "FILE", "base document that lists targets",
+                   it.deployment);
+    table.add_text("control", "IP:PORT", "address for control", it.control);
+    table.add_number("threads", "N", "threads for the replicas", it.threads, 1);
+    table.add("slots", "N", "calls that run at once in a replica",
+              [&](const std::string& text) {
+                  it.replica.slots = static_cast<std::uint32_t>(
+                      std::strtoul(text.c_str(), nullptr, 10));
+                  it.slots_set = true;
+                  return it.replica.slots > 0;
+              });
+    table.add_number("queue", "N", "calls that wait in a replica",
+                     it.replica.queue);
+    table.add("report-lag-ms", "N", "age of load reports",
+              set_time(it.replica.report_lag));
+    table.add("latency-ms", "X",
+              "median time of a call, or between tokens of an engine",
+              [&](const std::string& text) {
+                  it.latency_set = true;
+                  return std::sscanf(text.c_str(), "%lf", &faults.latency_ms) ==
+                             1 &&
+                         faults.latency_ms >= 0;
+              });
+    table.add_number("spread", "X", "sigma of the log-normal times",
+                     faults.spread);
+    table.add_number("fail-rate", "X", "share of calls that fail",
+                     faults.fail_rate);
+    table.add_number("not-run-rate", "X", "share of calls that are refused",
+                     faults.not_run_rate);
+    table.add_number("hang-rate", "X", "share of calls without an answer",
+                     faults.hang_rate);
+    table.add_number("silent-rate", "X", "share of answers that go silent",
+                     faults.silent_rate);
+    table.add_flag("leaving", "report the state leaving", faults.leaving);
+    table.add_number("seed", "N", "of the random times and faults",
+                     it.replica.seed);
+}
+
+void add_engine_options(option_table& table, replica_options& it)
+{
+    auto& engine = it.engine;
+    table.add_number("batch-slope", "X", "growth of the token time per call",
+                     engine.batch_slope);
+    table.add_number("prefill-ms", "X", "prompt phase of an uncached prompt",
+                     engine.prefill_ms);
+    table.add_number("cached-ms", "X", "prompt phase of a cached prompt",
+                     engine.cached_ms);
+    table.add_number("cache-blocks", "N", "size of the prefix cache",
+                     engine.cache_blocks);
+    table.add("event-delay-ms", "N", "delay of cache events",
+              set_time(engine.event_delay));
+    table.add_number("event-loss", "X", "share of cache events lost",
+                     engine.event_loss);
+    table.add("load-ms", "N", "time to carry out an order",
+              set_time(engine.load_time));
+    table.add_flag("no-fencing", "carry out orders with an old fence",
+                   it.no_fencing);
+}
+
+absl::StatusOr<std::vector<replica_init>>
+list_replicas(const replica_options& options, const std::string& kind)
+{
+    std::vector<replica_init> all;
+    for (const auto& address : split_list(options.listen)) {
+        replica_init it;
+        it.name    = absl::StrCat(kind, "-", all.size() + 1);
+        it.address = address;
+        all.push_back(std::move(it));
+    }
+    const auto append = [&](absl::StatusOr<std::vector<replica_init>> more) {
+        if (more.ok())
+            all.insert(all.end(), more->begin(), more->end());
+        return more.status();
+    };
+    absl::Status status;
+    if (!options.replicas.empty())
+        status = append(read_replicas(options.replicas, kind));
+    if (status.ok() && !options.deployment.empty())
+        status = append(read_deployment(options.deployment, kind));
+    if (!status.ok())
+        return status;
+    if (all.empty())
+        return absl::InvalidArgumentError(
+            "no replicas: give --listen, --replicas or --deployment");
+    return all;
+}
+
+/// Sets what the options say for all replicas.
+void apply(const replica_options& options, const std::string& kind,
+           std::size_t number, replica_init& it)
+{
+    const bool given   = !options.deployment.empty();
+    const auto latency = it.behaviour.latency_ms;
+    it.behaviour       = options.replica.behaviour;
+    it.queue           = options.replica.queue;
+    it.report_lag      = options.replica.report_lag;
+    it.seed            = options.replica.seed * 1000 + number;
+    if (!options.latency_set)
+        it.behaviour.latency_ms = kind == "engine" ? engine_token_ms : latency;
+    if (options.slots_set || !given)
+        it.slots = options.replica.slots;
+}
+
+int run_replicas(int argc, char** argv, const std::string& kind)
+{
+    replica_options options;
+    option_table    table("arbutusgate-standin " + kind + " [options]");
+    add_replica_options(table, options);
+    if (kind == "engine")
+        add_engine_options(table, options);
+    if (const auto status = table.parse(argc, argv))
+        return *status;
+    auto replicas = list_replicas(options, kind);
+    if (!replicas.ok()) {
+        fail(replicas.status());
+        return exit_status::wrong_use;
+    }
+    options.engine.checks_fencing = !options.no_fencing;
+    const auto    signals         = block_end_signals();
+    replica_fleet fleet(options.threads);
+    std::size_t   n = 0;
+    for (auto& it : *replicas) {
+        apply(options, kind, n++, it);
+        if (kind == "engine")
+            fleet.add_engine(std::move(it), options.engine);
+        else
+            fleet.add_service(std::move(it));
+    }
+    if (const auto status = fleet.start(options.control); !status.ok())
+        return fail(status);
+    wait_for_end(signals);
+    fleet.stop();
+    return exit_status::ok;
+}
+
+} // namespace
+
+int standin_main(int argc, char** argv)
+{
+    const std::string kind = argc > 1 ? argv[1] : "";
+    if (kind == "platform")
+        return run_platform(argc - 1, argv + 1);
+    if (kind == "engine" || kind == "service")
+        return run_replicas(argc - 1, argv + 1, kind);
+    option_table table(usage);
+    if (const auto status = table.parse(argc, argv))
+        return *status;
+    return wrong_use("needs platform, engine or service");
+}
+
+} // namespace arbutusgate
--- /dev/null
+++ b/src/standin_replica.cpp
@@ -0,0 +1,223 @@
+#include "standin_replica.hpp"
+
+#include "io_thread.hpp"
+#include "standin_http.hpp"
+
+#include "absl/strings/str_cat.h"
+
+namespace arbutusgate {
+
+using std::chrono::steady_clock;
+
+namespace {
+
+// Bounds how long a silent or sleeping call notices that its client has gone
+// or that the replica stops.
+constexpr microseconds silence_step = milliseconds{100};
+
+// The server closes connections only after this; silent calls outlive any
+// client's timeout.
+constexpr auto idle_timeout = std::chrono::minutes{10};
+
+} // namespace
+
+standin_replica::standin_replica(replica_init init, execution_log& executions)
+    : init_(std::move(init)), executions_(executions),
+      slots_(init_.slots, init_.queue), random_(init_.seed),
+      behaviour_(init_.behaviour), leaving_since_(steady_clock::now())
+{
+}
+
+standin_replica::~standin_replica() = default;
+
+absl::Status standin_replica::start(io_thread& thread)
+{
+    http_server_init server;
+    server.address      = init_.address;
+    server.idle_timeout = idle_timeout;
+    server.handler      = [this](http_exchange& it) {
+        serve(it);
+    };
+    server.on_error = read_error_response;
+    server_         = std::make_unique<http_server>(std::move(server),
+                                            std::vector<io_thread*>{&thread});
+    return server_->start();
+}
+
+void standin_replica::stop()
+{
+    stopping_ = true;
+    if (server_)
+        server_->stop();
+}
+
+std::string standin_replica::address() const
+{
+    const auto colon = init_.address.rfind(':');
+    return absl::StrCat(init_.address.substr(0, colon), ":", server_->port());
+}
+
+standin_behaviour standin_replica::behaviour() const
+{
+    std::lock_guard lock(mutex_);
+    return behaviour_;
+}
+
+void standin_replica::set_behaviour(const standin_behaviour& behaviour)
+{
+    std::lock_guard lock(mutex_);
+    if (behaviour.leaving && !behaviour_.leaving)
+        leaving_since_ = steady_clock::now();
+    behaviour_ = behaviour;
+}
+
+replica_stats standin_replica::stats() const
+{
+    std::lock_guard lock(mutex_);
+    return stats_;
+}
+
+void standin_replica::serve(http_exchange& exchange)
+{
+    const request_path path(exchange.request());
+    if (behaviour().down)
+        return exchange.abort();
+    if (path.path == "/load") {
+        const auto& it = lagging_load();
+        return respond(
+            exchange,
+            json_response(http::status::ok,
+                          {{"in_flight", it.in_flight},
+                           {"queued", it.queued},
+                           {"capacity", slots_.capacity()},
+                           {"lag_ms", init_.report_lag.count()},
+                           {"state", it.leaving ? "leaving" : "serving"}}));
+    }
+    if (!handle(exchange, path))
+        respond(exchange,
+                problem_response(http::status::not_found, "not_found"));
+}
+
+standin_replica::call_plan
+standin_replica::plan_call(std::optional<double> median_ms)
+{
+    call_plan       plan;
+    std::lock_guard lock(mutex_);
+    plan.behaviour = behaviour_;
+    plan.fate      = draw_fate(behaviour_, random_);
+    plan.time      = draw(median_ms.value_or(behaviour_.latency_ms), plan);
+    ++stats_.calls;
+    if (behaviour_.leaving &&
+        steady_clock::now() - leaving_since_ > limits::leaving_bound)
+        ++stats_.late_calls;
+    return plan;
+}
+
+microseconds standin_replica::draw(double median_ms, const call_plan& plan)
+{
+    return draw_time(median_ms, plan.behaviour, random_);
+}
+
+bool standin_replica::enter(http_exchange& exchange, const call_plan& plan,
+                            std::int64_t priority)
+{
+    auto result = work_slots::entry::full;
+    if (plan.fate != call_fate::not_run)
+        result = slots_.enter(exchange, priority);
+    sample_load();
+    if (result == work_slots::entry::granted)
+        return true;
+    if (result == work_slots::entry::gone) {
+        count_cancelled();
+        exchange.abort();
+        return false;
+    }
+    {
+        std::lock_guard lock(mutex_);
+        ++stats_.refused;
+    }
+    respond(exchange, json_response(http::status::service_unavailable,
+                                    {{"execution", "not_run"}}));
+    return false;
+}
+
+void standin_replica::leave()
+{
+    slots_.leave();
+    sample_load();
+}
+
+void standin_replica::record(const execution_record& work)
+{
+    executions_.add(work);
+    std::lock_guard lock(mutex_);
+    ++stats_.executed;
+}
+
+void standin_replica::respond(http_exchange& exchange, http_response response)
+{
+    response.set("Load-Report", load_report());
+    exchange.respond(std::move(response));
+}
+
+void standin_replica::respond_failed(http_exchange& exchange)
+{
+    {
+        std::lock_guard lock(mutex_);
+        ++stats_.failed;
+    }
+    respond(exchange, json_response(http::status::internal_server_error,
+                                    {{"execution", "failed"}}));
+}
+
+void standin_replica::sample_load()
+{
+    samples_.push_back({steady_clock::now(), slots_.in_flight(),
+                        slots_.queued(), behaviour().leaving});
+}
+
+const standin_replica::load_sample& standin_replica::lagging_load()
+{
+    sample_load();
+    const auto until = steady_clock::now() - init_.report_lag;
+    while (samples_.size() > 1 && samples_[1].at <= until)
+        samples_.pop_front();
+    return samples_.front();
+}
+
+std::string standin_replica::load_report()
+{
+    const auto& it = lagging_load();
+    return absl::StrCat("in_flight=", it.in_flight, ", queued=", it.queued,
+                        ", capacity=", slots_.capacity(),
+                        ", lag_ms=", init_.report_lag.count(),
+                        ", state=", it.leaving ? "leaving" : "serving");
+}
+
+void standin_replica::stay_silent(http_exchange& exchange)
+{
+    while (sleep(exchange, silence_step)) {
+    }
+    exchange.abort();
+}
+
+bool standin_replica::sleep(http_exchange& exchange, microseconds time)
+{
+    const auto until = steady_clock::now() + time;
+    while (!exchange.client_gone() && !stopping_) {
+        const auto left = std::chrono::duration_cast<microseconds>(
+            until - steady_clock::now());
+        if (left.count() <= 0)
+            return true;
+        fiber_sleep(exchange.thread().io(), std::min(left, silence_step));
+    }
+    return false;
+}
+
+void standin_replica::count_cancelled()
+{
+    std::lock_guard lock(mutex_);
+    ++stats_.cancelled;
+}
+
+} // namespace arbutusgate
--- /dev/null
+++ b/src/standin_service.cpp
@@ -0,0 +1,63 @@
+#include "standin_service.hpp"
+
+#include "standin_http.hpp"
+#include "standin_text.hpp"
+
+namespace arbutusgate {
+
+namespace json = boost::json;
+
+bool standin_service::handle(http_exchange& exchange, const request_path& path)
+{
+    if (path.path != "/v1/call" ||
+        exchange.request().method() != http::verb::post)
+        return false;
+    call(exchange);
+    return true;
+}
+
+void standin_service::call(http_exchange& exchange)
+{
+    json::object body;
+    if (!parse_object(exchange.request().body(), body) ||
+        text_of(body, "request_id").empty() || text_of(body, "stage").empty())
+        return respond(exchange, problem_response(http::status::bad_request,
+                                                  "bad_request"));
+    const auto plan = plan_call();
+    if (!enter(exchange, plan, number_of(body, "priority", 0)))
+        return;
+    run(exchange, plan, body);
+}
+
+void standin_service::run(http_exchange& exchange, const call_plan& plan,
+                          const json::object& body)
+{
+    const auto input = text_of(body, "input");
+    const auto stage = text_of(body, "stage");
+    record({text_of(body, "request_id"), stage,
+            text_of(body, "idempotency_key"), std::string(request_tag(input))});
+    const bool alive = sleep(exchange, plan.time);
+    leave();
+    if (!alive) {
+        count_cancelled();
+        return exchange.abort();
+    }
+    switch (plan.fate) {
+    case call_fate::failed:
+        return respond_failed(exchange);
+    case call_fate::hang:
+    case call_fate::silent:
+        return stay_silent(exchange);
+    case call_fate::normal:
+    case call_fate::not_run:
+        break;
+    }
+    respond(exchange,
+            json_response(http::status::ok,
+                          {{"request_id", body.at("request_id")},
+                           {"stage", stage},
+                           {"attempt", number_of(body, "attempt", 0)},
+                           {"output", service_output(stage, input)}}));
+}
+
+} // namespace arbutusgate
