Add the load tool

Open-loop arrivals over all daemons with both users' mixes; every answer is checked against the stand-ins' texts and records of executions. Tried only against refused connections so far; the daemon is not there yet.

--- /dev/null
+++ b/src/load_main.cpp
@@ -0,0 +1,180 @@
+#include "load_main.hpp"
+
+#include "http_client.hpp"
+#include "load_check.hpp"
+#include "load_mix.hpp"
+#include "load_plan.hpp"
+#include "load_report.hpp"
+#include "load_run.hpp"
+#include "load_summary.hpp"
+#include "option_table.hpp"
+
+#include "absl/strings/str_cat.h"
+
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <optional>
+#include <thread>
+
+namespace arbutusgate {
+
+namespace {
+
+constexpr double        most_rate     = 20000;
+constexpr std::uint32_t most_seconds  = 3600;
+constexpr double        most_requests = 1e6;
+// Work that was cancelled at the end of the run is recorded by then.
+constexpr milliseconds settle_time{300};
+
+struct load_options
+{
+    std::vector<std::string> targets;
+    std::string              mix;
+    double                   rate    = 0;
+    std::uint32_t            length  = 0; ///< seconds
+    std::uint64_t            seed    = 1;
+    std::uint32_t            threads = 2;
+    std::string              json;
+    std::string              html;
+    std::vector<std::string> controls;
+    std::vector<std::string> may_die;
+};
+
+bool set_addresses(const std::string& text, std::vector<std::string>& all)
+{
+    all = split_list(text);
+    return !all.empty() && std::all_of(all.begin(), all.end(), [](auto& it) {
+        std::string   host;
+        std::uint16_t port = 0;
+        return parse_address(it, host, port);
+    });
+}
+
+void add_options(option_table& table, load_options& it)
+{
+    const auto addresses = [](std::vector<std::string>& all) {
+        return [&all](const std::string& text) {
+            return set_addresses(text, all);
+        };
+    };
+    table.add("target", "IP:PORT[,...]", "daemons", addresses(it.targets));
+    table.add_text("mix", "NAME|FILE", "kestrelveld, brazos or a YAML file",
+                   it.mix);
+    table.add_number("rate", "R", "requests/s", it.rate);
+    table.add_number("seconds", "S", "length of the run", it.length);
+    table.add_number("seed", "N", "of the arrivals and requests", it.seed);
+    table.add_number("threads", "N", "threads that send", it.threads, 1);
+    table.add_text("json", "FILE", "write the figures", it.json);
+    table.add_text("html", "FILE", "write a page with plots", it.html);
+    table.add("check-executions", "IP:PORT[,...]",
+              "control listeners of the stand-ins", addresses(it.controls));
+    table.add("may-die", "IP:PORT[,...]",
+              "a request lost by any other daemon is a violation",
+              addresses(it.may_die));
+}
+
+int fail(const std::string& text, int status)
+{
+    std::fprintf(stderr, "arbutusgate-load: %s\n", text.c_str());
+    return status;
+}
+
+bool write_file(const std::string& path, const std::string& text)
+{
+    if (path.empty())
+        return true;
+    std::ofstream file(path, std::ios::binary);
+    file << text;
+    file.close();
+    return !file.fail();
+}
+
+/// Keys of two runs must differ within the daemons' retry window.
+std::string run_name(std::uint64_t seed)
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return absl::StrCat(seed, "-",
+                        std::chrono::duration_cast<milliseconds>(now).count() %
+                            1000000000);
+}
+
+std::vector<std::size_t> indices(const std::vector<std::string>& some,
+                                 const std::vector<std::string>& all)
+{
+    std::vector<std::size_t> found;
+    for (std::size_t n = 0; n < all.size(); ++n) {
+        if (std::find(some.begin(), some.end(), all[n]) != some.end())
+            found.push_back(n);
+    }
+    return found;
+}
+
+int report(const load_options& options, const load_summary& summary)
+{
+    std::printf("%s", text_report(summary).c_str());
+    const bool written =
+        write_file(options.json,
+                   boost::json::serialize(json_report(summary)) + "\n") &&
+        write_file(options.html, html_report(summary));
+    std::printf("%s\n", result_line(summary).c_str());
+    if (!written)
+        return fail("cannot write a report", exit_status::failed);
+    return summary.violations.empty() ? exit_status::ok : exit_status::failed;
+}
+
+int run(const load_options& options, const load_mix& mix)
+{
+    const auto plan    = make_plan(mix, options.rate, seconds{options.length},
+                                   options.seed, run_name(options.seed));
+    const auto results = run_plan(mix, plan, options.targets, options.threads);
+    std::optional<std::vector<executed_work>> executions;
+    if (!options.controls.empty()) {
+        std::this_thread::sleep_for(settle_time);
+        auto read = read_executions(options.controls);
+        if (!read.ok())
+            return fail(std::string(read.status().message()),
+                        exit_status::failed);
+        executions = *std::move(read);
+    }
+    const check_input input{mix,
+                            plan,
+                            results,
+                            executions,
+                            options.targets,
+                            indices(options.may_die, options.targets)};
+    return report(options, summarize(input, find_violations(input)));
+}
+
+} // namespace
+
+int load_main(int argc, char** argv)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    load_options options;
+    option_table table("arbutusgate-load --target IP:PORT[,...] --mix NAME "
+                       "--rate R --seconds S [options]");
+    add_options(table, options);
+    if (const auto status = table.parse(argc, argv))
+        return *status;
+    if (options.targets.empty() || options.mix.empty() || options.rate <= 0 ||
+        options.length == 0)
+        return fail("--target, --mix, --rate and --seconds are needed",
+                    exit_status::wrong_use);
+    if (options.rate > most_rate || options.length > most_seconds ||
+        options.rate * options.length > most_requests)
+        return fail("the run is over 20000 requests/s, 3600 s or 1000000 "
+                    "requests",
+                    exit_status::wrong_use);
+    const auto mix = read_mix(options.mix);
+    if (!mix.ok())
+        return fail(std::string(mix.status().message()),
+                    exit_status::wrong_use);
+    return run(options, *mix);
+}
+
+} // namespace arbutusgate
--- /dev/null
+++ b/src/load_plan.cpp
@@ -0,0 +1,74 @@
+#include "load_plan.hpp"
+
+#include "standin_text.hpp"
+
+#include "absl/strings/str_cat.h"
+
+#include <random>
+
+namespace arbutusgate {
+
+namespace {
+
+std::vector<std::string> make_contexts(const load_mix& mix)
+{
+    std::vector<std::string> all;
+    for (std::uint32_t n = 0; n < mix.contexts; ++n) {
+        auto text = engine_text(absl::StrCat(mix.name, " context ", n),
+                                mix.context_bytes / 4);
+        text.resize(mix.context_bytes);
+        all.push_back(std::move(text));
+    }
+    return all;
+}
+
+std::uint32_t pick_account(const load_mix& mix, const std::string& pipeline,
+                           std::mt19937_64& random)
+{
+    std::vector<double> weights;
+    for (const auto& it : mix.accounts)
+        weights.push_back(it.may_use(pipeline) ? it.share : 0);
+    return std::discrete_distribution<std::uint32_t>(weights.begin(),
+                                                     weights.end())(random);
+}
+
+} // namespace
+
+std::vector<planned_request> make_plan(const load_mix& mix, double rate,
+                                       seconds duration, std::uint64_t seed,
+                                       const std::string& run)
+{
+    std::mt19937_64                        random(seed);
+    std::exponential_distribution<double>  gap(rate);
+    std::uniform_real_distribution<double> unit(0, 1);
+    const auto                             contexts = make_contexts(mix);
+    std::vector<double>                    shares;
+    for (const auto& it : mix.pipelines)
+        shares.push_back(it.share);
+    std::discrete_distribution<std::uint32_t> pick(shares.begin(),
+                                                   shares.end());
+    std::vector<planned_request>              plan;
+    const auto end = static_cast<double>(duration.count());
+    for (double at = gap(random); at < end; at += gap(random)) {
+        planned_request it;
+        it.number   = static_cast<std::uint32_t>(plan.size());
+        it.at       = microseconds{static_cast<std::int64_t>(at * 1e6)};
+        it.pipeline = pick(random);
+        const auto& pipeline = mix.pipelines[it.pipeline];
+        it.account           = pick_account(mix, pipeline.name, random);
+        it.stream            = unit(random) < pipeline.stream_share;
+        it.tag               = absl::StrCat(mix.name, "-", run, "-", it.number);
+        if (pipeline.keyed()) {
+            it.key = absl::StrCat("key-", it.tag);
+            if (unit(random) < pipeline.repeat_share)
+                it.repeat =
+                    unit(random) < 0.5 ? key_repeat::after : key_repeat::early;
+        }
+        it.input = absl::StrCat(contexts[random() % contexts.size()],
+                                " [request ", it.tag, "]");
+        plan.push_back(std::move(it));
+    }
+    return plan;
+}
+
+} // namespace arbutusgate
--- /dev/null
+++ b/src/load_run.cpp
@@ -0,0 +1,239 @@
+#include "load_run.hpp"
+
+#include "http_client.hpp"
+#include "io_thread.hpp"
+#include "load_caller.hpp"
+#include "standin_http.hpp"
+
+#include "absl/strings/str_cat.h"
+
+#include <boost/json/array.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <cstdio>
+#include <future>
+#include <iterator>
+#include <memory>
+
+namespace arbutusgate {
+
+namespace json = boost::json;
+using std::chrono::steady_clock;
+
+namespace {
+
+// Bounds the memory of a run whose daemons hang: 48 KB of stack each.
+constexpr std::uint32_t most_open = 20000;
+constexpr milliseconds  early_repeat{10};
+constexpr seconds       progress_interval{1};
+constexpr seconds       control_timeout{10};
+
+/// Counts for the progress line.
+struct run_progress
+{
+    std::atomic<std::uint32_t> sent{0};
+    std::atomic<std::uint32_t> done{0};
+    std::atomic<std::uint32_t> whole{0};
+    std::atomic<std::uint32_t> violations{0};
+};
+
+/// The requests of one thread.
+class load_worker
+{
+public:
+    load_worker(const load_mix& mix, const std::vector<std::string>& daemons,
+                run_progress& progress)
+        : caller_(mix, daemons, thread_.io()), progress_(progress)
+    {
+    }
+
+    void add(const planned_request& it) { requests_.push_back(&it); }
+
+    std::future<void> start(steady_clock::time_point at)
+    {
+        auto ended = ended_.get_future();
+        thread_.spawn([this, at] { dispatch(at); });
+        return ended;
+    }
+
+    std::vector<load_result> take() { return std::move(results_); }
+
+private:
+    void dispatch(steady_clock::time_point start);
+    void run(const planned_request& request);
+    void repeat(const planned_request& request, std::size_t first);
+    void keep(load_result result);
+    void end();
+
+    std::vector<const planned_request*> requests_;
+    std::vector<load_result>            results_;
+    std::promise<void>                  ended_;
+    std::uint32_t                       open_ = 0;
+    bool                                sent_ = false;
+    io_thread                           thread_;
+    load_caller                         caller_;
+    run_progress&                       progress_;
+};
+
+void load_worker::dispatch(steady_clock::time_point start)
+{
+    for (const auto* it : requests_) {
+        const auto left = std::chrono::duration_cast<microseconds>(
+            start + it->at - steady_clock::now());
+        if (left.count() > 0)
+            fiber_sleep(thread_.io(), left);
+        ++progress_.sent;
+        if (open_ >= most_open) {
+            load_result skipped;
+            skipped.number = it->number;
+            keep(std::move(skipped));
+            continue;
+        }
+        ++open_;
+        spawn_fiber([this, it] { run(*it); });
+    }
+    sent_ = true;
+    if (open_ == 0)
+        ended_.set_value();
+}
+
+void load_worker::run(const planned_request& request)
+{
+    if (request.repeat == key_repeat::early) {
+        ++open_;
+        spawn_fiber([this, &request] {
+            fiber_sleep(thread_.io(), early_repeat);
+            repeat(request, load_balancer::none);
+            end();
+        });
+    }
+    auto       result = caller_.call(request, load_balancer::none);
+    const auto daemon = result.daemon;
+    ++progress_.done;
+    if (result.outcome == load_outcome::whole)
+        ++progress_.whole;
+    keep(std::move(result));
+    if (request.repeat == key_repeat::after)
+        repeat(request, daemon);
+    end();
+}
+
+void load_worker::repeat(const planned_request& request, std::size_t first)
+{
+    auto result     = caller_.call(request, first);
+    result.repeated = true;
+    keep(std::move(result));
+}
+
+void load_worker::keep(load_result result)
+{
+    progress_.violations +=
+        static_cast<std::uint32_t>(result.violations.size());
+    results_.push_back(std::move(result));
+}
+
+void load_worker::end()
+{
+    if (--open_ == 0 && sent_)
+        ended_.set_value();
+}
+
+void print_progress(const run_progress& it, steady_clock::time_point start)
+{
+    const auto passed =
+        std::chrono::duration_cast<seconds>(steady_clock::now() - start);
+    std::fprintf(stderr, "%4llds sent=%u open=%u whole=%u violations=%u\n",
+                 static_cast<long long>(passed.count()), it.sent.load(),
+                 it.sent.load() - it.done.load(), it.whole.load(),
+                 it.violations.load());
+}
+
+/// One page of records. \return false when there is no valid answer.
+bool read_page(http_client& client, const std::string& address,
+               std::uint64_t after, json::object& page)
+{
+    http_request request(http::verb::get,
+                         absl::StrCat("/control/executions?after=", after), 11);
+    request.set(http::field::host, address);
+    boost::system::error_code ec = client.send(request, control_timeout);
+    if (ec)
+        return false;
+    const auto text = client.read_all(control_timeout, ec);
+    return !ec && parse_object(text, page) && page.contains("executions") &&
+           page.at("executions").is_array();
+}
+
+absl::Status read_control(boost::asio::io_context&    io,
+                          const std::string&          address,
+                          std::vector<executed_work>& all)
+{
+    http_client client(io);
+    if (client.connect(address, control_timeout))
+        return absl::UnavailableError("no connection to " + address);
+    for (std::uint64_t after = 0;;) {
+        json::object page;
+        if (!read_page(client, address, after, page))
+            return absl::UnavailableError("no records from " + address);
+        if (!page.contains("complete") || page.at("complete") != true)
+            return absl::DataLossError("incomplete records at " + address);
+        for (const auto& row : page.at("executions").get_array()) {
+            const auto& it = row.as_object();
+            all.push_back(
+                {text_of(it, "request_id"), text_of(it, "stage"),
+                 text_of(it, "idempotency_key"), text_of(it, "tag"),
+                 static_cast<std::uint64_t>(number_of(it, "count", 0))});
+        }
+        if (page.at("executions").get_array().empty())
+            return absl::OkStatus();
+        after = static_cast<std::uint64_t>(number_of(page, "next", 0));
+    }
+}
+
+} // namespace
+
+std::vector<load_result> run_plan(const load_mix&                     mix,
+                                  const std::vector<planned_request>& plan,
+                                  const std::vector<std::string>&     daemons,
+                                  std::uint32_t                       threads)
+{
+    run_progress                              progress;
+    std::vector<std::unique_ptr<load_worker>> workers;
+    for (std::uint32_t n = 0; n < threads; ++n)
+        workers.push_back(
+            std::make_unique<load_worker>(mix, daemons, progress));
+    for (std::size_t n = 0; n < plan.size(); ++n)
+        workers[n % threads]->add(plan[n]);
+    const auto                     start = steady_clock::now();
+    std::vector<std::future<void>> ended;
+    for (const auto& it : workers)
+        ended.push_back(it->start(start));
+    for (const auto& it : ended) {
+        while (it.wait_for(progress_interval) != std::future_status::ready)
+            print_progress(progress, start);
+    }
+    std::vector<load_result> all;
+    for (const auto& it : workers) {
+        auto part = it->take();
+        all.insert(all.end(), std::make_move_iterator(part.begin()),
+                   std::make_move_iterator(part.end()));
+    }
+    return all;
+}
+
+absl::StatusOr<std::vector<executed_work>>
+read_executions(const std::vector<std::string>& controls)
+{
+    io_thread                  thread;
+    std::vector<executed_work> all;
+    for (const auto& it : controls) {
+        std::promise<absl::Status> result;
+        thread.spawn(
+            [&] { result.set_value(read_control(thread.io(), it, all)); });
+        if (const auto status = result.get_future().get(); !status.ok())
+            return status;
+    }
+    return all;
+}
+
+} // namespace arbutusgate
