Learn stage times and split the deadline by them

Cause: a stage started although its result had to come too late, and its time-out left nothing for later stages. Change: decayed quantiles for each stage; a stage starts only when the remaining time covers the medians of it and the later stages; its time-out reserves theirs; an idempotent call far above the 95th percentile is repeated.

--- a/include/arbutusgate/pipeline_run.hpp
+++ b/include/arbutusgate/pipeline_run.hpp
@@ -139,9 +139,14 @@
     run_actions            retry(const attempt_result& result, time_point now);
     bool                   take_retry();
     void                   leave_target();
-    run_actions give_up(refusal_reason reason, milliseconds retry_after);
-    run_actions end(execution result, refusal_reason reason,
-                    milliseconds retry_after);
+    void                   learn(const attempt_result& result, time_point now);
+    /// Median time of the stages from the given one on.
+    microseconds needed(std::size_t from) const;
+    milliseconds attempt_timeout(time_point now) const;
+    bool         adaptive() const;
+    run_actions  give_up(refusal_reason reason, milliseconds retry_after);
+    run_actions  end(execution result, refusal_reason reason,
+                     milliseconds retry_after);
 
     policy&      policy_;
     request_info info_;
--- a/src/pipeline_run.cpp
+++ b/src/pipeline_run.cpp
@@ -9,6 +9,10 @@
 namespace {
 
 constexpr milliseconds retry_later = seconds{1};
+// An idempotent call that takes this much longer than almost all others is
+// taken for lost, so that time is left to repeat it.
+constexpr auto lost_call_factor = 4;
+constexpr auto lost_call_margin = milliseconds{50};
 
 retry_reason reason_of(attempt_status status, bool resumes)
 {
@@ -86,6 +90,8 @@
         return end(execution::done, refusal_reason::none, {});
     if (now >= info_.deadline)
         return give_up(refusal_reason::deadline_exceeded, {});
+    if (adaptive() && info_.deadline - now < needed(stage_))
+        return give_up(refusal_reason::deadline_unreachable, retry_later);
     const auto& stage = pipeline().stages[stage_];
     const auto& pool  = view_->pools[stage.pool.idx];
     {
@@ -105,10 +111,57 @@
     ++attempt_;
     if (!stage.idempotent)
         sent_ = true;
-    return {start_attempt{
-        attempt_, stage_, target_,
-        std::chrono::duration_cast<milliseconds>(info_.deadline - now),
-        offset_}};
+    return {start_attempt{attempt_, stage_, target_, attempt_timeout(now),
+                          offset_}};
+}
+
+bool pipeline_run::adaptive() const
+{
+    return policy_.impl_->init.strategy == policy_strategy::adaptive;
+}
+
+microseconds pipeline_run::needed(std::size_t from) const
+{
+    const auto&  times = view_->times[info_.pipeline.idx];
+    microseconds sum{0};
+    for (auto n = from; n < times.size(); ++n)
+        sum += times[n]->median();
+    return sum;
+}
+
+milliseconds pipeline_run::attempt_timeout(time_point now) const
+{
+    auto left = info_.deadline - now;
+    if (adaptive()) {
+        left -= needed(stage_ + 1);
+        const auto& stage = pipeline().stages[stage_];
+        // Streams are watched by their chunks instead.
+        if (stage.idempotent && stage.kind != stage_kind::generate)
+            left = std::min<microseconds>(
+                left, view_->times[info_.pipeline.idx][stage_]->high() *
+                              lost_call_factor +
+                          lost_call_margin);
+    }
+    return std::max(milliseconds{1},
+                    std::chrono::duration_cast<milliseconds>(left));
+}
+
+void pipeline_run::learn(const attempt_result& result, time_point now)
+{
+    const auto& stage = pipeline().stages[stage_];
+    {
+        const auto&     pool = view_->pools[stage.pool.idx];
+        std::lock_guard lock(pool.state->mutex);
+        pool.state->routes.on_result(pool.targets, *route_, result.status, now);
+        if (result.status == attempt_status::done)
+            pool.state->retries.on_success();
+    }
+    // A time-out is a lower bound of the time; without it a stage that became
+    // slow would be cut off for ever.
+    const bool timed = result.status == attempt_status::done ||
+                       result.status == attempt_status::timeout;
+    if (timed && offset_ == 0)
+        view_->times[info_.pipeline.idx][stage_]->add(now - attempt_start_);
 }
 
 void pipeline_run::leave_target()
@@ -126,13 +179,7 @@
 {
     if (finished_ || !route_ || result.attempt != attempt_)
         return {};
-    {
-        const auto&     pool = view_->pools[pipeline().stages[stage_].pool.idx];
-        std::lock_guard lock(pool.state->mutex);
-        pool.state->routes.on_result(pool.targets, *route_, result.status, now);
-        if (result.status == attempt_status::done)
-            pool.state->retries.on_success();
-    }
+    learn(result, now);
     const auto used = route_;
     leave_target();
     if (result.status != attempt_status::done) {
@@ -150,7 +197,7 @@
     if (retries_ >= pipeline().retries)
         return false;
     ++retries_;
-    if (policy_.impl_->init.strategy != policy_strategy::adaptive)
+    if (!adaptive())
         return true;
     const auto&     pool = view_->pools[pipeline().stages[stage_].pool.idx];
     std::lock_guard lock(pool.state->mutex);
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -37,6 +37,15 @@
                       [](const auto& it) { return it.second.expired(); });
         next->pools.push_back(std::move(entry));
     }
+    for (const auto& pipeline : config->pipelines) {
+        auto& stages = next->times.emplace_back();
+        for (const auto& stage : pipeline.stages) {
+            auto& it = times[pipeline.name + "/" + stage.name];
+            if (!it)
+                it = std::make_shared<stage_quantiles>(stage.expected);
+            stages.push_back(it);
+        }
+    }
     next->config = std::move(config);
     return next;
 }
--- a/src/policy_impl.hpp
+++ b/src/policy_impl.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "arbutusgate/policy.hpp"
+#include "policy_quantiles.hpp"
 #include "policy_retry_budget.hpp"
 #include "policy_router.hpp"
 #include "reason_counters.hpp"
@@ -40,6 +41,8 @@
 {
     std::shared_ptr<const deployment> config;
     std::vector<pool_view>            pools; ///< As deployment::pools.
+    /// Times of the stages of each pipeline.
+    std::vector<std::vector<std::shared_ptr<stage_quantiles>>> times;
 };
 
 struct policy::impl
@@ -53,10 +56,12 @@
     template <class Run>
     void with_target(std::string_view name, Run run);
 
-    mutable std::mutex                 mutex; ///< Guards view.
+    mutable std::mutex                 mutex; ///< Guards view and times.
     std::shared_ptr<const policy_view> view;
-    policy_init                        init;
-    reason_counters*                   counters = nullptr;
+    /// By "PIPELINE/STAGE".
+    std::map<std::string, std::shared_ptr<stage_quantiles>> times;
+    policy_init                                             init;
+    reason_counters*                                        counters = nullptr;
 };
 
 } // namespace arbutusgate
