Limit each pool and admit only what finds room

Cause: under overload 13 to 32% of the cost went to requests that did not complete, because calls waited in the targets' queues until their deadline. Change: each daemon has an adaptive limit on attempts in each pool (its share of the slots; grows while targets have no queue, shrinks on queues, refusals and time-outs) and on admitted runs. Requests wait for admission before any stage ran, by priority, for at most half of the time they can spare; one that would wait longer is refused at once. Once in a second a pipeline that seems hopeless is tried, so that its times are learned anew.

--- a/include/arbutusgate/pipeline_run.hpp
+++ b/include/arbutusgate/pipeline_run.hpp
@@ -15,6 +15,8 @@
 struct deployment;
 struct pipeline_config;
 struct policy_view;
+struct pool_view;
+struct pool_waiter;
 struct route_target;
 
 /// What the driver knows of a request when it arrives.
@@ -135,18 +137,37 @@
 
 private:
     const pipeline_config& pipeline() const;
+    const pool_view&       pool_of(std::size_t stage) const;
+    bool                   adaptive() const;
     run_actions            step(time_point now);
-    run_actions            retry(const attempt_result& result, time_point now);
-    bool                   take_retry();
-    void                   leave_target();
-    void                   learn(const attempt_result& result, time_point now);
-    /// Median time of the stages from the given one on.
+
+    /// Asks for admission to all pools of the pipeline.
+    /// \return no action when admitted.
+    run_actions admit(time_point now);
+    run_actions commit(time_point now);
+    /// Asks for room in the pool of the stage.
+    /// \return no action when there is room.
+    run_actions enter(time_point now);
+    run_actions queue_at(const pool_view& pool, time_point latest);
+    void        stop_waiting();
+    void        uncommit(std::size_t stage);
+    bool        choose_target(time_point now);
+    void        leave_target();
+    void        release_all();
+
+    /// Median time of the stages in [from, to).
+    microseconds needed(std::size_t from, std::size_t to) const;
     microseconds needed(std::size_t from) const;
+    /// Time that the whole pipeline rarely exceeds.
+    microseconds needed_high() const;
     milliseconds attempt_timeout(time_point now) const;
-    bool         adaptive() const;
-    run_actions  give_up(refusal_reason reason, milliseconds retry_after);
-    run_actions  end(execution result, refusal_reason reason,
-                     milliseconds retry_after);
+    void         learn(const attempt_result& result, time_point now);
+
+    run_actions retry(const attempt_result& result, time_point now);
+    bool        take_retry();
+    run_actions give_up(refusal_reason reason, milliseconds retry_after);
+    run_actions end(execution result, refusal_reason reason,
+                    milliseconds retry_after);
 
     policy&      policy_;
     request_info info_;
@@ -156,6 +177,16 @@
     std::shared_ptr<route_target>      route_;  ///< Of the running attempt.
     std::shared_ptr<route_target>      failed_; ///< Of the one before it.
 
+    std::unique_ptr<pool_waiter> waiter_;
+    const pool_view*             waits_at_ = nullptr;
+    time_point                   latest_; ///< End of the waiting.
+    std::uint64_t                order_ = 0;
+    std::vector<bool>            committed_; ///< By stage.
+    bool                         admitted_ = false;
+    bool                         entered_  = false;
+    /// Runs though the learned times leave no hope, to learn them anew.
+    bool probe_ = false;
+
     std::uint32_t stage_   = 0;
     std::uint32_t attempt_ = 0;
     std::uint32_t retries_ = 0;
--- a/src/pipeline_run.cpp
+++ b/src/pipeline_run.cpp
@@ -3,6 +3,7 @@
 #include "policy_impl.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace arbutusgate {
 
@@ -13,6 +14,12 @@
 // taken for lost, so that time is left to repeat it.
 constexpr auto lost_call_factor = 4;
 constexpr auto lost_call_margin = milliseconds{50};
+// A request waits for admission for at most half of the time that it can
+// spare. The rest covers what the learned times do not show; requests that
+// waited for all of it were often late and their cost wasted.
+constexpr auto spared_share = 2;
+// Refusing everything would teach no new times after a slow period.
+constexpr microseconds probe_interval = seconds{1};
 
 retry_reason reason_of(attempt_status status, bool resumes)
 {
@@ -38,13 +45,13 @@
 
 pipeline_run::pipeline_run(policy& shared, const request_info& info, time_point)
     : policy_(shared), info_(info), view_(shared.impl_->current_view()),
-      config_(view_->config)
+      config_(view_->config), order_(++shared.impl_->arrivals)
 {
 }
 
 pipeline_run::~pipeline_run()
 {
-    leave_target();
+    release_all();
 }
 
 const pipeline_config& pipeline_run::pipeline() const
@@ -52,6 +59,16 @@
     return config_->pipelines[info_.pipeline.idx];
 }
 
+const pool_view& pipeline_run::pool_of(std::size_t stage) const
+{
+    return view_->pools[pipeline().stages[stage].pool.idx];
+}
+
+bool pipeline_run::adaptive() const
+{
+    return policy_.impl_->init.strategy == policy_strategy::adaptive;
+}
+
 run_actions pipeline_run::start(time_point now)
 {
     if (!pipeline().has_non_idempotent())
@@ -90,45 +107,218 @@
         return end(execution::done, refusal_reason::none, {});
     if (now >= info_.deadline)
         return give_up(refusal_reason::deadline_exceeded, {});
-    if (adaptive() && info_.deadline - now < needed(stage_))
-        return give_up(refusal_reason::deadline_unreachable, retry_later);
-    const auto& stage = pipeline().stages[stage_];
-    const auto& pool  = view_->pools[stage.pool.idx];
-    {
-        std::lock_guard lock(pool.state->mutex);
-        const auto      n =
-            pool.state->routes.choose(pool.targets, {now, failed_.get()});
-        if (n >= 0) {
-            route_  = pool.targets[static_cast<std::size_t>(n)];
-            target_ = config_->pools[stage.pool.idx]
-                          .targets[static_cast<std::size_t>(n)];
-            ++route_->in_flight;
-        }
+    if (adaptive()) {
+        auto wait = admit(now);
+        if (wait.empty() && !probe_ && info_.deadline - now < needed(stage_))
+            wait = give_up(refusal_reason::deadline_unreachable, retry_later);
+        if (wait.empty())
+            wait = enter(now);
+        if (!wait.empty())
+            return wait;
     }
-    if (!route_)
+    if (!choose_target(now))
         return give_up(refusal_reason::no_target, retry_later);
     attempt_start_ = now;
     ++attempt_;
-    if (!stage.idempotent)
+    if (!pipeline().stages[stage_].idempotent)
         sent_ = true;
     return {start_attempt{attempt_, stage_, target_, attempt_timeout(now),
                           offset_}};
 }
 
-bool pipeline_run::adaptive() const
+bool pipeline_run::choose_target(time_point now)
 {
-    return policy_.impl_->init.strategy == policy_strategy::adaptive;
+    const auto&     pool = pool_of(stage_);
+    std::lock_guard lock(pool.state->mutex);
+    const auto      n =
+        pool.state->routes.choose(pool.targets, {now, failed_.get()});
+    if (n < 0)
+        return false;
+    const auto& ids =
+        config_->pools[pipeline().stages[stage_].pool.idx].targets;
+    route_  = pool.targets[static_cast<std::size_t>(n)];
+    target_ = ids[static_cast<std::size_t>(n)];
+    ++route_->in_flight;
+    return true;
 }
 
-microseconds pipeline_run::needed(std::size_t from) const
+run_actions pipeline_run::admit(time_point now)
+{
+    if (admitted_)
+        return {};
+    if (waiter_)
+        return commit(now);
+    waiter_           = std::make_unique<pool_waiter>();
+    waiter_->run      = info_.run;
+    waiter_->priority = pipeline().priority;
+    waiter_->order    = order_;
+    committed_.resize(pipeline().stages.size());
+    const auto spared = info_.deadline - now - needed_high();
+    if (spared < microseconds{0}) {
+        auto&      last = view_->probes[info_.pipeline.idx];
+        const auto due  = now - probe_interval;
+        auto       seen = last.load();
+        probe_ =
+            seen <= due.time_since_epoch().count() &&
+            last.compare_exchange_strong(seen, now.time_since_epoch().count());
+        if (!probe_)
+            return give_up(refusal_reason::deadline_unreachable, retry_later);
+    }
+    latest_ = now + std::max(spared, microseconds{0}) / spared_share;
+    return commit(now);
+}
+
+run_actions pipeline_run::commit(time_point now)
+{
+    // A grant has counted the run in the pool that it waited for.
+    for (std::size_t n = 0; waits_at_ && n < committed_.size(); ++n) {
+        if (&pool_of(n) == waits_at_) {
+            committed_[n] = true;
+            waits_at_     = nullptr;
+        }
+    }
+    waiter_->granted = false;
+    for (std::size_t n = 0; n < committed_.size(); ++n) {
+        if (committed_[n])
+            continue;
+        const auto&  pool = pool_of(n);
+        microseconds wait{0};
+        waiter_->upstream = needed(0, n);
+        {
+            std::lock_guard lock(pool.state->mutex);
+            auto&           admission = pool.state->admission;
+            committed_[n]             = admission.try_commit(*waiter_);
+            if (!committed_[n])
+                wait = admission.expected_wait(*waiter_);
+        }
+        if (committed_[n])
+            continue;
+        for (std::size_t back = 0; back < committed_.size(); ++back)
+            uncommit(back);
+        if (now + wait > latest_)
+            return give_up(
+                refusal_reason::overloaded,
+                std::max(retry_later, std::chrono::ceil<milliseconds>(wait)));
+        return queue_at(pool, latest_);
+    }
+    waiter_.reset();
+    admitted_ = true;
+    return {};
+}
+
+run_actions pipeline_run::enter(time_point now)
+{
+    if (entered_)
+        return {};
+    if (!waiter_) {
+        waiter_           = std::make_unique<pool_waiter>();
+        waiter_->run      = info_.run;
+        waiter_->priority = pipeline().priority;
+        waiter_->order    = order_;
+        waiter_->entry    = false;
+        const auto& pool  = pool_of(stage_);
+        bool        room  = false;
+        {
+            std::lock_guard lock(pool.state->mutex);
+            room = pool.state->admission.try_enter(*waiter_);
+        }
+        if (!room)
+            return queue_at(pool,
+                            std::max(now, info_.deadline - needed(stage_)));
+    }
+    waits_at_ = nullptr;
+    waiter_.reset();
+    entered_ = true;
+    return {};
+}
+
+run_actions pipeline_run::queue_at(const pool_view& pool, time_point latest)
+{
+    std::lock_guard lock(pool.state->mutex);
+    waits_at_ = &pool;
+    latest_   = latest;
+    pool.state->admission.enqueue(*waiter_);
+    return {wait_until{latest}};
+}
+
+void pipeline_run::stop_waiting()
+{
+    if (!waits_at_)
+        return;
+    ready_runs ready;
+    {
+        std::lock_guard lock(waits_at_->state->mutex);
+        waits_at_->state->admission.remove(*waiter_, ready);
+    }
+    waits_at_ = nullptr;
+    policy_.impl_->notify(ready);
+}
+
+void pipeline_run::uncommit(std::size_t stage)
+{
+    if (stage >= committed_.size() || !committed_[stage])
+        return;
+    committed_[stage] = false;
+    ready_runs  ready;
+    const auto& pool = pool_of(stage);
+    {
+        std::lock_guard lock(pool.state->mutex);
+        pool.state->admission.uncommit(ready);
+    }
+    policy_.impl_->notify(ready);
+}
+
+void pipeline_run::leave_target()
+{
+    ready_runs ready;
+    if (route_ || entered_) {
+        const auto&     pool = pool_of(stage_);
+        std::lock_guard lock(pool.state->mutex);
+        if (route_)
+            --route_->in_flight;
+        if (entered_)
+            pool.state->admission.leave(ready);
+    }
+    route_.reset();
+    entered_ = false;
+    policy_.impl_->notify(ready);
+}
+
+void pipeline_run::release_all()
+{
+    leave_target();
+    stop_waiting();
+    for (std::size_t n = 0; n < committed_.size(); ++n)
+        uncommit(n);
+}
+
+microseconds pipeline_run::needed(std::size_t from, std::size_t to) const
 {
     const auto&  times = view_->times[info_.pipeline.idx];
     microseconds sum{0};
-    for (auto n = from; n < times.size(); ++n)
+    for (auto n = from; n < to; ++n)
         sum += times[n]->median();
     return sum;
 }
 
+microseconds pipeline_run::needed(std::size_t from) const
+{
+    return needed(from, pipeline().stages.size());
+}
+
+microseconds pipeline_run::needed_high() const
+{
+    // The stages' deviations are independent, so their squares add up.
+    double square = 0;
+    for (const auto& it : view_->times[info_.pipeline.idx]) {
+        const auto over =
+            static_cast<double>((it->high() - it->median()).count());
+        square += over * over;
+    }
+    return needed(0) +
+           microseconds{static_cast<std::int64_t>(std::sqrt(square))};
+}
+
 milliseconds pipeline_run::attempt_timeout(time_point now) const
 {
     auto left = info_.deadline - now;
@@ -148,30 +338,35 @@
 
 void pipeline_run::learn(const attempt_result& result, time_point now)
 {
-    const auto& stage = pipeline().stages[stage_];
+    const auto& stage   = pipeline().stages[stage_];
+    const auto  elapsed = now - attempt_start_;
+    auto&       times   = *view_->times[info_.pipeline.idx][stage_];
+    const bool  done    = result.status == attempt_status::done;
+    const bool  late    = result.status == attempt_status::timeout;
+    ready_runs  ready;
     {
-        const auto&     pool = view_->pools[stage.pool.idx];
-        std::lock_guard lock(pool.state->mutex);
-        pool.state->routes.on_result(pool.targets, *route_, result.status, now);
-        if (result.status == attempt_status::done)
-            pool.state->retries.on_success();
+        const auto&     pool  = pool_of(stage_);
+        auto&           state = *pool.state;
+        std::lock_guard lock(state.mutex);
+        state.routes.on_result(pool.targets, *route_, result.status, now);
+        if (done)
+            state.retries.on_success();
+        policy_.impl_->update_share(
+            pool, config_->pools[stage.pool.idx].slots_per_target, now);
+        if (done || late || result.status == attempt_status::not_run) {
+            auto signal = load_signal::free;
+            if (!done)
+                signal = load_signal::refused;
+            else if (route_->report.queued > 0 || elapsed > times.high() * 2)
+                signal = load_signal::queued;
+            state.admission.on_result(signal, elapsed, now, ready);
+        }
     }
+    policy_.impl_->notify(ready);
     // A time-out is a lower bound of the time; without it a stage that became
     // slow would be cut off for ever.
-    const bool timed = result.status == attempt_status::done ||
-                       result.status == attempt_status::timeout;
-    if (timed && offset_ == 0)
-        view_->times[info_.pipeline.idx][stage_]->add(now - attempt_start_);
-}
-
-void pipeline_run::leave_target()
-{
-    if (!route_)
-        return;
-    const auto&     pool = view_->pools[pipeline().stages[stage_].pool.idx];
-    std::lock_guard lock(pool.state->mutex);
-    --route_->in_flight;
-    route_.reset();
+    if ((done || late) && offset_ == 0)
+        times.add(elapsed);
 }
 
 run_actions pipeline_run::on_attempt(const attempt_result& result,
@@ -186,6 +381,7 @@
         failed_ = used;
         return retry(result, now);
     }
+    uncommit(stage_);
     ++stage_;
     offset_ = 0;
     failed_.reset();
@@ -199,7 +395,7 @@
     ++retries_;
     if (!adaptive())
         return true;
-    const auto&     pool = view_->pools[pipeline().stages[stage_].pool.idx];
+    const auto&     pool = pool_of(stage_);
     std::lock_guard lock(pool.state->mutex);
     return pool.state->retries.take();
 }
@@ -235,7 +431,18 @@
 
 run_actions pipeline_run::on_wake(time_point now)
 {
-    return finished_ || claiming_ || route_ ? run_actions{} : step(now);
+    if (finished_ || !waits_at_)
+        return {};
+    bool granted = false;
+    {
+        std::lock_guard lock(waits_at_->state->mutex);
+        granted = waiter_->granted;
+    }
+    if (granted)
+        return step(now);
+    if (now < latest_)
+        return {wait_until{latest_}};
+    return give_up(refusal_reason::overloaded, retry_later);
 }
 
 run_actions pipeline_run::on_client_gone(time_point)
@@ -245,7 +452,6 @@
     run_actions actions;
     if (route_)
         actions.push_back(cancel_attempt{attempt_});
-    leave_target();
     auto rest = give_up(refusal_reason::client_gone, {});
     actions.insert(actions.end(), rest.begin(), rest.end());
     return actions;
@@ -262,6 +468,7 @@
                               milliseconds retry_after)
 {
     finished_ = true;
+    release_all();
     if (reason != refusal_reason::none)
         policy_.impl_->counters->add(reason);
     run_actions actions;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,5 +1,6 @@
 #include "policy_impl.hpp"
 
+#include <algorithm>
 #include <xxhash.h>
 
 namespace arbutusgate {
@@ -33,6 +34,7 @@
             state->domain = target.failure_domain;
             entry.targets.push_back(std::move(state));
         }
+        update_share(entry, pool.slots_per_target, time_point{});
         std::erase_if(entry.state->targets,
                       [](const auto& it) { return it.second.expired(); });
         next->pools.push_back(std::move(entry));
@@ -46,6 +48,8 @@
             stages.push_back(it);
         }
     }
+    next->probes =
+        std::vector<std::atomic<std::int64_t>>(config->pipelines.size());
     next->config = std::move(config);
     return next;
 }
@@ -56,6 +60,22 @@
     return view;
 }
 
+void policy::impl::update_share(const pool_view& pool,
+                                std::uint32_t    slots_per_target,
+                                time_point       now) const
+{
+    pool.state->admission.set_share(
+        slots_per_target * router::usable(pool.targets, now), daemons);
+}
+
+void policy::impl::notify(const ready_runs& ready) const
+{
+    for (const auto run : ready) {
+        if (init.on_ready)
+            init.on_ready(run);
+    }
+}
+
 template <class Run>
 void policy::impl::with_target(std::string_view name, Run run)
 {
@@ -77,6 +97,7 @@
     : impl_(std::make_unique<impl>())
 {
     impl_->init     = init;
+    impl_->daemons  = std::max(1U, init.daemons);
     impl_->counters = &counters;
     impl_->view     = impl_->make_view(std::move(config));
 }
@@ -95,7 +116,10 @@
     return impl_->current_view()->config;
 }
 
-void policy::set_daemons(std::uint32_t) {}
+void policy::set_daemons(std::uint32_t n)
+{
+    impl_->daemons = std::max(1U, n);
+}
 
 void policy::on_load_report(target_id target, const load_report& report,
                             time_point now)
@@ -108,7 +132,10 @@
 void policy::on_load_report(std::string_view target, const load_report& report,
                             time_point)
 {
-    set_leaving(target, report.leaving);
+    impl_->with_target(target, [&](pool_state&, route_target& it) {
+        it.leaving = report.leaving;
+        it.report  = report;
+    });
 }
 
 void policy::set_leaving(target_id target, bool leaving)
--- a/src/policy_impl.hpp
+++ b/src/policy_impl.hpp
@@ -2,11 +2,13 @@
 #pragma once
 
 #include "arbutusgate/policy.hpp"
+#include "policy_admission.hpp"
 #include "policy_quantiles.hpp"
 #include "policy_retry_budget.hpp"
 #include "policy_router.hpp"
 #include "reason_counters.hpp"
 
+#include <atomic>
 #include <map>
 #include <mutex>
 #include <string>
@@ -22,9 +24,10 @@
     {
     }
 
-    std::mutex   mutex;
-    router       routes;
-    retry_budget retries;
+    std::mutex     mutex;
+    router         routes;
+    retry_budget   retries;
+    pool_admission admission;
     /// Targets of all deployments that runs may still use, by name.
     std::map<std::string, std::weak_ptr<route_target>> targets;
 };
@@ -43,6 +46,8 @@
     std::vector<pool_view>            pools; ///< As deployment::pools.
     /// Times of the stages of each pipeline.
     std::vector<std::vector<std::shared_ptr<stage_quantiles>>> times;
+    /// Last probe of each pipeline, in microseconds of time_point.
+    mutable std::vector<std::atomic<std::int64_t>> probes;
 };
 
 struct policy::impl
@@ -51,6 +56,12 @@
     std::shared_ptr<const policy_view>
     make_view(std::shared_ptr<const deployment> config);
     std::shared_ptr<const policy_view> current_view() const;
+    /// Sets the pool's share after a change of its targets or of the number
+    /// of daemons. The pool is locked.
+    void update_share(const pool_view& pool, std::uint32_t slots_per_target,
+                      time_point now) const;
+    /// Tells the drivers of the runs. No lock is held.
+    void notify(const ready_runs& ready) const;
     /// Finds a target by name in the deployment in force and calls run on it
     /// with its pool locked.
     template <class Run>
@@ -61,7 +72,9 @@
     /// By "PIPELINE/STAGE".
     std::map<std::string, std::shared_ptr<stage_quantiles>> times;
     policy_init                                             init;
-    reason_counters*                                        counters = nullptr;
+    std::atomic<std::uint32_t>                              daemons{1};
+    std::atomic<std::uint64_t> arrivals{0}; ///< Numbers the waiters.
+    reason_counters*           counters = nullptr;
 };
 
 } // namespace arbutusgate
--- a/src/policy_router.cpp
+++ b/src/policy_router.cpp
@@ -42,6 +42,15 @@
     return a.in_flight < b.in_flight;
 }
 
+std::uint32_t router::usable(const route_targets& targets, time_point now)
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(targets.begin(), targets.end(), [&](const auto& it) {
+            return !it->leaving && it->unreachable_until <= now &&
+                   it->ejected_until <= now;
+        }));
+}
+
 int router::choose(const route_targets& targets, const route_query& query)
 {
     candidates_.clear();
--- a/src/policy_router.hpp
+++ b/src/policy_router.hpp
@@ -26,6 +26,7 @@
     time_point    ejected_until;
     std::uint32_t connects_failed = 0; ///< In a row.
     time_point    unreachable_until;
+    load_report   report; ///< Last one.
 };
 
 using route_targets = std::vector<std::shared_ptr<route_target>>;
@@ -49,6 +50,9 @@
     void on_result(const route_targets& targets, route_target& it,
                    attempt_status status, time_point now);
 
+    /// Targets that may get work.
+    static std::uint32_t usable(const route_targets& targets, time_point now);
+
 private:
     int choose_adaptive(const route_targets& targets, const route_query& query);
     bool better(const route_target& a, const route_target& b) const;
