Add daemon settings and configuration diff

Cause: the daemon needs its own settings with the same errors as the documents, and operators need to see what a new version changes.

Slots are numbered by name, because daemons name slots to each other by index.

--- a/include/arbutusgate/configuration.hpp
+++ b/include/arbutusgate/configuration.hpp
@@ -3,11 +3,10 @@
 
 #include "arbutusgate/deployment.hpp"
 
-#include "absl/status/statusor.h"
-
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace arbutusgate {
@@ -21,6 +20,9 @@
     std::string   message; ///< Names the nearest known key for a wrong one.
 };
 
+/// "DOCUMENT:LINE:COLUMN: MESSAGE".
+std::string to_string(const config_issue& it);
+
 /// A leaf of the effective configuration and where it was set.
 struct config_value
 {
@@ -54,4 +56,30 @@
 /// not at all, so a daemon checks the sites of others too.
 std::vector<config_issue> check_all_sites(const config_documents& documents);
 
+/// How a path differs between two configurations.
+enum class change_kind
+{
+    added,
+    removed,
+    changed,
+};
+
+/// Stable identifier of the kind.
+std::string_view to_string(change_kind it);
+
+/// One path that differs. Values are empty on the side that lacks the path.
+struct config_change
+{
+    change_kind  kind = change_kind::changed;
+    std::string  path;
+    config_value before;
+    config_value after;
+    /// False: in force only after a fresh start of the daemons.
+    bool immediate = true;
+};
+
+/// Differences of two valid configurations, ordered by path.
+std::vector<config_change> diff_configs(const checked_config& before,
+                                        const checked_config& after);
+
 } // namespace arbutusgate
--- a/include/arbutusgate/settings.hpp
+++ b/include/arbutusgate/settings.hpp
@@ -42,8 +42,15 @@
     std::string               log_level = "info";
 };
 
+/// Checks the text of a settings file.
+/// \param name stands before line and column of each error.
+/// \return InvalidArgument with one line for each error.
+absl::StatusOr<daemon_settings> parse_settings(const std::string& text,
+                                               const std::string& name);
+
 /// Reads and checks a settings file.
-/// \return InvalidArgument with file, line and column of each error.
+/// \return errors of parse_settings; NotFound or DataLoss when the file
+/// cannot be read.
 absl::StatusOr<daemon_settings> load_settings(const std::string& path);
 
 } // namespace arbutusgate
--- a/src/config_check.cpp
+++ b/src/config_check.cpp
@@ -2,6 +2,7 @@
 
 #include "config_merge.hpp"
 #include "deployment_schema.hpp"
+#include "text.hpp"
 
 #include <algorithm>
 #include <tuple>
@@ -66,6 +67,11 @@
 
 } // namespace
 
+std::string to_string(const config_issue& it)
+{
+    return concat(it.document, ":", it.line, ":", it.column, ": ", it.message);
+}
+
 std::vector<std::string> config_sites(const config_documents& documents)
 {
     std::vector<std::string> out;
--- a/src/config_codecs.cpp
+++ b/src/config_codecs.cpp
@@ -124,14 +124,20 @@
                                             const located_node& at,
                                             std::string&        out) const
 {
-    const auto wanted = concat("text of ", shortest, " to ", longest,
-                               " visible ASCII characters");
+    const auto wanted =
+        concat("text of ",
+               shortest == longest ? concat(longest)
+                                   : concat(shortest, " to ", longest),
+               alphabet.empty() ? " visible ASCII characters"
+                                : concat(" characters of ", alphabet));
     if (!require_scalar(reader, at, wanted))
         return std::nullopt;
     const auto& text    = at.node.text;
-    const bool  visible = std::all_of(
-         text.begin(), text.end(), [](char c) { return c > ' ' && c <= '~'; });
-    if (!visible || text.size() < shortest || text.size() > longest) {
+    const bool  allowed = std::all_of(text.begin(), text.end(), [&](char c) {
+        return alphabet.empty() ? c > ' ' && c <= '~'
+                                 : alphabet.find(c) != std::string_view::npos;
+    });
+    if (!allowed || text.size() < shortest || text.size() > longest) {
         if (secret)
             reader.error(at, concat("must be ", wanted));
         else
--- a/src/config_codecs.hpp
+++ b/src/config_codecs.hpp
@@ -101,6 +101,8 @@
     std::string_view unique_as = "";
     /// Noted as a digest, never as text.
     bool secret = false;
+    /// Characters that may occur; empty: all visible ones.
+    std::string_view alphabet = "";
 
     std::optional<std::string>
     read(config_reader& reader, const located_node& at, std::string& out) const;
--- a/src/config_schema.hpp
+++ b/src/config_schema.hpp
@@ -211,4 +211,30 @@
     return out;
 }
 
+/// Key with scalars by name, which fill two members of V.
+template <class T, class V, class U, value_codec<U> Codec>
+schema_field<T> scalars_by_name(std::string_view key, std::vector<V> T::*member,
+                                std::string V::*name, U V::*value,
+                                const Codec& codec, entry_count count,
+                                presence need = presence::optional)
+{
+    schema_field<T> out;
+    out.shape = schema_shape{std::string(key), {{"*", {}}}};
+    out.need  = need;
+    out.read  = [=](config_reader& reader, const located_node& at, T& it) {
+        if (!require_mapping(reader, at) || !require_count(reader, at, count))
+            return;
+        note_empty(reader, at);
+        for (const auto& node : at.node.children) {
+            const located_node where{node, join_path(at.path, node.key)};
+            check_entry_name(reader, where);
+            V& entry    = (it.*member).emplace_back();
+            entry.*name = node.key;
+            if (auto text = codec.read(reader, where, entry.*value))
+                reader.note_value(where.path, std::move(*text), node.position);
+        }
+    };
+    return out;
+}
+
 } // namespace arbutusgate
--- a/src/deployment_schema.cpp
+++ b/src/deployment_schema.cpp
@@ -1,5 +1,6 @@
 #include "deployment_schema.hpp"
 
+#include <algorithm>
 #include <initializer_list>
 #include <set>
 
@@ -273,7 +274,13 @@
 deployment to_deployment(deployment_draft draft)
 {
     deployment out;
-    out.slots        = std::move(draft.fleet.slots);
+    out.slots = std::move(draft.fleet.slots);
+    // Daemons name slots to each other by index, so the index must not depend
+    // on the order of the document.
+    std::sort(out.slots.begin(), out.slots.end(),
+              [](const slot_config& a, const slot_config& b) {
+                  return a.name < b.name;
+              });
     out.retry_window = draft.fleet.retry_window;
     for (auto& pool : draft.pools) {
         const pool_id id{static_cast<std::uint32_t>(out.pools.size())};
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -95,6 +95,17 @@
     CHECK(it.accounts[0].pipelines == std::vector{pipeline_id{0}});
 }
 
+// Guards against daemons that number the slots differently after an edit that
+// only reorders them.
+TEST_CASE("slots are numbered by name")
+{
+    auto text = edited("    a1: { failure_domain: a }\n", "");
+    text.insert(text.find("\npools:") + 1, "    a1: { failure_domain: a }\n");
+    const auto it = check(text).effective;
+    REQUIRE(it.slots.size() == 5);
+    CHECK(it.slots[0].name == "a1");
+}
+
 // Guards against a shallow merge and against origins of the wrong document.
 TEST_CASE("an overlay overrides, adds and removes what the base opens")
 {
@@ -208,6 +219,33 @@
     CHECK(has_issue(out, "site/x", 2, "bad: not open"));
 }
 
+// Guards against a slot list that changes under a running daemon, and against
+// changes that a reviewer does not see.
+TEST_CASE("a diff tells what changes and when it takes effect")
+{
+    const auto before = check(base_text);
+    auto       text =
+        edited("c1: { failure_domain: c }", "c1: { failure_domain: c }\n"
+                                            "    c2: { failure_domain: c }");
+    text.replace(text.find("5000"), 4, "7000");
+    text.replace(text.find("key-of-web\n    pipelines: [draft]"), 34,
+                 "other-key-of-web");
+    const auto out = diff_configs(before, check(text));
+    REQUIRE(out.size() == 4);
+    CHECK(out[0].path == "accounts.web.key");
+    CHECK(out[1].path == "accounts.web.pipelines.0");
+    CHECK(out[1].kind == change_kind::removed);
+    CHECK(out[1].before.line == 25);
+    CHECK(out[2].path == "fleet.slots.c2.failure_domain");
+    CHECK(out[2].kind == change_kind::added);
+    CHECK(!out[2].immediate);
+    CHECK(out[3].kind == change_kind::changed);
+    CHECK(out[3].before.value == "5000");
+    CHECK(out[3].after.value == "7000");
+    CHECK(out[3].immediate);
+    CHECK(diff_configs(before, before).empty());
+}
+
 // Guards against values that the configuration service cannot hold.
 TEST_CASE("a document over 1 MB is refused")
 {
