--- a/src/bench_heap.hpp
+++ b/src/bench_heap.hpp
@@ -1,11 +1,11 @@
-/// Counts heap bytes in the benchmark program.
+/// Heap in use, for the benchmarks.
 #pragma once
 
 #include <cstdint>
 
 namespace arbutusgate {
 
-/// Bytes now allocated by operator new, with the allocator's rounding.
+/// Bytes now allocated in all arenas, also by the libraries in C.
 std::int64_t heap_bytes();
 
 } // namespace arbutusgate
--- /dev/null
+++ b/src/bench_node.cpp
@@ -0,0 +1,253 @@
+/// Benchmarks of the node core in a fleet whose messages arrive at once.
+#include "arbutusgate/node_core.hpp"
+#include "bench_heap.hpp"
+
+#include "peer.pb.h"
+
+#include <benchmark/benchmark.h>
+
+#include "absl/strings/str_cat.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace arbutusgate {
+
+namespace {
+
+constexpr milliseconds tick_period{100};
+constexpr int          domains = 5;
+
+/// Frame and TCP overhead of one message on the mesh, in bytes: ZMTP header,
+/// CURVE nonce and authenticator, TCP and IP headers.
+constexpr std::size_t message_overhead = 75;
+
+class fleet
+{
+public:
+    explicit fleet(std::int64_t n)
+    {
+        node_init init;
+        init.retry_window = seconds{1};
+        for (std::int64_t k = 0; k < n; ++k)
+            init.slots.push_back({absl::StrCat("slot-", k),
+                                  std::string(1, char('a' + k % domains))});
+        for (std::int64_t k = 0; k < n; ++k) {
+            init.self         = slot_id{static_cast<std::uint32_t>(k)};
+            init.incarnation  = 1000 + static_cast<std::uint64_t>(k);
+            init.seed         = 77 + static_cast<std::uint64_t>(k);
+            const auto before = heap_bytes();
+            nodes_.push_back(std::make_unique<node_core>(init, now_));
+            empty_bytes_ = heap_bytes() - before;
+        }
+    }
+
+    void run(milliseconds time)
+    {
+        for (const auto until = now_ + time; now_ < until;) {
+            now_ += tick_period;
+            for (auto& it : nodes_)
+                it->tick(now_);
+            deliver();
+        }
+    }
+
+    /// Carries messages until none is left.
+    void deliver()
+    {
+        for (bool more = true; more;) {
+            more = false;
+            for (std::size_t n = 0; n < nodes_.size(); ++n)
+                more = carry(n) || more;
+        }
+    }
+
+    void publish(std::uint64_t version, const std::string& base)
+    {
+        nodes_[0]->on_config_read(version, {{"base", base}, {"site/s", "x"}},
+                                  now_);
+        deliver();
+    }
+
+    std::vector<claim_event> claim(std::size_t node, const std::string& key)
+    {
+        claims_.clear();
+        nodes_[node]->begin_claim("account", key, 1, now_);
+        deliver();
+        return claims_;
+    }
+
+    node_core&    node(std::size_t n) { return *nodes_[n]; }
+    std::size_t   size() const { return nodes_.size(); }
+    time_point    now() const { return now_; }
+    std::uint64_t messages() const { return messages_; }
+    std::uint64_t bytes() const { return bytes_; }
+    std::int64_t  empty_bytes() const { return empty_bytes_; }
+
+private:
+    bool carry(std::size_t from)
+    {
+        bool any = false;
+        for (auto& it : nodes_[from]->take_outgoing()) {
+            // Messages are serialized and parsed, as on the mesh.
+            const auto text = it.message->SerializeAsString();
+            ++messages_;
+            bytes_ += text.size() + message_overhead;
+            pb::PeerMessage copy;
+            copy.ParseFromString(text);
+            nodes_[it.to.idx]->on_message(copy, now_);
+            any = true;
+        }
+        for (auto& it : nodes_[from]->take_events()) {
+            if (const auto* config = std::get_if<config_event>(&it))
+                nodes_[from]->accept_config(config->version, now_);
+            else if (const auto* claim = std::get_if<claim_event>(&it))
+                claims_.push_back(*claim);
+            any = true;
+        }
+        return any;
+    }
+
+    std::vector<std::unique_ptr<node_core>> nodes_;
+    std::vector<claim_event>                claims_;
+    time_point                              now_;
+    std::uint64_t                           messages_    = 0;
+    std::uint64_t                           bytes_       = 0;
+    std::int64_t                            empty_bytes_ = 0;
+};
+
+// Longer than the settling of a fleet whose memory is new.
+constexpr milliseconds settle_time = seconds{20};
+
+/// One second of a quiet fleet, for each daemon.
+void gossip_second(benchmark::State& state)
+{
+    fleet it(state.range(0));
+    it.publish(1, "base");
+    it.run(settle_time);
+    const auto messages = it.messages();
+    const auto bytes    = it.bytes();
+    double     rounds   = 0;
+    for (auto _ : state) {
+        it.run(seconds{1});
+        rounds += static_cast<double>(it.size());
+    }
+    state.counters["node_bytes_per_s"] =
+        static_cast<double>(it.bytes() - bytes) / rounds;
+    state.counters["node_messages_per_s"] =
+        static_cast<double>(it.messages() - messages) / rounds;
+    state.counters["node_ns_per_s"] =
+        benchmark::Counter(rounds * 1e-9, benchmark::Counter::kIsRate |
+                                              benchmark::Counter::kInvert);
+}
+BENCHMARK(gossip_second)->Arg(9)->Arg(36)->Arg(120)->Arg(360)->Iterations(20);
+
+/// Heap of one daemon that knows its peers.
+void node_memory(benchmark::State& state)
+{
+    double bytes = 0;
+    for (auto _ : state) {
+        const auto before = heap_bytes();
+        fleet      it(state.range(0));
+        it.publish(1, "base");
+        it.run(settle_time);
+        bytes = static_cast<double>(heap_bytes() - before) /
+                static_cast<double>(it.size());
+    }
+    state.counters["bytes"] = bytes;
+}
+BENCHMARK(node_memory)->Arg(9)->Arg(36)->Arg(120)->Arg(360)->Iterations(1);
+
+/// One claim from its start to its recorded answer: all processor time,
+/// messages and bytes of owner and voters together.
+void claim(benchmark::State& state)
+{
+    fleet it(state.range(0));
+    it.publish(1, "base");
+    it.run(settle_time);
+    const auto  messages = it.messages();
+    const auto  bytes    = it.bytes();
+    std::size_t n        = 0;
+    for (auto _ : state) {
+        const auto owner  = n % it.size();
+        const auto events = it.claim(owner, absl::StrCat("key-", ++n));
+        if (events.empty() || events[0].outcome != claim_outcome::granted)
+            return state.SkipWithError("claim was not granted");
+        it.node(owner).use_claim(events[0].claim, it.now());
+        it.node(owner).record_answer(events[0].claim,
+                                     {200, std::string(500, 'x')}, it.now());
+        it.deliver();
+    }
+    state.counters["messages"] =
+        static_cast<double>(it.messages() - messages) / static_cast<double>(n);
+    state.counters["bytes_sent"] =
+        static_cast<double>(it.bytes() - bytes) / static_cast<double>(n);
+}
+BENCHMARK(claim)->Arg(9)->Arg(36)->Arg(120)->Arg(360);
+
+/// Heap of all voters together for the claims of one window, with answers
+/// of 500 bytes.
+void claim_memory(benchmark::State& state)
+{
+    double bytes = 0;
+    for (auto _ : state) {
+        fleet it(9);
+        it.publish(1, "base");
+        it.run(settle_time);
+        const auto before = heap_bytes();
+        for (std::int64_t n = 0; n < state.range(0); ++n) {
+            const auto events = it.claim(static_cast<std::size_t>(n) % 9,
+                                         absl::StrCat("key-", n));
+            if (events.empty())
+                return state.SkipWithError("claim was lost");
+            it.node(static_cast<std::size_t>(n) % 9)
+                .record_answer(events[0].claim, {200, std::string(500, 'x')},
+                               it.now());
+            it.deliver();
+        }
+        bytes = static_cast<double>(heap_bytes() - before);
+    }
+    state.counters["bytes"] = bytes;
+}
+BENCHMARK(claim_memory)
+    ->Arg(100)
+    ->Arg(400)
+    ->Arg(1600)
+    ->Arg(6400)
+    ->Iterations(1);
+
+/// One configuration change until it is in force everywhere, with a changed
+/// base document of 64 KB: bytes sent, and seconds, for the whole fleet.
+void config_change(benchmark::State& state)
+{
+    fleet it(state.range(0));
+    it.publish(1, "base");
+    it.run(settle_time);
+    const auto    bytes   = it.bytes();
+    std::uint64_t version = 1;
+    double        waited  = 0;
+    for (auto _ : state) {
+        const auto start = it.now();
+        ++version;
+        it.publish(version,
+                   std::string(64 * 1024, 'x') + std::to_string(version));
+        bool all = false;
+        while (!all) {
+            it.run(tick_period);
+            all = true;
+            for (std::size_t n = 0; n < it.size(); ++n)
+                all = all && it.node(n).config_version() == version;
+        }
+        waited += std::chrono::duration<double>(it.now() - start).count();
+    }
+    const auto changes           = static_cast<double>(version - 1);
+    state.counters["node_bytes"] = static_cast<double>(it.bytes() - bytes) /
+                                   changes / static_cast<double>(it.size());
+    state.counters["seconds"] = waited / changes;
+}
+BENCHMARK(config_change)->Arg(9)->Arg(36)->Arg(120)->Arg(360)->Iterations(5);
+
+} // namespace
+
+} // namespace arbutusgate
