Add the operators' command line

Cause: operators check documents before they publish them, and ask a running daemon for its state.

Addresses of documents and settings are parsed by parse_address().

--- a/src/config_check.cpp
+++ b/src/config_check.cpp
@@ -105,7 +105,7 @@
     std::vector<config_issue> out;
     const auto                sites = config_sites(documents);
     if (sites.empty())
-        out.push_back({std::string(site_prefix), 1, 1,
+        out.push_back({std::string(base_name), 1, 1,
                        "no site; each needs a document site/NAME"});
     for (const auto& it : sites) {
         auto checked = check_config(documents, it, 0);
--- a/src/config_codecs.cpp
+++ b/src/config_codecs.cpp
@@ -1,8 +1,9 @@
 #include "config_codecs.hpp"
 
+#include "http_client.hpp"
+
 #include "absl/strings/escaping.h"
 
-#include <arpa/inet.h>
 #include <openssl/sha.h>
 
 #include <algorithm>
@@ -38,27 +39,15 @@
     return "";
 }
 
-bool is_numeric_ip(const std::string& host, int family)
-{
-    in6_addr out;
-    return inet_pton(family, host.c_str(), &out) == 1;
-}
-
 bool is_address(const std::string& text)
 {
-    const auto colon = text.rfind(':');
-    if (colon == std::string::npos)
-        return false;
-    const char*   first  = text.data() + colon + 1;
-    const char*   end    = text.data() + text.size();
-    std::uint16_t port   = 0;
-    const auto    result = std::from_chars(first, end, port);
-    if (result.ec != std::errc{} || result.ptr != end || port == 0)
+    std::string   host;
+    std::uint16_t port = 0;
+    if (!parse_address(text, host, port) || port == 0)
         return false;
-    const auto host = text.substr(0, colon);
-    if (host.size() > 2 && host.front() == '[' && host.back() == ']')
-        return is_numeric_ip(host.substr(1, host.size() - 2), AF_INET6);
-    return is_numeric_ip(host, AF_INET);
+    // Without brackets the end of an IPv6 address is ambiguous.
+    const bool bracketed = text.front() == '[';
+    return bracketed == (host.find(':') != std::string::npos);
 }
 
 std::string digest(std::string_view text)
--- /dev/null
+++ b/tests/cli_test.cpp
@@ -0,0 +1,172 @@
+#include "cli.hpp"
+
+#include "config_files.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <sstream>
+#include <thread>
+#include <vector>
+
+using namespace arbutusgate;
+using boost::asio::ip::tcp;
+
+namespace {
+
+const std::string examples = ARBUTUSGATE_SOURCE_DIR "/examples/";
+
+struct cli_result
+{
+    cli_exit    code;
+    std::string out;
+    std::string err;
+};
+
+cli_result run(std::vector<std::string> args)
+{
+    args.insert(args.begin(), "arbutusgate");
+    std::vector<char*> argv;
+    for (auto& it : args)
+        argv.push_back(it.data());
+    argv.push_back(nullptr);
+    std::ostringstream out;
+    std::ostringstream err;
+    const auto         code =
+        run_cli(static_cast<int>(args.size()), argv.data(), out, err);
+    return {code, out.str(), err.str()};
+}
+
+bool contains(const std::string& text, const std::string& part)
+{
+    INFO(text);
+    return text.find(part) != std::string::npos;
+}
+
+/// Serves one call with a fixed answer and keeps the request.
+class one_call_server
+{
+public:
+    explicit one_call_server(std::string answer)
+        : acceptor_(io_, {boost::asio::ip::address_v4::loopback(), 0}),
+          thread_([this, answer = std::move(answer)] { serve(answer); })
+    {
+    }
+
+    ~one_call_server() { thread_.join(); }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    }
+
+    std::string request; ///< Complete when the call has returned.
+
+private:
+    void serve(const std::string& answer)
+    {
+        boost::system::error_code ec;
+        tcp::socket               peer(io_);
+        acceptor_.accept(peer, ec);
+        boost::asio::read_until(peer, boost::asio::dynamic_buffer(request),
+                                "\r\n\r\n", ec);
+        boost::asio::write(peer, boost::asio::buffer(answer), ec);
+    }
+
+    boost::asio::io_context io_;
+    tcp::acceptor           acceptor_;
+    std::thread             thread_;
+};
+
+std::string http_answer(const std::string& status, const std::string& body)
+{
+    return "HTTP/1.1 " + status +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+}
+
+} // namespace
+
+// Guards against wrong use that exits like success or like a failed run.
+TEST_CASE("exit codes tell wrong use from failed runs")
+{
+    CHECK(run({"--help"}).code == cli_exit::done);
+    CHECK(run({"--version"}).out == "arbutusgate 0.1.0\n");
+    CHECK(run({}).code == cli_exit::usage);
+    CHECK(contains(run({"chekc"}).err, "did you mean 'check'"));
+    CHECK(run({"check"}).code == cli_exit::usage);
+    CHECK(run({"check", "a", "b"}).code == cli_exit::usage);
+    CHECK(run({"render", "a"}).code == cli_exit::usage);
+    CHECK(run({"status"}).code == cli_exit::usage);
+    CHECK(run({"status", "--admin", "host:1"}).code == cli_exit::usage);
+    CHECK(contains(run({"check", "a", "--jsn"}).err, "'--jsn'"));
+    CHECK(contains(run({"render", "a", "--site"}).err, "no value"));
+    CHECK(run({"check", "a", "--log-level", "loud"}).code == cli_exit::usage);
+    CHECK(run({"explain", "../x", "--admin", "127.0.0.1:1"}).code ==
+          cli_exit::usage);
+    CHECK(run({"check", "/nonexistent"}).code == cli_exit::failed);
+    CHECK(run({"status", "--admin", "127.0.0.1:1"}).code == cli_exit::failed);
+}
+
+// Guards against origins that do not lead to the line in a file.
+TEST_CASE("render shows effective values with file and line")
+{
+    const auto dir = examples + "01-kestrelveld";
+    CHECK(run({"check", dir}).code == cli_exit::done);
+    const auto out = run({"render", dir, "--site", "lowveld"});
+    CHECK(out.code == cli_exit::done);
+    CHECK(contains(out.out, "pipelines.chat.deadline_ms"));
+    CHECK(contains(out.out, dir + "/site/lowveld.yaml:11\n"));
+    CHECK(!contains(out.out, "example-kestrelveld-installers"));
+    CHECK(contains(run({"render", dir, "--site", "lowvled"}).err,
+                   "did you mean 'lowveld'"));
+}
+
+// Guards against a diff that hides sites that are added or removed.
+TEST_CASE("diff compares all sites of two directories")
+{
+    const auto old_dir = examples + "01-kestrelveld";
+    const auto new_dir = examples + "02-brazos";
+    const auto same    = run({"diff", old_dir, old_dir});
+    CHECK(same.out == "site highveld: no change\nsite lowveld: no change\n");
+    const auto out = run({"diff", old_dir, new_dir, "--json"});
+    CHECK(out.code == cli_exit::done);
+    CHECK(contains(out.out, R"("site":"waco","change":"added")"));
+    CHECK(contains(out.out, R"("site":"lowveld","change":"removed")"));
+}
+
+// Guards against a JSON answer that is altered, and tables that lose members.
+TEST_CASE("status prints tables, or the JSON as received")
+{
+    const std::string body =
+        R"({"ready":true,"config":{"version":7},"peers":[{"slot":"a2",)"
+        R"("state":"alive"},{"slot":"b1","state":"\u001b[2J"}]})";
+    {
+        one_call_server server(http_answer("200 OK", body));
+        const auto out = run({"status", "--json", "--admin", server.address()});
+        CHECK(out.out == body + "\n");
+    }
+    one_call_server server(http_answer("200 OK", body));
+    const auto      out = run({"status", "--admin", server.address()});
+    CHECK(out.code == cli_exit::done);
+    CHECK(out.out == "ready           true\nconfig.version  7\n\npeers:\n"
+                     "slot  state\na2    alive\nb1    \\033[2J\n");
+}
+
+// Guards against a refused command that looks done, and a wrong method.
+TEST_CASE("an error status of the daemon fails the run")
+{
+    {
+        one_call_server server(
+            http_answer("404 Not Found", R"({"title":"no such request"})"));
+        const auto out = run({"explain", "r-1", "--admin", server.address()});
+        CHECK(out.code == cli_exit::failed);
+        CHECK(contains(out.err, "no such request"));
+    }
+    one_call_server server(http_answer("202 Accepted", "{}"));
+    CHECK(run({"drain", "--admin", server.address()}).code == cli_exit::done);
+    CHECK(server.request.starts_with("POST /admin/drain HTTP/1.1\r\n"));
+}
