Check a version for all sites in one pass

Cause: a version is valid as a whole or not at all, so each daemon checks all sites, and parsing the base takes most of the time of a check.

Change: check_version() parses the base once; check_all_sites() uses it.

--- a/include/arbutusgate/configuration.hpp
+++ b/include/arbutusgate/configuration.hpp
@@ -52,8 +52,14 @@
 /// Names of the sites that have an overlay, sorted.
 std::vector<std::string> config_sites(const config_documents& documents);
 
-/// Issues of all sites, sorted, each once. A version is valid as a whole or
-/// not at all, so a daemon checks the sites of others too.
+/// Checks the documents as one version for a daemon of \p site: as
+/// check_config, with the issues of all other sites too. A version is valid
+/// as a whole or not at all. With documents near the size limit this takes
+/// hundreds of milliseconds, so it must not run on a fiber's thread.
+checked_config check_version(const config_documents& documents,
+                             const std::string& site, std::uint64_t version);
+
+/// Issues of all sites, sorted, each once.
 std::vector<config_issue> check_all_sites(const config_documents& documents);
 
 /// How a path differs between two configurations.
--- a/src/config_check.cpp
+++ b/src/config_check.cpp
@@ -65,6 +65,24 @@
     out.effective = to_deployment(std::move(draft));
 }
 
+checked_config check_site(const config_documents& documents,
+                          parsed_document base, const std::string& site,
+                          std::uint64_t version)
+{
+    checked_config out;
+    auto overlay = load_document(documents, std::string(site_prefix) + site);
+    out.issues   = base.issues;
+    out.issues.insert(out.issues.end(), overlay.issues.begin(),
+                      overlay.issues.end());
+    // Parts that a syntax error hides would be reported as missing.
+    if (out.issues.empty())
+        check_trees(out, std::move(base), std::move(overlay));
+    sort_issues(out.issues);
+    out.effective.version = version;
+    out.effective.site    = site;
+    return out;
+}
+
 } // namespace
 
 std::string to_string(const config_issue& it)
@@ -85,34 +103,35 @@
 checked_config check_config(const config_documents& documents,
                             const std::string& site, std::uint64_t version)
 {
-    checked_config out;
-    auto           base = load_document(documents, base_name);
-    auto overlay = load_document(documents, std::string(site_prefix) + site);
-    out.issues   = std::move(base.issues);
-    out.issues.insert(out.issues.end(), overlay.issues.begin(),
-                      overlay.issues.end());
-    // Parts that a syntax error hides would be reported as missing.
-    if (out.issues.empty())
-        check_trees(out, std::move(base), std::move(overlay));
+    return check_site(documents, load_document(documents, base_name), site,
+                      version);
+}
+
+checked_config check_version(const config_documents& documents,
+                             const std::string& site, std::uint64_t version)
+{
+    // Parsing the base takes most of the time of a check.
+    const auto     base  = load_document(documents, base_name);
+    checked_config out   = check_site(documents, base, site, version);
+    const auto     sites = config_sites(documents);
+    for (const auto& it : sites) {
+        if (it == site)
+            continue;
+        auto other = check_site(documents, base, it, version);
+        out.issues.insert(out.issues.end(), other.issues.begin(),
+                          other.issues.end());
+    }
     sort_issues(out.issues);
-    out.effective.version = version;
-    out.effective.site    = site;
     return out;
 }
 
 std::vector<config_issue> check_all_sites(const config_documents& documents)
 {
-    std::vector<config_issue> out;
-    const auto                sites = config_sites(documents);
+    const auto sites = config_sites(documents);
     if (sites.empty())
-        out.push_back({std::string(base_name), 1, 1,
-                       "no site; each needs a document site/NAME"});
-    for (const auto& it : sites) {
-        auto checked = check_config(documents, it, 0);
-        out.insert(out.end(), checked.issues.begin(), checked.issues.end());
-    }
-    sort_issues(out);
-    return out;
+        return {{std::string(base_name), 1, 1,
+                 "no site; each needs a document site/NAME"}};
+    return check_version(documents, sites.front(), 0).issues;
 }
 
 } // namespace arbutusgate
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -246,6 +246,18 @@
     CHECK(diff_configs(before, before).empty());
 }
 
+// Guards against a version that some sites put in force and others reject.
+TEST_CASE("a version is refused when the overlay of another site is faulty")
+{
+    const config_documents documents = {
+        {"base", base_text}, {"site/x", ""}, {"site/y", "pipelines: 1\n"}};
+    CHECK(check_config(documents, "x", 1).issues.empty());
+    CHECK(has_issue(check_version(documents, "x", 1), "site/y", 1,
+                    "pipelines: not open"));
+    CHECK(check_all_sites(documents).size() == 1);
+    CHECK(check_all_sites({{"base", base_text}}).size() == 1);
+}
+
 // Guards against values that the configuration service cannot hold.
 TEST_CASE("a document over 1 MB is refused")
 {
