Probe unreachable and ejected targets with one attempt at a time

After an outage the limit grew back from 1, and requests with long deadlines held up the others after a burst. Change: one attempt finds out whether such a target is back; a pipeline whose pool has no target in reach is refused at entry; the limit is kept as a multiple of the share and so comes back with the targets; nothing waits for admission for more than 4 s. The replay reports an attempt that ends before the connection was made as connect_failed.

--- a/src/pipeline_run.cpp
+++ b/src/pipeline_run.cpp
@@ -18,6 +18,9 @@
 // spare. The rest covers what the learned times do not show; requests that
 // waited for all of it were often late and their cost wasted.
 constexpr auto spared_share = 2;
+// More waiting does not raise the throughput, but lets a backlog of requests
+// with long deadlines hold up others after a burst.
+constexpr microseconds longest_wait = seconds{4};
 // Refusing everything would teach no new times after a slow period.
 constexpr microseconds probe_interval = seconds{1};
 
@@ -138,7 +141,6 @@
         config_->pools[pipeline().stages[stage_].pool.idx].targets;
     route_  = pool.targets[static_cast<std::size_t>(n)];
     target_ = ids[static_cast<std::size_t>(n)];
-    ++route_->in_flight;
     return true;
 }
 
@@ -164,7 +166,8 @@
         if (!probe_)
             return give_up(refusal_reason::deadline_unreachable, retry_later);
     }
-    latest_ = now + std::max(spared, microseconds{0}) / spared_share;
+    latest_ =
+        now + std::clamp(spared / spared_share, microseconds{0}, longest_wait);
     return commit(now);
 }
 
@@ -183,11 +186,13 @@
             continue;
         const auto&  pool = pool_of(n);
         microseconds wait{0};
-        waiter_->upstream = needed(0, n);
+        bool         reachable = false;
+        waiter_->upstream      = needed(0, n);
         {
             std::lock_guard lock(pool.state->mutex);
             auto&           admission = pool.state->admission;
-            committed_[n]             = admission.try_commit(*waiter_);
+            reachable     = pool.state->routes.admits(pool.targets, now);
+            committed_[n] = reachable && admission.try_commit(*waiter_);
             if (!committed_[n])
                 wait = admission.expected_wait(*waiter_);
         }
@@ -195,6 +200,8 @@
             continue;
         for (std::size_t back = 0; back < committed_.size(); ++back)
             uncommit(back);
+        if (!reachable)
+            return give_up(refusal_reason::no_target, retry_later);
         if (now + wait > latest_)
             return give_up(
                 refusal_reason::overloaded,
@@ -275,7 +282,7 @@
         const auto&     pool = pool_of(stage_);
         std::lock_guard lock(pool.state->mutex);
         if (route_)
-            --route_->in_flight;
+            router::release(*route_);
         if (entered_)
             pool.state->admission.leave(ready);
     }
--- a/src/policy_admission.cpp
+++ b/src/policy_admission.cpp
@@ -28,20 +28,18 @@
 {
     slots_ = std::max(1U, slots);
     share_ = slots_ / std::max(1U, daemons);
-    if (limit_ == 0)
-        limit_ = share_ * fair_factor;
-    clamp();
+    if (ratio_ == 0)
+        ratio_ = fair_factor;
 }
 
-void pool_admission::clamp()
+double pool_admission::limit() const
 {
-    limit_ = std::clamp(limit_, std::max(1.0, share_ * least_factor),
-                        std::max(1.0, slots_));
+    return std::max(1.0, std::min(ratio_ * share_, slots_));
 }
 
 bool pool_admission::room_to_enter() const
 {
-    return running_ < std::ceil(limit_);
+    return running_ < std::ceil(limit());
 }
 
 bool pool_admission::room_to_commit(const pool_waiter& it) const
@@ -49,8 +47,8 @@
     // Runs that are still in earlier stages come on top, as many as the pool
     // finishes in that time.
     const auto upstream = static_cast<double>(it.upstream.count());
-    const auto pending  = time_ > 0 ? limit_ * upstream / time_ : 0;
-    return committed_ < std::ceil(limit_ + pending);
+    const auto pending  = time_ > 0 ? limit() * upstream / time_ : 0;
+    return committed_ < std::ceil(limit() + pending);
 }
 
 bool pool_admission::try_commit(const pool_waiter& it)
@@ -132,7 +130,7 @@
             break;
         ++ahead;
     }
-    return microseconds{static_cast<std::int64_t>(ahead * time_ / limit_)};
+    return microseconds{static_cast<std::int64_t>(ahead * time_ / limit())};
 }
 
 void pool_admission::on_result(load_signal signal, microseconds elapsed,
@@ -143,17 +141,16 @@
         time_ += (sample - time_) * (time_ > 0 ? time_weight : 1);
     if (signal == load_signal::free) {
         // One more for each round of the limit, while it is reached.
-        if (running_ + 1 >= limit_ || !entries_.empty())
-            limit_ += 1 / limit_;
+        if (running_ + 1 >= limit() || !entries_.empty())
+            ratio_ += 1 / (limit() * share_);
     }
     else if (static_cast<double>((now - shrunk_).count()) > time_) {
-        shrunk_          = now;
-        const auto least = signal == load_signal::queued
-                               ? share_ * fair_factor
-                               : share_ * least_factor;
-        limit_ = std::min(limit_, std::max(limit_ * shrink_factor, least));
+        shrunk_ = now;
+        const auto least =
+            signal == load_signal::queued ? fair_factor : least_factor;
+        ratio_ = std::min(ratio_, std::max(ratio_ * shrink_factor, least));
     }
-    clamp();
+    ratio_ = std::min(ratio_, slots_ / share_);
     grant(ready);
 }
 
--- a/src/policy_admission.hpp
+++ b/src/policy_admission.hpp
@@ -70,20 +70,20 @@
     void on_result(load_signal signal, microseconds elapsed, time_point now,
                    ready_runs& ready);
 
-    double limit() const { return limit_; }
+    double limit() const;
 
 private:
     using queue = std::set<pool_waiter*, waiter_order>;
 
     bool   room_to_enter() const;
     bool   room_to_commit(const pool_waiter& it) const;
-    void   clamp();
     void   grant(ready_runs& ready);
     queue& queue_of(const pool_waiter& it);
 
-    double        share_     = 1; ///< Slots for each daemon.
-    double        slots_     = 1; ///< Of all daemons.
-    double        limit_     = 0;
+    double share_ = 1; ///< Slots for each daemon.
+    double slots_ = 1; ///< Of all daemons.
+    /// Limit as a multiple of the share, so that it comes back with the share.
+    double        ratio_     = 0;
     double        time_      = 0; ///< Mean time of an attempt; microseconds.
     std::uint32_t running_   = 0;
     std::uint32_t committed_ = 0;
--- a/src/policy_router.cpp
+++ b/src/policy_router.cpp
@@ -46,11 +46,33 @@
 {
     return static_cast<std::uint32_t>(
         std::count_if(targets.begin(), targets.end(), [&](const auto& it) {
-            return !it->leaving && it->unreachable_until <= now &&
-                   it->ejected_until <= now;
+            return !it->leaving && !it->probing &&
+                   it->unreachable_until <= now && it->ejected_until <= now;
         }));
 }
 
+bool router::admits(const route_targets& targets, time_point now)
+{
+    if (strategy_ != policy_strategy::adaptive)
+        return true;
+    const bool reached =
+        std::any_of(targets.begin(), targets.end(), [](const auto& it) {
+            return !it->leaving && it->connects_failed == 0;
+        });
+    if (reached)
+        return true;
+    if (usable(targets, now) == 0 || now - admitted_probe_ < hopeless_interval)
+        return false;
+    admitted_probe_ = now;
+    return true;
+}
+
+void router::release(route_target& it)
+{
+    --it.in_flight;
+    it.probing = false;
+}
+
 int router::choose(const route_targets& targets, const route_query& query)
 {
     candidates_.clear();
@@ -60,24 +82,34 @@
     }
     if (candidates_.empty())
         return -1;
+    int chosen = -1;
     switch (strategy_) {
     case policy_strategy::adaptive:
-        return choose_adaptive(targets, query);
+        chosen = choose_adaptive(targets, query);
+        break;
     case policy_strategy::random:
-        return candidates_[random_() % candidates_.size()];
+        chosen = candidates_[random_() % candidates_.size()];
+        break;
     case policy_strategy::round_robin:
-        return candidates_[turn_++ % candidates_.size()];
+        chosen = candidates_[turn_++ % candidates_.size()];
+        break;
     case policy_strategy::least_inflight:
+        std::rotate(candidates_.begin(),
+                    candidates_.begin() +
+                        static_cast<long>(random_() % candidates_.size()),
+                    candidates_.end());
+        chosen = *std::min_element(
+            candidates_.begin(), candidates_.end(), [&](int a, int b) {
+                return targets[a]->in_flight < targets[b]->in_flight;
+            });
         break;
     }
-    std::rotate(candidates_.begin(),
-                candidates_.begin() +
-                    static_cast<long>(random_() % candidates_.size()),
-                candidates_.end());
-    return *std::min_element(
-        candidates_.begin(), candidates_.end(), [&](int a, int b) {
-            return targets[a]->in_flight < targets[b]->in_flight;
-        });
+    if (chosen >= 0) {
+        auto& it   = *targets[chosen];
+        it.probing = it.connects_failed > 0 || it.ejections > 0;
+        ++it.in_flight;
+    }
+    return chosen;
 }
 
 int router::choose_adaptive(const route_targets& targets,
@@ -91,10 +123,16 @@
         if (end != candidates_.begin())
             candidates_.erase(end, candidates_.end());
     };
+    std::erase_if(candidates_, [&](int n) {
+        const auto& it = *targets[n];
+        return it.unreachable_until > query.now ||
+               (it.connects_failed > 0 && it.probing);
+    });
+    if (candidates_.empty())
+        return -1;
     keep([&](const route_target& it) {
-        return it.unreachable_until <= query.now;
+        return it.ejected_until <= query.now && !it.probing;
     });
-    keep([&](const route_target& it) { return it.ejected_until <= query.now; });
     if (query.failed) {
         keep([&](const route_target& it) { return &it != query.failed; });
         keep([&](const route_target& it) {
@@ -141,9 +179,11 @@
         return; // Refusing work under load is no fault.
     const bool done = status == attempt_status::done;
     it.failures += ((done ? 0.0 : 1.0) - it.failures) * failure_weight;
-    if (done)
+    if (done && it.ejections > 0) {
         it.ejections = 0;
-    else if (suspect(it) && it.ejected_until <= now)
+        it.failures  = 0;
+    }
+    if (suspect(it) && it.ejected_until <= now)
         eject(targets, it, now);
 }
 
--- a/src/policy_router.hpp
+++ b/src/policy_router.hpp
@@ -27,6 +27,8 @@
     std::uint32_t connects_failed = 0; ///< In a row.
     time_point    unreachable_until;
     load_report   report; ///< Last one.
+    /// One attempt finds out whether an unreachable or ejected target is back.
+    bool probing = false;
 };
 
 using route_targets = std::vector<std::shared_ptr<route_target>>;
@@ -41,6 +43,8 @@
 /// Routes within one pool. Guarded by the lock of the pool.
 class router
 {
+    static constexpr auto hopeless_interval = seconds{1};
+
 public:
     router(policy_strategy strategy, std::uint64_t seed);
 
@@ -50,6 +54,11 @@
     void on_result(const route_targets& targets, route_target& it,
                    attempt_status status, time_point now);
 
+    /// Ends an attempt that choose began.
+    static void release(route_target& it);
+    /// True when a new request may count on a target of the pool. While none
+    /// can be reached, only one request in a while is let through.
+    bool admits(const route_targets& targets, time_point now);
     /// Targets that may get work.
     static std::uint32_t usable(const route_targets& targets, time_point now);
 
@@ -62,6 +71,7 @@
     std::mt19937_64  random_;
     std::uint64_t    turn_ = 0;
     std::vector<int> candidates_; ///< Scratch of choose.
+    time_point       admitted_probe_{-hopeless_interval};
 };
 
 } // namespace arbutusgate
--- a/src/replay.cpp
+++ b/src/replay.cpp
@@ -65,6 +65,7 @@
     std::size_t   request = 0;
     start_attempt action;
     bool          at_target = false;
+    bool          connected = false;
     double        streamed  = 0; ///< Tokens received from a lost target.
 };
 
@@ -365,6 +366,7 @@
                [this, call] { answer(call, attempt_status::connect_failed); });
             return;
         }
+        open.connected = true;
         if (it.model.faults.fail) {
             charge(open, 1, 0);
             at(now_ + back,
@@ -493,7 +495,13 @@
         perform(open.request, it.run->on_attempt(result, now_));
     }
 
-    void expire(std::uint64_t call) { answer(call, attempt_status::timeout); }
+    void expire(std::uint64_t call)
+    {
+        const auto it = calls_.find(call);
+        if (it != calls_.end())
+            answer(call, it->second.connected ? attempt_status::timeout
+                                              : attempt_status::connect_failed);
+    }
 
     // Reports.
 
