Let waiting requests with little time go first, and wait at most 2 s

Cause: after a burst, requests with 6 s waited behind streams with 45 s, and a backlog of 4 s took 20 s to drain at 0.8 load; probes of unreachable targets spent the retry budget although they added no load. Change: within a priority the request whose waiting ends first goes first; admission waits at most 2 s; a retry after connect_failed does not take from the pool's budget.

--- a/include/arbutusgate/pipeline_run.hpp
+++ b/include/arbutusgate/pipeline_run.hpp
@@ -164,7 +164,7 @@
     void         learn(const attempt_result& result, time_point now);
 
     run_actions retry(const attempt_result& result, time_point now);
-    bool        take_retry();
+    bool        take_retry(attempt_status status);
     run_actions give_up(refusal_reason reason, milliseconds retry_after);
     run_actions end(execution result, refusal_reason reason,
                     milliseconds retry_after);
--- a/src/pipeline_run.cpp
+++ b/src/pipeline_run.cpp
@@ -20,7 +20,7 @@
 constexpr auto spared_share = 2;
 // More waiting does not raise the throughput, but lets a backlog of requests
 // with long deadlines hold up others after a burst.
-constexpr microseconds longest_wait = seconds{4};
+constexpr microseconds longest_wait = seconds{2};
 // Refusing everything would teach no new times after a slow period.
 constexpr microseconds probe_interval = seconds{1};
 
@@ -223,6 +223,7 @@
         waiter_->priority = pipeline().priority;
         waiter_->order    = order_;
         waiter_->entry    = false;
+        waiter_->latest   = std::max(now, info_.deadline - needed(stage_));
         const auto& pool  = pool_of(stage_);
         bool        room  = false;
         {
@@ -230,8 +231,7 @@
             room = pool.state->admission.try_enter(*waiter_);
         }
         if (!room)
-            return queue_at(pool,
-                            std::max(now, info_.deadline - needed(stage_)));
+            return queue_at(pool, waiter_->latest);
     }
     waits_at_ = nullptr;
     waiter_.reset();
@@ -395,12 +395,13 @@
     return step(now);
 }
 
-bool pipeline_run::take_retry()
+bool pipeline_run::take_retry(attempt_status status)
 {
     if (retries_ >= pipeline().retries)
         return false;
     ++retries_;
-    if (!adaptive())
+    // An attempt that did not reach its target added no load to the pool.
+    if (!adaptive() || status == attempt_status::connect_failed)
         return true;
     const auto&     pool = pool_of(stage_);
     std::lock_guard lock(pool.state->mutex);
@@ -422,7 +423,7 @@
     }
     if (now >= info_.deadline)
         return give_up(refusal_reason::deadline_exceeded, {});
-    if (!take_retry())
+    if (!take_retry(result.status))
         return result.status == attempt_status::failed && !sent_ && !claimed_
                    ? end(execution::failed, refusal_reason::retry_exhausted,
                          retry_later)
--- a/src/policy_admission.cpp
+++ b/src/policy_admission.cpp
@@ -20,8 +20,8 @@
 
 bool waiter_order::operator()(const pool_waiter* a, const pool_waiter* b) const
 {
-    return std::tuple(-a->priority, a->tag, a->order, a->run) <
-           std::tuple(-b->priority, b->tag, b->order, b->run);
+    return std::tuple(-a->priority, a->tag, a->latest, a->order) <
+           std::tuple(-b->priority, b->tag, b->latest, b->order);
 }
 
 void pool_admission::set_share(std::uint32_t slots, std::uint32_t daemons)
--- a/src/policy_admission.hpp
+++ b/src/policy_admission.hpp
@@ -16,7 +16,8 @@
     std::uint64_t run      = 0;
     std::int32_t  priority = 0;
     double        tag      = 0; ///< Fair-queueing tag of the account.
-    std::uint64_t order    = 0; ///< Of arrival.
+    time_point    latest;       ///< End of its waiting.
+    std::uint64_t order = 0;    ///< Of arrival.
     /// Time of the stages before the one that uses this pool.
     microseconds upstream{0};
     bool         entry   = true; ///< Waits for admission, not for a stage.
@@ -24,7 +25,7 @@
     bool         granted = false; ///< Room is reserved for it.
 };
 
-/// Orders waiters: priority, then the account's tag, then arrival.
+/// Orders waiters: priority, then the account's tag, then the end of waiting.
 struct waiter_order
 {
     bool operator()(const pool_waiter* a, const pool_waiter* b) const;
