--- a/include/arbutusgate/pipeline_run.hpp
+++ b/include/arbutusgate/pipeline_run.hpp
@@ -5,12 +5,19 @@
 #include "arbutusgate/types.hpp"
 
 #include <cstdint>
+#include <memory>
 #include <variant>
 #include <vector>
 
 namespace arbutusgate {
 
 class policy;
+struct deployment;
+struct pipeline_config;
+struct policy_view;
+struct pool_view;
+struct pool_waiter;
+struct route_target;
 
 /// What the driver knows of a request when it arrives.
 struct request_info
@@ -125,23 +132,68 @@
 
     const request_info& info() const { return info_; }
     bool                finished() const { return finished_; }
+    /// Deployment that the run began with; its actions refer to it.
+    const std::shared_ptr<const deployment>& config() const { return config_; }
 
 private:
-    run_actions step(time_point now);
-    run_actions end(execution result, refusal_reason reason, time_point now,
+    const pipeline_config& pipeline() const;
+    const pool_view&       pool_of(std::size_t stage) const;
+    bool                   adaptive() const;
+    run_actions            step(time_point now);
+
+    /// Asks for admission to all pools of the pipeline.
+    /// \return no action when admitted.
+    run_actions admit(time_point now);
+    run_actions commit(time_point now);
+    /// Asks for room in the pool of the stage.
+    /// \return no action when there is room.
+    run_actions enter(time_point now);
+    run_actions queue_at(const pool_view& pool, time_point latest);
+    void        stop_waiting();
+    void        uncommit(std::size_t stage);
+    bool        choose_target(time_point now);
+    void        leave_target();
+    void        release_all();
+
+    /// Median time of the stages in [from, to).
+    microseconds needed(std::size_t from, std::size_t to) const;
+    microseconds needed(std::size_t from) const;
+    /// Time that the whole pipeline rarely exceeds.
+    microseconds needed_high() const;
+    milliseconds attempt_timeout(time_point now) const;
+    void         learn(const attempt_result& result, time_point now);
+
+    run_actions retry(const attempt_result& result, time_point now);
+    bool        take_retry(attempt_status status);
+    run_actions give_up(refusal_reason reason, milliseconds retry_after);
+    run_actions end(execution result, refusal_reason reason,
                     milliseconds retry_after);
-    run_actions retry(attempt_status status, time_point now,
-                      milliseconds retry_after);
 
-    policy&       policy_;
-    request_info  info_;
+    policy&      policy_;
+    request_info info_;
+
+    std::shared_ptr<const policy_view> view_;
+    std::shared_ptr<const deployment>  config_;
+    std::shared_ptr<route_target>      route_;  ///< Of the running attempt.
+    std::shared_ptr<route_target>      failed_; ///< Of the one before it.
+
+    std::unique_ptr<pool_waiter> waiter_;
+    const pool_view*             waits_at_ = nullptr;
+    time_point                   latest_; ///< End of the waiting.
+    std::uint64_t                order_ = 0;
+    std::vector<bool>            committed_; ///< By stage.
+    bool                         admitted_ = false;
+    bool                         entered_  = false;
+    /// Runs though the learned times leave no hope, to learn them anew.
+    bool probe_ = false;
+
     std::uint32_t stage_   = 0;
     std::uint32_t attempt_ = 0;
     std::uint32_t retries_ = 0;
     std::uint64_t offset_  = 0;
     target_id     target_;
     time_point    attempt_start_;
-    bool          running_  = false;
+    bool          claiming_ = false;
     bool          claimed_  = false;
     bool          sent_     = false; ///< Non-idempotent work may have run.
     bool          finished_ = false;
--- a/src/pipeline_run.cpp
+++ b/src/pipeline_run.cpp
@@ -2,134 +2,485 @@
 
 #include "policy_impl.hpp"
 
+#include <algorithm>
+#include <cmath>
+
 namespace arbutusgate {
 
+namespace {
+
+constexpr milliseconds retry_later = seconds{1};
+// An idempotent call that takes this much longer than almost all others is
+// taken for lost, so that time is left to repeat it.
+constexpr auto lost_call_factor = 4;
+constexpr auto lost_call_margin = milliseconds{50};
+// A request waits for admission for at most half of the time that it can
+// spare. The rest covers what the learned times do not show; requests that
+// waited for all of it were often late and their cost wasted.
+constexpr auto spared_share = 2;
+// More waiting does not raise the throughput, but lets a backlog of requests
+// with long deadlines hold up others after a burst.
+constexpr microseconds longest_wait = seconds{2};
+// Refusing everything would teach no new times after a slow period.
+constexpr microseconds probe_interval = seconds{1};
+
+retry_reason reason_of(attempt_status status, bool resumes)
+{
+    switch (status) {
+    case attempt_status::connect_failed:
+        return retry_reason::connect_failed;
+    case attempt_status::not_run:
+        return retry_reason::target_not_run;
+    case attempt_status::failed:
+        return retry_reason::target_failed;
+    case attempt_status::timeout:
+        return retry_reason::timeout;
+    case attempt_status::silent:
+        return resumes ? retry_reason::stream_resume : retry_reason::silent;
+    case attempt_status::wrong_result:
+    case attempt_status::done:
+        break;
+    }
+    return retry_reason::wrong_result;
+}
+
+} // namespace
+
 pipeline_run::pipeline_run(policy& shared, const request_info& info, time_point)
-    : policy_(shared), info_(info)
+    : policy_(shared), info_(info), view_(shared.impl_->current_view()),
+      config_(view_->config), order_(++shared.impl_->arrivals)
 {
 }
 
 pipeline_run::~pipeline_run()
 {
-    if (running_)
-        policy_.impl_->release(target_);
+    release_all();
+}
+
+const pipeline_config& pipeline_run::pipeline() const
+{
+    return config_->pipelines[info_.pipeline.idx];
+}
+
+const pool_view& pipeline_run::pool_of(std::size_t stage) const
+{
+    return view_->pools[pipeline().stages[stage].pool.idx];
+}
+
+bool pipeline_run::adaptive() const
+{
+    return policy_.impl_->init.strategy == policy_strategy::adaptive;
 }
 
 run_actions pipeline_run::start(time_point now)
 {
-    const auto config = policy_.current();
-    if (config->pipelines[info_.pipeline.idx].has_non_idempotent())
-        return {obtain_claim{}};
-    return step(now);
+    if (!pipeline().has_non_idempotent())
+        return step(now);
+    claimed_  = true;
+    claiming_ = true;
+    return {obtain_claim{}};
 }
 
 run_actions pipeline_run::on_claim(claim_outcome outcome, time_point now)
 {
+    if (finished_ || !claiming_)
+        return {};
+    claiming_ = false;
+    claimed_  = outcome == claim_outcome::granted;
     switch (outcome) {
     case claim_outcome::granted:
-        claimed_ = true;
         return step(now);
     case claim_outcome::taken_done:
-        return end(execution::done, refusal_reason::none, now, milliseconds{0});
+        return end(execution::done, refusal_reason::none, {});
     case claim_outcome::taken_in_progress:
-        return end(execution::unknown, refusal_reason::key_in_progress, now,
-                   seconds{1});
+        return end(execution::unknown, refusal_reason::key_in_progress,
+                   retry_later);
     case claim_outcome::reused:
-        return end(execution::not_run, refusal_reason::key_reused, now,
-                   milliseconds{0});
+        return end(execution::not_run, refusal_reason::key_reused, {});
     case claim_outcome::unavailable:
         break;
     }
-    return end(execution::not_run, refusal_reason::claim_unavailable, now,
-               seconds{1});
+    return end(execution::not_run, refusal_reason::claim_unavailable,
+               retry_later);
 }
 
 run_actions pipeline_run::step(time_point now)
 {
-    const auto  config   = policy_.current();
-    const auto& pipeline = config->pipelines[info_.pipeline.idx];
-    if (stage_ == pipeline.stages.size())
-        return end(execution::done, refusal_reason::none, now, milliseconds{0});
+    if (stage_ == pipeline().stages.size())
+        return end(execution::done, refusal_reason::none, {});
     if (now >= info_.deadline)
-        return end(sent_ ? execution::unknown : execution::not_run,
-                   refusal_reason::deadline_exceeded, now, milliseconds{0});
-    const auto& stage = pipeline.stages[stage_];
-    target_           = policy_.impl_->acquire(stage.pool, target_);
-    if (!target_.valid())
-        return end(sent_ ? execution::unknown : execution::not_run,
-                   refusal_reason::no_target, now, seconds{1});
-    running_       = true;
+        return give_up(refusal_reason::deadline_exceeded, {});
+    if (adaptive()) {
+        auto wait = admit(now);
+        if (wait.empty() && !probe_ && info_.deadline - now < needed(stage_))
+            wait = give_up(refusal_reason::deadline_unreachable, retry_later);
+        if (wait.empty())
+            wait = enter(now);
+        if (!wait.empty())
+            return wait;
+    }
+    if (!choose_target(now))
+        return give_up(refusal_reason::no_target, retry_later);
     attempt_start_ = now;
     ++attempt_;
-    if (!stage.idempotent)
+    if (!pipeline().stages[stage_].idempotent)
         sent_ = true;
-    return {start_attempt{
-        attempt_, stage_, target_,
-        std::chrono::duration_cast<milliseconds>(info_.deadline - now),
-        offset_}};
+    return {start_attempt{attempt_, stage_, target_, attempt_timeout(now),
+                          offset_}};
+}
+
+bool pipeline_run::choose_target(time_point now)
+{
+    const auto&     pool = pool_of(stage_);
+    std::lock_guard lock(pool.state->mutex);
+    const auto      n =
+        pool.state->routes.choose(pool.targets, {now, failed_.get()});
+    if (n < 0)
+        return false;
+    const auto& ids =
+        config_->pools[pipeline().stages[stage_].pool.idx].targets;
+    route_  = pool.targets[static_cast<std::size_t>(n)];
+    target_ = ids[static_cast<std::size_t>(n)];
+    return true;
+}
+
+run_actions pipeline_run::admit(time_point now)
+{
+    if (admitted_)
+        return {};
+    if (waiter_)
+        return commit(now);
+    waiter_           = std::make_unique<pool_waiter>();
+    waiter_->run      = info_.run;
+    waiter_->priority = pipeline().priority;
+    waiter_->order    = order_;
+    committed_.resize(pipeline().stages.size());
+    const auto spared = info_.deadline - now - needed_high();
+    if (spared < microseconds{0}) {
+        auto&      last = view_->probes[info_.pipeline.idx];
+        const auto due  = now - probe_interval;
+        auto       seen = last.load();
+        probe_ =
+            seen <= due.time_since_epoch().count() &&
+            last.compare_exchange_strong(seen, now.time_since_epoch().count());
+        if (!probe_)
+            return give_up(refusal_reason::deadline_unreachable, retry_later);
+    }
+    latest_ =
+        now + std::clamp(spared / spared_share, microseconds{0}, longest_wait);
+    return commit(now);
+}
+
+run_actions pipeline_run::commit(time_point now)
+{
+    // A grant has counted the run in the pool that it waited for.
+    for (std::size_t n = 0; waits_at_ && n < committed_.size(); ++n) {
+        if (&pool_of(n) == waits_at_) {
+            committed_[n] = true;
+            waits_at_     = nullptr;
+        }
+    }
+    waiter_->granted = false;
+    for (std::size_t n = 0; n < committed_.size(); ++n) {
+        if (committed_[n])
+            continue;
+        const auto&  pool = pool_of(n);
+        microseconds wait{0};
+        bool         reachable = false;
+        waiter_->upstream      = needed(0, n);
+        {
+            std::lock_guard lock(pool.state->mutex);
+            auto&           admission = pool.state->admission;
+            reachable     = pool.state->routes.admits(pool.targets, now);
+            committed_[n] = reachable && admission.try_commit(*waiter_);
+            if (!committed_[n])
+                wait = admission.expected_wait(*waiter_);
+        }
+        if (committed_[n])
+            continue;
+        for (std::size_t back = 0; back < committed_.size(); ++back)
+            uncommit(back);
+        if (!reachable)
+            return give_up(refusal_reason::no_target, retry_later);
+        if (now + wait > latest_)
+            return give_up(
+                refusal_reason::overloaded,
+                std::max(retry_later, std::chrono::ceil<milliseconds>(wait)));
+        return queue_at(pool, latest_);
+    }
+    waiter_.reset();
+    admitted_ = true;
+    return {};
+}
+
+run_actions pipeline_run::enter(time_point now)
+{
+    if (entered_)
+        return {};
+    if (!waiter_) {
+        waiter_           = std::make_unique<pool_waiter>();
+        waiter_->run      = info_.run;
+        waiter_->priority = pipeline().priority;
+        waiter_->order    = order_;
+        waiter_->entry    = false;
+        waiter_->latest   = std::max(now, info_.deadline - needed(stage_));
+        const auto& pool  = pool_of(stage_);
+        bool        room  = false;
+        {
+            std::lock_guard lock(pool.state->mutex);
+            room = pool.state->admission.try_enter(*waiter_);
+        }
+        if (!room)
+            return queue_at(pool, waiter_->latest);
+    }
+    waits_at_ = nullptr;
+    waiter_.reset();
+    entered_ = true;
+    return {};
+}
+
+run_actions pipeline_run::queue_at(const pool_view& pool, time_point latest)
+{
+    std::lock_guard lock(pool.state->mutex);
+    waits_at_ = &pool;
+    latest_   = latest;
+    pool.state->admission.enqueue(*waiter_);
+    return {wait_until{latest}};
+}
+
+void pipeline_run::stop_waiting()
+{
+    if (!waits_at_)
+        return;
+    ready_runs ready;
+    {
+        std::lock_guard lock(waits_at_->state->mutex);
+        waits_at_->state->admission.remove(*waiter_, ready);
+    }
+    waits_at_ = nullptr;
+    policy_.impl_->notify(ready);
+}
+
+void pipeline_run::uncommit(std::size_t stage)
+{
+    if (stage >= committed_.size() || !committed_[stage])
+        return;
+    committed_[stage] = false;
+    ready_runs  ready;
+    const auto& pool = pool_of(stage);
+    {
+        std::lock_guard lock(pool.state->mutex);
+        pool.state->admission.uncommit(ready);
+    }
+    policy_.impl_->notify(ready);
+}
+
+void pipeline_run::leave_target()
+{
+    ready_runs ready;
+    if (route_ || entered_) {
+        const auto&     pool = pool_of(stage_);
+        std::lock_guard lock(pool.state->mutex);
+        if (route_)
+            router::release(*route_);
+        if (entered_)
+            pool.state->admission.leave(ready);
+    }
+    route_.reset();
+    entered_ = false;
+    policy_.impl_->notify(ready);
+}
+
+void pipeline_run::release_all()
+{
+    leave_target();
+    stop_waiting();
+    for (std::size_t n = 0; n < committed_.size(); ++n)
+        uncommit(n);
+}
+
+microseconds pipeline_run::needed(std::size_t from, std::size_t to) const
+{
+    const auto&  times = view_->times[info_.pipeline.idx];
+    microseconds sum{0};
+    for (auto n = from; n < to; ++n)
+        sum += times[n]->median();
+    return sum;
+}
+
+microseconds pipeline_run::needed(std::size_t from) const
+{
+    return needed(from, pipeline().stages.size());
+}
+
+microseconds pipeline_run::needed_high() const
+{
+    // The stages' deviations are independent, so their squares add up.
+    double square = 0;
+    for (const auto& it : view_->times[info_.pipeline.idx]) {
+        const auto over =
+            static_cast<double>((it->high() - it->median()).count());
+        square += over * over;
+    }
+    return needed(0) +
+           microseconds{static_cast<std::int64_t>(std::sqrt(square))};
+}
+
+milliseconds pipeline_run::attempt_timeout(time_point now) const
+{
+    auto left = info_.deadline - now;
+    if (adaptive()) {
+        left -= needed(stage_ + 1);
+        const auto& stage = pipeline().stages[stage_];
+        // Streams are watched by their chunks instead.
+        if (stage.idempotent && stage.kind != stage_kind::generate)
+            left = std::min<microseconds>(
+                left, view_->times[info_.pipeline.idx][stage_]->high() *
+                              lost_call_factor +
+                          lost_call_margin);
+    }
+    return std::max(milliseconds{1},
+                    std::chrono::duration_cast<milliseconds>(left));
+}
+
+void pipeline_run::learn(const attempt_result& result, time_point now)
+{
+    const auto& stage   = pipeline().stages[stage_];
+    const auto  elapsed = now - attempt_start_;
+    auto&       times   = *view_->times[info_.pipeline.idx][stage_];
+    const bool  done    = result.status == attempt_status::done;
+    const bool  late    = result.status == attempt_status::timeout;
+    ready_runs  ready;
+    {
+        const auto&     pool  = pool_of(stage_);
+        auto&           state = *pool.state;
+        std::lock_guard lock(state.mutex);
+        state.routes.on_result(pool.targets, *route_, result.status, now);
+        if (done)
+            state.retries.on_success();
+        policy_.impl_->update_share(
+            pool, config_->pools[stage.pool.idx].slots_per_target, now);
+        if (done || late || result.status == attempt_status::not_run) {
+            auto signal = load_signal::free;
+            if (!done)
+                signal = load_signal::refused;
+            else if (route_->report.queued > 0 || elapsed > times.high() * 2)
+                signal = load_signal::queued;
+            state.admission.on_result(signal, elapsed, now, ready);
+        }
+    }
+    policy_.impl_->notify(ready);
+    // A time-out is a lower bound of the time; without it a stage that became
+    // slow would be cut off for ever.
+    if ((done || late) && offset_ == 0)
+        times.add(elapsed);
 }
 
 run_actions pipeline_run::on_attempt(const attempt_result& result,
                                      time_point            now)
 {
-    if (!running_ || result.attempt != attempt_)
+    if (finished_ || !route_ || result.attempt != attempt_)
         return {};
-    running_ = false;
-    policy_.impl_->release(target_);
-    if (result.status != attempt_status::done)
-        return retry(result.status, now, result.retry_after);
+    learn(result, now);
+    const auto used = route_;
+    leave_target();
+    if (result.status != attempt_status::done) {
+        failed_ = used;
+        return retry(result, now);
+    }
+    uncommit(stage_);
     ++stage_;
     offset_ = 0;
-    target_ = {};
+    failed_.reset();
     return step(now);
 }
 
-run_actions pipeline_run::retry(attempt_status status, time_point now,
-                                milliseconds retry_after)
+bool pipeline_run::take_retry(attempt_status status)
 {
-    const auto  config   = policy_.current();
-    const auto& pipeline = config->pipelines[info_.pipeline.idx];
-    const bool  not_run  = status == attempt_status::connect_failed ||
-                         status == attempt_status::not_run;
-    const bool idempotent = pipeline.stages[stage_].idempotent;
-    if (not_run && !idempotent)
-        sent_ = false;
-    if (!not_run && !idempotent)
-        return end(execution::unknown, refusal_reason::stage_failed, now,
-                   seconds{1});
-    if (retries_ == pipeline.retries)
-        return end(sent_ ? execution::unknown : execution::not_run,
-                   refusal_reason::retry_exhausted, now, retry_after);
+    if (retries_ >= pipeline().retries)
+        return false;
     ++retries_;
-    policy_.impl_->counters->add(not_run ? retry_reason::target_not_run
-                                         : retry_reason::target_failed);
+    // An attempt that did not reach its target added no load to the pool.
+    if (!adaptive() || status == attempt_status::connect_failed)
+        return true;
+    const auto&     pool = pool_of(stage_);
+    std::lock_guard lock(pool.state->mutex);
+    return pool.state->retries.take();
+}
+
+run_actions pipeline_run::retry(const attempt_result& result, time_point now)
+{
+    const auto& stage   = pipeline().stages[stage_];
+    const bool  not_run = result.status == attempt_status::connect_failed ||
+                         result.status == attempt_status::not_run;
+    if (!stage.idempotent) {
+        if (!not_run)
+            return end(result.status == attempt_status::failed
+                           ? execution::failed
+                           : execution::unknown,
+                       refusal_reason::stage_failed, {});
+        sent_ = false;
+    }
+    if (now >= info_.deadline)
+        return give_up(refusal_reason::deadline_exceeded, {});
+    if (!take_retry(result.status))
+        return result.status == attempt_status::failed && !sent_ && !claimed_
+                   ? end(execution::failed, refusal_reason::retry_exhausted,
+                         retry_later)
+                   : give_up(refusal_reason::retry_exhausted,
+                             std::max(result.retry_after, retry_later));
+    const bool streams = stage.kind == stage_kind::generate;
+    if (streams)
+        offset_ = std::max(offset_, result.stream_offset);
+    policy_.impl_->counters->add(
+        reason_of(result.status, streams && offset_ > 0));
     return step(now);
 }
 
 run_actions pipeline_run::on_wake(time_point now)
 {
-    return running_ ? run_actions{} : step(now);
+    if (finished_ || !waits_at_)
+        return {};
+    bool granted = false;
+    {
+        std::lock_guard lock(waits_at_->state->mutex);
+        granted = waiter_->granted;
+    }
+    if (granted)
+        return step(now);
+    if (now < latest_)
+        return {wait_until{latest_}};
+    return give_up(refusal_reason::overloaded, retry_later);
 }
 
-run_actions pipeline_run::on_client_gone(time_point now)
+run_actions pipeline_run::on_client_gone(time_point)
 {
+    if (finished_)
+        return {};
     run_actions actions;
-    if (running_)
+    if (route_)
         actions.push_back(cancel_attempt{attempt_});
-    auto rest = end(sent_ ? execution::unknown : execution::not_run,
-                    refusal_reason::client_gone, now, milliseconds{0});
+    auto rest = give_up(refusal_reason::client_gone, {});
     actions.insert(actions.end(), rest.begin(), rest.end());
     return actions;
 }
 
+run_actions pipeline_run::give_up(refusal_reason reason,
+                                  milliseconds   retry_after)
+{
+    return end(sent_ ? execution::unknown : execution::not_run, reason,
+               retry_after);
+}
+
 run_actions pipeline_run::end(execution result, refusal_reason reason,
-                              time_point, milliseconds         retry_after)
+                              milliseconds retry_after)
 {
     finished_ = true;
+    release_all();
     if (reason != refusal_reason::none)
         policy_.impl_->counters->add(reason);
     run_actions actions;
-    if (claimed_ && result == execution::not_run)
+    if (claimed_ && !sent_)
         actions.push_back(release_claim{});
     actions.push_back(finish{result, reason, retry_after});
     return actions;
