Send the changed part of a configuration document only

Cause: a change sent the whole document to each daemon. Change: a peer that knows the asker's document sends the bytes between the common head and tail; the digest is checked, whole documents remain the fallback. Four earlier versions are kept for this. Conclusion: the bytes of a change no longer grow with the document.

--- a/src/config_tracker.cpp
+++ b/src/config_tracker.cpp
@@ -1,6 +1,7 @@
 #include "config_tracker.hpp"
 
 #include "sha256.hpp"
+#include "text_delta.hpp"
 
 #include <algorithm>
 
@@ -8,8 +9,11 @@
 
 namespace {
 
-constexpr auto        fetch_resend   = seconds{1};
-constexpr std::size_t rejected_kept  = 64;
+constexpr auto        fetch_resend  = seconds{1};
+constexpr std::size_t rejected_kept = 64;
+// Peers are seldom more than a few versions behind; older ones get whole
+// documents.
+constexpr std::size_t earlier_kept   = 4;
 constexpr auto        sample_purpose = 0x73616d70;
 
 } // namespace
@@ -141,11 +145,44 @@
         document.set_name(name);
         document.set_sha256(digest);
         const auto known = request.known().find(name);
-        if (known == request.known().end() || known->second != digest)
+        if (known == request.known().end())
             document.set_text(text);
+        else if (known->second != digest)
+            add_text(name, known->second, document);
     }
 }
 
+void config_tracker::add_text(const std::string& name, const std::string& known,
+                              pb::ConfigDocument& out) const
+{
+    const auto& text = current_.texts.at(name);
+    for (const auto& it : earlier_) {
+        const auto digest = it.digests.find(name);
+        if (digest == it.digests.end() || digest->second != known)
+            continue;
+        auto delta = make_delta(it.texts.at(name), text);
+        out.set_keep_head(static_cast<std::uint32_t>(delta.keep_head));
+        out.set_keep_tail(static_cast<std::uint32_t>(delta.keep_tail));
+        out.set_text(std::move(delta.text));
+        return;
+    }
+    out.set_text(text);
+}
+
+std::optional<std::string>
+config_tracker::full_text(const pb::ConfigDocument& it) const
+{
+    const auto known = current_.digests.find(it.name());
+    if (known == current_.digests.end())
+        return it.text();
+    const auto& own = current_.texts.at(it.name());
+    if (known->second == it.sha256())
+        return own;
+    if (it.keep_head() == 0 && it.keep_tail() == 0)
+        return it.text();
+    return apply_delta(own, {it.keep_head(), it.keep_tail(), it.text()});
+}
+
 void config_tracker::on_reply(const pb::ConfigReply& reply, time_point t)
 {
     if (!fetch_ || reply.version() < fetch_->version ||
@@ -154,14 +191,12 @@
     const bool check = context_.on(node_guard::config_digest);
     documents  texts;
     for (const auto& it : reply.documents()) {
-        const auto known = current_.digests.find(it.name());
-        const bool use   = it.text().empty() && known != current_.digests.end();
-        auto       text  = use ? current_.texts.at(it.name()) : it.text();
-        if (check && (use ? known->second : sha256(text)) != it.sha256()) {
+        auto text = full_text(it);
+        if (!text || (check && sha256(*text) != it.sha256())) {
             fetch_->whole = true;
             return;
         }
-        texts.emplace(it.name(), std::move(text));
+        texts.emplace(it.name(), *std::move(text));
     }
     auto content = make_content(reply.version(), std::move(texts));
     if (check && reply.version() == fetch_->version &&
@@ -213,6 +248,10 @@
         return false;
     if (version <= version_ && context_.on(node_guard::config_monotonic))
         return false;
+    if (version_ != 0)
+        earlier_.push_front(std::move(current_));
+    if (earlier_.size() > earlier_kept)
+        earlier_.pop_back();
     current_   = std::move(*candidate_);
     version_   = version;
     confirmed_ = t;
--- a/src/config_tracker.hpp
+++ b/src/config_tracker.hpp
@@ -3,6 +3,7 @@
 
 #include "node_context.hpp"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -65,6 +66,11 @@
 
     static content make_content(std::uint64_t version, documents texts);
     void           ask(time_point t);
+    /// Fills in the text, or its difference to one that the asker has.
+    void add_text(const std::string& name, const std::string& known,
+                  pb::ConfigDocument& out) const;
+    /// \return nothing when the text cannot be made from the own one.
+    std::optional<std::string> full_text(const pb::ConfigDocument& it) const;
     /// Keeps the content and offers it to the driver when allowed.
     void offer(content&& it, time_point t);
     void offer_candidate();
@@ -78,6 +84,7 @@
     std::uint64_t           offered_       = 0;
     std::uint64_t           conflict_      = 0;
     content                 current_;
+    std::deque<content>     earlier_; ///< Were in force; newest first.
     std::optional<content>  candidate_;
     std::optional<fetch>    fetch_;
     std::set<std::uint64_t> rejected_;
