--- /dev/null
+++ b/src/log.cpp
@@ -0,0 +1,114 @@
+#include "log.hpp"
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <log4cplus/asyncappender.h>
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/spi/loggingevent.h>
+
+#include <atomic>
+#include <memory>
+
+namespace arbutusgate {
+
+namespace {
+
+constexpr unsigned queue_length = 4096; // lines
+
+std::atomic<bool> running{false};
+
+/// Takes messages that are JSON objects and adds time and level.
+class json_layout final : public log4cplus::Layout
+{
+public:
+    // NOLINTNEXTLINE(readability-identifier-naming): name of the base class
+    void
+    formatAndAppend(log4cplus::tostream&                        output,
+                    const log4cplus::spi::InternalLoggingEvent& event) override
+    {
+        output << R"({"time":")"
+               << log4cplus::helpers::getFormattedTime(
+                      "%Y-%m-%dT%H:%M:%S.%qZ", event.getTimestamp(), true)
+               << R"(","level":")" << llmCache.toString(event.getLogLevel())
+               << "\"," << std::string_view(event.getMessage()).substr(1)
+               << "\n";
+    }
+};
+
+log4cplus::LogLevel native(log_level it)
+{
+    switch (it) {
+    case log_level::trace:
+        return log4cplus::TRACE_LOG_LEVEL;
+    case log_level::debug:
+        return log4cplus::DEBUG_LOG_LEVEL;
+    case log_level::info:
+        return log4cplus::INFO_LOG_LEVEL;
+    case log_level::warning:
+        return log4cplus::WARN_LOG_LEVEL;
+    case log_level::error:
+        break;
+    }
+    return log4cplus::ERROR_LOG_LEVEL;
+}
+
+bool parse_level(std::string_view text, log_level& level)
+{
+    constexpr std::pair<std::string_view, log_level> names[] = {
+        {"trace", log_level::trace}, {"debug", log_level::debug},
+        {"info", log_level::info},   {"warn", log_level::warning},
+        {"error", log_level::error},
+    };
+    for (const auto& [name, value] : names) {
+        if (name == text) {
+            level = value;
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+bool start_log(std::string_view level)
+{
+    auto lowest = log_level::info;
+    if (!parse_level(level, lowest))
+        return false;
+    log4cplus::initialize();
+    log4cplus::SharedAppenderPtr console(
+        new log4cplus::ConsoleAppender(true, true));
+    console->setLayout(std::make_unique<json_layout>());
+    log4cplus::SharedAppenderPtr queue(
+        new log4cplus::AsyncAppender(console, queue_length));
+    auto root = log4cplus::Logger::getRoot();
+    root.addAppender(queue);
+    root.setLogLevel(native(lowest));
+    running = true;
+    return true;
+}
+
+void stop_log()
+{
+    if (running.exchange(false))
+        log4cplus::Logger::shutdown();
+}
+
+void log(log_level level, std::string_view message, log_fields fields)
+{
+    if (!running)
+        return;
+    const auto root = log4cplus::Logger::getRoot();
+    if (!root.isEnabledFor(native(level)))
+        return;
+    boost::json::object line;
+    line["message"] = message;
+    for (auto& [name, value] : boost::json::object(fields))
+        line[name] = std::move(value);
+    root.forcedLog(native(level), boost::json::serialize(line));
+}
+
+} // namespace arbutusgate
--- /dev/null
+++ b/src/log.hpp
@@ -0,0 +1,38 @@
+/// Log of the programs: one JSON object a line on standard error.
+#pragma once
+
+#include <boost/json/value_ref.hpp>
+
+#include <initializer_list>
+#include <string_view>
+#include <utility>
+
+namespace arbutusgate {
+
+/// Severity of a log line.
+enum class log_level
+{
+    trace,
+    debug,
+    info,
+    warning,
+    error,
+};
+
+/// Typed fields of a log line.
+using log_fields = std::initializer_list<
+    std::pair<boost::json::string_view, boost::json::value_ref>>;
+
+/// Starts logging. Lines are written by a thread of the log, so that a slow
+/// reader of standard error does not block the callers.
+/// \param level "trace", "debug", "info", "warn" or "error".
+/// \return false when the level is none of them.
+bool start_log(std::string_view level);
+/// Writes out what is queued and stops.
+void stop_log();
+
+/// Writes one line: time, level, message and the fields. Thread-safe; does
+/// nothing before start_log.
+void log(log_level level, std::string_view message, log_fields fields = {});
+
+} // namespace arbutusgate
