--- /dev/null
+++ b/src/load_header.cpp
@@ -0,0 +1,55 @@
+#include "load_header.hpp"
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_split.h"
+
+namespace arbutusgate {
+
+namespace {
+
+absl::string_view view(std::string_view it)
+{
+    return {it.data(), it.size()};
+}
+
+bool apply(load_report& report, absl::string_view name, absl::string_view value)
+{
+    if (name == "state") {
+        report.leaving = value == "leaving";
+        return report.leaving || value == "serving";
+    }
+    std::uint32_t n = 0;
+    if (name == "lag_ms") {
+        if (!absl::SimpleAtoi(value, &n))
+            return false;
+        report.lag = milliseconds{n};
+        return true;
+    }
+    if (name == "in_flight")
+        return absl::SimpleAtoi(value, &report.in_flight);
+    if (name == "queued")
+        return absl::SimpleAtoi(value, &report.queued);
+    if (name == "capacity")
+        return absl::SimpleAtoi(value, &report.capacity);
+    return true;
+}
+
+} // namespace
+
+std::optional<load_report> parse_load_report(std::string_view text)
+{
+    load_report report;
+    if (text.empty())
+        return std::nullopt;
+    for (const auto part : absl::StrSplit(view(text), ',')) {
+        const std::pair<absl::string_view, absl::string_view> it =
+            absl::StrSplit(absl::StripAsciiWhitespace(part),
+                           absl::MaxSplits('=', 1));
+        if (!apply(report, it.first, it.second))
+            return std::nullopt;
+    }
+    return report;
+}
+
+} // namespace arbutusgate
--- /dev/null
+++ b/src/stream_reader.cpp
@@ -0,0 +1,98 @@
+#include "stream_reader.hpp"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/value_to.hpp>
+
+namespace arbutusgate {
+
+namespace json = boost::json;
+
+namespace {
+
+bool starts_character(char c)
+{
+    return (static_cast<unsigned char>(c) & 0xc0U) != 0x80U;
+}
+
+const json::string* chunk_text(const json::object& chunk)
+{
+    const auto* choices = chunk.if_contains("choices");
+    const auto* list    = choices ? choices->if_array() : nullptr;
+    if (!list || list->empty() || !list->front().is_object())
+        return nullptr;
+    const auto* text = list->front().get_object().if_contains("text");
+    return text ? text->if_string() : nullptr;
+}
+
+bool number_is(const json::object& chunk, std::string_view name,
+               std::uint64_t expected)
+{
+    boost::system::error_code ec;
+    const auto*               it = chunk.if_contains(name);
+    return it && it->is_number() &&
+           it->to_number<std::uint64_t>(ec) == expected && !ec;
+}
+
+bool text_is(const json::object& chunk, std::string_view name,
+             std::string_view expected)
+{
+    const auto* it = chunk.if_contains(name);
+    return it && it->is_string() && it->get_string() == expected;
+}
+
+} // namespace
+
+std::uint64_t count_characters(std::string_view text)
+{
+    std::uint64_t n = 0;
+    for (const char c : text)
+        n += starts_character(c) ? 1 : 0;
+    return n;
+}
+
+std::size_t bytes_of_characters(std::string_view text, std::uint64_t n)
+{
+    std::size_t at = 0;
+    for (; at < text.size(); ++at) {
+        if (starts_character(text[at]) && n-- == 0)
+            break;
+    }
+    return at;
+}
+
+stream_reader::stream_reader(std::string request_id, std::uint32_t attempt,
+                             std::uint64_t offset)
+    : request_id_(std::move(request_id)), attempt_(attempt), offset_(offset)
+{
+}
+
+stream_step stream_reader::on_data(std::string_view data, std::string& text)
+{
+    if (data == "[DONE]")
+        return stream_step::done;
+    boost::system::error_code ec;
+    const auto                parsed = json::parse(data, ec);
+    if (ec || !parsed.is_object())
+        return stream_step::malformed;
+    const auto& chunk = parsed.get_object();
+    if (!text_is(chunk, "request_id", request_id_) ||
+        !number_is(chunk, "attempt", attempt_))
+        return stream_step::wrong;
+    const auto* part  = chunk_text(chunk);
+    const auto* start = chunk.if_contains("offset");
+    if (!part || !start || !start->is_number())
+        return stream_step::malformed;
+    const auto from = start->to_number<std::uint64_t>(ec);
+    if (ec)
+        return stream_step::malformed;
+    if (from > offset_)
+        return stream_step::gap;
+    const std::string_view all(part->data(), part->size());
+    const auto fresh = all.substr(bytes_of_characters(all, offset_ - from));
+    text.append(fresh);
+    offset_ += count_characters(fresh);
+    tokens_ += fresh.empty() ? 0 : 1;
+    return stream_step::text;
+}
+
+} // namespace arbutusgate
