Add front end for callers

Cause: callers need checked requests, JSON or streamed answers and problem documents. Change: caller_service admits a request, request_executor carries out the actions of its pipeline_run, caller_answer writes the response.

--- /dev/null
+++ b/src/caller_answer.cpp
@@ -0,0 +1,114 @@
+#include "caller_answer.hpp"
+
+#include "daemon_clock.hpp"
+#include "http_server.hpp"
+#include "sse.hpp"
+
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace arbutusgate {
+
+namespace json = boost::json;
+
+namespace {
+
+std::string output_of(const std::string& summary)
+{
+    boost::system::error_code ec;
+    const auto                it     = json::parse(summary, ec);
+    const auto*               object = ec ? nullptr : it.if_object();
+    const auto* output = object ? object->if_contains("output") : nullptr;
+    if (!output || !output->is_string())
+        return {};
+    return std::string(output->get_string());
+}
+
+} // namespace
+
+caller_answer::caller_answer(http_exchange& exchange, metrics& counts,
+                             std::string request_id)
+    : exchange_(exchange), counts_(counts), request_id_(std::move(request_id))
+{
+    const auto accept = exchange.request()[http::field::accept];
+    streamed_         = accept.find("text/event-stream") != accept.npos;
+}
+
+void caller_answer::start(std::string pipeline, time_point arrival,
+                          std::function<void()> gone)
+{
+    pipeline_ = std::move(pipeline);
+    arrival_  = arrival;
+    gone_     = std::move(gone);
+}
+
+void caller_answer::on_text(std::uint64_t offset, std::string_view text)
+{
+    if (!streamed_ || text.empty())
+        return;
+    if (!begun_) {
+        begin_stream();
+        counts_.observe_first_text(pipeline_, daemon_now() - arrival_);
+    }
+    write_text(offset, text);
+}
+
+void caller_answer::write_text(std::uint64_t offset, std::string_view text)
+{
+    const auto data =
+        json::serialize(json::object{{"offset", offset}, {"text", text}});
+    if (!exchange_.write(sse_text("", data)) && gone_)
+        gone_();
+}
+
+void caller_answer::begin_stream()
+{
+    http_response head(http::status::ok, 11);
+    head.set(http::field::content_type, "text/event-stream");
+    head.set(http::field::cache_control, "no-store");
+    head.set("X-Request-Id", request_id_);
+    exchange_.begin_stream(std::move(head));
+    begun_ = true;
+}
+
+void caller_answer::refuse(const problem& it)
+{
+    exchange_.respond(problem_response(it, request_id_));
+}
+
+void caller_answer::finish(const request_outcome& outcome)
+{
+    if (begun_ || (streamed_ && outcome.complete))
+        finish_stream(outcome);
+    else if (outcome.complete || outcome.recorded)
+        respond(outcome);
+    else
+        refuse(outcome.failure);
+}
+
+void caller_answer::finish_stream(const request_outcome& outcome)
+{
+    if (!begun_) {
+        begin_stream();
+        const auto text = outcome.recorded ? output_of(outcome.body) : "";
+        if (!text.empty())
+            write_text(0, text);
+    }
+    exchange_.write(
+        sse_text(outcome.complete ? "done" : "error", outcome.body));
+    exchange_.end_stream();
+}
+
+void caller_answer::respond(const request_outcome& outcome)
+{
+    http_response response(static_cast<http::status>(outcome.status), 11);
+    response.set(http::field::content_type, outcome.complete
+                                                ? "application/json"
+                                                : "application/problem+json");
+    response.set("X-Request-Id", request_id_);
+    response.body() = outcome.body;
+    exchange_.respond(std::move(response));
+}
+
+} // namespace arbutusgate
--- /dev/null
+++ b/src/caller_service.cpp
@@ -0,0 +1,133 @@
+#include "caller_service.hpp"
+
+#include "caller_answer.hpp"
+#include "caller_request_reader.hpp"
+#include "connection_pool.hpp"
+#include "daemon_clock.hpp"
+#include "io_thread.hpp"
+#include "log.hpp"
+
+#include <exception>
+#include <random>
+
+namespace arbutusgate {
+
+namespace {
+
+constexpr auto unavailable_retry = seconds{1};
+
+refusal_reason reason_of(http_error error)
+{
+    switch (error) {
+    case http_error::header_too_large:
+        return refusal_reason::header_too_large;
+    case http_error::body_too_large:
+        return refusal_reason::too_large;
+    case http_error::too_slow:
+        return refusal_reason::too_slow;
+    case http_error::malformed:
+        break;
+    }
+    return refusal_reason::bad_request;
+}
+
+} // namespace
+
+std::string make_request_id()
+{
+    // random_device reads the system's generator, which cannot be predicted
+    // from earlier ids.
+    constexpr std::string_view      digits = "0123456789abcdef";
+    thread_local std::random_device device;
+    std::string                     id;
+    for (int word = 0; word < 4; ++word) {
+        auto bits = device();
+        for (int n = 0; n < 8; ++n, bits >>= 4U)
+            id += digits[bits & 15U];
+    }
+    return id;
+}
+
+caller_service::caller_service(caller_service_init init)
+    : init_(std::move(init))
+{
+    for (auto* it : init_.threads)
+        pools_.emplace(it, std::make_unique<connection_pool>(it->io()));
+}
+
+caller_service::~caller_service() = default;
+
+void caller_service::handle(http_exchange& exchange)
+{
+    const auto    request_id = make_request_id();
+    caller_answer answer(exchange, *init_.services.counts, request_id);
+    const request_gate::pass pass(*init_.gate);
+    if (!pass)
+        return refuse(answer,
+                      refusal(refusal_reason::draining, unavailable_retry));
+    if (!init_.ready())
+        return refuse(answer,
+                      refusal(refusal_reason::not_ready, unavailable_retry));
+    try {
+        serve(exchange, answer, request_id);
+    }
+    catch (const std::exception& it) {
+        log(log_level::error, "request failed by a defect",
+            {{"request_id", request_id}, {"what", it.what()}});
+        init_.services.counts->reasons().add(refusal_reason::internal);
+        exchange.abort();
+    }
+}
+
+void caller_service::serve(http_exchange& exchange, caller_answer& answer,
+                           const std::string& request_id)
+{
+    auto admitted = admit(exchange, answer, request_id);
+    if (const auto* it = std::get_if<problem>(&admitted))
+        return refuse(answer, *it);
+    auto& executor = *std::get<std::unique_ptr<request_executor>>(admitted);
+    exchange.on_client_gone([&executor] { executor.client_gone(); });
+    if (exchange.client_gone())
+        executor.client_gone();
+    const auto outcome = executor.execute();
+    exchange.on_client_gone({});
+    answer.finish(outcome);
+}
+
+caller_service::admission caller_service::admit(http_exchange&     exchange,
+                                                caller_answer&     answer,
+                                                const std::string& request_id)
+{
+    caller_request request;
+    request.request_id = request_id;
+    request.arrival    = daemon_now();
+    request.info.run   = next_run_++;
+    const auto names   = init_.catalog->open();
+    if (auto refused = read_caller_request(exchange.request(),
+                                           *names.operator->(), request))
+        return *refused;
+    auto&      thread  = exchange.thread();
+    const auto arrival = request.arrival;
+    auto       name = names->config->pipelines[request.info.pipeline.idx].name;
+    auto       executor = std::make_unique<request_executor>(
+        init_.services, std::move(request), thread.io(), *pools_.at(&thread),
+        answer);
+    answer.start(std::move(name), arrival,
+                 [it = executor.get()] { it->client_gone(); });
+    return executor;
+}
+
+void caller_service::refuse(caller_answer& answer, const problem& it)
+{
+    init_.services.counts->reasons().add(it.reason);
+    answer.refuse(it);
+}
+
+http_response caller_service::on_error(http_error error)
+{
+    const auto reason = reason_of(error);
+    init_.services.counts->reasons().add(reason);
+    return problem_response(refusal(reason), make_request_id());
+}
+
+} // namespace arbutusgate
--- /dev/null
+++ b/src/claim_service.hpp
@@ -0,0 +1,27 @@
+/// At-most-once claims as the front end sees them.
+#pragma once
+
+#include "arbutusgate/node_core.hpp"
+
+#include <cstdint>
+#include <string_view>
+
+namespace arbutusgate {
+
+/// Thread-safe.
+class claim_service
+{
+public:
+    virtual ~claim_service() = default;
+
+    /// Suspends the calling fiber until the outcome is known, at most 1 s.
+    virtual claim_event obtain(std::string_view account, std::string_view key,
+                               std::uint64_t body_hash) = 0;
+    /// True when the claim may be used to dispatch now.
+    virtual bool use(std::uint64_t claim)     = 0;
+    virtual void release(std::uint64_t claim) = 0;
+    /// The work ended; a repeated key gets this answer.
+    virtual void record(std::uint64_t claim, recorded_answer answer) = 0;
+};
+
+} // namespace arbutusgate
--- /dev/null
+++ b/src/request_executor.cpp
@@ -0,0 +1,326 @@
+#include "request_executor.hpp"
+
+#include "arbutusgate/policy.hpp"
+
+#include "daemon_clock.hpp"
+#include "log.hpp"
+#include "stream_reader.hpp"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace arbutusgate {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr double tokens_per_cost = 1000.0; // of generate stages
+
+std::string_view name_of(claim_outcome it)
+{
+    switch (it) {
+    case claim_outcome::granted:
+        return "granted";
+    case claim_outcome::taken_done:
+        return "taken_done";
+    case claim_outcome::taken_in_progress:
+        return "taken_in_progress";
+    case claim_outcome::reused:
+        return "reused";
+    case claim_outcome::unavailable:
+        break;
+    }
+    return "unavailable";
+}
+
+double cost_of(const stage_config& stage, const stage_result& result)
+{
+    const auto status = result.attempt.status;
+    if (status == attempt_status::connect_failed ||
+        status == attempt_status::not_run)
+        return 0;
+    if (stage.kind == stage_kind::generate)
+        return stage.cost * result.attempt.tokens / tokens_per_cost;
+    return stage.cost;
+}
+
+} // namespace
+
+request_executor::request_executor(const request_services&  services,
+                                   caller_request           request,
+                                   boost::asio::io_context& io,
+                                   connection_pool& pool, text_sink& sink)
+    : services_(services), request_(std::move(request)), sink_(sink),
+      caller_(pool), waiter_(std::make_shared<run_waiter>(io)),
+      run_(*services.rules, request_.info, daemon_now()),
+      stages_(pipeline().stages.size()), input_(request_.input)
+{
+    services_.runs->add(request_.info.run, waiter_);
+    trace_.request_id     = request_.request_id;
+    trace_.pipeline       = pipeline().name;
+    trace_.account        = config().accounts[request_.info.account.idx].name;
+    trace_.config_version = config().version;
+}
+
+request_executor::~request_executor()
+{
+    services_.runs->remove(request_.info.run);
+}
+
+const pipeline_config& request_executor::pipeline() const
+{
+    return config().pipelines[request_.info.pipeline.idx];
+}
+
+request_outcome request_executor::execute()
+{
+    queue(run_.start(daemon_now()));
+    bool told = false;
+    while (!actions_.empty()) {
+        if (abandoned() && !told && !run_.finished()) {
+            told = true;
+            actions_.clear();
+            queue(run_.on_client_gone(daemon_now()));
+        }
+        const auto action = std::move(actions_.front());
+        actions_.pop_front();
+        apply(action);
+    }
+    note_end();
+    return std::move(outcome_);
+}
+
+void request_executor::client_gone()
+{
+    gone_ = true;
+    if (committed_)
+        return;
+    caller_.cancel();
+    waiter_->wake_here();
+}
+
+void request_executor::queue(run_actions actions)
+{
+    for (auto& it : actions)
+        actions_.push_back(it);
+}
+
+void request_executor::apply(const run_action& action)
+{
+    std::visit([this](const auto& it) { on(it); }, action);
+}
+
+void request_executor::on(const start_attempt& action)
+{
+    if (action.stage != stage_) {
+        stage_  = action.stage;
+        input_  = std::move(output_);
+        output_ = {};
+        offset_ = 0;
+    }
+    const auto started = daemon_now();
+    const auto result  = run_attempt(action);
+    if (result.attempt.status == attempt_status::connect_failed ||
+        result.attempt.status == attempt_status::not_run)
+        committed_ = false;
+    note_attempt(action, result, started);
+    queue(run_.on_attempt(result.attempt, daemon_now()));
+}
+
+bool request_executor::use_claim()
+{
+    committed_ = services_.claims->use(claim_.claim);
+    return committed_;
+}
+
+stage_work request_executor::make_work(const start_attempt& action)
+{
+    stage_work work;
+    work.stage      = &pipeline().stages[action.stage];
+    work.target     = &config().targets[action.target.idx];
+    work.request_id = request_.request_id;
+    work.start      = action;
+    work.input      = input_;
+    work.priority   = pipeline().priority;
+    work.max_tokens = request_.info.max_tokens > 0 ? request_.info.max_tokens
+                                                   : work.stage->max_tokens;
+    if (!work.stage->idempotent) {
+        work.key      = request_.key;
+        work.may_send = [this] {
+            return use_claim();
+        };
+    }
+    work.on_text = [this](std::string_view text) {
+        on_stream_text(text);
+    };
+    return work;
+}
+
+stage_result request_executor::run_attempt(const start_attempt& action)
+{
+    // The run resumes where this driver's text ends; anything else would
+    // lose or repeat text.
+    const auto work  = make_work(action);
+    const bool whole = work.stage->kind != stage_kind::generate;
+    if (!whole && action.resume_offset != offset_) {
+        stage_result broken;
+        broken.attempt = {action.attempt, attempt_status::wrong_result,
+                          offset_};
+        return broken;
+    }
+    auto result = caller_.call(work);
+    if (whole && result.attempt.status == attempt_status::done) {
+        output_ = std::move(result.output);
+        if (action.stage + 1 == pipeline().stages.size())
+            sink_.on_text(0, output_);
+    }
+    return result;
+}
+
+void request_executor::on_stream_text(std::string_view text)
+{
+    const auto offset = offset_;
+    output_.append(text);
+    offset_ += count_characters(text);
+    if (stage_ + 1 == pipeline().stages.size())
+        sink_.on_text(offset, text);
+}
+
+void request_executor::note_attempt(const start_attempt& action,
+                                    const stage_result&  result,
+                                    time_point           started)
+{
+    const auto& stage  = pipeline().stages[action.stage];
+    const auto& target = config().targets[action.target.idx].name;
+    const auto  now    = daemon_now();
+    const auto  name   = to_string(result.attempt.status);
+    auto&       state  = stages_[action.stage];
+    state.target       = target;
+    state.cost += cost_of(stage, result);
+    ++state.attempts;
+    services_.counts->count_attempt(pipeline().name, stage.name, name,
+                                    now - started);
+    if (result.attempt.status == attempt_status::wrong_result)
+        services_.counts->count_wrong_result();
+    if (result.attempt.status != attempt_status::done)
+        detail_ = "stage " + stage.name + ": " + std::string(name);
+    trace_.attempts.push_back(
+        {action.attempt, stage.name, target, started - request_.arrival,
+         now - request_.arrival, std::string(name), result.detail});
+    if (!result.load)
+        return;
+    services_.rules->on_load_report(target, *result.load, now);
+    if (result.load->leaving && services_.note_leaving)
+        services_.note_leaving(target);
+}
+
+void request_executor::on(const obtain_claim&)
+{
+    const auto& account = config().accounts[request_.info.account.idx].name;
+    claim_ =
+        services_.claims->obtain(account, request_.key, request_.body_hash);
+    trace_.claim = name_of(claim_.outcome);
+    queue(run_.on_claim(claim_.outcome, daemon_now()));
+}
+
+void request_executor::on(const release_claim&)
+{
+    services_.claims->release(claim_.claim);
+}
+
+void request_executor::on(const cancel_attempt&)
+{
+    caller_.cancel();
+}
+
+void request_executor::on(const wait_until& action)
+{
+    if (!abandoned())
+        waiter_->wait_until(action.at);
+    if (!abandoned())
+        queue(run_.on_wake(daemon_now()));
+    else
+        actions_.push_back(finish{}); // replaced by that of on_client_gone
+}
+
+void request_executor::on(const finish& action)
+{
+    trace_.result      = action.result;
+    trace_.reason      = action.reason;
+    const bool claimed = !trace_.claim.empty();
+    if (claimed && claim_.outcome == claim_outcome::taken_done) {
+        outcome_ = {claim_.answer.status == 200,
+                    {},
+                    claim_.answer.status,
+                    claim_.answer.body,
+                    true};
+        return;
+    }
+    outcome_.complete = action.result == execution::done;
+    outcome_.failure  = {action.reason, action.result, action.retry_after,
+                         detail_};
+    if (outcome_.complete)
+        outcome_.body = summary();
+    else
+        outcome_.body = problem_body(outcome_.failure, request_.request_id);
+    if (!outcome_.complete)
+        outcome_.status =
+            static_cast<std::uint32_t>(problem_status(outcome_.failure));
+    if (claimed && claim_.outcome == claim_outcome::granted)
+        record(outcome_);
+}
+
+std::string request_executor::summary() const
+{
+    json::array stages;
+    for (std::size_t n = 0; n < stages_.size(); ++n)
+        stages.push_back({{"name", pipeline().stages[n].name},
+                          {"target", stages_[n].target},
+                          {"attempts", stages_[n].attempts},
+                          {"cost", stages_[n].cost}});
+    return json::serialize(json::object{{"request_id", request_.request_id},
+                                        {"pipeline", pipeline().name},
+                                        {"output", output_},
+                                        {"stages", std::move(stages)}});
+}
+
+// An unknown result is not recorded: a repeated key is then told that the
+// work may still be running.
+void request_executor::record(const request_outcome& outcome)
+{
+    if (!outcome.complete && outcome.failure.result != execution::failed)
+        return;
+    if (outcome.body.size() > limits::recorded_body)
+        log(log_level::warning, "answer too large to be recorded",
+            {{"request_id", request_.request_id},
+             {"bytes", outcome.body.size()}});
+    else
+        services_.claims->record(claim_.claim, {outcome.status, outcome.body});
+}
+
+void request_executor::note_end()
+{
+    const bool complete = outcome_.complete;
+    const auto latency  = daemon_now() - request_.arrival;
+    services_.counts->count_request(
+        pipeline().name,
+        outcome_.recorded ? "recorded" : to_string(trace_.result), latency);
+    for (std::size_t n = 0; n < stages_.size(); ++n) {
+        if (stages_[n].attempts > 0)
+            services_.counts->add_cost(pipeline().name,
+                                       pipeline().stages[n].name,
+                                       stages_[n].cost, !complete);
+    }
+    trace_.latency = latency;
+    log(log_level::debug, "request ended",
+        {{"request_id", trace_.request_id},
+         {"pipeline", trace_.pipeline},
+         {"execution", to_string(trace_.result)},
+         {"reason", to_string(trace_.reason)},
+         {"latency_us", latency.count()}});
+    services_.explain->add(std::move(trace_));
+}
+
+} // namespace arbutusgate
--- /dev/null
+++ b/src/request_gate.hpp
@@ -0,0 +1,51 @@
+/// Counts running requests and closes the door when the daemon drains.
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+
+namespace arbutusgate {
+
+/// Thread-safe.
+class request_gate
+{
+public:
+    /// Keeps a request counted; false when it may not run.
+    class pass
+    {
+    public:
+        explicit pass(request_gate& gate) : gate_(gate)
+        {
+            // Counted before the check, so that a drain that sees no request
+            // running cannot miss one that was just let in.
+            ++gate_.running_;
+            admitted_ = !gate_.closed_;
+            if (!admitted_)
+                --gate_.running_;
+        }
+        ~pass()
+        {
+            if (admitted_)
+                --gate_.running_;
+        }
+
+        pass(const pass&)            = delete;
+        pass& operator=(const pass&) = delete;
+
+        explicit operator bool() const { return admitted_; }
+
+    private:
+        request_gate& gate_;
+        bool          admitted_ = false;
+    };
+
+    void          close() { closed_ = true; }
+    bool          closed() const { return closed_; }
+    std::uint32_t running() const { return running_; }
+
+private:
+    std::atomic<bool>          closed_{false};
+    std::atomic<std::uint32_t> running_{0};
+};
+
+} // namespace arbutusgate
