Add the daemon program

Cause: the parts need a process with drain, admin port and a place in the fleet. Change: fleet_node drives the node core, the mesh and the platform client; daemon owns the servers; arbutusgated parses options and waits for a drain.

--- /dev/null
+++ b/src/daemon.cpp
@@ -0,0 +1,219 @@
+#include "daemon.hpp"
+
+#include "daemon_clock.hpp"
+#include "fiber_token.hpp"
+#include "http_server.hpp"
+#include "io_thread.hpp"
+#include "log.hpp"
+
+#include <csignal>
+#include <random>
+
+namespace arbutusgate {
+
+namespace {
+
+// Time for the balancer to see that /readyz fails and to move away.
+constexpr auto drain_grace = seconds{3};
+constexpr auto drain_step  = milliseconds{20};
+// The node core repeats a hand-off for 10 s; a voter that no peer answers
+// then ends without it, which leaves a majority of the others.
+constexpr auto hand_over_limit = seconds{15};
+constexpr auto close_limit     = seconds{2};
+
+policy_init make_policy_init(run_registry& runs)
+{
+    policy_init it;
+    it.seed     = std::random_device{}();
+    it.on_ready = [&runs](std::uint64_t run) {
+        runs.wake(run);
+    };
+    return it;
+}
+
+std::vector<std::unique_ptr<io_thread>> make_threads(std::uint32_t n)
+{
+    std::vector<std::unique_ptr<io_thread>> all;
+    for (std::uint32_t it = 0; it < std::max(n, 1U); ++it)
+        all.push_back(std::make_unique<io_thread>());
+    return all;
+}
+
+} // namespace
+
+daemon::daemon(daemon_settings settings)
+    : settings_(std::move(settings)),
+      rules_(std::make_shared<const deployment>(), make_policy_init(runs_),
+             metrics_.reasons()),
+      catalog_(rules_), threads_(make_threads(settings_.threads)),
+      control_(std::make_unique<io_thread>()),
+      fleet_({settings_,
+              [this](auto config) {
+                  catalog_.set(std::move(config), daemon_now());
+              },
+              [this](const std::string& it) { rules_.set_leaving(it, true); },
+              [this](std::uint32_t n) {
+                  rules_.set_daemons(n);
+              }},
+             *control_),
+      admin_(*this)
+{
+    make_servers();
+}
+
+daemon::~daemon()
+{
+    caller_server_->stop();
+    admin_server_->stop();
+    fleet_.stop();
+    if (signals_) {
+        control_->spawn([this] { signals_->cancel(); });
+        signals_ended_.get_future().get();
+    }
+}
+
+request_services daemon::make_services()
+{
+    request_services it;
+    it.rules        = &rules_;
+    it.claims       = &fleet_;
+    it.counts       = &metrics_;
+    it.explain      = &explain_;
+    it.runs         = &runs_;
+    it.note_leaving = [this](std::string_view target) {
+        fleet_.note_leaving(target);
+    };
+    return it;
+}
+
+void daemon::make_servers()
+{
+    caller_service_init callers;
+    callers.services = make_services();
+    callers.catalog  = &catalog_;
+    callers.gate     = &gate_;
+    callers.ready    = [this] {
+        return fleet_.ready();
+    };
+    for (const auto& it : threads_)
+        callers.threads.push_back(it.get());
+    callers_ = std::make_unique<caller_service>(callers);
+
+    http_server_init front;
+    front.address = settings_.listen;
+    front.handler = [this](http_exchange& it) {
+        callers_->handle(it);
+    };
+    front.on_error = [this](http_error it) {
+        return callers_->on_error(it);
+    };
+    caller_server_ = std::make_unique<http_server>(front, callers.threads);
+
+    http_server_init admin;
+    admin.address = settings_.admin;
+    admin.handler = [this](http_exchange& it) {
+        admin_.handle(it);
+    };
+    admin.on_error = [this](http_error it) {
+        return admin_.on_error(it);
+    };
+    admin_server_ = std::make_unique<http_server>(
+        admin, std::vector<io_thread*>{control_.get()});
+}
+
+absl::Status daemon::start()
+{
+    if (auto status = admin_server_->start(); !status.ok())
+        return status;
+    if (auto status = caller_server_->start(); !status.ok())
+        return status;
+    if (auto status = fleet_.start(); !status.ok())
+        return status;
+    log(log_level::info, "started",
+        {{"slot", settings_.slot},
+         {"listen", settings_.listen},
+         {"admin", settings_.admin}});
+    return absl::OkStatus();
+}
+
+void daemon::drain_on_signals()
+{
+    signals_ = std::make_unique<boost::asio::signal_set>(control_->io(),
+                                                         SIGTERM, SIGINT);
+    control_->spawn([this] {
+        boost::system::error_code ec;
+        for (;;) {
+            signals_->async_wait(fiber_token{ec});
+            if (ec)
+                break;
+            drain();
+        }
+        signals_ended_.set_value();
+    });
+}
+
+void daemon::wait()
+{
+    std::unique_lock lock(mutex_);
+    changed_.wait(lock, [this] { return drained_; });
+}
+
+std::string daemon::not_ready_reason() const
+{
+    if (draining_)
+        return "draining";
+    if (!fleet_.ready())
+        return "not_ready";
+    return {};
+}
+
+void daemon::drain()
+{
+    if (draining_.exchange(true))
+        return;
+    log(log_level::info, "drain begins", {{"running", gate_.running()}});
+    control_->spawn([this] { run_drain(); });
+}
+
+void daemon::run_drain()
+{
+    fiber_sleep(control_->io(), drain_grace);
+    gate_.close();
+    while (gate_.running() > 0)
+        fiber_sleep(control_->io(), drain_step);
+    hand_claims_over();
+    close_callers();
+    log(log_level::info, "drain ended");
+    std::lock_guard lock(mutex_);
+    drained_ = true;
+    changed_.notify_all();
+}
+
+// Only now: a draining voter grants nothing, and streams may run for long.
+void daemon::hand_claims_over()
+{
+    fleet_.begin_drain();
+    const auto end = daemon_now() + hand_over_limit;
+    while (!fleet_.drained()) {
+        if (daemon_now() > end) {
+            log(log_level::warning, "claims could not be handed over");
+            return;
+        }
+        fiber_sleep(control_->io(), drain_step);
+    }
+}
+
+void daemon::close_callers()
+{
+    caller_server_->stop_accepting();
+    const auto end = daemon_now() + close_limit;
+    while (caller_server_->connections() > 0 && daemon_now() < end)
+        fiber_sleep(control_->io(), drain_step);
+}
+
+std::string daemon::explain_json(std::string_view request_id) const
+{
+    return explain_.find(request_id);
+}
+
+} // namespace arbutusgate
--- /dev/null
+++ b/src/daemon.hpp
@@ -0,0 +1,85 @@
+/// The daemon: its servers and the parts they use.
+#pragma once
+
+#include "arbutusgate/policy.hpp"
+#include "arbutusgate/settings.hpp"
+
+#include "admin_service.hpp"
+#include "caller_service.hpp"
+#include "deployment_catalog.hpp"
+#include "explain_ring.hpp"
+#include "fleet_node.hpp"
+#include "metrics.hpp"
+#include "request_gate.hpp"
+#include "run_registry.hpp"
+
+#include "absl/status/status.h"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <atomic>
+#include <condition_variable>
+#include <future>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace arbutusgate {
+
+class io_thread;
+
+/// One process of arbutusgated.
+class daemon final : public admin_backend
+{
+public:
+    explicit daemon(daemon_settings settings);
+    ~daemon() override;
+
+    daemon(const daemon&)            = delete;
+    daemon& operator=(const daemon&) = delete;
+
+    /// \return the error of the listener that could not start.
+    absl::Status start();
+    /// SIGTERM and SIGINT begin the drain.
+    void drain_on_signals();
+    /// Blocks until a drain has ended.
+    void wait();
+
+    std::string not_ready_reason() const override;
+    void        drain() override;
+    std::string metrics_text() const override;
+    std::string status_json() const override;
+    std::string explain_json(std::string_view request_id) const override;
+
+private:
+    request_services make_services();
+    void             make_servers();
+    void             run_drain();
+    void             hand_claims_over();
+    void             close_callers();
+
+    daemon_settings                          settings_;
+    metrics                                  metrics_;
+    explain_ring                             explain_;
+    run_registry                             runs_;
+    request_gate                             gate_;
+    policy                                   rules_;
+    deployment_catalog                       catalog_;
+    std::vector<std::unique_ptr<io_thread>>  threads_;
+    std::unique_ptr<io_thread>               control_;
+    fleet_node                               fleet_;
+    std::unique_ptr<caller_service>          callers_;
+    admin_service                            admin_;
+    std::unique_ptr<http_server>             caller_server_;
+    std::unique_ptr<http_server>             admin_server_;
+    std::unique_ptr<boost::asio::signal_set> signals_;
+    std::promise<void>                       signals_ended_;
+
+    std::atomic<bool>       draining_{false};
+    std::mutex              mutex_;
+    std::condition_variable changed_;
+    bool                    drained_ = false;
+};
+
+} // namespace arbutusgate
--- /dev/null
+++ b/src/fleet_node.cpp
@@ -0,0 +1,384 @@
+#include "fleet_node.hpp"
+
+#include "io_thread.hpp"
+#include "log.hpp"
+
+#include <boost/fiber/future/promise.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <future>
+#include <random>
+#include <thread>
+
+namespace arbutusgate {
+
+namespace {
+
+constexpr auto config_wait    = seconds{5};
+constexpr auto config_idle    = milliseconds{250};
+constexpr auto platform_retry = seconds{1};
+// 360 daemons then make 72 of the service's 2,000 reads/s.
+constexpr auto vms_interval = seconds{5};
+constexpr auto step         = milliseconds{50};
+// Versions tried for a slot list when the published one is invalid.
+constexpr std::uint64_t older_versions = 8;
+constexpr std::size_t   logged_issues  = 5;
+
+std::uint64_t make_incarnation(std::mt19937_64& random)
+{
+    constexpr unsigned random_bits = 20;
+    const auto         now         = std::chrono::duration_cast<milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    return (static_cast<std::uint64_t>(now.count()) << random_bits) |
+           (random() & ((1U << random_bits) - 1));
+}
+
+slot_id find_slot(const std::vector<slot_config>& slots,
+                  const std::string&              name)
+{
+    const auto it = std::ranges::find(slots, name, &slot_config::name);
+    if (it == slots.end())
+        return {};
+    return slot_id{static_cast<std::uint32_t>(it - slots.begin())};
+}
+
+/// Runs the task on the worker while the calling fiber waits.
+template <class Task>
+auto run_on(worker_thread& worker, Task task)
+{
+    using result_type = decltype(task());
+    auto promise      = std::make_shared<boost::fibers::promise<result_type>>();
+    auto result       = promise->get_future();
+    worker.post([promise, task] { promise->set_value(task()); });
+    return result.get();
+}
+
+} // namespace
+
+fleet_node::fleet_node(fleet_node_init init, io_thread& control)
+    : init_(std::move(init)), control_(control),
+      platform_(control.io(), init_.settings.platform), reader_(platform_),
+      worker_(std::make_unique<worker_thread>())
+{
+    mesh_init mesh_values;
+    mesh_values.listen     = init_.settings.peer;
+    mesh_values.keys       = init_.settings.keys;
+    mesh_values.on_message = [this](const pb::PeerMessage& it) {
+        deliver(it);
+    };
+    mesh_ = std::make_unique<mesh>(std::move(mesh_values));
+}
+
+fleet_node::~fleet_node()
+{
+    stop();
+}
+
+absl::Status fleet_node::start()
+{
+    if (auto status = mesh_->start(); !status.ok())
+        return status;
+    const auto loop = [this](auto run) {
+        ++loops_;
+        control_.spawn([this, run] {
+            (this->*run)();
+            --loops_;
+        });
+    };
+    loop(&fleet_node::config_loop);
+    loop(&fleet_node::vms_loop);
+    return absl::OkStatus();
+}
+
+void fleet_node::stop()
+{
+    if (stopping_.exchange(true))
+        return;
+    control_.spawn([this] { platform_.stop(); });
+    while (loops_ > 0)
+        std::this_thread::sleep_for(step);
+    std::promise<void> passed; // the spawned task above has run
+    control_.spawn([&passed] { passed.set_value(); });
+    passed.get_future().get();
+    worker_.reset();
+    host_.store(nullptr);
+    mesh_.reset();
+}
+
+claim_event fleet_node::obtain(std::string_view account, std::string_view key,
+                               std::uint64_t body_hash)
+{
+    const auto node = host();
+    return node ? node->obtain(account, key, body_hash) : claim_event{};
+}
+
+bool fleet_node::use(std::uint64_t claim)
+{
+    const auto node = host();
+    return node && node->use(claim);
+}
+
+void fleet_node::release(std::uint64_t claim)
+{
+    if (const auto node = host())
+        node->release(claim);
+}
+
+void fleet_node::record(std::uint64_t claim, recorded_answer answer)
+{
+    if (const auto node = host())
+        node->record(claim, std::move(answer));
+}
+
+bool fleet_node::ready() const
+{
+    const auto node = host();
+    return node && node->ready();
+}
+
+void fleet_node::note_leaving(std::string_view target)
+{
+    if (const auto node = host())
+        node->apply([=](node_core& core, time_point now) {
+            core.note_leaving_target(target, now);
+        });
+}
+
+void fleet_node::begin_drain()
+{
+    if (const auto node = host())
+        node->apply(
+            [](node_core& core, time_point now) { core.begin_drain(now); });
+}
+
+bool fleet_node::drained() const
+{
+    const auto node = host();
+    return !node || node->apply([](node_core& core, time_point now) {
+        return core.drained(now);
+    });
+}
+
+fleet_status fleet_node::status() const
+{
+    fleet_status it;
+    it.config_rejected = rejected_;
+    if (mesh_)
+        it.mesh = mesh_->stats();
+    const auto node = host();
+    if (!node)
+        return it;
+    it.joined      = true;
+    it.incarnation = incarnation_;
+    it.slots       = slots_;
+    node->apply([&it](node_core& core, time_point now) {
+        it.config_version = core.config_version();
+        it.alive          = core.alive_count(now);
+        it.members        = core.members(now);
+    });
+    return it;
+}
+
+void fleet_node::send(slot_id to, const pb::PeerMessage& message)
+{
+    mesh_->send(to, message);
+}
+
+void fleet_node::deliver(const pb::PeerMessage& message)
+{
+    if (const auto node = host())
+        node->deliver(message);
+}
+
+void fleet_node::config_loop()
+{
+    while (!stopping_) {
+        const auto node = host();
+        if (!node) {
+            if (!join())
+                pause(platform_retry);
+            continue;
+        }
+        const bool wanted = node->apply([](node_core& core, time_point now) {
+            return core.should_read_config(now);
+        });
+        if (!wanted)
+            pause(config_idle);
+        else if (!read_config(*node))
+            pause(platform_retry);
+    }
+}
+
+/// \return false when the service was not to be read.
+bool fleet_node::read_config(node_host& node)
+{
+    const auto published = reader_.read(read_version_, config_wait);
+    if (!published.ok()) {
+        log(log_level::warning, "cannot read the configuration service",
+            {{"error", published.status().ToString()}});
+        return false;
+    }
+    read_version_ = published->version;
+    node.apply([&](node_core& core, time_point now) {
+        core.on_config_read(published->version, published->documents, now);
+    });
+    return true;
+}
+
+/// Reads the slot list and starts the node core.
+bool fleet_node::join()
+{
+    const auto published = reader_.read(0, milliseconds{0});
+    if (!published.ok()) {
+        log(log_level::warning, "cannot read the slot list",
+            {{"error", published.status().ToString()}});
+        return false;
+    }
+    const auto config = find_slots(*published);
+    const auto self   = find_slot(config.slots, init_.settings.slot);
+    if (!self.valid()) {
+        log(log_level::error, "the own slot is not in the configuration",
+            {{"slot", init_.settings.slot}, {"version", published->version}});
+        return false;
+    }
+    start_host(config, self);
+    const auto node = host();
+    node->apply([&](node_core& core, time_point now) {
+        core.on_config_read(published->version, published->documents, now);
+    });
+    read_version_ = published->version;
+    return true;
+}
+
+/// The published version may be invalid; older ones then still tell the
+/// slots, which change rarely.
+deployment fleet_node::find_slots(const published_config& published)
+{
+    const auto& site  = init_.settings.site;
+    const auto  check = [&](const published_config& it) {
+        return run_on(*worker_, [&it, &site] {
+            return check_config(it.documents, site, it.version);
+        });
+    };
+    auto checked = check(published);
+    for (std::uint64_t n = 1; !checked.issues.empty() && n <= older_versions &&
+                              n < published.version;
+         ++n)
+    {
+        const auto old = reader_.read_old(published.version - n, site);
+        if (old.ok())
+            checked = check(*old);
+    }
+    return checked.issues.empty() ? checked.effective : deployment{};
+}
+
+void fleet_node::start_host(const deployment& config, slot_id self)
+{
+    std::random_device device;
+    std::mt19937_64    random((std::uint64_t{device()} << 32U) | device());
+    node_host_init     values;
+    incarnation_             = make_incarnation(random);
+    slots_                   = config.slots;
+    values.node.self         = self;
+    values.node.incarnation  = incarnation_;
+    values.node.seed         = random();
+    values.node.slots        = config.slots;
+    values.node.retry_window = config.retry_window;
+    values.link              = this;
+    values.on_leaving        = init_.on_leaving;
+    values.on_daemons        = init_.on_daemons;
+    values.on_config         = [this](config_event event) {
+        worker_->post(
+            [this, event = std::move(event)] { apply_config(event); });
+    };
+    set_peers(init_.settings.peers);
+    host_.store(std::make_shared<node_host>(std::move(values)));
+    log(log_level::info, "joined the fleet",
+        {{"slot", init_.settings.slot},
+         {"incarnation", incarnation_},
+         {"slots", slots_.size()}});
+}
+
+void fleet_node::set_peers(const std::vector<peer_address>& peers)
+{
+    for (const auto& it : peers) {
+        const auto slot = find_slot(slots_, it.slot);
+        if (slot.valid() && it.slot != init_.settings.slot)
+            mesh_->set_peer(slot, it.address);
+    }
+}
+
+void fleet_node::vms_loop()
+{
+    while (!stopping_) {
+        const auto list =
+            host() ? platform_.vms()
+                   : absl::StatusOr<vm_list>(absl::UnavailableError("later"));
+        if (!list.ok()) {
+            pause(platform_retry);
+            continue;
+        }
+        std::vector<peer_address> peers;
+        for (const bool leaving : {true, false}) { // live VMs win
+            for (const auto& it : list->vms) {
+                if (it.leaving == leaving)
+                    peers.push_back({it.slot, it.address});
+            }
+        }
+        set_peers(peers);
+        pause(vms_interval);
+    }
+}
+
+/// \return false when the node stops.
+bool fleet_node::pause(milliseconds time)
+{
+    for (; time > milliseconds{0} && !stopping_; time -= step)
+        fiber_sleep(control_.io(), step);
+    return !stopping_;
+}
+
+void fleet_node::apply_config(const config_event& event)
+{
+    const auto node = host();
+    if (!node)
+        return;
+    auto checked =
+        check_config(event.documents, init_.settings.site, event.version);
+    auto issues = std::move(checked.issues);
+    if (issues.empty())
+        issues = check_all_sites(event.documents);
+    if (!issues.empty())
+        return reject_config(event, issues);
+    const auto in_force = node->apply([&](node_core& core, time_point now) {
+        core.accept_config(event.version, now);
+        return core.config_version();
+    });
+    if (in_force != event.version)
+        return;
+    log(log_level::info, "configuration in force",
+        {{"version", event.version}});
+    init_.on_deployment(
+        std::make_shared<const deployment>(std::move(checked.effective)));
+}
+
+void fleet_node::reject_config(const config_event&              event,
+                               const std::vector<config_issue>& issues)
+{
+    ++rejected_;
+    for (std::size_t n = 0; n < std::min(issues.size(), logged_issues); ++n)
+        log(log_level::error, "configuration rejected",
+            {{"version", event.version},
+             {"issues", issues.size()},
+             {"document", issues[n].document},
+             {"line", issues[n].line},
+             {"column", issues[n].column},
+             {"issue", issues[n].message}});
+    if (const auto node = host())
+        node->apply([&](node_core& core, time_point now) {
+            core.reject_config(event.version, now);
+        });
+}
+
+} // namespace arbutusgate
--- /dev/null
+++ b/src/fleet_node.hpp
@@ -0,0 +1,113 @@
+/// This daemon's part in the fleet: mesh, node core, configuration, VM list.
+#pragma once
+
+#include "arbutusgate/settings.hpp"
+
+#include "mesh.hpp"
+#include "node_host.hpp"
+#include "peer_link.hpp"
+#include "platform_client.hpp"
+#include "published_config.hpp"
+#include "worker_thread.hpp"
+
+#include "absl/status/status.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace arbutusgate {
+
+class io_thread;
+
+/// Start values of a fleet_node. The functions run on any thread.
+struct fleet_node_init
+{
+    daemon_settings                                        settings;
+    std::function<void(std::shared_ptr<const deployment>)> on_deployment;
+    std::function<void(const std::string& target)>         on_leaving;
+    std::function<void(std::uint32_t daemons)>             on_daemons;
+};
+
+/// What operators see of the fleet.
+struct fleet_status
+{
+    bool                     joined      = false; ///< The slot list is known.
+    std::uint64_t            incarnation = 0;
+    std::uint64_t            config_version  = 0;
+    std::uint64_t            config_rejected = 0; ///< Versions since start.
+    std::uint32_t            alive           = 0;
+    std::vector<slot_config> slots;
+    std::vector<member_view> members;
+    mesh_stats               mesh;
+};
+
+/// Thread-safe. The slot list comes from the configuration, so the node core
+/// starts when a first version was read; until then no claim is available.
+class fleet_node final : public claim_service, private peer_link
+{
+public:
+    /// \param control runs the calls to the platform and outlives the node.
+    fleet_node(fleet_node_init init, io_thread& control);
+    ~fleet_node() override;
+
+    fleet_node(const fleet_node&)            = delete;
+    fleet_node& operator=(const fleet_node&) = delete;
+
+    /// \return the error of the mesh.
+    absl::Status start();
+    /// Ends all work; not to be called from the control thread.
+    void stop();
+
+    claim_event obtain(std::string_view account, std::string_view key,
+                       std::uint64_t body_hash) override;
+    bool        use(std::uint64_t claim) override;
+    void        release(std::uint64_t claim) override;
+    void        record(std::uint64_t claim, recorded_answer answer) override;
+
+    bool         ready() const;
+    void         note_leaving(std::string_view target);
+    void         begin_drain();
+    bool         drained() const;
+    fleet_status status() const;
+
+private:
+    std::shared_ptr<node_host> host() const { return host_.load(); }
+    void send(slot_id to, const pb::PeerMessage& message) override;
+    void deliver(const pb::PeerMessage& message);
+
+    // Fibers of the control thread.
+    void       config_loop();
+    void       vms_loop();
+    bool       pause(milliseconds time);
+    bool       read_config(node_host& node);
+    bool       join();
+    deployment find_slots(const published_config& published);
+    void       start_host(const deployment& config, slot_id self);
+    void       set_peers(const std::vector<peer_address>& peers);
+
+    // Tasks of the worker.
+    void apply_config(const config_event& event);
+    void reject_config(const config_event&              event,
+                       const std::vector<config_issue>& issues);
+
+    fleet_node_init         init_;
+    io_thread&              control_;
+    std::unique_ptr<mesh>   mesh_;
+    platform_client         platform_;
+    published_config_reader reader_;
+    std::uint64_t           read_version_ = 0; ///< Last seen at the service.
+
+    std::uint64_t                           incarnation_ = 0;
+    std::vector<slot_config>                slots_; ///< Set before host_.
+    std::atomic<std::shared_ptr<node_host>> host_;
+    std::atomic<std::uint64_t>              rejected_{0};
+    std::atomic<bool>                       stopping_{false};
+    std::atomic<int>                        loops_{0};
+    std::unique_ptr<worker_thread>          worker_;
+};
+
+} // namespace arbutusgate
--- /dev/null
+++ b/src/platform_client.cpp
@@ -0,0 +1,122 @@
+#include "platform_client.hpp"
+
+#include "http_client.hpp"
+
+#include "absl/strings/str_cat.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/value_to.hpp>
+
+namespace arbutusgate {
+
+namespace json = boost::json;
+
+namespace {
+
+// The service answers within milliseconds; a silent one must not hold up the
+// next try.
+constexpr auto connect_timeout = milliseconds{500};
+constexpr auto answer_timeout  = seconds{3};
+
+std::string text_at(const json::object& from, std::string_view name)
+{
+    return json::value_to<std::string>(from.at(name));
+}
+
+config_head to_head(const json::object& from)
+{
+    config_head it;
+    it.version = from.at("version").to_number<std::uint64_t>();
+    for (const auto& document : from.at("documents").as_array())
+        it.digests.emplace(text_at(document.as_object(), "name"),
+                           text_at(document.as_object(), "sha256"));
+    return it;
+}
+
+vm_list to_vms(const json::object& from)
+{
+    vm_list it;
+    it.revision = from.at("revision").to_number<std::uint64_t>();
+    for (const auto& entry : from.at("vms").as_array()) {
+        const auto& vm = entry.as_object();
+        it.vms.push_back({text_at(vm, "id"), text_at(vm, "slot"),
+                          text_at(vm, "address"),
+                          text_at(vm, "state") == "leaving"});
+    }
+    return it;
+}
+
+/// Converts a JSON answer; a missing or wrong member is an error.
+template <class Convert>
+auto convert(const absl::StatusOr<std::string>& text, Convert to)
+    -> absl::StatusOr<decltype(to(json::object()))>
+{
+    if (!text.ok())
+        return text.status();
+    try {
+        return to(json::parse(*text).as_object());
+    }
+    catch (const std::exception& it) {
+        return absl::InternalError(
+            absl::StrCat("malformed answer of the platform: ", it.what()));
+    }
+}
+
+} // namespace
+
+absl::StatusOr<config_head> platform_client::head(std::uint64_t after,
+                                                  milliseconds  wait)
+{
+    return convert(get(absl::StrCat("/v1/config/head?after=", after,
+                                    "&wait_ms=", wait.count()),
+                       wait + answer_timeout),
+                   to_head);
+}
+
+absl::StatusOr<std::string> platform_client::document(const std::string& name,
+                                                      std::uint64_t version)
+{
+    return get(absl::StrCat("/v1/config/document/", name, "?version=", version),
+               answer_timeout);
+}
+
+absl::StatusOr<vm_list> platform_client::vms()
+{
+    return convert(get("/v1/vms", answer_timeout), to_vms);
+}
+
+void platform_client::stop()
+{
+    stopped_ = true;
+    for (auto* it : running_)
+        it->cancel();
+}
+
+absl::StatusOr<std::string> platform_client::get(const std::string& target,
+                                                 milliseconds       timeout)
+{
+    if (stopped_)
+        return absl::CancelledError("the platform client is stopped");
+    http_client client(io_);
+    running_.insert(&client);
+    http_request request(http::verb::get, target, 11);
+    request.set(http::field::host, address_);
+    std::string body;
+    auto        ec = client.connect(address_, connect_timeout);
+    if (!ec)
+        ec = client.send(request, timeout);
+    if (!ec)
+        body = client.read_all(answer_timeout, ec);
+    running_.erase(&client);
+    if (ec)
+        return absl::UnavailableError(
+            absl::StrCat("platform ", address_, ": ", ec.message()));
+    if (client.head().result() == http::status::not_found)
+        return absl::NotFoundError(target);
+    if (client.head().result() != http::status::ok)
+        return absl::UnavailableError(absl::StrCat(
+            "platform ", address_, ": status ", client.head().result_int()));
+    return body;
+}
+
+} // namespace arbutusgate
--- /dev/null
+++ b/tools/arbutusgated.cpp
@@ -0,0 +1,107 @@
+#include "arbutusgate/settings.hpp"
+
+#include "daemon.hpp"
+#include "log.hpp"
+
+#include <getopt.h>
+
+#include <array>
+#include <csignal>
+#include <iostream>
+#include <string>
+
+namespace {
+
+constexpr int exit_failed = 1;
+constexpr int exit_usage  = 2;
+
+constexpr const char* usage =
+    "Usage: arbutusgated --settings FILE [--log-level LEVEL]\n"
+    "Serves pipelines to callers.\n"
+    "\n"
+    "  --settings FILE    settings of this daemon, in YAML\n"
+    "  --log-level LEVEL  trace, debug, info, warn or error; overrides the\n"
+    "                     settings\n"
+    "  --help             print this text\n"
+    "  --version          print the version\n"
+    "\n"
+    "SIGTERM and SIGINT drain the daemon. Exit status: 0 after a drain, 1 on\n"
+    "a failed start, 2 on wrong use.\n";
+
+struct options
+{
+    std::string settings;
+    std::string log_level;
+    int         exit_code = -1; ///< Not negative: end with it at once.
+};
+
+options parse(int argc, char** argv)
+{
+    constexpr std::array<option, 5> known{{
+        {"settings", required_argument, nullptr, 's'},
+        {"log-level", required_argument, nullptr, 'l'},
+        {"help", no_argument, nullptr, 'h'},
+        {"version", no_argument, nullptr, 'v'},
+        {nullptr, 0, nullptr, 0},
+    }};
+    options                         it;
+    int                             c = 0;
+    while ((c = getopt_long(argc, argv, "", known.data(), nullptr)) != -1) {
+        if (c == 's') {
+            it.settings = optarg;
+        }
+        else if (c == 'l') {
+            it.log_level = optarg;
+        }
+        else if (c == 'h' || c == 'v') {
+            std::cout << (c == 'h' ? usage : "arbutusgated 0.1.0\n");
+            it.exit_code = 0;
+            return it;
+        }
+        else {
+            it.exit_code = exit_usage;
+        }
+    }
+    if (optind != argc || it.settings.empty())
+        it.exit_code = exit_usage;
+    if (it.exit_code == exit_usage)
+        std::cerr << usage;
+    return it;
+}
+
+int run(const arbutusgate::daemon_settings& settings)
+{
+    arbutusgate::daemon process(settings);
+    process.drain_on_signals();
+    if (const auto status = process.start(); !status.ok()) {
+        arbutusgate::log(arbutusgate::log_level::error, "cannot start",
+                         {{"error", status.ToString()}});
+        return exit_failed;
+    }
+    process.wait();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const auto given = parse(argc, argv);
+    if (given.exit_code >= 0)
+        return given.exit_code;
+    const auto settings = arbutusgate::load_settings(given.settings);
+    if (!settings.ok()) {
+        std::cerr << settings.status().message() << '\n';
+        return exit_usage;
+    }
+    const auto level =
+        given.log_level.empty() ? settings->log_level : given.log_level;
+    if (!arbutusgate::start_log(level)) {
+        std::cerr << "unknown log level: " << level << '\n';
+        return exit_usage;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    const int code = run(*settings);
+    arbutusgate::stop_log();
+    return code;
+}
