Count rejected handshakes of daemons

Cause: a fleet with different key pairs for its daemons shows no traffic and no reason for it. Change: metrics for handshakes with an unknown key and malformed messages.

--- a/src/daemon_status.cpp
+++ b/src/daemon_status.cpp
@@ -99,6 +99,10 @@
          number(fleet.mesh.bytes_out), true},
         {"peer_received_bytes_total", "Bytes received from daemons.",
          number(fleet.mesh.bytes_in), true},
+        {"peer_rejected_handshakes_total", "Handshakes with an unknown key.",
+         number(fleet.mesh.rejected), true},
+        {"peer_malformed_messages_total", "Messages that cannot be read.",
+         number(fleet.mesh.malformed), true},
         {"peer_dropped_messages_total", "Messages without a way to the peer.",
          number(fleet.mesh.dropped), true},
     });
