--- /dev/null
+++ b/tests/caller_test.cpp
@@ -0,0 +1,160 @@
+#include "daemon_fixture.hpp"
+
+using namespace arbutusgate;
+using namespace arbutusgate::test;
+
+// Guards against a result being delivered to another request (P1).
+TEST_CASE("a result with another request id is dropped")
+{
+    fake_target target([](http_exchange& it, int call) {
+        auto answer = answer_to(body_of(it), call == 0 ? "other" : "own");
+        if (call == 0)
+            answer["request_id"] = "someone-else";
+        it.respond(json_answer(answer));
+    });
+    front_end   front(one_stage(stage_kind::service, true,
+                                {target.address(), target.address()}));
+    const auto  response = front.call(front.request());
+    CHECK(response.status == 200);
+    CHECK(response.text("output") == "own");
+    CHECK(front.counts.wrong_results() == 1);
+}
+
+// Guards against refusals without a stable status and reason.
+TEST_CASE("malformed and unauthorized requests are refused with a reason")
+{
+    fake_target target([](http_exchange& it, int) {
+        it.respond(json_answer(answer_to(body_of(it))));
+    });
+    front_end  front(one_stage(stage_kind::service, false, {target.address()}));
+    const auto expect = [&front](const http_request& it, unsigned status,
+                                 std::string_view reason) {
+        const auto response = front.call(it);
+        INFO(reason);
+        CHECK(response.status == status);
+        CHECK(response.text("reason") == reason);
+        CHECK(response.text("execution") == "not_run");
+        CHECK(!response.request_id.empty());
+    };
+    auto it = front.request();
+    it.set(http::field::authorization, "Bearer wrong");
+    expect(it, 401, "unauthorized");
+    it = front.request();
+    it.set(http::field::authorization, "Bearer key-two"); // not its pipeline
+    expect(it, 404, "no_such_pipeline");
+    it = front.request();
+    it.target("/v1/pipelines/none");
+    expect(it, 404, "no_such_pipeline");
+    expect(front.request("{"), 400, "bad_request");
+    expect(front.request(R"({"input":1})"), 400, "bad_request");
+    expect(front.request(R"({"input":"a","max_tokens":-1})"), 400,
+           "bad_request");
+    it = front.request();
+    it.set("Request-Timeout-Ms", "soon");
+    expect(it, 400, "bad_request");
+    it = front.request();
+    it.set("Idempotency-Key", std::string(limits::idempotency_key + 1, 'k'));
+    expect(it, 400, "bad_request");
+    it = front.request();
+    it.erase("Idempotency-Key");
+    expect(it, 400, "missing_key");
+    it = front.request();
+    it.set("X-Large", std::string(limits::request_header, 'x'));
+    expect(it, 431, "header_too_large");
+    expect(front.request(std::string(limits::request_body + 1, ' ')), 413,
+           "too_large");
+    CHECK(target.calls() == 0);
+}
+
+// Guards against a second run of work whose first run is known (P4).
+TEST_CASE("a repeated key gets the recorded answer byte for byte")
+{
+    fake_target target([](http_exchange& it, int) {
+        it.respond(json_answer(answer_to(body_of(it))));
+    });
+    front_end  front(one_stage(stage_kind::service, false, {target.address()}));
+    const auto first = front.call(front.request());
+    REQUIRE(first.status == 200);
+    CHECK(front.claims.recorded.body == first.body);
+
+    front.claims.next = {2, claim_outcome::taken_done, front.claims.recorded};
+    const auto second = front.call(front.request());
+    CHECK(second.status == 200);
+    CHECK(second.body == first.body);
+    CHECK(target.calls() == 1);
+
+    auto streamed = front.request();
+    streamed.set(http::field::accept, "text/event-stream");
+    CHECK(front.call(streamed).body.ends_with(
+        "event: done\ndata: " + first.body + "\n\n"));
+}
+
+// Guards against dispatch after a pause in which the claim was lost (P4).
+TEST_CASE("work is not sent when the claim may no longer be used")
+{
+    fake_target target([](http_exchange& it, int) {
+        it.respond(json_answer(answer_to(body_of(it))));
+    });
+    front_end front(one_stage(stage_kind::service, false, {target.address()}));
+    front.claims.usable = false;
+    const auto response = front.call(front.request());
+    CHECK(response.status == 503);
+    CHECK(response.text("execution") == "not_run");
+    CHECK(front.claims.released == 1);
+    CHECK(target.calls() == 0);
+}
+
+// Guards against work that may have run being reported as not run (P3).
+TEST_CASE("a lost answer of non-idempotent work is unknown")
+{
+    fake_target target([](http_exchange& it, int) { it.abort(); });
+    front_end   front(one_stage(stage_kind::service, false,
+                                {target.address(), target.address()}));
+    const auto  response = front.call(front.request());
+    CHECK(response.status == 504);
+    CHECK(response.text("execution") == "unknown");
+    CHECK(front.claims.released == 0);
+    CHECK(target.calls() == 1);
+}
+
+// Guards against failures of requests that meet a connection which the
+// target closed while it was idle.
+TEST_CASE("a connection closed while idle costs no attempt")
+{
+    fake_target target(
+        [](http_exchange& it, int) {
+            it.respond(json_answer(answer_to(body_of(it))));
+        },
+        milliseconds{1});
+    front_end front(one_stage(stage_kind::service, true, {target.address()}));
+    for (int n = 0; n < 3; ++n) {
+        const auto response = front.call(front.request());
+        REQUIRE(response.status == 200);
+        const auto stages = response.parsed().at("stages").as_array();
+        CHECK(stages.at(0).at("attempts") == json::value(1));
+        REQUIRE(eventually([&] { return target.connections() == 0; }));
+    }
+}
+
+// Guards against targets that work on for callers who have left.
+TEST_CASE("a caller that closes its connection cancels the target's work")
+{
+    std::atomic<bool> gone{false};
+    fake_target       target([&gone](http_exchange& it, int) {
+        const auto call = body_of(it);
+        it.begin_stream(http_response(http::status::ok, 11));
+        it.write(chunk(call, 0, "first"));
+        eventually([&] {
+            fiber_sleep(it.thread().io(), milliseconds{2});
+            return it.client_gone();
+        });
+        gone = it.client_gone();
+    });
+    front_end front(one_stage(stage_kind::generate, true, {target.address()}));
+    auto      request = front.request();
+    request.set(http::field::accept, "text/event-stream");
+    front.call(request, [](http_client& it) { it.cancel(); });
+    CHECK(eventually([&] { return gone.load(); }));
+    CHECK(eventually([&] { return front.gate.running() == 0; }));
+    CHECK(target.calls() == 1);
+}
--- /dev/null
+++ b/tests/daemon_fixture.hpp
@@ -0,0 +1,266 @@
+/// Front end with fake targets and fake claims on loopback.
+#pragma once
+
+#include "arbutusgate/policy.hpp"
+
+#include "caller_service.hpp"
+#include "explain_ring.hpp"
+#include "http_client.hpp"
+#include "http_server.hpp"
+#include "io_thread.hpp"
+#include "metrics.hpp"
+
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <functional>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace arbutusgate::test {
+
+namespace json = boost::json;
+
+constexpr auto generous = seconds{20};
+
+/// Waits until the condition holds; the limit only ends a broken run.
+template <class Condition>
+bool eventually(Condition holds)
+{
+    const auto end = std::chrono::steady_clock::now() + generous;
+    while (!holds()) {
+        if (std::chrono::steady_clock::now() > end)
+            return false;
+        std::this_thread::sleep_for(milliseconds{2});
+    }
+    return true;
+}
+
+inline json::object body_of(http_exchange& it)
+{
+    return json::parse(it.request().body()).as_object();
+}
+
+inline http_response json_answer(const json::object& body)
+{
+    http_response it(http::status::ok, 11);
+    it.body() = json::serialize(body);
+    return it;
+}
+
+/// Right answer of a service.
+inline json::object answer_to(const json::object& call,
+                              std::string_view    output = "output")
+{
+    return {{"request_id", call.at("request_id")},
+            {"stage", call.at("stage")},
+            {"attempt", call.at("attempt")},
+            {"output", output}};
+}
+
+/// One chunk of an engine.
+inline std::string chunk(const json::object& call, std::uint64_t offset,
+                         std::string_view text)
+{
+    return "data: " +
+           json::serialize(json::object{
+               {"request_id", call.at("request_id")},
+               {"attempt", call.at("attempt")},
+               {"offset", offset},
+               {"choices", json::array{json::object{{"text", text}}}}}) +
+           "\n\n";
+}
+
+/// Target whose handler gets the number of the call, from 0.
+class fake_target
+{
+public:
+    using handler = std::function<void(http_exchange&, int call)>;
+
+    explicit fake_target(handler it, milliseconds idle = seconds{60})
+    {
+        http_server_init init;
+        init.address      = "127.0.0.1:0";
+        init.idle_timeout = idle;
+        init.handler = [this, it = std::move(it)](http_exchange& exchange) {
+            it(exchange, calls_++);
+        };
+        init.on_error = [](http_error) {
+            return http_response(http::status::bad_request, 11);
+        };
+        server_ = std::make_unique<http_server>(
+            std::move(init), std::vector<io_thread*>{&thread_});
+        REQUIRE(server_->start().ok());
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(server_->port());
+    }
+    int           calls() const { return calls_; }
+    std::uint32_t connections() const { return server_->connections(); }
+    io_thread&    thread() { return thread_; }
+
+private:
+    std::atomic<int>             calls_{0};
+    io_thread                    thread_;
+    std::unique_ptr<http_server> server_;
+};
+
+/// Claims with a fixed outcome.
+class fake_claims final : public claim_service
+{
+public:
+    claim_event obtain(std::string_view, std::string_view,
+                       std::uint64_t) override
+    {
+        return next;
+    }
+    bool use(std::uint64_t) override { return usable; }
+    void release(std::uint64_t) override { ++released; }
+    void record(std::uint64_t, recorded_answer it) override
+    {
+        recorded = std::move(it);
+    }
+
+    claim_event      next{1, claim_outcome::granted, {}};
+    bool             usable = true;
+    std::atomic<int> released{0};
+    recorded_answer  recorded;
+};
+
+struct caller_response
+{
+    unsigned    status = 0;
+    std::string body;
+    std::string request_id;
+
+    json::object parsed() const { return json::parse(body).as_object(); }
+    std::string  text(std::string_view name) const
+    {
+        return std::string(parsed().at(name).as_string());
+    }
+};
+
+/// One pipeline "work" with one pool, one target for each address.
+inline std::shared_ptr<deployment>
+one_stage(stage_kind kind, bool idempotent,
+          const std::vector<std::string>& addresses)
+{
+    auto         it = std::make_shared<deployment>();
+    stage_config stage;
+    stage.name       = "only";
+    stage.pool       = pool_id{0};
+    stage.kind       = kind;
+    stage.idempotent = idempotent;
+    pool_config pool;
+    pool.name = "pool";
+    pool.kind = kind;
+    for (std::uint32_t n = 0; n < addresses.size(); ++n) {
+        it->targets.push_back(
+            {"t" + std::to_string(n), addresses[n], "a", pool_id{0}});
+        pool.targets.push_back(target_id{n});
+    }
+    it->pools.push_back(pool);
+    it->pipelines.push_back({"work", seconds{10}, {stage}, 0, 2});
+    it->accounts.push_back({"one", "key-one", 1, {}});
+    it->accounts.push_back({"two", "key-two", 1, {pipeline_id{7}}});
+    return it;
+}
+
+/// Front end that serves the deployment.
+class front_end
+{
+public:
+    explicit front_end(std::shared_ptr<const deployment> config)
+        : rules_(config, {}, counts.reasons()), catalog_(rules_)
+    {
+        caller_service_init init;
+        init.services.rules   = &rules_;
+        init.services.claims  = &claims;
+        init.services.counts  = &counts;
+        init.services.explain = &explain;
+        init.services.runs    = &runs_;
+        init.catalog          = &catalog_;
+        init.gate             = &gate;
+        init.threads          = {&thread_};
+        init.ready            = [] {
+            return true;
+        };
+        service_ = std::make_unique<caller_service>(std::move(init));
+        http_server_init server;
+        server.address = "127.0.0.1:0";
+        server.handler = [this](http_exchange& it) {
+            service_->handle(it);
+        };
+        server.on_error = [this](http_error it) {
+            return service_->on_error(it);
+        };
+        server_ = std::make_unique<http_server>(
+            std::move(server), std::vector<io_thread*>{&thread_});
+        REQUIRE(server_->start().ok());
+    }
+
+    http_request request(std::string body = R"({"input":"in"})") const
+    {
+        http_request it(http::verb::post, "/v1/pipelines/work", 11);
+        it.set(http::field::authorization, "Bearer key-one");
+        it.set("Idempotency-Key", "k");
+        it.body() = std::move(body);
+        it.prepare_payload();
+        return it;
+    }
+
+    /// Sends the request; on_part gets each part of the body.
+    caller_response call(const http_request&               request,
+                         std::function<void(http_client&)> on_part = {})
+    {
+        std::promise<caller_response> result;
+        client_.spawn([&] { result.set_value(exchange(request, on_part)); });
+        return result.get_future().get();
+    }
+
+    metrics      counts;
+    explain_ring explain;
+    fake_claims  claims;
+    request_gate gate;
+
+private:
+    caller_response exchange(const http_request&                      request,
+                             const std::function<void(http_client&)>& on_part)
+    {
+        caller_response           it;
+        http_client               client(client_.io());
+        boost::system::error_code ec;
+        ec = client.connect("127.0.0.1:" + std::to_string(server_->port()),
+                            generous);
+        if (ec || (ec = client.send(request, generous)))
+            return it;
+        it.status     = client.head().result_int();
+        it.request_id = client.head()["X-Request-Id"];
+        for (;;) {
+            const auto part = client.read_some(generous, ec);
+            if (ec || part.empty())
+                return it;
+            it.body += part;
+            if (on_part)
+                on_part(client);
+        }
+    }
+
+    policy                          rules_;
+    deployment_catalog              catalog_;
+    run_registry                    runs_;
+    io_thread                       thread_;
+    io_thread                       client_;
+    std::unique_ptr<caller_service> service_;
+    std::unique_ptr<http_server>    server_;
+};
+
+} // namespace arbutusgate::test
