Give accounts a share of each pool by weighted cost

Change: each pool of a daemon keeps a credit of cost for each account that was seen lately, filled by its weighted share of what the daemon can spend there, up to 10 s of it. Requests of accounts without credit come after all others, whatever their priority, so they get what the others leave. Requests refused for that are answered account_over_share. No counter is shared between daemons.

--- a/include/arbutusgate/pipeline_run.hpp
+++ b/include/arbutusgate/pipeline_run.hpp
@@ -12,6 +12,7 @@
 namespace arbutusgate {
 
 class policy;
+struct account_config;
 struct deployment;
 struct pipeline_config;
 struct policy_view;
@@ -148,12 +149,15 @@
     /// Asks for room in the pool of the stage.
     /// \return no action when there is room.
     run_actions enter(time_point now);
-    run_actions queue_at(const pool_view& pool, time_point latest);
-    void        stop_waiting();
-    void        uncommit(std::size_t stage);
-    bool        choose_target(time_point now);
-    void        leave_target();
-    void        release_all();
+    /// Charges the account for the admitted work.
+    void                  charge();
+    const account_config* account_of() const;
+    run_actions           queue_at(const pool_view& pool, time_point latest);
+    void                  stop_waiting();
+    void                  uncommit(std::size_t stage);
+    bool                  choose_target(time_point now);
+    void                  leave_target();
+    void                  release_all();
 
     /// Median time of the stages in [from, to).
     microseconds needed(std::size_t from, std::size_t to) const;
@@ -162,6 +166,8 @@
     microseconds needed_high() const;
     milliseconds attempt_timeout(time_point now) const;
     void         learn(const attempt_result& result, time_point now);
+    /// \return the cost of the finished attempt.
+    double learn_cost(const attempt_result& result);
 
     run_actions retry(const attempt_result& result, time_point now);
     bool        take_retry(attempt_status status);
--- a/src/pipeline_run.cpp
+++ b/src/pipeline_run.cpp
@@ -21,6 +21,7 @@
 // More waiting does not raise the throughput, but lets a backlog of requests
 // with long deadlines hold up others after a burst.
 constexpr microseconds longest_wait = seconds{2};
+constexpr double       cost_weight  = 0.05; // of a new sample in a moving mean
 // Refusing everything would teach no new times after a slow period.
 constexpr microseconds probe_interval = seconds{1};
 
@@ -192,6 +193,9 @@
         {
             std::lock_guard lock(pool.state->mutex);
             auto&           admission = pool.state->admission;
+            if (const auto* account = account_of())
+                waiter_->over = pool.state->shares.over(account->name,
+                                                        account->weight, now);
             reachable     = pool.state->routes.admits(pool.targets, now);
             committed_[n] = reachable && admission.try_commit(*waiter_);
             if (!committed_[n])
@@ -205,15 +209,34 @@
             return give_up(refusal_reason::no_target, retry_later);
         if (now + wait > latest_)
             return give_up(
-                refusal_reason::overloaded,
+                waiter_->over ? refusal_reason::account_over_share
+                              : refusal_reason::overloaded,
                 std::max(retry_later, std::chrono::ceil<milliseconds>(wait)));
         return queue_at(pool, latest_);
     }
     waiter_.reset();
     admitted_ = true;
+    charge();
     return {};
 }
 
+const account_config* pipeline_run::account_of() const
+{
+    const auto n = info_.account.idx;
+    return n < config_->accounts.size() ? &config_->accounts[n] : nullptr;
+}
+
+void pipeline_run::charge()
+{
+    const auto* account = account_of();
+    const auto& costs   = view_->costs[info_.pipeline.idx];
+    for (std::size_t n = 0; account && n < costs.size(); ++n) {
+        const auto&     pool = pool_of(n);
+        std::lock_guard lock(pool.state->mutex);
+        pool.state->shares.charge(account->name, costs[n]);
+    }
+}
+
 run_actions pipeline_run::enter(time_point now)
 {
     if (entered_)
@@ -344,6 +367,17 @@
                     std::chrono::duration_cast<milliseconds>(left));
 }
 
+double pipeline_run::learn_cost(const attempt_result& result)
+{
+    const auto& stage = pipeline().stages[stage_];
+    if (stage.kind != stage_kind::generate)
+        return stage.cost;
+    const auto cost = stage.cost * result.tokens / 1000;
+    auto&      mean = view_->costs[info_.pipeline.idx][stage_];
+    mean            = mean + (cost - mean) * cost_weight;
+    return cost;
+}
+
 void pipeline_run::learn(const attempt_result& result, time_point now)
 {
     const auto& stage   = pipeline().stages[stage_];
@@ -369,6 +403,10 @@
                      elapsed > times.high() * 2)
                 signal = load_signal::queued;
             state.admission.on_result(signal, elapsed, now, ready);
+            if (done)
+                state.mean_cost += (learn_cost(result) - state.mean_cost) *
+                                   (state.mean_cost > 0 ? cost_weight : 1);
+            state.shares.set_rate(state.admission.rate() * state.mean_cost);
         }
     }
     policy_.impl_->notify(ready);
@@ -452,7 +490,9 @@
         return step(now);
     if (now < latest_)
         return {wait_until{latest_}};
-    return give_up(refusal_reason::overloaded, retry_later);
+    return give_up(waiter_->over ? refusal_reason::account_over_share
+                                 : refusal_reason::overloaded,
+                   retry_later);
 }
 
 run_actions pipeline_run::on_client_gone(time_point)
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -5,6 +5,21 @@
 
 namespace arbutusgate {
 
+namespace {
+
+// Tokens of a generate stage without a configured maximum, before some came.
+constexpr std::uint32_t assumed_tokens = 100;
+
+double expected_cost(const stage_config& it)
+{
+    if (it.kind != stage_kind::generate)
+        return it.cost;
+    const auto tokens = it.max_tokens > 0 ? it.max_tokens : assumed_tokens;
+    return it.cost * tokens / 1000;
+}
+
+} // namespace
+
 std::shared_ptr<const policy_view>
 policy::impl::make_view(std::shared_ptr<const deployment> config)
 {
@@ -41,6 +56,9 @@
     }
     for (const auto& pipeline : config->pipelines) {
         auto& stages = next->times.emplace_back();
+        auto& costs  = next->costs.emplace_back(pipeline.stages.size());
+        for (std::size_t n = 0; n < pipeline.stages.size(); ++n)
+            costs[n] = expected_cost(pipeline.stages[n]);
         for (const auto& stage : pipeline.stages) {
             auto& it = times[pipeline.name + "/" + stage.name];
             if (!it)
--- a/src/policy_admission.cpp
+++ b/src/policy_admission.cpp
@@ -22,8 +22,8 @@
 
 bool waiter_order::operator()(const pool_waiter* a, const pool_waiter* b) const
 {
-    return std::tuple(-a->priority, a->tag, a->latest, a->order) <
-           std::tuple(-b->priority, b->tag, b->latest, b->order);
+    return std::tuple(a->over, -a->priority, a->latest, a->order) <
+           std::tuple(b->over, -b->priority, b->latest, b->order);
 }
 
 void pool_admission::set_share(std::uint32_t slots, std::uint32_t daemons)
--- a/src/policy_admission.hpp
+++ b/src/policy_admission.hpp
@@ -15,9 +15,9 @@
 {
     std::uint64_t run      = 0;
     std::int32_t  priority = 0;
-    double        tag      = 0; ///< Fair-queueing tag of the account.
-    time_point    latest;       ///< End of its waiting.
-    std::uint64_t order = 0;    ///< Of arrival.
+    bool          over     = false; ///< Its account is over its share.
+    time_point    latest;           ///< End of its waiting.
+    std::uint64_t order = 0;        ///< Of arrival.
     /// Time of the stages before the one that uses this pool.
     microseconds upstream{0};
     bool         entry   = true; ///< Waits for admission, not for a stage.
@@ -25,7 +25,8 @@
     bool         granted = false; ///< Room is reserved for it.
 };
 
-/// Orders waiters: priority, then the account's tag, then the end of waiting.
+/// Orders waiters: accounts within their share, then priority, then the end
+/// of waiting.
 struct waiter_order
 {
     bool operator()(const pool_waiter* a, const pool_waiter* b) const;
@@ -72,6 +73,8 @@
                    ready_runs& ready);
 
     double limit() const;
+    /// Attempts per second that the limit allows; 0 before the first result.
+    double rate() const { return time_ > 0 ? 1e6 * limit() / time_ : 0; }
 
 private:
     using queue = std::set<pool_waiter*, waiter_order>;
--- a/src/policy_impl.hpp
+++ b/src/policy_impl.hpp
@@ -6,6 +6,7 @@
 #include "policy_quantiles.hpp"
 #include "policy_retry_budget.hpp"
 #include "policy_router.hpp"
+#include "policy_shares.hpp"
 #include "reason_counters.hpp"
 
 #include <atomic>
@@ -28,6 +29,8 @@
     router         routes;
     retry_budget   retries;
     pool_admission admission;
+    account_shares shares;
+    double         mean_cost = 0; ///< Of an attempt.
     /// Targets of all deployments that runs may still use, by name.
     std::map<std::string, std::weak_ptr<route_target>> targets;
 };
@@ -46,6 +49,8 @@
     std::vector<pool_view>            pools; ///< As deployment::pools.
     /// Times of the stages of each pipeline.
     std::vector<std::vector<std::shared_ptr<stage_quantiles>>> times;
+    /// Mean cost of a call of each stage, with the tokens learned.
+    mutable std::vector<std::vector<std::atomic<double>>> costs;
     /// Last probe of each pipeline, in microseconds of time_point.
     mutable std::vector<std::atomic<std::int64_t>> probes;
 };
