Fuzz the configuration check with edited examples

Cause: operators' documents reach every daemon, so no text may crash the check, and two daemons may not disagree about one.

Change: a RapidCheck property with a fixed seed edits the example documents, and a test refuses deep nesting. Numbers are printed with as many digits as they need: six digits hid small changes from a diff.

--- a/src/config_codecs.hpp
+++ b/src/config_codecs.hpp
@@ -11,6 +11,7 @@
 #include <charconv>
 #include <chrono>
 #include <concepts>
+#include <iterator>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -66,7 +67,13 @@
         return print(value);
     }
 
-    std::string print(V value) const { return concat(value); }
+    /// The shortest text that reads back as the same value.
+    std::string print(V value) const
+    {
+        char       buf[32]; // a double needs 24
+        const auto end = std::to_chars(std::begin(buf), std::end(buf), value);
+        return {std::begin(buf), end.ptr};
+    }
 };
 
 /// Whole milliseconds within [least, most].
--- /dev/null
+++ b/tests/config_fuzz_test.cpp
@@ -0,0 +1,119 @@
+#include "arbutusgate/settings.hpp"
+#include "config_files.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+using namespace arbutusgate;
+
+namespace {
+
+constexpr std::uint64_t fuzz_seed = 20261204;
+constexpr int           fuzz_runs = 300;
+
+/// Texts that mean something to YAML or to the schema.
+const std::vector<std::string> tokens = {
+    ":",        ": ",        "- ",         "[",   "]",   "{",   "}",     ",",
+    "\n",       "\t",        "  ",         "#",   "'",   "\"",  "|\n",   ">\n",
+    "&a ",      "*a",        "!",          "!!x", "%",   "@",   "---\n", "...",
+    "<<: ",     "? ",        "null",       "~",   "nan", "1e9", "0x10",  "-1",
+    "true",     "open: ",    "*",          "\\",  "\0",  "\r",  "é",     "\xff",
+    "stages: ", "targets: ", "127.0.0.1:0"};
+
+/// Replaces a span of the text by a token, another span, or nothing.
+void edit(std::string& text)
+{
+    const auto position = [&] {
+        return *rc::gen::inRange<std::size_t>(0, text.size() + 1);
+    };
+    const auto at     = position();
+    const auto length = *rc::gen::inRange<std::size_t>(0, 40);
+    const auto kind   = *rc::gen::inRange(0, 4);
+    if (kind == 0)
+        text.insert(at, *rc::gen::elementOf(tokens));
+    else if (kind == 1)
+        text.replace(at, length / 8, *rc::gen::elementOf(tokens));
+    else if (kind == 2)
+        text.insert(at, text.substr(position(), length));
+    else
+        text.erase(at, length);
+}
+
+void edit_some(std::string& text)
+{
+    const auto n = *rc::gen::inRange(0, 6);
+    for (int i = 0; i < n; ++i)
+        edit(text);
+}
+
+std::size_t line_count(const std::string& text)
+{
+    return std::count(text.begin(), text.end(), '\n') + 1;
+}
+
+template <class Property>
+bool holds(const Property& property)
+{
+    rc::detail::TestParams params;
+    params.seed       = fuzz_seed;
+    params.maxSuccess = fuzz_runs;
+    const auto result =
+        rc::detail::checkTestable(property, rc::detail::TestMetadata(), params);
+    rc::detail::printResultMessage(result, std::cerr);
+    return result.template is<rc::detail::SuccessResult>();
+}
+
+std::vector<std::string> lines_of(const checked_config& it)
+{
+    std::vector<std::string> out;
+    for (const auto& issue : it.issues)
+        out.push_back(to_string(issue));
+    for (const auto& value : it.values)
+        out.push_back(value.path + "=" + value.value + "@" + value.document +
+                      ":" + std::to_string(value.line));
+    return out;
+}
+
+} // namespace
+
+// Guards against crashes, errors without a line, and checks on which two
+// daemons could disagree.
+TEST_CASE("edited documents are checked without a crash, alike each time")
+{
+    const std::vector<std::string> dirs = {"01-kestrelveld", "02-brazos"};
+    const std::string              root = ARBUTUSGATE_SOURCE_DIR "/examples/";
+    CHECK(holds([&] {
+        auto documents  = *read_documents(root + *rc::gen::elementOf(dirs));
+        const auto site = *rc::gen::elementOf(config_sites(documents));
+        edit_some(documents.at("base"));
+        edit_some(documents.at("site/" + site));
+        const auto out = check_config(documents, site, 1);
+        RC_ASSERT(lines_of(out) == lines_of(check_config(documents, site, 1)));
+        RC_ASSERT(out.issues.empty() != out.values.empty());
+        for (const auto& it : out.issues) {
+            RC_ASSERT(documents.contains(it.document));
+            RC_ASSERT(it.line >= 1u);
+            RC_ASSERT(it.line <= line_count(documents.at(it.document)) + 1);
+            RC_ASSERT(it.column >= 1u);
+            RC_ASSERT(!it.message.empty());
+            RC_ASSERT(it.message.size() < 2000u);
+        }
+        for (const auto& it : out.values)
+            RC_ASSERT((it.line >= 1u) == (it.document != "default"));
+    }));
+}
+
+// Guards against stack overflow and against time that grows out of bounds.
+TEST_CASE("deep nesting is refused")
+{
+    for (const std::string part : {"[", "{", "a: {", "- "}) {
+        std::string text;
+        while (text.size() < 100'000)
+            text += part;
+        const auto out = check_config({{"base", text}, {"site/x", ""}}, "x", 1);
+        REQUIRE(!out.issues.empty());
+        CHECK(out.issues[0].line >= 1);
+    }
+}
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -244,6 +244,11 @@
     CHECK(out[3].after.value == "7000");
     CHECK(out[3].immediate);
     CHECK(diff_configs(before, before).empty());
+    const auto fine = [](const std::string& weight) {
+        return check(
+            edited("    pipelines: [draft]\n", "    weight: " + weight));
+    };
+    CHECK(diff_configs(fine("0.12345678"), fine("0.12345679")).size() == 1);
 }
 
 // Guards against a version that some sites put in force and others reject.
