--- a/src/pipeline_run.cpp
+++ b/src/pipeline_run.cpp
@@ -3,12 +3,27 @@
 #include "policy_impl.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace arbutusgate {
 
 namespace {
 
 constexpr milliseconds retry_later = seconds{1};
+// An idempotent call that takes this much longer than almost all others is
+// taken for lost, so that time is left to repeat it.
+constexpr auto lost_call_factor = 4;
+constexpr auto lost_call_margin = milliseconds{50};
+// A request waits for admission for at most half of the time that it can
+// spare. The rest covers what the learned times do not show; requests that
+// waited for all of it were often late and their cost wasted.
+constexpr auto spared_share = 2;
+// More waiting does not raise the throughput, but lets a backlog of requests
+// with long deadlines hold up others after a burst.
+constexpr microseconds longest_wait = seconds{2};
+constexpr double       cost_weight  = 0.05; // of a new sample in a moving mean
+// Refusing everything would teach no new times after a slow period.
+constexpr microseconds probe_interval = seconds{1};
 
 retry_reason reason_of(attempt_status status, bool resumes)
 {
@@ -34,13 +49,13 @@
 
 pipeline_run::pipeline_run(policy& shared, const request_info& info, time_point)
     : policy_(shared), info_(info), view_(shared.impl_->current_view()),
-      config_(view_->config)
+      config_(view_->config), order_(++shared.impl_->arrivals)
 {
 }
 
 pipeline_run::~pipeline_run()
 {
-    leave_target();
+    release_all();
 }
 
 const pipeline_config& pipeline_run::pipeline() const
@@ -48,6 +63,16 @@
     return config_->pipelines[info_.pipeline.idx];
 }
 
+const pool_view& pipeline_run::pool_of(std::size_t stage) const
+{
+    return view_->pools[pipeline().stages[stage].pool.idx];
+}
+
+bool pipeline_run::adaptive() const
+{
+    return policy_.impl_->init.strategy == policy_strategy::adaptive;
+}
+
 run_actions pipeline_run::start(time_point now)
 {
     if (!pipeline().has_non_idempotent())
@@ -86,39 +111,309 @@
         return end(execution::done, refusal_reason::none, {});
     if (now >= info_.deadline)
         return give_up(refusal_reason::deadline_exceeded, {});
-    const auto& stage = pipeline().stages[stage_];
-    const auto& pool  = view_->pools[stage.pool.idx];
-    {
-        std::lock_guard lock(pool.state->mutex);
-        const auto      n =
-            pool.state->routes.choose(pool.targets, {now, failed_.get()});
-        if (n >= 0) {
-            route_  = pool.targets[static_cast<std::size_t>(n)];
-            target_ = config_->pools[stage.pool.idx]
-                          .targets[static_cast<std::size_t>(n)];
-            ++route_->in_flight;
-        }
+    if (adaptive()) {
+        auto wait = admit(now);
+        if (wait.empty() && !probe_ && info_.deadline - now < needed(stage_))
+            wait = give_up(refusal_reason::deadline_unreachable, retry_later);
+        if (wait.empty())
+            wait = enter(now);
+        if (!wait.empty())
+            return wait;
     }
-    if (!route_)
+    if (!choose_target(now))
         return give_up(refusal_reason::no_target, retry_later);
     attempt_start_ = now;
     ++attempt_;
-    if (!stage.idempotent)
+    if (!pipeline().stages[stage_].idempotent)
         sent_ = true;
-    return {start_attempt{
-        attempt_, stage_, target_,
-        std::chrono::duration_cast<milliseconds>(info_.deadline - now),
-        offset_}};
+    return {start_attempt{attempt_, stage_, target_, attempt_timeout(now),
+                          offset_}};
 }
 
-void pipeline_run::leave_target()
+bool pipeline_run::choose_target(time_point now)
 {
-    if (!route_)
-        return;
-    const auto&     pool = view_->pools[pipeline().stages[stage_].pool.idx];
+    const auto&     pool = pool_of(stage_);
     std::lock_guard lock(pool.state->mutex);
-    --route_->in_flight;
+    const auto&     config = config_->pools[pipeline().stages[stage_].pool.idx];
+    const auto      n      = pool.state->routes.choose(
+                  pool.targets,
+                  {now, failed_.get(), config.prefix_affinity ? info_.prefix_hash : 0});
+    if (n < 0)
+        return false;
+    route_  = pool.targets[static_cast<std::size_t>(n)];
+    target_ = config.targets[static_cast<std::size_t>(n)];
+    return true;
+}
+
+run_actions pipeline_run::admit(time_point now)
+{
+    if (admitted_)
+        return {};
+    if (waiter_)
+        return commit(now);
+    waiter_           = std::make_unique<pool_waiter>();
+    waiter_->run      = info_.run;
+    waiter_->priority = pipeline().priority;
+    waiter_->order    = order_;
+    committed_.resize(pipeline().stages.size());
+    if (info_.deadline - now < needed(0)) {
+        auto&      last = view_->probes[info_.pipeline.idx];
+        const auto due  = now - probe_interval;
+        auto       seen = last.load();
+        probe_ =
+            seen <= due.time_since_epoch().count() &&
+            last.compare_exchange_strong(seen, now.time_since_epoch().count());
+        if (!probe_)
+            return give_up(refusal_reason::deadline_unreachable, retry_later);
+    }
+    // Without time to spare it is admitted only where nothing waits.
+    const auto spared = info_.deadline - now - needed_high();
+    latest_ =
+        now + std::clamp(spared / spared_share, microseconds{0}, longest_wait);
+    return commit(now);
+}
+
+run_actions pipeline_run::commit(time_point now)
+{
+    // A grant has counted the run in the pool that it waited for.
+    for (std::size_t n = 0; waits_at_ && n < committed_.size(); ++n) {
+        if (&pool_of(n) == waits_at_) {
+            committed_[n] = true;
+            waits_at_     = nullptr;
+        }
+    }
+    waiter_->granted = false;
+    for (std::size_t n = 0; n < committed_.size(); ++n) {
+        if (committed_[n])
+            continue;
+        const auto&  pool = pool_of(n);
+        microseconds wait{0};
+        bool         reachable = false;
+        waiter_->upstream      = needed(0, n);
+        {
+            std::lock_guard lock(pool.state->mutex);
+            auto&           admission = pool.state->admission;
+            if (const auto* account = account_of())
+                waiter_->over = pool.state->shares.over(account->name,
+                                                        account->weight, now);
+            reachable     = pool.state->routes.admits(pool.targets, now);
+            committed_[n] = reachable && admission.try_commit(*waiter_);
+            if (!committed_[n])
+                wait = admission.expected_wait(*waiter_);
+        }
+        if (committed_[n])
+            continue;
+        for (std::size_t back = 0; back < committed_.size(); ++back)
+            uncommit(back);
+        if (!reachable)
+            return give_up(refusal_reason::no_target, retry_later);
+        if (now + wait > latest_)
+            return give_up(
+                waiter_->over ? refusal_reason::account_over_share
+                              : refusal_reason::overloaded,
+                std::max(retry_later, std::chrono::ceil<milliseconds>(wait)));
+        return queue_at(pool, latest_);
+    }
+    waiter_.reset();
+    admitted_ = true;
+    charge();
+    return {};
+}
+
+const account_config* pipeline_run::account_of() const
+{
+    const auto n = info_.account.idx;
+    return n < config_->accounts.size() ? &config_->accounts[n] : nullptr;
+}
+
+void pipeline_run::charge()
+{
+    const auto* account = account_of();
+    const auto& costs   = view_->costs[info_.pipeline.idx];
+    for (std::size_t n = 0; account && n < costs.size(); ++n) {
+        const auto&     pool = pool_of(n);
+        std::lock_guard lock(pool.state->mutex);
+        pool.state->shares.charge(account->name, costs[n]);
+    }
+}
+
+run_actions pipeline_run::enter(time_point now)
+{
+    if (entered_)
+        return {};
+    if (!waiter_) {
+        waiter_           = std::make_unique<pool_waiter>();
+        waiter_->run      = info_.run;
+        waiter_->priority = pipeline().priority;
+        waiter_->order    = order_;
+        waiter_->entry    = false;
+        waiter_->latest   = std::max(now, info_.deadline - needed(stage_));
+        const auto& pool  = pool_of(stage_);
+        bool        room  = false;
+        {
+            std::lock_guard lock(pool.state->mutex);
+            room = pool.state->admission.try_enter(*waiter_);
+        }
+        if (!room)
+            return queue_at(pool, waiter_->latest);
+    }
+    waits_at_ = nullptr;
+    waiter_.reset();
+    entered_ = true;
+    return {};
+}
+
+run_actions pipeline_run::queue_at(const pool_view& pool, time_point latest)
+{
+    std::lock_guard lock(pool.state->mutex);
+    waits_at_ = &pool;
+    latest_   = latest;
+    pool.state->admission.enqueue(*waiter_);
+    return {wait_until{latest}};
+}
+
+void pipeline_run::stop_waiting()
+{
+    if (!waits_at_)
+        return;
+    ready_runs ready;
+    {
+        std::lock_guard lock(waits_at_->state->mutex);
+        waits_at_->state->admission.remove(*waiter_, ready);
+    }
+    waits_at_ = nullptr;
+    policy_.impl_->notify(ready);
+}
+
+void pipeline_run::uncommit(std::size_t stage)
+{
+    if (stage >= committed_.size() || !committed_[stage])
+        return;
+    committed_[stage] = false;
+    ready_runs  ready;
+    const auto& pool = pool_of(stage);
+    {
+        std::lock_guard lock(pool.state->mutex);
+        pool.state->admission.uncommit(ready);
+    }
+    policy_.impl_->notify(ready);
+}
+
+void pipeline_run::leave_target()
+{
+    ready_runs ready;
+    if (route_ || entered_) {
+        const auto&     pool = pool_of(stage_);
+        std::lock_guard lock(pool.state->mutex);
+        if (route_)
+            router::release(*route_);
+        if (entered_)
+            pool.state->admission.leave(ready);
+    }
     route_.reset();
+    entered_ = false;
+    policy_.impl_->notify(ready);
+}
+
+void pipeline_run::release_all()
+{
+    leave_target();
+    stop_waiting();
+    for (std::size_t n = 0; n < committed_.size(); ++n)
+        uncommit(n);
+}
+
+microseconds pipeline_run::needed(std::size_t from, std::size_t to) const
+{
+    const auto&  times = view_->times[info_.pipeline.idx];
+    microseconds sum{0};
+    for (auto n = from; n < to; ++n)
+        sum += times[n]->median();
+    return sum;
+}
+
+microseconds pipeline_run::needed(std::size_t from) const
+{
+    return needed(from, pipeline().stages.size());
+}
+
+microseconds pipeline_run::needed_high() const
+{
+    // The stages' deviations are independent, so their squares add up.
+    double square = 0;
+    for (const auto& it : view_->times[info_.pipeline.idx]) {
+        const auto over =
+            static_cast<double>((it->high() - it->median()).count());
+        square += over * over;
+    }
+    return needed(0) +
+           microseconds{static_cast<std::int64_t>(std::sqrt(square))};
+}
+
+milliseconds pipeline_run::attempt_timeout(time_point now) const
+{
+    auto left = info_.deadline - now;
+    if (adaptive()) {
+        left -= needed(stage_ + 1);
+        const auto& stage = pipeline().stages[stage_];
+        // Streams are watched by their chunks instead.
+        if (stage.idempotent && stage.kind != stage_kind::generate)
+            left = std::min<microseconds>(
+                left, view_->times[info_.pipeline.idx][stage_]->high() *
+                              lost_call_factor +
+                          lost_call_margin);
+    }
+    return std::max(milliseconds{1},
+                    std::chrono::duration_cast<milliseconds>(left));
+}
+
+double pipeline_run::learn_cost(const attempt_result& result)
+{
+    const auto& stage = pipeline().stages[stage_];
+    if (stage.kind != stage_kind::generate)
+        return stage.cost;
+    const auto cost = stage.cost * result.tokens / 1000;
+    auto&      mean = view_->costs[info_.pipeline.idx][stage_];
+    mean            = mean + (cost - mean) * cost_weight;
+    return cost;
+}
+
+void pipeline_run::learn(const attempt_result& result, time_point now)
+{
+    const auto& stage   = pipeline().stages[stage_];
+    const auto  elapsed = now - attempt_start_;
+    auto&       times   = *view_->times[info_.pipeline.idx][stage_];
+    const bool  done    = result.status == attempt_status::done;
+    const bool  late    = result.status == attempt_status::timeout;
+    ready_runs  ready;
+    {
+        const auto&     pool  = pool_of(stage_);
+        auto&           state = *pool.state;
+        std::lock_guard lock(state.mutex);
+        state.routes.on_result(pool.targets, *route_, result.status, now);
+        if (done)
+            state.retries.on_success();
+        policy_.impl_->update_share(
+            pool, config_->pools[stage.pool.idx].slots_per_target, now);
+        if (done || late || result.status == attempt_status::not_run) {
+            auto signal = load_signal::free;
+            if (!done)
+                signal = load_signal::refused;
+            else if (router::full(pool.targets, now) ||
+                     elapsed > times.high() * 2)
+                signal = load_signal::queued;
+            state.admission.on_result(signal, elapsed, now, ready);
+            if (done)
+                state.mean_cost += (learn_cost(result) - state.mean_cost) *
+                                   (state.mean_cost > 0 ? cost_weight : 1);
+            state.shares.set_rate(state.admission.rate() * state.mean_cost);
+        }
+    }
+    policy_.impl_->notify(ready);
+    // A time-out is a lower bound of the time; without it a stage that became
+    // slow would be cut off for ever.
+    if ((done || late) && offset_ == 0)
+        times.add(elapsed);
 }
 
 run_actions pipeline_run::on_attempt(const attempt_result& result,
@@ -126,33 +421,29 @@
 {
     if (finished_ || !route_ || result.attempt != attempt_)
         return {};
-    {
-        const auto&     pool = view_->pools[pipeline().stages[stage_].pool.idx];
-        std::lock_guard lock(pool.state->mutex);
-        pool.state->routes.on_result(pool.targets, *route_, result.status, now);
-        if (result.status == attempt_status::done)
-            pool.state->retries.on_success();
-    }
+    learn(result, now);
     const auto used = route_;
     leave_target();
     if (result.status != attempt_status::done) {
         failed_ = used;
         return retry(result, now);
     }
+    uncommit(stage_);
     ++stage_;
     offset_ = 0;
     failed_.reset();
     return step(now);
 }
 
-bool pipeline_run::take_retry()
+bool pipeline_run::take_retry(attempt_status status)
 {
     if (retries_ >= pipeline().retries)
         return false;
     ++retries_;
-    if (policy_.impl_->init.strategy != policy_strategy::adaptive)
+    // An attempt that did not reach its target added no load to the pool.
+    if (!adaptive() || status == attempt_status::connect_failed)
         return true;
-    const auto&     pool = view_->pools[pipeline().stages[stage_].pool.idx];
+    const auto&     pool = pool_of(stage_);
     std::lock_guard lock(pool.state->mutex);
     return pool.state->retries.take();
 }
@@ -172,7 +463,7 @@
     }
     if (now >= info_.deadline)
         return give_up(refusal_reason::deadline_exceeded, {});
-    if (!take_retry())
+    if (!take_retry(result.status))
         return result.status == attempt_status::failed && !sent_ && !claimed_
                    ? end(execution::failed, refusal_reason::retry_exhausted,
                          retry_later)
@@ -188,7 +479,20 @@
 
 run_actions pipeline_run::on_wake(time_point now)
 {
-    return finished_ || claiming_ || route_ ? run_actions{} : step(now);
+    if (finished_ || !waits_at_)
+        return {};
+    bool granted = false;
+    {
+        std::lock_guard lock(waits_at_->state->mutex);
+        granted = waiter_->granted;
+    }
+    if (granted)
+        return step(now);
+    if (now < latest_)
+        return {wait_until{latest_}};
+    return give_up(waiter_->over ? refusal_reason::account_over_share
+                                 : refusal_reason::overloaded,
+                   retry_later);
 }
 
 run_actions pipeline_run::on_client_gone(time_point)
@@ -198,7 +502,6 @@
     run_actions actions;
     if (route_)
         actions.push_back(cancel_attempt{attempt_});
-    leave_target();
     auto rest = give_up(refusal_reason::client_gone, {});
     actions.insert(actions.end(), rest.begin(), rest.end());
     return actions;
@@ -215,6 +518,7 @@
                               milliseconds retry_after)
 {
     finished_ = true;
+    release_all();
     if (reason != refusal_reason::none)
         policy_.impl_->counters->add(reason);
     run_actions actions;
