Gossip heartbeats of all members in three bytes each

Cause: whole entries in samples of 24 do not refresh 360 members within the suspicion time. Change: each gossip message carries the low bytes of incarnation and heartbeat of all members; whole entries are sent for changes, and all of them to a new process. Peers come from a window of 16, so that links stay few. Suspicion after 10 s instead of 5 s. Two bytes of heartbeat are needed: with one, messages queued before a pause of minutes would pass for newer.

--- a/include/arbutusgate/config.hpp
+++ b/include/arbutusgate/config.hpp
@@ -31,10 +31,15 @@
 // Membership and gossip.
 inline constexpr auto        gossip_interval = 1s;
 inline constexpr std::size_t gossip_fanout   = 2;
-inline constexpr std::size_t gossip_entries  = 24;
-inline constexpr auto        member_suspect  = 5s;
-inline constexpr auto        member_dead     = 15s;
-inline constexpr auto        pause_threshold = 2s;
+/// Peers are taken from a window that moves slowly, since each link costs
+/// memory and a handshake.
+inline constexpr std::size_t gossip_window      = 16;
+inline constexpr std::size_t gossip_window_step = 2; // per pass
+inline constexpr std::size_t gossip_entries     = 8;
+/// At 360 daemons a heartbeat reaches nearly all of them within 10 s.
+inline constexpr auto member_suspect  = 10s;
+inline constexpr auto member_dead     = 20s;
+inline constexpr auto pause_threshold = 2s;
 /// Calls that waited in socket buffers during a pause are refused for this
 /// time after it; their age is unknown.
 inline constexpr auto        pause_hold   = 1s;
--- a/src/bench_node.cpp
+++ b/src/bench_node.cpp
@@ -119,13 +119,15 @@
 
 // Longer than the settling of a fleet whose memory is new.
 constexpr milliseconds settle_time = seconds{20};
+// After a start of all daemons at once each has to learn all incarnations.
+constexpr milliseconds member_time = seconds{90};
 
 /// One second of a quiet fleet, for each daemon.
 void gossip_second(benchmark::State& state)
 {
     fleet it(state.range(0));
     it.publish(1, "base");
-    it.run(settle_time);
+    it.run(member_time);
     const auto messages = it.messages();
     const auto bytes    = it.bytes();
     double     rounds   = 0;
@@ -133,6 +135,11 @@
         it.run(seconds{1});
         rounds += static_cast<double>(it.size());
     }
+    double alive = 0;
+    for (std::size_t n = 0; n < it.size(); ++n)
+        alive += it.node(n).alive_count(it.now());
+    const auto daemons           = static_cast<double>(it.size());
+    state.counters["alive_seen"] = alive / daemons / daemons;
     state.counters["node_bytes_per_s"] =
         static_cast<double>(it.bytes() - bytes) / rounds;
     state.counters["node_messages_per_s"] =
--- a/src/member_table.cpp
+++ b/src/member_table.cpp
@@ -9,6 +9,12 @@
 namespace {
 
 constexpr std::uint64_t reader_purpose = 0x72656164;
+// Changed entries go first until the whole fleet has heard of them.
+constexpr auto        change_spread   = seconds{15};
+constexpr std::size_t heartbeat_bytes = 3; // for each slot
+// What is further ahead, modulo 2^16, is an older heartbeat. One byte would
+// not do: messages that a paused process had queued are minutes old.
+constexpr std::uint16_t newest_ahead = 32767;
 
 } // namespace
 
@@ -34,7 +40,9 @@
     auto& it       = members_[context_.init.self.idx];
     it.incarnation = context_.incarnation;
     it.increased   = t;
-    it.leaving     = leaving_;
+    if (it.heartbeat == 0 || it.leaving != leaving_)
+        it.changed = t;
+    it.leaving = leaving_;
     ++it.heartbeat;
 }
 
@@ -50,43 +58,109 @@
     if (entry.incarnation() == it.incarnation &&
         entry.heartbeat() <= it.heartbeat)
         return;
-    it = {entry.incarnation(), entry.heartbeat(), t,
-          entry.state() == pb::MEMBER_LEAVING};
+    const bool leaving = entry.state() == pb::MEMBER_LEAVING;
+    const bool same =
+        entry.incarnation() == it.incarnation && leaving == it.leaving;
+    it = {entry.incarnation(), entry.heartbeat(), t, same ? it.changed : t,
+          leaving};
 }
 
-void member_table::sample(
-    google::protobuf::RepeatedPtrField<pb::MemberEntry>& out, time_point t)
+void member_table::add_entry(slot_id slot, pb::Gossip& out) const
 {
-    const auto add = [&](slot_id slot) {
-        // A newer process may be known that sent no heartbeat yet.
-        const auto& it     = members_[slot.idx];
-        const auto  newest = context_.newest.newest(slot);
-        auto&       entry  = *out.Add();
-        entry.set_slot(slot.idx);
-        entry.set_incarnation(newest);
-        entry.set_heartbeat(newest == it.incarnation ? it.heartbeat : 0);
-        entry.set_state(it.leaving ? pb::MEMBER_LEAVING : pb::MEMBER_ALIVE);
+    // A newer process may be known that sent no heartbeat yet.
+    const auto& it     = members_[slot.idx];
+    const auto  newest = context_.newest.newest(slot);
+    auto&       entry  = *out.add_members();
+    entry.set_slot(slot.idx);
+    entry.set_incarnation(newest);
+    entry.set_heartbeat(newest == it.incarnation ? it.heartbeat : 0);
+    entry.set_state(it.leaving ? pb::MEMBER_LEAVING : pb::MEMBER_ALIVE);
+}
+
+void member_table::send(pb::Gossip& out, std::size_t entries, time_point t)
+{
+    send_heartbeats(*out.mutable_heartbeats(), t);
+    add_entry(context_.init.self, out);
+    const auto full = [&] {
+        return static_cast<std::size_t>(out.members_size()) >= entries;
     };
-    add(context_.init.self);
-    for (std::size_t n = 0; n < order_.size(); ++n) {
-        if (static_cast<std::size_t>(out.size()) == limits::gossip_entries)
-            return;
+    const auto recent = [&](slot_id slot) {
+        const auto& it = members_[slot.idx];
+        return it.incarnation != 0 && t - it.changed < change_spread;
+    };
+    for (std::size_t n = 0; n < order_.size() && !full(); ++n) {
+        const auto slot = order_[(next_sample_ + n) % order_.size()];
+        if (recent(slot))
+            add_entry(slot, out);
+    }
+    for (std::size_t n = 0; n < order_.size() && !full(); ++n) {
         const auto slot = order_[next_sample_];
         next_sample_    = (next_sample_ + 1) % order_.size();
         const auto now  = state(slot, t);
         if (now != member_view::state::unknown &&
-            now != member_view::state::dead)
-            add(slot);
+            now != member_view::state::dead && !recent(slot))
+            add_entry(slot, out);
+    }
+}
+
+void member_table::receive(const pb::Gossip& gossip, time_point t)
+{
+    for (const auto& it : gossip.members())
+        note(it, t);
+    receive_heartbeats(gossip.heartbeats(), t);
+}
+
+void member_table::send_heartbeats(std::string& out, time_point t) const
+{
+    out.assign(members_.size() * heartbeat_bytes, '\0');
+    for (std::uint32_t n = 0; n < members_.size(); ++n) {
+        const auto now = state(slot_id{n}, t);
+        // A dead member's old counter would pass for a new one after it
+        // wrapped.
+        if (now == member_view::state::unknown ||
+            now == member_view::state::dead)
+            continue;
+        auto* const bytes = &out[n * heartbeat_bytes];
+        bytes[0]          = static_cast<char>(members_[n].incarnation);
+        bytes[1]          = static_cast<char>(members_[n].heartbeat);
+        bytes[2]          = static_cast<char>(members_[n].heartbeat >> 8U);
+    }
+}
+
+void member_table::receive_heartbeats(std::string_view bytes, time_point t)
+{
+    const auto at = [&](std::size_t n) {
+        return static_cast<std::uint8_t>(bytes[n]);
+    };
+    const auto count =
+        std::min(members_.size(), bytes.size() / heartbeat_bytes);
+    for (std::uint32_t n = 0; n < count; ++n) {
+        auto&      it   = members_[n];
+        const auto from = n * heartbeat_bytes;
+        const auto low =
+            static_cast<std::uint16_t>(at(from + 1) | (at(from + 2) << 8U));
+        const auto ahead = static_cast<std::uint16_t>(
+            low - static_cast<std::uint16_t>(it.heartbeat));
+        const bool absent = at(from) == 0 && low == 0;
+        if (self(slot_id{n}) || absent || it.incarnation == 0 || ahead == 0 ||
+            ahead > newest_ahead ||
+            at(from) != static_cast<std::uint8_t>(it.incarnation))
+            continue;
+        it.heartbeat += ahead;
+        it.increased = t;
     }
 }
 
 std::vector<slot_id> member_table::next_peers(std::size_t count)
 {
+    const auto window = std::min(limits::gossip_window, order_.size());
     std::vector<slot_id> peers;
-    for (std::size_t n = 0; n < std::min(count, order_.size()); ++n) {
-        peers.push_back(order_[next_peer_]);
-        if (++next_peer_ == order_.size())
-            next_peer_ = 0;
+    for (std::size_t n = 0; n < std::min(count, window); ++n) {
+        peers.push_back(order_[(window_ + next_peer_) % order_.size()]);
+        if (++next_peer_ < window)
+            continue;
+        next_peer_ = 0;
+        window_    = (window_ + limits::gossip_window_step) % order_.size();
     }
     return peers;
 }
--- a/src/member_table.hpp
+++ b/src/member_table.hpp
@@ -3,6 +3,8 @@
 
 #include "node_context.hpp"
 
+#include <string>
+#include <string_view>
 #include <vector>
 
 namespace arbutusgate {
@@ -17,10 +19,13 @@
     void beat(time_point t);
     void set_leaving() { leaving_ = true; }
     void note(const pb::MemberEntry& entry, time_point t);
-    /// Up to limits::gossip_entries members, other ones in each call.
-    void sample(google::protobuf::RepeatedPtrField<pb::MemberEntry>& out,
-                time_point                                           t);
-    /// Peers for a gossip round: every slot in turn, in random order.
+    /// Heartbeats of all members, and up to so many whole entries: the own
+    /// one, then those that changed lately, then others in turn.
+    void send(pb::Gossip& out, std::size_t entries, time_point t);
+    /// Takes over what a peer sent.
+    void receive(const pb::Gossip& gossip, time_point t);
+    /// Peers for a gossip round: in turn from a window that moves over all
+    /// slots in random order.
     std::vector<slot_id> next_peers(std::size_t count);
 
     member_view::state       state(slot_id slot, time_point t) const;
@@ -36,16 +41,21 @@
         std::uint64_t incarnation = 0;
         std::uint64_t heartbeat   = 0;
         time_point    increased;
+        time_point    changed; ///< Incarnation or leaving.
         bool          leaving = false;
     };
 
     bool self(slot_id slot) const { return slot == context_.init.self; }
+    void send_heartbeats(std::string& out, time_point t) const;
+    void receive_heartbeats(std::string_view bytes, time_point t);
+    void add_entry(slot_id slot, pb::Gossip& out) const;
 
     node_context&        context_;
     std::vector<member>  members_;
     std::vector<slot_id> order_; ///< Of the others.
     std::vector<slot_id> by_weight_;
-    std::size_t          next_peer_   = 0;
+    std::size_t          window_      = 0; ///< Its start in order_.
+    std::size_t          next_peer_   = 0; ///< In the window.
     std::size_t          next_sample_ = 0;
     bool                 leaving_     = false;
 };
--- a/src/node_core.cpp
+++ b/src/node_core.cpp
@@ -108,9 +108,9 @@
                (paused->heard && !config.behind(paused->version));
     }
 
-    void fill_gossip(pb::Gossip& gossip, time_point t)
+    void fill_gossip(pb::Gossip& gossip, std::size_t entries, time_point t)
     {
-        members.sample(*gossip.mutable_members(), t);
+        members.send(gossip, entries, t);
         config.digest(*gossip.mutable_config());
         leaving.send(*gossip.mutable_leaving(), t);
     }
@@ -118,7 +118,7 @@
     void send_gossip(slot_id to, std::uint64_t nonce, time_point t)
     {
         auto& gossip = *context.out.add(to).mutable_gossip();
-        fill_gossip(gossip, t);
+        fill_gossip(gossip, limits::gossip_entries, t);
         gossip.set_nonce(nonce);
         gossip.set_reply_wanted(nonce != 0);
     }
@@ -162,10 +162,9 @@
 
     void on_gossip(slot_id from, const pb::Gossip& gossip, time_point t)
     {
-        for (const auto& it : gossip.members()) {
+        for (const auto& it : gossip.members())
             note_rival(it, t);
-            members.note(it, t);
-        }
+        members.receive(gossip, t);
         config.on_digest(from, gossip.config(), gossip.echo() == hello_nonce,
                          t);
         // A peer without a version cannot confirm one.
@@ -186,7 +185,8 @@
             spread(t);
         if (gossip.reply_wanted()) {
             auto& reply = *context.out.add(from).mutable_gossip();
-            fill_gossip(reply, t);
+            // A new process learns all members from the first answers.
+            fill_gossip(reply, context.slot_count(), t);
             reply.set_echo(gossip.nonce());
         }
     }
