Bound values and errors of a document

Change: a document has at most 100,000 nodes, and a check lists at most 10,000 errors and says so. The settings parser is fuzzed too.

--- a/src/config_reader.cpp
+++ b/src/config_reader.cpp
@@ -76,8 +76,7 @@
 
 void config_reader::error(const source_position& at, std::string message)
 {
-    issues_.push_back(
-        {std::string(at.document), at.line, at.column, std::move(message)});
+    add_issue(issues_, at, std::move(message));
 }
 
 void config_reader::error(const located_node& at, std::string_view message)
--- a/src/config_tree.cpp
+++ b/src/config_tree.cpp
@@ -16,6 +16,11 @@
 
 namespace {
 
+constexpr std::size_t most_issues = 10'000;
+// The design scale (section 1.5) needs about 30,000 nodes. The command line
+// took 48 MB at its peak to refuse a document with more than this many.
+constexpr std::size_t most_nodes = 100'000;
+
 source_position to_position(std::string_view document, const YAML::Mark& mark)
 {
     if (mark.is_null())
@@ -24,11 +29,6 @@
             static_cast<std::uint32_t>(mark.column) + 1};
 }
 
-config_issue make_issue(const source_position& at, std::string message)
-{
-    return {std::string(at.document), at.line, at.column, std::move(message)};
-}
-
 /// Builds the tree from the parser's events.
 class tree_builder : public YAML::EventHandler
 {
@@ -91,7 +91,7 @@
 
     void report(const source_position& at, std::string message)
     {
-        out_.issues.push_back(make_issue(at, std::move(message)));
+        add_issue(out_.issues, at, std::move(message));
     }
 
     // Aliases would give one value two origins, and nested ones can expand
@@ -134,6 +134,12 @@
 
     void attach(config_node it)
     {
+        if (++nodes_ > most_nodes && !stack_.empty()) {
+            if (nodes_ == most_nodes + 1)
+                report(it.position,
+                       concat("more than ", most_nodes, " values"));
+            return;
+        }
         if (stack_.empty()) {
             it.key_position = it.position;
             out_.root       = std::move(it);
@@ -181,10 +187,23 @@
     std::string_view   document_;
     parsed_document&   out_;
     std::vector<frame> stack_;
+    std::size_t        nodes_ = 0;
 };
 
 } // namespace
 
+void add_issue(std::vector<config_issue>& issues, const source_position& at,
+               std::string message)
+{
+    if (issues.size() > most_issues)
+        return;
+    if (issues.size() == most_issues)
+        message = concat("more than ", most_issues,
+                         " errors; the others are left out");
+    issues.push_back(
+        {std::string(at.document), at.line, at.column, std::move(message)});
+}
+
 const config_node* config_node::find(std::string_view name) const
 {
     if (kind != node_kind::mapping)
@@ -200,11 +219,10 @@
     parsed_document out;
     out.root.position = out.root.key_position = {name, 1, 1};
     if (text.size() > limits::config_value_size) {
-        out.issues.push_back(make_issue(
-            {name, 1, 1},
-            concat("document has ", text.size(),
-                   " bytes; the configuration service holds at most ",
-                   limits::config_value_size)));
+        add_issue(out.issues, {name, 1, 1},
+                  concat("document has ", text.size(),
+                         " bytes; the configuration service holds at most ",
+                         limits::config_value_size));
         return out;
     }
     // yaml-cpp reports errors by exceptions only.
@@ -216,11 +234,11 @@
         tree_builder       ignored(name, rest);
         if (parser.HandleNextDocument(builder) &&
             parser.HandleNextDocument(ignored))
-            out.issues.push_back(make_issue(
-                rest.root.position, "only one YAML document is allowed"));
+            add_issue(out.issues, rest.root.position,
+                      "only one YAML document is allowed");
     }
     catch (const YAML::Exception& e) {
-        out.issues.push_back(make_issue(to_position(name, e.mark), e.msg));
+        add_issue(out.issues, to_position(name, e.mark), e.msg);
     }
     return out;
 }
--- a/src/config_tree.hpp
+++ b/src/config_tree.hpp
@@ -43,6 +43,11 @@
     const config_node* find(std::string_view name) const;
 };
 
+/// Adds an issue. After many, one more says that the others are left out, so
+/// that a broken document of 1 MB cannot exhaust a daemon's memory.
+void add_issue(std::vector<config_issue>& issues, const source_position& at,
+               std::string message);
+
 /// Outcome of parse_document. With issues the tree may be incomplete.
 struct parsed_document
 {
@@ -51,7 +56,8 @@
 };
 
 /// Parses one document of at most limits::config_value_size bytes. Reports
-/// syntax errors, duplicate keys, anchors, aliases and further documents.
+/// syntax errors, duplicate keys, anchors, aliases, further documents and more
+/// values than any deployment needs.
 /// \param name outlives the tree.
 parsed_document parse_document(std::string_view name, const std::string& text);
 
--- a/tests/config_fuzz_test.cpp
+++ b/tests/config_fuzz_test.cpp
@@ -117,3 +117,42 @@
         CHECK(out.issues[0].line >= 1);
     }
 }
+
+// Guards against documents within the size limit that exhaust the memory of a
+// daemon by their values or errors.
+TEST_CASE("the number of values and errors is bounded")
+{
+    const auto check = [](const std::string& start, const std::string& part) {
+        std::string text = start;
+        while (text.size() + part.size() < limits::config_value_size)
+            text += part;
+        return check_config({{"base", text}, {"site/x", ""}}, "x", 1).issues;
+    };
+    const auto values = check("", "- a\n");
+    REQUIRE(values.size() == 1);
+    CHECK(values[0].message == "more than 100000 values");
+    const auto errors = check("", "a: 1\n");
+    CHECK(errors.size() == 10'001);
+    CHECK(errors.back().message ==
+          "more than 10000 errors; the others are left out");
+}
+
+// Guards against settings errors without a place, and against crashes.
+TEST_CASE("edited settings are checked without a crash")
+{
+    const std::string key(40, 'k');
+    const std::string valid =
+        "slot: a1\nsite: x\nfailure_domain: a\nlisten: 127.0.0.1:1\n"
+        "admin: 127.0.0.1:2\npeer: 127.0.0.1:3\nplatform: 127.0.0.1:4\n"
+        "keys:\n  public_key: " +
+        key + "\n  secret_key: " + key + "\n  allowed: [ " + key +
+        " ]\npeers:\n  a2: 127.0.0.1:5\n";
+    REQUIRE(parse_settings(valid, "n").ok());
+    CHECK(holds([&] {
+        auto text = valid;
+        edit_some(text);
+        const auto out = parse_settings(text, "n");
+        if (!out.ok())
+            RC_ASSERT(out.status().message().substr(0, 2) == "n:");
+    }));
+}
