--- a/include/arbutusgate/policy.hpp
+++ b/include/arbutusgate/policy.hpp
@@ -71,7 +71,9 @@
     /// \copydoc on_load_report
     void on_load_report(std::string_view target, const load_report& report,
                         time_point now);
-    /// A leaving target gets no new work.
+    /// A leaving target gets no new work, until a report of at least
+    /// limits::leaving_bound later says that it serves, or for
+    /// limits::leaving_kept.
     void set_leaving(target_id target, bool leaving);
     /// \copydoc set_leaving
     void set_leaving(std::string_view target, bool leaving);
--- a/src/pipeline_run.cpp
+++ b/src/pipeline_run.cpp
@@ -229,11 +229,11 @@
 void pipeline_run::charge()
 {
     const auto* account = account_of();
-    const auto& costs   = view_->costs[info_.pipeline.idx];
+    const auto& costs   = view_->stages[info_.pipeline.idx];
     for (std::size_t n = 0; account && n < costs.size(); ++n) {
         const auto&     pool = pool_of(n);
         std::lock_guard lock(pool.state->mutex);
-        pool.state->shares.charge(account->name, costs[n]);
+        pool.state->shares.charge(account->name, costs[n]->cost);
     }
 }
 
@@ -325,10 +325,10 @@
 
 microseconds pipeline_run::needed(std::size_t from, std::size_t to) const
 {
-    const auto&  times = view_->times[info_.pipeline.idx];
+    const auto&  times = view_->stages[info_.pipeline.idx];
     microseconds sum{0};
     for (auto n = from; n < to; ++n)
-        sum += times[n]->median();
+        sum += times[n]->time.median();
     return sum;
 }
 
@@ -341,9 +341,9 @@
 {
     // The stages' deviations are independent, so their squares add up.
     double square = 0;
-    for (const auto& it : view_->times[info_.pipeline.idx]) {
+    for (const auto& it : view_->stages[info_.pipeline.idx]) {
         const auto over =
-            static_cast<double>((it->high() - it->median()).count());
+            static_cast<double>((it->time.high() - it->time.median()).count());
         square += over * over;
     }
     return needed(0) +
@@ -359,7 +359,7 @@
         // Streams are watched by their chunks instead.
         if (stage.idempotent && stage.kind != stage_kind::generate)
             left = std::min<microseconds>(
-                left, view_->times[info_.pipeline.idx][stage_]->high() *
+                left, view_->stages[info_.pipeline.idx][stage_]->time.high() *
                               lost_call_factor +
                           lost_call_margin);
     }
@@ -373,7 +373,7 @@
     if (stage.kind != stage_kind::generate)
         return stage.cost;
     const auto cost = stage.cost * result.tokens / 1000;
-    auto&      mean = view_->costs[info_.pipeline.idx][stage_];
+    auto&      mean = view_->stages[info_.pipeline.idx][stage_]->cost;
     mean            = mean + (cost - mean) * cost_weight;
     return cost;
 }
@@ -382,7 +382,7 @@
 {
     const auto& stage   = pipeline().stages[stage_];
     const auto  elapsed = now - attempt_start_;
-    auto&       times   = *view_->times[info_.pipeline.idx][stage_];
+    auto&       times   = view_->stages[info_.pipeline.idx][stage_]->time;
     const bool  done    = result.status == attempt_status::done;
     const bool  late    = result.status == attempt_status::timeout;
     ready_runs  ready;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -46,7 +46,9 @@
                 state->name = target.name;
                 known       = state;
             }
-            state->domain = target.failure_domain;
+            state->domain              = target.failure_domain;
+            next->targets[state->name] = {next->pools.size(),
+                                          entry.targets.size()};
             entry.targets.push_back(std::move(state));
         }
         update_share(entry, pool.slots_per_target, time_point{});
@@ -55,15 +57,13 @@
         next->pools.push_back(std::move(entry));
     }
     for (const auto& pipeline : config->pipelines) {
-        auto& stages = next->times.emplace_back();
-        auto& costs  = next->costs.emplace_back(pipeline.stages.size());
-        for (std::size_t n = 0; n < pipeline.stages.size(); ++n)
-            costs[n] = expected_cost(pipeline.stages[n]);
+        auto& learned = next->stages.emplace_back();
         for (const auto& stage : pipeline.stages) {
-            auto& it = times[pipeline.name + "/" + stage.name];
+            auto& it = stages[pipeline.name + "/" + stage.name];
             if (!it)
-                it = std::make_shared<stage_quantiles>(stage.expected);
-            stages.push_back(it);
+                it = std::make_shared<learned_stage>(stage.expected,
+                                                     expected_cost(stage));
+            learned.push_back(it);
         }
     }
     next->probes =
@@ -97,17 +97,13 @@
 template <class Run>
 void policy::impl::with_target(std::string_view name, Run run)
 {
-    const auto now = current_view();
-    for (const auto& pool : now->pools) {
-        for (const auto& target : pool.targets) {
-            // A target's name never changes, so it is read without the lock.
-            if (target->name != name)
-                continue;
-            std::lock_guard lock(pool.state->mutex);
-            run(*pool.state, *target);
-            return;
-        }
-    }
+    const auto now   = current_view();
+    const auto found = now->targets.find(name);
+    if (found == now->targets.end())
+        return;
+    const auto&     pool = now->pools[found->second.first];
+    std::lock_guard lock(pool.state->mutex);
+    run(*pool.state, *pool.targets[found->second.second]);
 }
 
 policy::policy(std::shared_ptr<const deployment> config,
--- a/src/policy_impl.hpp
+++ b/src/policy_impl.hpp
@@ -13,10 +13,25 @@
 #include <map>
 #include <mutex>
 #include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace arbutusgate {
 
+/// What was learned of one stage. Kept by name over deployments.
+struct learned_stage
+{
+    learned_stage(microseconds expected, double cost)
+        : time(expected), cost(cost)
+    {
+    }
+
+    stage_quantiles     time;
+    std::atomic<double> cost; ///< Mean of a call.
+};
+
 /// Learned state of one pool, with its lock. Kept by name over deployments.
 struct pool_state
 {
@@ -47,10 +62,11 @@
 {
     std::shared_ptr<const deployment> config;
     std::vector<pool_view>            pools; ///< As deployment::pools.
-    /// Times of the stages of each pipeline.
-    std::vector<std::vector<std::shared_ptr<stage_quantiles>>> times;
-    /// Mean cost of a call of each stage, with the tokens learned.
-    mutable std::vector<std::vector<std::atomic<double>>> costs;
+    /// Learned state of the stages of each pipeline.
+    std::vector<std::vector<std::shared_ptr<learned_stage>>> stages;
+    /// Pool and position in it of each target.
+    std::unordered_map<std::string_view, std::pair<std::size_t, std::size_t>>
+        targets;
     /// Last probe of each pipeline, in microseconds of time_point.
     mutable std::vector<std::atomic<std::int64_t>> probes;
 };
@@ -72,12 +88,12 @@
     template <class Run>
     void with_target(std::string_view name, Run run);
 
-    mutable std::mutex                 mutex; ///< Guards view and times.
+    mutable std::mutex                 mutex; ///< Guards view and stages.
     std::shared_ptr<const policy_view> view;
     /// By "PIPELINE/STAGE".
-    std::map<std::string, std::shared_ptr<stage_quantiles>> times;
-    policy_init                                             init;
-    std::atomic<std::uint32_t>                              daemons{1};
+    std::map<std::string, std::shared_ptr<learned_stage>> stages;
+    policy_init                                           init;
+    std::atomic<std::uint32_t>                            daemons{1};
     std::atomic<std::uint64_t> arrivals{0}; ///< Numbers the waiters.
     reason_counters*           counters = nullptr;
 };
--- a/src/policy_router.cpp
+++ b/src/policy_router.cpp
@@ -1,5 +1,7 @@
 #include "policy_router.hpp"
 
+#include "arbutusgate/config.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <xxhash.h>
@@ -29,6 +31,23 @@
 // At less than all slots taken some targets already have a queue.
 constexpr double full_share = 0.95;
 
+void mark_leaving(route_target& it, time_point now)
+{
+    if (!it.leaving || it.leaving_since == time_point{})
+        it.leaving_since = now;
+    it.leaving = true;
+}
+
+/// A mark ends after a time, since no work means no report to end it.
+bool still_leaving(route_target& it, time_point now)
+{
+    if (it.leaving)
+        mark_leaving(it, now);
+    if (it.leaving && now - it.leaving_since >= limits::leaving_kept)
+        it.leaving = false;
+    return it.leaving;
+}
+
 template <class Duration>
 microseconds backoff(Duration first, microseconds longest, std::uint32_t n)
 {
@@ -97,7 +116,7 @@
 {
     candidates_.clear();
     for (int n = 0; n < static_cast<int>(targets.size()); ++n) {
-        if (!targets[n]->leaving)
+        if (!still_leaving(*targets[n], query.now))
             candidates_.push_back(n);
     }
     if (candidates_.empty())
@@ -178,7 +197,12 @@
 void router::on_report(route_target& it, const load_report& report,
                        time_point now)
 {
-    it.leaving            = report.leaving;
+    // An answer that was under way when the target was marked may still say
+    // that it serves; a later one comes from the process that replaced it.
+    if (report.leaving || (it.leaving && it.leaving_since == time_point{}))
+        mark_leaving(it, now);
+    else if (now - report.lag - it.leaving_since > limits::leaving_bound)
+        it.leaving = false;
     it.report             = report;
     it.reported           = now - report.lag;
     it.in_flight_reported = it.in_flight;
--- a/src/policy_router.hpp
+++ b/src/policy_router.hpp
@@ -19,6 +19,8 @@
     std::string   domain;
     std::uint32_t in_flight = 0;
     bool          leaving   = false;
+    /// When the mark was first seen here; the epoch: not yet.
+    time_point leaving_since;
 
     /// Share of recent attempts that failed, as a moving average.
     double        failures = 0;
