Keep leaving targets out of service and start without the platform

Cause: a load report that was under way when a target began to leave could bring it back, and the report of a stream was applied at its end. A process that started while the configuration service was down could not join. Change: leaving_watch lets only a later question end the state; reports count when an answer begins. Settings may carry the slot list; a process joins again when its first configuration has another one.

--- a/include/arbutusgate/deployment.hpp
+++ b/include/arbutusgate/deployment.hpp
@@ -95,6 +95,8 @@
 {
     std::string name;
     std::string failure_domain;
+
+    bool operator==(const slot_config&) const = default;
 };
 
 /// Effective configuration of one site.
--- a/include/arbutusgate/settings.hpp
+++ b/include/arbutusgate/settings.hpp
@@ -1,6 +1,7 @@
 /// Settings of one daemon, read from its YAML file at start.
 #pragma once
 
+#include "arbutusgate/deployment.hpp"
 #include "arbutusgate/types.hpp"
 
 #include "absl/status/statusor.h"
@@ -38,8 +39,11 @@
     std::string               platform; ///< Configuration service, VM list.
     peer_keys                 keys;
     std::vector<peer_address> peers;
-    std::uint32_t             threads   = 2;
-    std::string               log_level = "info";
+    /// Copy of the configuration's slots, in its order, for a start while the
+    /// configuration service is down. Empty: such a start waits for it.
+    std::vector<slot_config> slots;
+    std::uint32_t            threads   = 2;
+    std::string              log_level = "info";
 };
 
 /// Checks the text of a settings file.
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -16,6 +16,9 @@
 // Time for the balancer to see that /readyz fails and to move away.
 constexpr auto drain_grace = seconds{3};
 constexpr auto drain_step  = milliseconds{20};
+// A target that serves again gets work within this time.
+constexpr auto poll_interval = milliseconds{2000};
+constexpr auto poll_step     = milliseconds{50};
 // The node core repeats a hand-off for 10 s; a voter that no peer answers
 // then ends without it, which leaves a majority of the others.
 constexpr auto hand_over_limit = seconds{15};
@@ -51,11 +54,15 @@
               [this](auto config) {
                   catalog_.set(std::move(config), daemon_now());
               },
-              [this](const std::string& it) { rules_.set_leaving(it, true); },
+              [this](const std::string& it) { leaving_.on_peer_report(it); },
               [this](std::uint32_t n) {
                   rules_.set_daemons(n);
               }},
              *control_),
+      leaving_({&rules_,
+                [this](auto it) {
+                    fleet_.note_leaving(it);
+                }}),
       admin_(*this)
 {
     make_servers();
@@ -66,6 +73,9 @@
     caller_server_->stop();
     admin_server_->stop();
     fleet_.stop();
+    stopping_ = true;
+    if (polling_)
+        poll_ended_.get_future().get();
     if (signals_) {
         control_->spawn([this] { signals_->cancel(); });
         signals_ended_.get_future().get();
@@ -75,13 +85,13 @@
 request_services daemon::make_services()
 {
     request_services it;
-    it.rules        = &rules_;
-    it.claims       = &fleet_;
-    it.counts       = &metrics_;
-    it.explain      = &explain_;
-    it.runs         = &runs_;
-    it.note_leaving = [this](std::string_view target) {
-        fleet_.note_leaving(target);
+    it.rules   = &rules_;
+    it.claims  = &fleet_;
+    it.counts  = &metrics_;
+    it.explain = &explain_;
+    it.runs    = &runs_;
+    it.on_load = [this](const std::string& target, const load_report& report) {
+        leaving_.on_report(target, report);
     };
     return it;
 }
@@ -129,6 +139,8 @@
         return status;
     if (auto status = fleet_.start(); !status.ok())
         return status;
+    polling_ = true;
+    control_->spawn([this] { poll_leaving(); });
     log(log_level::info, "started",
         {{"slot", settings_.slot},
          {"listen", settings_.listen},
@@ -175,6 +187,17 @@
     control_->spawn([this] { run_drain(); });
 }
 
+void daemon::poll_leaving()
+{
+    while (!stopping_) {
+        for (auto left = poll_interval; left.count() > 0 && !stopping_;
+             left -= poll_step)
+            fiber_sleep(control_->io(), poll_step);
+        leaving_.poll(control_->io());
+    }
+    poll_ended_.set_value();
+}
+
 void daemon::run_drain()
 {
     fiber_sleep(control_->io(), drain_grace);
--- a/src/daemon.hpp
+++ b/src/daemon.hpp
@@ -9,6 +9,7 @@
 #include "deployment_catalog.hpp"
 #include "explain_ring.hpp"
 #include "fleet_node.hpp"
+#include "leaving_watch.hpp"
 #include "metrics.hpp"
 #include "request_gate.hpp"
 #include "run_registry.hpp"
@@ -55,6 +56,7 @@
 private:
     request_services make_services();
     void             make_servers();
+    void             poll_leaving();
     void             run_drain();
     void             hand_claims_over();
     void             close_callers();
@@ -69,6 +71,7 @@
     std::vector<std::unique_ptr<io_thread>>  threads_;
     std::unique_ptr<io_thread>               control_;
     fleet_node                               fleet_;
+    leaving_watch                            leaving_;
     std::unique_ptr<caller_service>          callers_;
     admin_service                            admin_;
     std::unique_ptr<http_server>             caller_server_;
@@ -77,6 +80,9 @@
     std::promise<void>                       signals_ended_;
 
     std::atomic<bool>       draining_{false};
+    std::atomic<bool>       stopping_{false};
+    std::promise<void>      poll_ended_;
+    bool                    polling_ = false;
     std::mutex              mutex_;
     std::condition_variable changed_;
     bool                    drained_ = false;
--- a/src/fleet_node.cpp
+++ b/src/fleet_node.cpp
@@ -169,9 +169,10 @@
     const auto node = host();
     if (!node)
         return it;
-    it.joined      = true;
-    it.incarnation = incarnation_;
-    it.slots       = slots_;
+    const auto place = place_.load();
+    it.joined        = true;
+    it.incarnation   = place->incarnation;
+    it.slots         = place->slots;
     node->apply([&it](node_core& core, time_point now) {
         it.config_version = core.config_version();
         it.alive          = core.alive_count(now);
@@ -229,20 +230,17 @@
 /// Reads the slot list and starts the node core.
 bool fleet_node::join()
 {
-    const auto published = reader_.read(0, milliseconds{0});
+    const auto& settings  = init_.settings;
+    const auto  published = reader_.read(0, milliseconds{0});
     if (!published.ok()) {
         log(log_level::warning, "cannot read the slot list",
             {{"error", published.status().ToString()}});
-        return false;
+        return !settings.slots.empty() &&
+               start_host(settings.slots, limits::retry_window);
     }
     const auto config = find_slots(*published);
-    const auto self   = find_slot(config.slots, init_.settings.slot);
-    if (!self.valid()) {
-        log(log_level::error, "the own slot is not in the configuration",
-            {{"slot", init_.settings.slot}, {"version", published->version}});
+    if (!start_host(config.slots, config.retry_window))
         return false;
-    }
-    start_host(config, self);
     const auto node = host();
     node->apply([&](node_core& core, time_point now) {
         core.on_config_read(published->version, published->documents, now);
@@ -273,18 +271,25 @@
     return checked.issues.empty() ? checked.effective : deployment{};
 }
 
-void fleet_node::start_host(const deployment& config, slot_id self)
+/// \return false when the own slot is not in the list.
+bool fleet_node::start_host(const std::vector<slot_config>& slots,
+                            milliseconds                    retry_window)
 {
+    const auto self = find_slot(slots, init_.settings.slot);
+    if (!self.valid()) {
+        log(log_level::error, "the own slot is not in the slot list",
+            {{"slot", init_.settings.slot}, {"slots", slots.size()}});
+        return false;
+    }
     std::random_device device;
     std::mt19937_64    random((std::uint64_t{device()} << 32U) | device());
+    const auto         incarnation = make_incarnation(random);
     node_host_init     values;
-    incarnation_             = make_incarnation(random);
-    slots_                   = config.slots;
     values.node.self         = self;
-    values.node.incarnation  = incarnation_;
+    values.node.incarnation  = incarnation;
     values.node.seed         = random();
-    values.node.slots        = config.slots;
-    values.node.retry_window = config.retry_window;
+    values.node.slots        = slots;
+    values.node.retry_window = retry_window;
     values.link              = this;
     values.on_leaving        = init_.on_leaving;
     values.on_daemons        = init_.on_daemons;
@@ -292,18 +297,22 @@
         worker_->post(
             [this, event = std::move(event)] { apply_config(event); });
     };
+    place_.store(std::make_shared<const fleet_place>(
+        fleet_place{slots, retry_window, incarnation}));
     set_peers(init_.settings.peers);
     host_.store(std::make_shared<node_host>(std::move(values)));
     log(log_level::info, "joined the fleet",
         {{"slot", init_.settings.slot},
-         {"incarnation", incarnation_},
-         {"slots", slots_.size()}});
+         {"incarnation", incarnation},
+         {"slots", slots.size()}});
+    return true;
 }
 
 void fleet_node::set_peers(const std::vector<peer_address>& peers)
 {
+    const auto place = place_.load();
     for (const auto& it : peers) {
-        const auto slot = find_slot(slots_, it.slot);
+        const auto slot = find_slot(place->slots, it.slot);
         if (slot.valid() && it.slot != init_.settings.slot)
             mesh_->set_peer(slot, it.address);
     }
@@ -351,6 +360,8 @@
         issues = check_all_sites(event.documents);
     if (!issues.empty())
         return reject_config(event, issues);
+    if (rejoin(checked.effective, *node))
+        return;
     const auto in_force = node->apply([&](node_core& core, time_point now) {
         core.accept_config(event.version, now);
         return core.config_version();
@@ -363,6 +374,26 @@
         std::make_shared<const deployment>(std::move(checked.effective)));
 }
 
+/// The slot list that this process joined with may be older than that of its
+/// first configuration. Claims are then decided by other voters, so it joins
+/// again before it serves. \return true when it joined again; the new node
+/// core reads the configuration itself.
+bool fleet_node::rejoin(const deployment& config, node_host& node)
+{
+    const auto place = place_.load();
+    if (place->slots == config.slots &&
+        place->retry_window == config.retry_window)
+        return false;
+    const bool first = node.apply(
+        [](node_core& core, time_point) { return core.config_version() == 0; });
+    if (first)
+        return start_host(config.slots, config.retry_window);
+    log(log_level::warning,
+        "the changed slot list takes effect on the next start",
+        {{"version", config.version}});
+    return false;
+}
+
 void fleet_node::reject_config(const config_event&              event,
                                const std::vector<config_issue>& issues)
 {
--- a/src/fleet_node.hpp
+++ b/src/fleet_node.hpp
@@ -45,6 +45,14 @@
     mesh_stats               mesh;
 };
 
+/// What this process joined the fleet with.
+struct fleet_place
+{
+    std::vector<slot_config> slots;
+    milliseconds             retry_window{0};
+    std::uint64_t            incarnation = 0;
+};
+
 /// Thread-safe. The slot list comes from the configuration, so the node core
 /// starts when a first version was read; until then no claim is available.
 class fleet_node final : public claim_service, private peer_link
@@ -86,11 +94,13 @@
     bool       read_config(node_host& node);
     bool       join();
     deployment find_slots(const published_config& published);
-    void       start_host(const deployment& config, slot_id self);
+    bool       start_host(const std::vector<slot_config>& slots,
+                          milliseconds                    retry_window);
     void       set_peers(const std::vector<peer_address>& peers);
 
     // Tasks of the worker.
     void apply_config(const config_event& event);
+    bool rejoin(const deployment& config, node_host& node);
     void reject_config(const config_event&              event,
                        const std::vector<config_issue>& issues);
 
@@ -101,8 +111,8 @@
     published_config_reader reader_;
     std::uint64_t           read_version_ = 0; ///< Last seen at the service.
 
-    std::uint64_t                           incarnation_ = 0;
-    std::vector<slot_config>                slots_; ///< Set before host_.
+    std::atomic<std::shared_ptr<const fleet_place>>
+                                            place_; ///< Set before host_.
     std::atomic<std::shared_ptr<node_host>> host_;
     std::atomic<std::uint64_t>              rejected_{0};
     std::atomic<bool>                       stopping_{false};
--- /dev/null
+++ b/src/leaving_watch.cpp
@@ -0,0 +1,96 @@
+#include "leaving_watch.hpp"
+
+#include "daemon_clock.hpp"
+#include "http_client.hpp"
+#include "load_header.hpp"
+#include "log.hpp"
+
+#include <optional>
+
+namespace arbutusgate {
+
+namespace {
+
+constexpr auto poll_timeout = milliseconds{500};
+
+std::optional<load_report> read_load(boost::asio::io_context& io,
+                                     const std::string&       address)
+{
+    http_client  client(io);
+    http_request request(http::verb::get, "/load", 11);
+    request.set(http::field::host, address);
+    if (client.connect(address, poll_timeout) ||
+        client.send(request, poll_timeout))
+        return std::nullopt;
+    const auto value = client.head()["Load-Report"];
+    return parse_load_report({value.data(), value.size()});
+}
+
+} // namespace
+
+// A report that was under way when the target began to leave must not bring
+// it back; only an answer to a later question does.
+void leaving_watch::on_report(const std::string& target, load_report report)
+{
+    if (report.leaving) {
+        add(target);
+        init_.note_leaving(target);
+    }
+    report.leaving = report.leaving || contains(target);
+    init_.rules->on_load_report(target, report, daemon_now());
+}
+
+void leaving_watch::on_peer_report(const std::string& target)
+{
+    add(target);
+    init_.rules->set_leaving(target, true);
+}
+
+void leaving_watch::poll(boost::asio::io_context& io)
+{
+    const auto names  = leaving();
+    const auto config = init_.rules->current();
+    for (const auto& it : config->targets) {
+        if (!names.contains(it.name))
+            continue;
+        if (const auto report = read_load(io, it.address))
+            on_poll(it.name, *report);
+    }
+}
+
+void leaving_watch::on_poll(const std::string& target,
+                            const load_report& report)
+{
+    if (report.leaving)
+        return;
+    {
+        std::lock_guard lock(mutex_);
+        leaving_.erase(target);
+    }
+    log(log_level::info, "target serves again", {{"target", target}});
+    init_.rules->on_load_report(target, report, daemon_now());
+}
+
+std::set<std::string> leaving_watch::leaving() const
+{
+    std::lock_guard lock(mutex_);
+    return leaving_;
+}
+
+bool leaving_watch::contains(const std::string& target) const
+{
+    std::lock_guard lock(mutex_);
+    return leaving_.contains(target);
+}
+
+void leaving_watch::add(const std::string& target)
+{
+    {
+        std::lock_guard lock(mutex_);
+        if (!leaving_.insert(target).second)
+            return;
+    }
+    log(log_level::info, "target is leaving", {{"target", target}});
+}
+
+} // namespace arbutusgate
--- a/src/request_executor.cpp
+++ b/src/request_executor.cpp
@@ -152,6 +152,9 @@
             return use_claim();
         };
     }
+    work.on_load = [this, &target = work.target->name](const load_report& it) {
+        services_.on_load(target, it);
+    };
     work.on_text = [this](std::string_view text) {
         on_stream_text(text);
     };
@@ -209,11 +212,6 @@
     trace_.attempts.push_back(
         {action.attempt, stage.name, target, started - request_.arrival,
          now - request_.arrival, std::string(name), result.detail});
-    if (!result.load)
-        return;
-    services_.rules->on_load_report(target, *result.load, now);
-    if (result.load->leaving && services_.note_leaving)
-        services_.note_leaving(target);
 }
 
 void request_executor::on(const obtain_claim&)
--- a/src/request_executor.hpp
+++ b/src/request_executor.hpp
@@ -31,8 +31,8 @@
     metrics*       counts  = nullptr;
     explain_ring*  explain = nullptr;
     run_registry*  runs    = nullptr;
-    /// Tells the peers of a target that reported that it is leaving.
-    std::function<void(std::string_view target)> note_leaving;
+    /// A target reported its load.
+    std::function<void(const std::string& target, const load_report&)> on_load;
 };
 
 /// One admitted request of a caller.
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -50,6 +50,8 @@
         section("keys", &it::keys, keys_schema()),
         scalars_by_name("peers", &it::peers, &peer_address::slot,
                         &peer_address::address, address_value{}, {0, 4096}),
+        scalars_by_name("slots", &it::slots, &slot_config::name,
+                        &slot_config::failure_domain, name_value{}, {0, 4096}),
         field<it>("threads", &it::threads,
                   number_value<std::uint32_t>{1, most_threads},
                   presence::defaulted),
--- a/src/stage_caller.cpp
+++ b/src/stage_caller.cpp
@@ -145,7 +145,9 @@
         if (!send())
             return std::move(result_);
         const auto& head = client_->head();
-        result_.load     = parse_load_report(header(head, "Load-Report"));
+        if (const auto load = parse_load_report(header(head, "Load-Report"));
+            load && work_.on_load)
+            work_.on_load(*load);
         if (head.result() != http::status::ok)
             read_refusal();
         else if (work_.stage->kind == stage_kind::generate)
--- a/src/stage_caller.hpp
+++ b/src/stage_caller.hpp
@@ -31,6 +31,9 @@
     std::uint32_t        max_tokens = 0; ///< 0: the target's default.
     /// Asked directly before the work is sent; false: do not send it.
     std::function<bool()> may_send;
+    /// Receives the load report as soon as the answer begins; a stream may
+    /// go on for long after it.
+    std::function<void(const load_report&)> on_load;
     /// Receives streamed text in order.
     std::function<void(std::string_view)> on_text;
 };
@@ -38,10 +41,9 @@
 /// What came of an attempt.
 struct stage_result
 {
-    attempt_result             attempt;
-    std::string                output; ///< Of services; streams use on_text.
-    std::string                detail; ///< For people.
-    std::optional<load_report> load;
+    attempt_result attempt;
+    std::string    output; ///< Of services; streams use on_text.
+    std::string    detail; ///< For people.
 };
 
 /// Calls targets for one request. Belongs to the request's fiber.
--- a/tests/daemon_fixture.hpp
+++ b/tests/daemon_fixture.hpp
@@ -8,6 +8,7 @@
 #include "http_client.hpp"
 #include "http_server.hpp"
 #include "io_thread.hpp"
+#include "leaving_watch.hpp"
 #include "metrics.hpp"
 
 #include <boost/json/object.hpp>
@@ -187,10 +188,14 @@
         init.services.counts  = &counts;
         init.services.explain = &explain;
         init.services.runs    = &runs_;
-        init.catalog          = &catalog_;
-        init.gate             = &gate;
-        init.threads          = {&thread_};
-        init.ready            = [] {
+        init.services.on_load = [this](const std::string& it,
+                                       const load_report& report) {
+            leaving.on_report(it, report);
+        };
+        init.catalog = &catalog_;
+        init.gate    = &gate;
+        init.threads = {&thread_};
+        init.ready   = [] {
             return true;
         };
         service_ = std::make_unique<caller_service>(std::move(init));
@@ -226,10 +231,12 @@
         return result.get_future().get();
     }
 
-    metrics      counts;
-    explain_ring explain;
-    fake_claims  claims;
-    request_gate gate;
+    metrics       counts;
+    explain_ring  explain;
+    fake_claims   claims;
+    request_gate  gate;
+    leaving_watch leaving{{&rules_, [](std::string_view) {
+                           }}};
 
 private:
     caller_response exchange(const http_request&                      request,
