--- a/src/pipeline_run.cpp
+++ b/src/pipeline_run.cpp
@@ -18,6 +18,10 @@
 // spare. The rest covers what the learned times do not show; requests that
 // waited for all of it were often late and their cost wasted.
 constexpr auto spared_share = 2;
+// More waiting does not raise the throughput, but lets a backlog of requests
+// with long deadlines hold up others after a burst.
+constexpr microseconds longest_wait = seconds{2};
+constexpr double       cost_weight  = 0.05; // of a new sample in a moving mean
 // Refusing everything would teach no new times after a slow period.
 constexpr microseconds probe_interval = seconds{1};
 
@@ -130,15 +134,14 @@
 {
     const auto&     pool = pool_of(stage_);
     std::lock_guard lock(pool.state->mutex);
-    const auto      n =
-        pool.state->routes.choose(pool.targets, {now, failed_.get()});
+    const auto&     config = config_->pools[pipeline().stages[stage_].pool.idx];
+    const auto      n      = pool.state->routes.choose(
+                  pool.targets,
+                  {now, failed_.get(), config.prefix_affinity ? info_.prefix_hash : 0});
     if (n < 0)
         return false;
-    const auto& ids =
-        config_->pools[pipeline().stages[stage_].pool.idx].targets;
     route_  = pool.targets[static_cast<std::size_t>(n)];
-    target_ = ids[static_cast<std::size_t>(n)];
-    ++route_->in_flight;
+    target_ = config.targets[static_cast<std::size_t>(n)];
     return true;
 }
 
@@ -153,8 +156,7 @@
     waiter_->priority = pipeline().priority;
     waiter_->order    = order_;
     committed_.resize(pipeline().stages.size());
-    const auto spared = info_.deadline - now - needed_high();
-    if (spared < microseconds{0}) {
+    if (info_.deadline - now < needed(0)) {
         auto&      last = view_->probes[info_.pipeline.idx];
         const auto due  = now - probe_interval;
         auto       seen = last.load();
@@ -164,7 +166,10 @@
         if (!probe_)
             return give_up(refusal_reason::deadline_unreachable, retry_later);
     }
-    latest_ = now + std::max(spared, microseconds{0}) / spared_share;
+    // Without time to spare it is admitted only where nothing waits.
+    const auto spared = info_.deadline - now - needed_high();
+    latest_ =
+        now + std::clamp(spared / spared_share, microseconds{0}, longest_wait);
     return commit(now);
 }
 
@@ -183,11 +188,16 @@
             continue;
         const auto&  pool = pool_of(n);
         microseconds wait{0};
-        waiter_->upstream = needed(0, n);
+        bool         reachable = false;
+        waiter_->upstream      = needed(0, n);
         {
             std::lock_guard lock(pool.state->mutex);
             auto&           admission = pool.state->admission;
-            committed_[n]             = admission.try_commit(*waiter_);
+            if (const auto* account = account_of())
+                waiter_->over = pool.state->shares.over(account->name,
+                                                        account->weight, now);
+            reachable     = pool.state->routes.admits(pool.targets, now);
+            committed_[n] = reachable && admission.try_commit(*waiter_);
             if (!committed_[n])
                 wait = admission.expected_wait(*waiter_);
         }
@@ -195,17 +205,38 @@
             continue;
         for (std::size_t back = 0; back < committed_.size(); ++back)
             uncommit(back);
+        if (!reachable)
+            return give_up(refusal_reason::no_target, retry_later);
         if (now + wait > latest_)
             return give_up(
-                refusal_reason::overloaded,
+                waiter_->over ? refusal_reason::account_over_share
+                              : refusal_reason::overloaded,
                 std::max(retry_later, std::chrono::ceil<milliseconds>(wait)));
         return queue_at(pool, latest_);
     }
     waiter_.reset();
     admitted_ = true;
+    charge();
     return {};
 }
 
+const account_config* pipeline_run::account_of() const
+{
+    const auto n = info_.account.idx;
+    return n < config_->accounts.size() ? &config_->accounts[n] : nullptr;
+}
+
+void pipeline_run::charge()
+{
+    const auto* account = account_of();
+    const auto& costs   = view_->costs[info_.pipeline.idx];
+    for (std::size_t n = 0; account && n < costs.size(); ++n) {
+        const auto&     pool = pool_of(n);
+        std::lock_guard lock(pool.state->mutex);
+        pool.state->shares.charge(account->name, costs[n]);
+    }
+}
+
 run_actions pipeline_run::enter(time_point now)
 {
     if (entered_)
@@ -216,6 +247,7 @@
         waiter_->priority = pipeline().priority;
         waiter_->order    = order_;
         waiter_->entry    = false;
+        waiter_->latest   = std::max(now, info_.deadline - needed(stage_));
         const auto& pool  = pool_of(stage_);
         bool        room  = false;
         {
@@ -223,8 +255,7 @@
             room = pool.state->admission.try_enter(*waiter_);
         }
         if (!room)
-            return queue_at(pool,
-                            std::max(now, info_.deadline - needed(stage_)));
+            return queue_at(pool, waiter_->latest);
     }
     waits_at_ = nullptr;
     waiter_.reset();
@@ -275,7 +306,7 @@
         const auto&     pool = pool_of(stage_);
         std::lock_guard lock(pool.state->mutex);
         if (route_)
-            --route_->in_flight;
+            router::release(*route_);
         if (entered_)
             pool.state->admission.leave(ready);
     }
@@ -336,6 +367,17 @@
                     std::chrono::duration_cast<milliseconds>(left));
 }
 
+double pipeline_run::learn_cost(const attempt_result& result)
+{
+    const auto& stage = pipeline().stages[stage_];
+    if (stage.kind != stage_kind::generate)
+        return stage.cost;
+    const auto cost = stage.cost * result.tokens / 1000;
+    auto&      mean = view_->costs[info_.pipeline.idx][stage_];
+    mean            = mean + (cost - mean) * cost_weight;
+    return cost;
+}
+
 void pipeline_run::learn(const attempt_result& result, time_point now)
 {
     const auto& stage   = pipeline().stages[stage_];
@@ -357,9 +399,14 @@
             auto signal = load_signal::free;
             if (!done)
                 signal = load_signal::refused;
-            else if (route_->report.queued > 0 || elapsed > times.high() * 2)
+            else if (router::full(pool.targets, now) ||
+                     elapsed > times.high() * 2)
                 signal = load_signal::queued;
             state.admission.on_result(signal, elapsed, now, ready);
+            if (done)
+                state.mean_cost += (learn_cost(result) - state.mean_cost) *
+                                   (state.mean_cost > 0 ? cost_weight : 1);
+            state.shares.set_rate(state.admission.rate() * state.mean_cost);
         }
     }
     policy_.impl_->notify(ready);
@@ -388,12 +435,13 @@
     return step(now);
 }
 
-bool pipeline_run::take_retry()
+bool pipeline_run::take_retry(attempt_status status)
 {
     if (retries_ >= pipeline().retries)
         return false;
     ++retries_;
-    if (!adaptive())
+    // An attempt that did not reach its target added no load to the pool.
+    if (!adaptive() || status == attempt_status::connect_failed)
         return true;
     const auto&     pool = pool_of(stage_);
     std::lock_guard lock(pool.state->mutex);
@@ -415,7 +463,7 @@
     }
     if (now >= info_.deadline)
         return give_up(refusal_reason::deadline_exceeded, {});
-    if (!take_retry())
+    if (!take_retry(result.status))
         return result.status == attempt_status::failed && !sent_ && !claimed_
                    ? end(execution::failed, refusal_reason::retry_exhausted,
                          retry_later)
@@ -442,7 +490,9 @@
         return step(now);
     if (now < latest_)
         return {wait_until{latest_}};
-    return give_up(refusal_reason::overloaded, retry_later);
+    return give_up(waiter_->over ? refusal_reason::account_over_share
+                                 : refusal_reason::overloaded,
+                   retry_later);
 }
 
 run_actions pipeline_run::on_client_gone(time_point)
--- a/src/policy_admission.hpp
+++ b/src/policy_admission.hpp
@@ -15,8 +15,9 @@
 {
     std::uint64_t run      = 0;
     std::int32_t  priority = 0;
-    double        tag      = 0; ///< Fair-queueing tag of the account.
-    std::uint64_t order    = 0; ///< Of arrival.
+    bool          over     = false; ///< Its account is over its share.
+    time_point    latest;           ///< End of its waiting.
+    std::uint64_t order = 0;        ///< Of arrival.
     /// Time of the stages before the one that uses this pool.
     microseconds upstream{0};
     bool         entry   = true; ///< Waits for admission, not for a stage.
@@ -24,7 +25,8 @@
     bool         granted = false; ///< Room is reserved for it.
 };
 
-/// Orders waiters: priority, then the account's tag, then arrival.
+/// Orders waiters: accounts within their share, then priority, then the end
+/// of waiting.
 struct waiter_order
 {
     bool operator()(const pool_waiter* a, const pool_waiter* b) const;
@@ -70,20 +72,22 @@
     void on_result(load_signal signal, microseconds elapsed, time_point now,
                    ready_runs& ready);
 
-    double limit() const { return limit_; }
+    double limit() const;
+    /// Attempts per second that the limit allows; 0 before the first result.
+    double rate() const { return time_ > 0 ? 1e6 * limit() / time_ : 0; }
 
 private:
     using queue = std::set<pool_waiter*, waiter_order>;
 
     bool   room_to_enter() const;
     bool   room_to_commit(const pool_waiter& it) const;
-    void   clamp();
     void   grant(ready_runs& ready);
     queue& queue_of(const pool_waiter& it);
 
-    double        share_     = 1; ///< Slots for each daemon.
-    double        slots_     = 1; ///< Of all daemons.
-    double        limit_     = 0;
+    double share_ = 1; ///< Slots for each daemon.
+    double slots_ = 1; ///< Of all daemons.
+    /// Limit as a multiple of the share, so that it comes back with the share.
+    double        ratio_     = 0;
     double        time_      = 0; ///< Mean time of an attempt; microseconds.
     std::uint32_t running_   = 0;
     std::uint32_t committed_ = 0;
