Let a refused client read its response

Cause: closing a connection with unread bytes resets it; a client that was still sending a body over the limit lost the 413 (seen once in a test run). Change: the server reads and discards for at most 2 s before it closes.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -16,6 +16,7 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <array>
 #include <condition_variable>
 #include <mutex>
 #include <optional>
@@ -31,6 +32,8 @@
 
 // Pause after a failed accept, such as when descriptors ran out.
 constexpr milliseconds accept_pause{20};
+// Time that a refused client gets to end its request.
+constexpr seconds discard_time{2};
 
 } // namespace
 
@@ -102,6 +105,7 @@
     bool wait_for_request();
     bool read_request();
     void refuse(error_code ec);
+    void discard_rest();
     void start_read_timer();
     void prepare(http_response& response);
     void complete(error_code ec);
@@ -223,6 +227,19 @@
         return;
     keep_alive_ = false;
     respond(owner_->init.on_error(error));
+    discard_rest();
+}
+
+// Closing with unread bytes resets the connection, and the client loses the
+// response before it has read it.
+void http_connection::discard_rest()
+{
+    error_code                 ec;
+    std::array<char, 8 * 1024> bytes;
+    stream_.socket().shutdown(tcp::socket::shutdown_send, ec);
+    stream_.expires_after(discard_time);
+    while (!ec)
+        stream_.async_read_some(asio::buffer(bytes), fiber_token{ec});
 }
 
 void http_connection::prepare(http_response& response)
