Report work as not run only when no stage ran

Cause: a load run with faults saw "not_run" for a request whose first stages had run; the run's verdict speaks only of stages that may not be repeated. Change: the executor remembers whether some stage may have run and then tells the caller "failed".

--- a/include/arbutusgate/node_core.hpp
+++ b/include/arbutusgate/node_core.hpp
@@ -32,7 +32,7 @@
     /// Added to the window when a voter settles after a loss of memory.
     milliseconds  settle_margin = limits::claim_settle_margin;
     std::uint32_t claim_shards  = limits::claim_shards;
-    node_guards              guards; ///< Only tests change this.
+    node_guards   guards; ///< Only tests change this.
 };
 
 /// A message for another daemon. Delivery may fail without notice.
--- a/src/daemon_status.cpp
+++ b/src/daemon_status.cpp
@@ -56,6 +56,14 @@
     return all;
 }
 
+json::array leaving_json(const std::set<std::string>& names)
+{
+    json::array all;
+    for (const auto& it : names)
+        all.emplace_back(it);
+    return all;
+}
+
 template <class Reason>
 json::object reasons_json(const reason_counters& reasons)
 {
@@ -129,6 +137,7 @@
         {"daemons_alive", fleet.alive},
         {"members", members_json(fleet)},
         {"targets", targets_json(*config)},
+        {"leaving", leaving_json(leaving_.leaving())},
         {"wrong_results", metrics_.wrong_results()},
         {"refusals", reasons_json<refusal_reason>(counts)},
         {"retries", reasons_json<retry_reason>(counts)},
--- a/src/problem.cpp
+++ b/src/problem.cpp
@@ -62,8 +62,7 @@
         return http::status::conflict;
     if (it.result == execution::unknown)
         return http::status::gateway_timeout;
-    if (it.result == execution::failed &&
-        it.reason != refusal_reason::deadline_exceeded)
+    if (it.reason == refusal_reason::stage_failed)
         return http::status::bad_gateway;
     return refused_status(it.reason);
 }
--- a/src/request_executor.cpp
+++ b/src/request_executor.cpp
@@ -35,11 +35,15 @@
     return "unavailable";
 }
 
+bool certainly_not_run(attempt_status it)
+{
+    return it == attempt_status::connect_failed ||
+           it == attempt_status::not_run;
+}
+
 double cost_of(const stage_config& stage, const stage_result& result)
 {
-    const auto status = result.attempt.status;
-    if (status == attempt_status::connect_failed ||
-        status == attempt_status::not_run)
+    if (certainly_not_run(result.attempt.status))
         return 0;
     if (stage.kind == stage_kind::generate)
         return stage.cost * result.attempt.tokens / tokens_per_cost;
@@ -122,9 +126,10 @@
     }
     const auto started = daemon_now();
     const auto result  = run_attempt(action);
-    if (result.attempt.status == attempt_status::connect_failed ||
-        result.attempt.status == attempt_status::not_run)
+    if (certainly_not_run(result.attempt.status))
         committed_ = false;
+    else
+        ran_ = true;
     note_attempt(action, result, started);
     queue(run_.on_attempt(result.attempt, daemon_now()));
 }
@@ -243,10 +248,14 @@
         actions_.push_back(finish{}); // replaced by that of on_client_gone
 }
 
+// For the run, "not run" speaks of the stages that may not be repeated. The
+// caller is told so only when no stage ran at all.
 void request_executor::on(const finish& action)
 {
-    trace_.result      = action.result;
-    trace_.reason      = action.reason;
+    trace_.reason = action.reason;
+    trace_.result = action.result;
+    if (action.result == execution::not_run && ran_)
+        trace_.result = execution::failed;
     const bool claimed = !trace_.claim.empty();
     if (claimed && claim_.outcome == claim_outcome::taken_done) {
         outcome_ = {claim_.answer.status == 200,
@@ -257,7 +266,7 @@
         return;
     }
     outcome_.complete = action.result == execution::done;
-    outcome_.failure  = {action.reason, action.result, action.retry_after,
+    outcome_.failure  = {action.reason, trace_.result, action.retry_after,
                          detail_};
     if (outcome_.complete)
         outcome_.body = summary();
@@ -267,7 +276,7 @@
         outcome_.status =
             static_cast<std::uint32_t>(problem_status(outcome_.failure));
     if (claimed && claim_.outcome == claim_outcome::granted)
-        record(outcome_);
+        record(outcome_, action.result == execution::failed);
 }
 
 std::string request_executor::summary() const
@@ -286,9 +295,10 @@
 
 // An unknown result is not recorded: a repeated key is then told that the
 // work may still be running.
-void request_executor::record(const request_outcome& outcome)
+void request_executor::record(const request_outcome& outcome,
+                              bool                   failed_for_good)
 {
-    if (!outcome.complete && outcome.failure.result != execution::failed)
+    if (trace_.result != execution::done && !failed_for_good)
         return;
     if (outcome.body.size() > limits::recorded_body)
         log(log_level::warning, "answer too large to be recorded",
--- a/src/request_executor.hpp
+++ b/src/request_executor.hpp
@@ -113,7 +113,7 @@
                       time_point started);
     void on_stream_text(std::string_view text);
     std::string summary() const;
-    void        record(const request_outcome& outcome);
+    void        record(const request_outcome& outcome, bool failed_for_good);
     void        note_end();
 
     const request_services&     services_;
@@ -133,6 +133,7 @@
     request_outcome          outcome_;
     request_trace            trace_;
     std::string              detail_; ///< Of the last failed attempt.
+    bool                     ran_       = false; ///< Some stage may have run.
     bool                     gone_      = false;
     bool                     committed_ = false; ///< Work may run only once.
 };
--- a/tests/caller_test.cpp
+++ b/tests/caller_test.cpp
@@ -158,3 +158,31 @@
     CHECK(eventually([&] { return front.gate.running() == 0; }));
     CHECK(target.calls() == 1);
 }
+
+// Guards against work that ran being reported as not run (P3): a load run
+// saw a second stage miss its deadline and the caller told "not_run".
+TEST_CASE("a request whose first stage ran is not reported as not run")
+{
+    fake_target first([](http_exchange& it, int) {
+        it.respond(json_answer(answer_to(body_of(it))));
+    });
+    fake_target second([](http_exchange& it, int) {
+        http_response response(http::status::service_unavailable, 11);
+        response.body() = R"({"execution":"not_run"})";
+        it.respond(std::move(response));
+    });
+    auto config = one_stage(stage_kind::service, true, {first.address()});
+    auto stage  = config->pipelines[0].stages[0];
+    stage.name  = "later";
+    stage.pool  = pool_id{1};
+    config->pipelines[0].stages.push_back(stage);
+    config->targets.push_back({"late", second.address(), "a", pool_id{1}});
+    config->pools.push_back(config->pools[0]);
+    config->pools[1].name    = "later";
+    config->pools[1].targets = {target_id{1}};
+    front_end  front(config);
+    const auto response = front.call(front.request());
+    CHECK(first.calls() == 1);
+    CHECK(response.status == 503);
+    CHECK(response.text("execution") == "failed");
+}
--- a/tests/node_fleet.hpp
+++ b/tests/node_fleet.hpp
@@ -19,9 +19,9 @@
 public:
     explicit node_fleet(std::uint32_t slots, milliseconds window = seconds{20})
     {
-        init_.retry_window = window;
+        init_.retry_window  = window;
         init_.settle_margin = seconds{12};
-        init_.claim_shards = 2;
+        init_.claim_shards  = 2;
         for (std::uint32_t n = 0; n < slots; ++n)
             init_.slots.push_back({"s" + std::to_string(n),
                                    std::string("d") + char('0' + n % 3)});
