--- a/src/fleet_node.cpp
+++ b/src/fleet_node.cpp
@@ -43,6 +43,18 @@
     return slot_id{static_cast<std::uint32_t>(it - slots.begin())};
 }
 
+void log_issues(std::uint64_t version, const std::vector<config_issue>& issues)
+{
+    for (std::size_t n = 0; n < std::min(issues.size(), logged_issues); ++n)
+        log(log_level::error, "invalid configuration",
+            {{"version", version},
+             {"issues", issues.size()},
+             {"document", issues[n].document},
+             {"line", issues[n].line},
+             {"column", issues[n].column},
+             {"issue", issues[n].message}});
+}
+
 /// Runs the task on the worker while the calling fiber waits.
 template <class Task>
 auto run_on(worker_thread& worker, Task task)
@@ -215,6 +227,8 @@
 bool fleet_node::read_config(node_host& node)
 {
     const auto published = reader_.read(read_version_, config_wait);
+    if (!published.ok() && stopping_)
+        return false;
     if (!published.ok()) {
         log(log_level::warning, "cannot read the configuration service",
             {{"error", published.status().ToString()}});
@@ -260,6 +274,7 @@
         });
     };
     auto checked = check(published);
+    log_issues(published.version, checked.issues);
     for (std::uint64_t n = 1; !checked.issues.empty() && n <= older_versions &&
                               n < published.version;
          ++n)
@@ -398,14 +413,7 @@
                                const std::vector<config_issue>& issues)
 {
     ++rejected_;
-    for (std::size_t n = 0; n < std::min(issues.size(), logged_issues); ++n)
-        log(log_level::error, "configuration rejected",
-            {{"version", event.version},
-             {"issues", issues.size()},
-             {"document", issues[n].document},
-             {"line", issues[n].line},
-             {"column", issues[n].column},
-             {"issue", issues[n].message}});
+    log_issues(event.version, issues);
     if (const auto node = host())
         node->apply([&](node_core& core, time_point now) {
             core.reject_config(event.version, now);
--- a/src/published_config.cpp
+++ b/src/published_config.cpp
@@ -1,32 +1,12 @@
 #include "published_config.hpp"
 
-#include "absl/strings/str_cat.h"
-
-#include <openssl/evp.h>
+#include "sha256.hpp"
 
-#include <array>
+#include "absl/strings/escaping.h"
+#include "absl/strings/str_cat.h"
 
 namespace arbutusgate {
 
-namespace {
-
-std::string sha256_hex(const std::string& text)
-{
-    constexpr std::string_view                 digits = "0123456789abcdef";
-    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-    unsigned                                   size = 0;
-    EVP_Digest(text.data(), text.size(), digest.data(), &size, EVP_sha256(),
-               nullptr);
-    std::string hex;
-    for (unsigned n = 0; n < size; ++n) {
-        hex += digits[digest[n] >> 4U];
-        hex += digits[digest[n] & 15U];
-    }
-    return hex;
-}
-
-} // namespace
-
 absl::StatusOr<published_config>
 published_config_reader::read(std::uint64_t after, milliseconds wait)
 {
@@ -54,7 +34,7 @@
         auto text = client_.document(name, head.version);
         if (!text.ok())
             return text.status();
-        if (sha256_hex(*text) != digest)
+        if (absl::BytesToHexString(sha256(*text)) != digest)
             return absl::DataLossError(
                 absl::StrCat("document ", name, " of version ", head.version,
                              " does not match its digest"));
