End attempts on silent reused connections, order the shutdown

Cause: a reused connection that had gone silent was answered by a second call to the same target, which doubled the wait; the node core's threads could use the worker and the mesh after they were gone. Change: only a connection that breaks is replaced; the node host is awaited before the parts that it uses are destroyed.

--- a/src/fleet_node.cpp
+++ b/src/fleet_node.cpp
@@ -113,8 +113,11 @@
     std::promise<void> passed; // the spawned task above has run
     control_.spawn([&passed] { passed.set_value(); });
     passed.get_future().get();
+    // Its threads use the worker and the mesh, and may hold it for a while.
+    const std::weak_ptr<node_host> last = host_.exchange(nullptr);
+    while (!last.expired())
+        std::this_thread::sleep_for(step);
     worker_.reset();
-    host_.store(nullptr);
     mesh_.reset();
 }
 
@@ -401,7 +404,7 @@
         return false;
     const bool first = node.apply(
         [](node_core& core, time_point) { return core.config_version() == 0; });
-    if (first)
+    if (first && !stopping_)
         return start_host(config.slots, config.retry_window);
     log(log_level::warning,
         "the changed slot list takes effect on the next start",
--- a/src/stage_caller.cpp
+++ b/src/stage_caller.cpp
@@ -7,6 +7,7 @@
 #include "sse.hpp"
 #include "stream_reader.hpp"
 
+#include <boost/asio/error.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
@@ -160,18 +161,18 @@
     }
 
 private:
-    bool send();
-    bool send_reused(const http_request& request);
-    bool connect();
-    void read_refusal();
-    void read_answer();
-    void check_answer(const std::string& body);
-    void read_stream();
-    bool read_events(sse_parser& events, stream_reader& reader);
-    bool on_step(stream_step step);
-    void use(std::unique_ptr<http_client> client);
-    bool fail(attempt_status status, std::string detail);
-    bool fail_read(error_code ec);
+    bool       send();
+    error_code send_reused(const http_request& request);
+    bool       connect();
+    void       read_refusal();
+    void       read_answer();
+    void       check_answer(const std::string& body);
+    void       read_stream();
+    bool       read_events(sse_parser& events, stream_reader& reader);
+    bool       on_step(stream_step step);
+    void       use(std::unique_ptr<http_client> client);
+    bool       fail(attempt_status status, std::string detail);
+    bool       fail_read(error_code ec);
 
     stage_caller&                owner_;
     const stage_work&            work_;
@@ -206,8 +207,12 @@
 bool stage_caller::attempt_call::send()
 {
     const auto request = make_request(work_);
-    if (work_.stage->idempotent && send_reused(request))
-        return true;
+    if (work_.stage->idempotent) {
+        if (const auto ec = send_reused(request); !ec)
+            return true;
+        else if (ec == boost::beast::error::timeout)
+            return fail_read(ec);
+    }
     if (owner_.cancelled_ || !connect())
         return fail(attempt_status::connect_failed,
                     result_.detail.empty() ? "cancelled" : result_.detail);
@@ -219,17 +224,18 @@
 }
 
 // A connection that its target closed while it was idle fails before any
-// response; the work is then sent again on a fresh one.
-bool stage_caller::attempt_call::send_reused(const http_request& request)
+// response; the work is then sent again on a fresh one. One that is silent
+// counts as a silent target.
+error_code stage_caller::attempt_call::send_reused(const http_request& request)
 {
     auto idle = owner_.pool_.take(work_.target->address);
     if (!idle)
-        return false;
+        return boost::asio::error::not_connected;
     use(std::move(idle));
-    if (!client_->send(request, head_timeout(work_, end_)))
-        return true;
-    owner_.pool_.drop(work_.target->address);
-    return false;
+    const auto ec = client_->send(request, head_timeout(work_, end_));
+    if (ec)
+        owner_.pool_.drop(work_.target->address);
+    return ec;
 }
 
 bool stage_caller::attempt_call::connect()
