--- a/src/standin_documents.cpp
+++ b/src/standin_documents.cpp
@@ -1,15 +1,14 @@
 #include "standin_documents.hpp"
 
+#include "sha256.hpp"
+
 #include "arbutusgate/config.hpp"
 
+#include "absl/strings/escaping.h"
 #include "absl/strings/str_cat.h"
 
 #include <boost/json/array.hpp>
 
-#include <openssl/sha.h>
-
-#include <array>
-
 namespace arbutusgate {
 
 namespace json = boost::json;
@@ -19,20 +18,6 @@
 // Every version stays readable; old ones go when there are this many.
 constexpr std::size_t kept_versions = 64;
 
-std::string sha256_hex(const std::string& text)
-{
-    static constexpr char digits[] = "0123456789abcdef";
-    std::array<unsigned char, SHA256_DIGEST_LENGTH> hash{};
-    SHA256(reinterpret_cast<const unsigned char*>(text.data()), text.size(),
-           hash.data());
-    std::string hex;
-    for (const auto it : hash) {
-        hex += digits[it >> 4];
-        hex += digits[it & 15];
-    }
-    return hex;
-}
-
 } // namespace
 
 absl::Status
@@ -47,7 +32,7 @@
         if (text.empty())
             next.erase(name);
         else
-            next[name] = {text, sha256_hex(text)};
+            next[name] = {text, absl::BytesToHexString(sha256(text))};
     }
     versions_[++newest_] = std::move(next);
     while (versions_.size() > kept_versions &&
--- a/src/standin_main.cpp
+++ b/src/standin_main.cpp
@@ -1,5 +1,6 @@
 #include "standin_main.hpp"
 
+#include "config_files.hpp"
 #include "http_client.hpp"
 #include "io_thread.hpp"
 #include "option_table.hpp"
--- a/src/standin_platform.cpp
+++ b/src/standin_platform.cpp
@@ -8,11 +8,9 @@
 
 #include <boost/json/array.hpp>
 
+#include <algorithm>
 #include <array>
-#include <filesystem>
-#include <fstream>
 #include <future>
-#include <iterator>
 
 namespace arbutusgate {
 
@@ -45,39 +43,8 @@
             {"state", vm.leaving ? "leaving" : "live"}};
 }
 
-absl::StatusOr<std::string> read_file(const std::filesystem::path& path)
-{
-    std::ifstream file(path, std::ios::binary);
-    std::string   text{std::istreambuf_iterator<char>(file), {}};
-    if (!file)
-        return absl::NotFoundError(absl::StrCat("cannot read ", path.string()));
-    return text;
-}
-
 } // namespace
 
-absl::StatusOr<std::map<std::string, std::string>>
-read_documents(const std::string& folder)
-{
-    namespace fs = std::filesystem;
-    std::map<std::string, std::string> all;
-    auto base = read_file(fs::path(folder) / "base.yaml");
-    if (!base.ok())
-        return base.status();
-    all["base"] = *std::move(base);
-    std::error_code ec;
-    for (const auto& it : fs::directory_iterator(fs::path(folder) / "site", ec))
-    {
-        if (it.path().extension() != ".yaml")
-            continue;
-        auto text = read_file(it.path());
-        if (!text.ok())
-            return text.status();
-        all["site/" + it.path().stem().string()] = *std::move(text);
-    }
-    return all;
-}
-
 standin_platform::standin_platform(platform_init init, io_thread& thread)
     : init_(std::move(init)), thread_(thread),
       reads_(init_.read_rate, init_.read_burst),
--- a/src/standin_platform.hpp
+++ b/src/standin_platform.hpp
@@ -6,7 +6,6 @@
 #include "standin_documents.hpp"
 
 #include "absl/status/status.h"
-#include "absl/status/statusor.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -126,9 +125,4 @@
     std::unique_ptr<http_server>         control_;
 };
 
-/// Reads base.yaml and site/*.yaml as the documents `base` and `site/NAME`.
-/// \return NotFound when there is no base.yaml, or a file cannot be read.
-absl::StatusOr<std::map<std::string, std::string>>
-read_documents(const std::string& folder);
-
 } // namespace arbutusgate
--- /dev/null
+++ b/tests/load_test.cpp
@@ -0,0 +1,273 @@
+#include "fiber_http.hpp"
+#include "load_caller.hpp"
+#include "load_report.hpp"
+#include "load_summary.hpp"
+#include "standin_text.hpp"
+
+#include <boost/json/serialize.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+using namespace arbutusgate;
+using namespace arbutusgate::test;
+namespace json = boost::json;
+
+namespace {
+
+constexpr const char* small_mix = R"(
+name: small
+pipelines:
+  chat:
+    deadline_ms: 30000
+    max_tokens: 8
+    stream_share: 1
+    stages: [encode, reply]
+    generates: [reply]
+  order:
+    deadline_ms: 30000
+    stages: [confirm]
+    non_idempotent: [confirm]
+accounts:
+  first: {key: k1}
+)";
+
+/// A plan of one chat and one order with fixed results.
+struct fixed_run
+{
+    fixed_run()
+    {
+        plan.resize(2);
+        plan[0].tag      = "t-0";
+        plan[1].tag      = "t-1";
+        plan[1].number   = 1;
+        plan[1].pipeline = 1;
+        plan[1].key      = "key-1";
+        results.resize(2);
+        for (std::uint32_t n = 0; n < 2; ++n) {
+            results[n].number     = n;
+            results[n].outcome    = load_outcome::whole;
+            results[n].request_id = "r" + std::to_string(n);
+            results[n].tries      = 1;
+        }
+        executions = {{{"r0", "encode", "", "t-0", 1},
+                       {"r0", "", "", "t-0", 1},
+                       {"r1", "confirm", "", "t-1", 1}}};
+    }
+
+    check_input input(std::vector<std::size_t> may_die = {}) const
+    {
+        return {mix, plan, results, executions, daemons, std::move(may_die)};
+    }
+    std::vector<std::string> violations(std::vector<std::size_t> may_die = {})
+    {
+        return find_violations(input(std::move(may_die)));
+    }
+
+    load_mix                                  mix = *parse_mix(small_mix);
+    std::vector<planned_request>              plan;
+    std::vector<load_result>                  results;
+    std::optional<std::vector<executed_work>> executions;
+    std::vector<std::string>                  daemons = {"d0", "d1"};
+};
+
+std::string event(const std::string& name, const json::object& data)
+{
+    return (name.empty() ? "" : "event: " + name + "\n") +
+           "data: " + json::serialize(data) + "\n\n";
+}
+
+/// Calls a daemon that answers the chat with this stream.
+load_result call_stream(const std::vector<std::string>& events,
+                        planned_request&                request)
+{
+    const auto       mix = *parse_mix(small_mix);
+    io_thread        server_thread;
+    io_thread        thread;
+    http_server_init init;
+    init.address = "127.0.0.1:0";
+    init.handler = [&](http_exchange& it) {
+        http_response head(http::status::ok, 11);
+        head.set(http::field::content_type, "text/event-stream");
+        it.begin_stream(std::move(head));
+        for (const auto& text : events)
+            it.write(text);
+        it.end_stream();
+    };
+    init.on_error = read_error_response;
+    http_server server(std::move(init), {&server_thread});
+    REQUIRE(server.start().ok());
+    const std::vector<std::string> daemons = {"127.0.0.1:" +
+                                              std::to_string(server.port())};
+    return run_on(thread, [&] {
+        load_caller caller(mix, daemons, thread.io());
+        return caller.call(request, load_balancer::none);
+    });
+}
+
+} // namespace
+
+// Guards against a checker that passes streams which lost, doubled or mixed up
+// text.
+TEST_CASE("stream answers are checked for gaps, doubles and owner")
+{
+    planned_request request;
+    request.input    = "hello [request t-0]";
+    request.stream   = true;
+    const auto text  = engine_text(service_output("encode", request.input), 4);
+    const auto first = event("", {{"offset", 0}, {"text", text.substr(0, 9)}});
+    const auto rest  = event("", {{"offset", 9}, {"text", text.substr(9)}});
+    const auto done  = event("done", {{"request_id", "r"}, {"output", text}});
+
+    const auto good = call_stream({first, rest, done}, request);
+    CHECK(good.outcome == load_outcome::whole);
+    CHECK(good.violations.empty());
+    CHECK(good.gaps.size() == 1);
+    CHECK_FALSE(
+        call_stream({first, first, rest, done}, request).violations.empty());
+    CHECK_FALSE(call_stream({first, done}, request).violations.empty());
+    CHECK_FALSE(call_stream({first, rest}, request).violations.empty());
+    CHECK_FALSE(
+        call_stream({first, rest, done, rest}, request).violations.empty());
+    request.input = "another [request t-1]";
+    CHECK(call_stream({first, rest, done}, request).outcome ==
+          load_outcome::wrong);
+    const auto refused = call_stream(
+        {event("error", {{"execution", "unknown"}, {"reason", "draining"}})},
+        request);
+    CHECK(refused.outcome == load_outcome::unknown);
+    CHECK(refused.reason == "draining");
+    CHECK(refused.violations.empty());
+}
+
+// Guards against each breach of the guarantees going unnoticed.
+TEST_CASE("breaches show in the records of the stand-ins")
+{
+    fixed_run it;
+    REQUIRE(it.violations().empty());
+
+    SECTION("a key that ran twice")
+    {
+        it.executions->push_back({"r9", "confirm", "", "t-1", 1});
+        CHECK(it.violations().size() == 1);
+    }
+    SECTION("a not_run answer whose work ran")
+    {
+        it.results[0].not_run_ids = {"r0"};
+        CHECK(it.violations().size() == 2); // Both of its stages.
+    }
+    SECTION("a complete answer without its work")
+    {
+        it.executions->pop_back();
+        CHECK(it.violations().size() == 1);
+    }
+    SECTION("work of another request under this id")
+    {
+        it.executions->push_back({"r0", "encode", "", "t-1", 1});
+        CHECK(it.violations().size() == 1);
+    }
+    SECTION("two answers to one key")
+    {
+        it.results.push_back(it.results[1]);
+        it.results[2].repeated = true;
+        CHECK(it.violations().empty());
+        it.results[2].output = "other";
+        CHECK(it.violations().size() == 1);
+    }
+    SECTION("a request lost by a daemon that was not killed")
+    {
+        it.results[0].outcome = load_outcome::lost;
+        it.results[0].lost_by = {1};
+        CHECK(it.violations().empty());
+        CHECK(it.violations({1}).empty());
+        CHECK(it.violations({0}).size() == 1);
+    }
+}
+
+// Guards against wrong figures in reports.
+TEST_CASE("the report's figures follow from the samples")
+{
+    fixed_run  it;
+    const auto add = [&](load_outcome outcome, int ms) {
+        auto result    = it.results[0];
+        result.outcome = outcome;
+        result.number  = static_cast<std::uint32_t>(it.plan.size());
+        result.latency = milliseconds{ms};
+        result.stages  = {{"encode", 1, 1}, {"reply", 4, 1}};
+        auto request   = it.plan[0];
+        request.number = result.number;
+        request.tag    = "t-" + std::to_string(result.number);
+        request.at     = seconds{result.number % 2};
+        it.plan.push_back(request);
+        it.results.push_back(result);
+        it.executions->push_back({"x", "encode", "", request.tag, 1});
+        it.executions->push_back({"x", "", "", request.tag, 1});
+    };
+    it.results.clear();
+    it.executions->clear();
+    for (int n = 1; n <= 98; ++n)
+        add(load_outcome::whole, n);
+    add(load_outcome::late, 5000);
+    add(load_outcome::not_run, 1);
+    const auto summary = summarize(it.input(), {"breach"});
+    CHECK(summary.all.requests == 100);
+    CHECK(summary.all.of(load_outcome::whole) == 98);
+    CHECK(summary.pipelines[0].attainment() == Approx(0.98));
+    CHECK(summary.accounts[0].requests == 100);
+    // 99 answers of cost 5 and one execution without an answer.
+    CHECK(summary.cost() == Approx(100 * 5));
+    CHECK(summary.wasted() == Approx(2 * 5));
+    CHECK(result_line(summary) == "requests=100 whole=98 attainment=0.980 "
+                                  "cost_per_whole=5.10 violations=1");
+    const auto& times = summary.all.latency;
+    CHECK(times.count() == 99);
+    CHECK(times.quantile(0.5).count() == Approx(50000).epsilon(0.011));
+    CHECK(times.quantile(0.95).count() == Approx(95000).epsilon(0.011));
+    CHECK(times.quantile(1).count() == Approx(5e6).epsilon(0.011));
+    const auto report = json_report(summary);
+    CHECK(report.at("timeline").at(0).at("requests") == 50);
+    CHECK(report.at("reasons").at("not_run") == 1);
+    const auto page = html_report(summary);
+    CHECK(page.find("violation: breach") != std::string::npos);
+    CHECK(page.find("http") == std::string::npos); // No external resource.
+}
+
+// Guards against runs that cannot be repeated and keys that are not unique.
+TEST_CASE("a plan follows from its seed")
+{
+    for (const auto* name : {"kestrelveld", "brazos"}) {
+        const auto mix = *read_mix(name);
+        const auto one = make_plan(mix, 50, seconds{20}, 7, "r");
+        const auto two = make_plan(mix, 50, seconds{20}, 7, "r");
+        REQUIRE(one.size() == two.size());
+        CHECK(one.size() > 800);
+        CHECK(one.size() < 1200);
+        std::set<std::string> tags;
+        for (std::size_t n = 0; n < one.size(); ++n) {
+            CHECK((one[n].input == two[n].input && one[n].at == two[n].at));
+            const auto& pipeline = mix.pipelines[one[n].pipeline];
+            CHECK(mix.accounts[one[n].account].may_use(pipeline.name));
+            CHECK(pipeline.keyed() == !one[n].key.empty());
+            tags.insert(one[n].tag);
+        }
+        CHECK(tags.size() == one.size());
+    }
+    CHECK_FALSE(read_mix("no-such-mix").ok());
+}
+
+// Guards against load on a daemon that is left out while others are free.
+TEST_CASE("the balancer leaves daemons out for a time")
+{
+    load_balancer                          it(3);
+    const load_balancer::clock::time_point now{seconds{1}};
+    CHECK(it.pick(now, load_balancer::none) == 0);
+    CHECK(it.pick(now, load_balancer::none) == 1);
+    it.leave_out(2, now + seconds{1});
+    CHECK(it.pick(now, load_balancer::none) == 0);
+    CHECK(it.pick(now, 1) == 0);
+    it.leave_out(0, now + seconds{2});
+    it.leave_out(1, now + seconds{3});
+    CHECK(it.pick(now, load_balancer::none) == 2);
+    CHECK(it.pick(now + seconds{1}, load_balancer::none) == 2);
+}
