Fix a deadlock when an HTTP server stops

for_each could drop the last reference to a connection under the server's lock, which the connection's destructor takes again. A run of the stand-in tests hung so; its stack trace shows it. The posted handler now owns the connection. The new test repeats the pattern 300 times; one run of it did not hit the old fault, so it guards only by chance.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -356,13 +356,13 @@
 void http_server_state::for_each(Action action)
 {
     std::lock_guard lock(mutex);
+    // The handler owns the connection: released here, the last reference
+    // would run remove() under the lock.
     for (const auto& entry : open) {
-        const auto& weak = entry.second;
-        if (const auto it = weak.lock())
-            asio::post(it->thread().io(), [weak, action] {
-                if (const auto self = weak.lock())
-                    action(*self);
-            });
+        if (auto it = entry.second.lock()) {
+            auto& io = it->thread().io();
+            asio::post(io, [self = std::move(it), action] { action(*self); });
+        }
     }
 }
 
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -92,3 +92,26 @@
     });
     CHECK(text == "part0;part1;part2;");
 }
+
+// Guards against a deadlock of stop() with a connection that ends meanwhile,
+// which a stack trace of a hung run showed. The race is rare.
+TEST_CASE("a server can stop while a connection ends")
+{
+    io_thread server_thread;
+    io_thread thread;
+    for (int n = 0; n < 300; ++n) {
+        http_server server(echo_init(), {&server_thread});
+        REQUIRE(server.start().ok());
+        const auto address = "127.0.0.1:" + std::to_string(server.port());
+        const auto text    = run_on(thread, [&] {
+            http_client               client(thread.io());
+            boost::system::error_code ec;
+            if (client.connect(address, seconds{5}) ||
+                client.send(post("x"), seconds{5}))
+                return std::string();
+            return client.read_all(seconds{5}, ec);
+        });
+        CHECK(text == "x");
+        server.stop();
+    }
+}
