--- a/include/arbutusgate/pipeline_run.hpp
+++ b/include/arbutusgate/pipeline_run.hpp
@@ -84,6 +84,7 @@
 {
     done,
     connect_failed, ///< No byte of the work was sent.
+    claim_lost,     ///< The claim may not be used any more; nothing was sent.
     not_run,        ///< The target said that it did not run the work.
     failed,         ///< The target reported a failure.
     timeout,        ///< No whole answer within the attempt's timeout.
--- a/src/pipeline_run.cpp
+++ b/src/pipeline_run.cpp
@@ -39,6 +39,7 @@
     case attempt_status::silent:
         return resumes ? retry_reason::stream_resume : retry_reason::silent;
     case attempt_status::wrong_result:
+    case attempt_status::claim_lost:
     case attempt_status::done:
         break;
     }
@@ -421,6 +422,12 @@
 {
     if (finished_ || !route_ || result.attempt != attempt_)
         return {};
+    if (result.status == attempt_status::claim_lost) {
+        leave_target();
+        sent_ = false;
+        return end(execution::not_run, refusal_reason::claim_unavailable,
+                   retry_later);
+    }
     learn(result, now);
     const auto used = route_;
     leave_target();
--- a/src/stage_caller.cpp
+++ b/src/stage_caller.cpp
@@ -110,6 +110,8 @@
         return "done";
     case attempt_status::connect_failed:
         return "connect_failed";
+    case attempt_status::claim_lost:
+        return "claim_lost";
     case attempt_status::not_run:
         return "not_run";
     case attempt_status::failed:
--- a/tests/pipeline_run_test.cpp
+++ b/tests/pipeline_run_test.cpp
@@ -64,3 +64,25 @@
     CHECK(second.target != first.target);
     CHECK(run.on_attempt({first.attempt}, now).empty());
 }
+
+// Guards against targets that are ejected because a claim grew too old: three
+// slow requests in the fuzzer left a pool without targets.
+TEST_CASE("a lost claim ends the run as not run")
+{
+    reason_counters  counters;
+    policy           shared(two_stage_deployment(false), {}, counters);
+    pipeline_run     run(shared, make_info(), time_point{});
+    const time_point now{};
+
+    run.start(now);
+    auto actions = run.on_claim(claim_outcome::granted, now);
+    actions =
+        run.on_attempt({std::get<start_attempt>(actions.at(0)).attempt}, now);
+    const auto second = std::get<start_attempt>(actions.at(0)).attempt;
+    actions = run.on_attempt({second, attempt_status::claim_lost}, now);
+
+    CHECK(std::holds_alternative<release_claim>(actions.at(0)));
+    const auto& end = std::get<finish>(actions.back());
+    CHECK(end.result == execution::not_run);
+    CHECK(end.reason == refusal_reason::claim_unavailable);
+}
