--- a/src/fuzz_process.hpp
+++ b/src/fuzz_process.hpp
@@ -46,7 +46,8 @@
 {
     std::uint32_t                 key = 0;
     std::unique_ptr<pipeline_run> run;
-    std::uint64_t                 claim = 0;
+    std::uint64_t                 claim   = 0;
+    bool                          waiting = false; ///< For on_wake.
     std::string                   body;  ///< Of the last finished attempt.
     std::optional<std::string>    found; ///< Answer of an earlier use.
 };
--- a/src/fuzz_runner.cpp
+++ b/src/fuzz_runner.cpp
@@ -86,7 +86,7 @@
     for (auto& it : threads)
         it.join();
     summary.runs = runs;
-    if (summary.first)
+    if (summary.first && options.shrink)
         shrink(scenario_of(options.seed, summary.first->run), options.guards,
                *summary.first);
     return summary;
--- a/src/fuzz_runner.hpp
+++ b/src/fuzz_runner.hpp
@@ -17,6 +17,7 @@
     std::uint64_t seed    = 1;
     std::uint32_t threads = 3;
     node_guards   guards;
+    bool          shrink = true;
 };
 
 struct fuzz_violation
--- a/src/fuzz_scenario.cpp
+++ b/src/fuzz_scenario.cpp
@@ -65,7 +65,8 @@
     const rc::Gen<fuzz_scenario> whole([](const rc::Random& random, int) {
         return rc::shrinkable::just(make_scenario(random));
     });
-    return rc::gen::shrink(whole, shrink_ops);
+    return rc::gen::shrink(
+        whole, [](const fuzz_scenario& it) { return shrink_ops(it); });
 }
 
 } // namespace arbutusgate
--- a/src/fuzz_world.hpp
+++ b/src/fuzz_world.hpp
@@ -128,6 +128,8 @@
     std::map<std::uint32_t, std::vector<std::uint32_t>> calls_;   ///< By key.
     std::map<std::uint32_t, leaving_note>               leaving_;
 
+    std::map<std::uint32_t, refusal_reason> reasons_; ///< By call.
+
     std::vector<cut>                      cuts_;
     std::uint32_t                         loss_    = 0;
     std::uint32_t                         doubles_ = 0;
