Give the policy a steady clock in the fuzzer

Node cores still get jumping clocks. A refusal by the policy after the faults (ejected targets, learned slow stages) is not a failure of claims.

--- a/src/fuzz_process.hpp
+++ b/src/fuzz_process.hpp
@@ -76,6 +76,8 @@
     /// last pause.
     std::uint64_t wake_floor = 0;
 
+    /// Time of the node core. The policy gets the true time: its ejections and
+    /// deadlines rely on a steady clock.
     time_point clock(time_point now) const { return now + clock_offset; }
 
     std::uint64_t version_at(time_point at) const
