--- a/src/fuzz_process.hpp
+++ b/src/fuzz_process.hpp
@@ -46,7 +46,8 @@
 {
     std::uint32_t                 key = 0;
     std::unique_ptr<pipeline_run> run;
-    std::uint64_t                 claim = 0;
+    std::uint64_t                 claim   = 0;
+    bool                          waiting = false; ///< For on_wake.
     std::string                   body;  ///< Of the last finished attempt.
     std::optional<std::string>    found; ///< Answer of an earlier use.
 };
@@ -75,6 +76,8 @@
     /// last pause.
     std::uint64_t wake_floor = 0;
 
+    /// Time of the node core. The policy gets the true time: its ejections and
+    /// deadlines rely on a steady clock.
     time_point clock(time_point now) const { return now + clock_offset; }
 
     std::uint64_t version_at(time_point at) const
