Keep the policy working when the clock jumps back

Change: a pause longer than it can be has ended; intervals count in both directions; credit does not fall with the clock.

--- a/src/policy_admission.cpp
+++ b/src/policy_admission.cpp
@@ -147,7 +147,8 @@
             ratio_ +=
                 (ratio_ < fair_factor ? regain_calls : 1) / (limit() * share_);
     }
-    else if (static_cast<double>((now - shrunk_).count()) > time_) {
+    else if (static_cast<double>(std::chrono::abs(now - shrunk_).count()) >
+             time_) {
         shrunk_ = now;
         const auto least =
             signal == load_signal::queued ? fair_factor : least_factor;
--- a/src/policy_router.cpp
+++ b/src/policy_router.cpp
@@ -31,6 +31,23 @@
 // At less than all slots taken some targets already have a queue.
 constexpr double full_share = 0.95;
 
+/// A time further ahead than the pause can be comes from before the clock
+/// jumped back.
+bool waits_until(time_point it, microseconds longest, time_point now)
+{
+    return it > now && it - now <= longest;
+}
+
+bool unreachable(const route_target& it, time_point now)
+{
+    return waits_until(it.unreachable_until, longest_unreachable, now);
+}
+
+bool ejected(const route_target& it, time_point now)
+{
+    return waits_until(it.ejected_until, longest_ejection, now);
+}
+
 void mark_leaving(route_target& it, time_point now)
 {
     if (!it.leaving || it.leaving_since == time_point{})
@@ -85,8 +102,8 @@
 {
     return static_cast<std::uint32_t>(
         std::count_if(targets.begin(), targets.end(), [&](const auto& it) {
-            return !it->leaving && !it->probing &&
-                   it->unreachable_until <= now && it->ejected_until <= now;
+            return !it->leaving && !it->probing && !unreachable(*it, now) &&
+                   !ejected(*it, now);
         }));
 }
 
@@ -100,7 +117,8 @@
         });
     if (reached)
         return true;
-    if (usable(targets, now) == 0 || now - admitted_probe_ < hopeless_interval)
+    if (usable(targets, now) == 0 ||
+        std::chrono::abs(now - admitted_probe_) < hopeless_interval)
         return false;
     admitted_probe_ = now;
     return true;
@@ -164,13 +182,13 @@
     };
     std::erase_if(candidates_, [&](int n) {
         const auto& it = *targets[n];
-        return it.unreachable_until > query.now ||
+        return unreachable(it, query.now) ||
                (it.connects_failed > 0 && it.probing);
     });
     if (candidates_.empty())
         return -1;
     keep([&](const route_target& it) {
-        return it.ejected_until <= query.now && !it.probing;
+        return !ejected(it, query.now) && !it.probing;
     });
     if (query.failed) {
         keep([&](const route_target& it) { return &it != query.failed; });
@@ -213,8 +231,7 @@
     std::uint64_t load     = 0;
     std::uint64_t capacity = 0;
     for (const auto& it : targets) {
-        if (it->leaving || it->unreachable_until > now ||
-            it->ejected_until > now)
+        if (it->leaving || unreachable(*it, now) || ejected(*it, now))
             continue;
         load += it->report.in_flight + it->report.queued;
         capacity += it->report.capacity;
@@ -267,12 +284,11 @@
 {
     // More than a third failing is no outlier: the rest could not carry the
     // load, and the cause may lie in the requests.
-    const auto ejected =
-        std::count_if(targets.begin(), targets.end(), [&](const auto& other) {
-            return other->ejected_until > now;
-        });
+    const auto already =
+        std::count_if(targets.begin(), targets.end(),
+                      [&](const auto& other) { return ejected(*other, now); });
     const auto most = std::max<std::size_t>(1, targets.size() / 3);
-    if (targets.size() < 2 || static_cast<std::size_t>(ejected) >= most)
+    if (targets.size() < 2 || static_cast<std::size_t>(already) >= most)
         return;
     it.ejected_until =
         now + backoff(first_ejection, longest_ejection, it.ejections++);
@@ -298,7 +314,7 @@
         it.ejections = 0;
         it.failures  = 0;
     }
-    if (suspect(it) && it.ejected_until <= now)
+    if (suspect(it) && !ejected(it, now))
         eject(targets, it, now);
 }
 
--- a/src/policy_shares.cpp
+++ b/src/policy_shares.cpp
@@ -34,7 +34,7 @@
     if (added)
         entry.credit = burst;
     else
-        entry.credit += share * to_seconds(now - entry.seen);
+        entry.credit += share * std::max(0.0, to_seconds(now - entry.seen));
     entry.credit = std::clamp(entry.credit, -burst, burst);
     entry.seen   = now;
     return entry.credit < 0;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -361,3 +361,15 @@
         CHECK(routes.choose(targets, {start + seconds{301}}) == 0);
     }
 }
+
+// Guards against a target that is left out for as long as the clock jumped
+// back.
+TEST_CASE("a clock that jumps back does not keep targets out")
+{
+    auto   targets = make_targets(1);
+    router routes(policy_strategy::adaptive, 1);
+    routes.on_result(targets, *targets[0], attempt_status::connect_failed,
+                     start);
+    CHECK(routes.choose(targets, {start}) == -1);
+    CHECK(routes.choose(targets, {start - seconds{60}}) == 0);
+}
