Admit a run once to each pool

Cause: a pipeline with two stages in one pool was counted twice there, and asked twice whether the pool may be probed. With all targets unreachable the limit is one, so such a pipeline never got work again. Change: a run is admitted to a pool until its last stage there; a pool is asked once, before the admission. Measured: the new test fails before and passes after; 78 test cases pass.

--- a/include/arbutusgate/pipeline_run.hpp
+++ b/include/arbutusgate/pipeline_run.hpp
@@ -146,6 +146,7 @@
     /// \return no action when admitted.
     run_actions admit(time_point now);
     run_actions commit(time_point now);
+    bool        pools_reachable(time_point now) const;
     /// Asks for room in the pool of the stage.
     /// \return no action when there is room.
     run_actions enter(time_point now);
--- a/src/pipeline_run.cpp
+++ b/src/pipeline_run.cpp
@@ -45,6 +45,17 @@
     return retry_reason::wrong_result;
 }
 
+/// A run is admitted once to a pool, until its last stage there; counted for
+/// each stage it would never find room where the limit is one.
+bool last_in_pool(const pipeline_config& pipeline, std::size_t stage)
+{
+    for (auto n = stage + 1; n < pipeline.stages.size(); ++n) {
+        if (pipeline.stages[n].pool == pipeline.stages[stage].pool)
+            return false;
+    }
+    return true;
+}
+
 } // namespace
 
 pipeline_run::pipeline_run(policy& shared, const request_info& info, time_point)
@@ -166,6 +177,8 @@
         if (!probe_)
             return give_up(refusal_reason::deadline_unreachable, retry_later);
     }
+    if (!pools_reachable(now))
+        return give_up(refusal_reason::no_target, retry_later);
     // Without time to spare it is admitted only where nothing waits.
     const auto spared = info_.deadline - now - needed_high();
     latest_ =
@@ -173,31 +186,43 @@
     return commit(now);
 }
 
+bool pipeline_run::pools_reachable(time_point now) const
+{
+    for (std::size_t n = 0; n < pipeline().stages.size(); ++n) {
+        // A pool is asked once, as it counts probes.
+        if (!last_in_pool(pipeline(), n))
+            continue;
+        const auto&     pool = pool_of(n);
+        std::lock_guard lock(pool.state->mutex);
+        if (!pool.state->routes.admits(pool.targets, now))
+            return false;
+    }
+    return true;
+}
+
 run_actions pipeline_run::commit(time_point now)
 {
     // A grant has counted the run in the pool that it waited for.
     for (std::size_t n = 0; waits_at_ && n < committed_.size(); ++n) {
-        if (&pool_of(n) == waits_at_) {
+        if (&pool_of(n) == waits_at_ && last_in_pool(pipeline(), n)) {
             committed_[n] = true;
             waits_at_     = nullptr;
         }
     }
     waiter_->granted = false;
     for (std::size_t n = 0; n < committed_.size(); ++n) {
-        if (committed_[n])
+        if (committed_[n] || !last_in_pool(pipeline(), n))
             continue;
         const auto&  pool = pool_of(n);
         microseconds wait{0};
-        bool         reachable = false;
-        waiter_->upstream      = needed(0, n);
+        waiter_->upstream = needed(0, n);
         {
             std::lock_guard lock(pool.state->mutex);
             auto&           admission = pool.state->admission;
             if (const auto* account = account_of())
                 waiter_->over = pool.state->shares.over(account->name,
                                                         account->weight, now);
-            reachable     = pool.state->routes.admits(pool.targets, now);
-            committed_[n] = reachable && admission.try_commit(*waiter_);
+            committed_[n] = admission.try_commit(*waiter_);
             if (!committed_[n])
                 wait = admission.expected_wait(*waiter_);
         }
@@ -205,8 +230,6 @@
             continue;
         for (std::size_t back = 0; back < committed_.size(); ++back)
             uncommit(back);
-        if (!reachable)
-            return give_up(refusal_reason::no_target, retry_later);
         if (now + wait > latest_)
             return give_up(
                 waiter_->over ? refusal_reason::account_over_share
--- a/tests/pipeline_run_test.cpp
+++ b/tests/pipeline_run_test.cpp
@@ -203,3 +203,19 @@
     const auto& end     = std::get<finish>(actions.back());
     CHECK(end.reason == refusal_reason::deadline_unreachable);
 }
+
+// Guards against a pipeline with two stages in one pool counting as two probes
+// of it, so that it never got work again.
+TEST_CASE("a pool is tried again after all its targets were unreachable")
+{
+    reason_counters counters;
+    policy          shared(two_stage_deployment(true), {}, counters);
+    time_point      now{};
+    pipeline_run    run(shared, make_info(), now);
+    run.start(now);
+    run.on_attempt({1, attempt_status::connect_failed}, now);
+    run.on_attempt({2, attempt_status::connect_failed}, now);
+    now += seconds{2};
+    pipeline_run again(shared, make_info(), now);
+    CHECK(std::holds_alternative<start_attempt>(again.start(now).at(0)));
+}
