Count heartbeat bytes of a replacement of the own slot

Cause: a superseded process waits until its replacement was silent for the suspicion time. Since heartbeats travel as bytes, a whole entry of the replacement is too seldom at 360 daemons, and the old process could rise beside it. Change: the bytes of the own slot count as the replacement's heartbeat.

--- a/src/member_table.cpp
+++ b/src/member_table.cpp
@@ -127,24 +127,32 @@
     }
 }
 
-void member_table::receive_heartbeats(std::string_view bytes, time_point t)
+std::uint32_t member_table::heartbeats_ahead(const std::string& bytes,
+                                             slot_id            slot,
+                                             std::uint64_t      incarnation,
+                                             std::uint64_t      heartbeat)
 {
+    const auto from = slot.idx * heartbeat_bytes;
+    if (incarnation == 0 || from + heartbeat_bytes > bytes.size())
+        return 0;
     const auto at = [&](std::size_t n) {
-        return static_cast<std::uint8_t>(bytes[n]);
+        return static_cast<std::uint8_t>(bytes[from + n]);
     };
-    const auto count =
-        std::min(members_.size(), bytes.size() / heartbeat_bytes);
-    for (std::uint32_t n = 0; n < count; ++n) {
-        auto&      it   = members_[n];
-        const auto from = n * heartbeat_bytes;
-        const auto low =
-            static_cast<std::uint16_t>(at(from + 1) | (at(from + 2) << 8U));
-        const auto ahead = static_cast<std::uint16_t>(
-            low - static_cast<std::uint16_t>(it.heartbeat));
-        const bool absent = at(from) == 0 && low == 0;
-        if (self(slot_id{n}) || absent || it.incarnation == 0 || ahead == 0 ||
-            ahead > newest_ahead ||
-            at(from) != static_cast<std::uint8_t>(it.incarnation))
+    const auto low    = static_cast<std::uint16_t>(at(1) | (at(2) << 8U));
+    const bool absent = at(0) == 0 && low == 0;
+    const auto ahead =
+        static_cast<std::uint16_t>(low - static_cast<std::uint16_t>(heartbeat));
+    const bool known = at(0) == static_cast<std::uint8_t>(incarnation);
+    return known && !absent && ahead <= newest_ahead ? ahead : 0;
+}
+
+void member_table::receive_heartbeats(const std::string& bytes, time_point t)
+{
+    for (std::uint32_t n = 0; n < members_.size(); ++n) {
+        auto&      it = members_[n];
+        const auto ahead =
+            heartbeats_ahead(bytes, slot_id{n}, it.incarnation, it.heartbeat);
+        if (self(slot_id{n}) || ahead == 0)
             continue;
         it.heartbeat += ahead;
         it.increased = t;
--- a/src/member_table.hpp
+++ b/src/member_table.hpp
@@ -4,7 +4,6 @@
 #include "node_context.hpp"
 
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace arbutusgate {
@@ -22,6 +21,12 @@
     /// Heartbeats of all members, and up to so many whole entries: the own
     /// one, then those that changed lately, then others in turn.
     void send(pb::Gossip& out, std::size_t entries, time_point t);
+    /// How far the heartbeats of a gossip message are ahead of the known
+    /// one of the slot's process; 0: not ahead, or of another process.
+    static std::uint32_t heartbeats_ahead(const std::string& bytes,
+                                          slot_id            slot,
+                                          std::uint64_t      incarnation,
+                                          std::uint64_t      heartbeat);
     /// Takes over what a peer sent.
     void receive(const pb::Gossip& gossip, time_point t);
     /// Peers for a gossip round: in turn from a window that moves over all
@@ -47,7 +52,7 @@
 
     bool self(slot_id slot) const { return slot == context_.init.self; }
     void send_heartbeats(std::string& out, time_point t) const;
-    void receive_heartbeats(std::string_view bytes, time_point t);
+    void receive_heartbeats(const std::string& bytes, time_point t);
     void add_entry(slot_id slot, pb::Gossip& out) const;
 
     node_context&        context_;
--- a/src/node_core.cpp
+++ b/src/node_core.cpp
@@ -95,6 +95,17 @@
         rival = entry;
     }
 
+    void note_rival_heartbeat(const std::string& heartbeats, time_point t)
+    {
+        const auto ahead = member_table::heartbeats_ahead(
+            heartbeats, context.init.self, rival.incarnation(),
+            rival.heartbeat());
+        if (ahead == 0)
+            return;
+        rival.set_heartbeat(rival.heartbeat() + ahead);
+        rival_seen = t;
+    }
+
     bool may_claim(time_point t) const
     {
         if (superseded)
@@ -164,6 +175,7 @@
     {
         for (const auto& it : gossip.members())
             note_rival(it, t);
+        note_rival_heartbeat(gossip.heartbeats(), t);
         members.receive(gossip, t);
         config.on_digest(from, gossip.config(), gossip.echo() == hello_nonce,
                          t);
--- a/tests/node_core_test.cpp
+++ b/tests/node_core_test.cpp
@@ -40,7 +40,8 @@
     now += seconds{3};
     core.tick(now);
     std::uint64_t risen = 0;
-    for (std::uint64_t n = 1; n < 50; ++n) {
+    const auto    end   = now + limits::member_suspect + seconds{4};
+    for (std::uint64_t n = 1; now < end; ++n) {
         now += milliseconds{200};
         core.on_message(gossip_of_rival(10 - n % 2, n), now);
         core.tick(now);
@@ -50,6 +51,36 @@
     CHECK(risen > 200);
 }
 
+// Guards against a process that takes a live replacement for ended: at 360
+// daemons the replacement's whole entry is gossiped too seldom, so that its
+// heartbeat bytes have to count.
+TEST_CASE("heartbeat bytes keep a superseded process from rising")
+{
+    node_init init;
+    init.self        = slot_id{0};
+    init.incarnation = 100;
+    init.slots.resize(5);
+    time_point now;
+    node_core  core(init, now);
+    now += seconds{3};
+    core.tick(now);
+    std::uint64_t risen = 0;
+    const auto    end   = now + limits::member_suspect * 2;
+    for (std::uint64_t n = 1; now < end; ++n) {
+        now += milliseconds{200};
+        auto message = gossip_of_rival(9, n);
+        if (n > 1)
+            message.mutable_gossip()->mutable_members()->DeleteSubrange(0, 1);
+        message.mutable_gossip()->set_heartbeats(
+            {static_cast<char>(200), static_cast<char>(9 + n), 0});
+        core.on_message(message, now);
+        core.tick(now);
+        for (const auto& it : core.take_outgoing())
+            risen = std::max(risen, it.message->from_incarnation());
+    }
+    CHECK(risen == 100);
+}
+
 // Guards against an incarnation that one voter alone knows and that keeps
 // others from settling (fuzz seed 1, run 901).
 TEST_CASE("an incarnation known from a claim is gossiped")
