--- a/include/arbutusgate/config.hpp
+++ b/include/arbutusgate/config.hpp
@@ -36,10 +36,12 @@
 inline constexpr std::size_t gossip_window      = 16;
 inline constexpr std::size_t gossip_window_step = 2; // per pass
 inline constexpr std::size_t gossip_entries     = 8;
-/// At 360 daemons a heartbeat reaches nearly all of them within 10 s.
-inline constexpr auto member_suspect  = 10s;
-inline constexpr auto member_dead     = 20s;
-inline constexpr auto pause_threshold = 2s;
+/// A heartbeat reaches 9 daemons within 5 s and 360 within 10 s; a constant
+/// of 10 s left a small fleet too little of the 17 s for a configuration.
+inline constexpr auto member_suspect          = 5s;
+inline constexpr auto member_suspect_per_slot = 14ms;
+inline constexpr auto member_dead             = 15s; // and 14 ms a slot
+inline constexpr auto pause_threshold         = 2s;
 /// Calls that waited in socket buffers during a pause are refused for this
 /// time after it; their age is unknown.
 inline constexpr auto        pause_hold   = 1s;
--- a/src/fleet_node.cpp
+++ b/src/fleet_node.cpp
@@ -18,8 +18,11 @@
 constexpr auto config_wait    = seconds{5};
 constexpr auto config_idle    = milliseconds{250};
 constexpr auto platform_retry = seconds{1};
-// 360 daemons then make 72 of the service's 2,000 reads/s.
-constexpr auto vms_interval = seconds{5};
+// The list grows with the fleet. Read each 5 s by 360 daemons it would take
+// 72 reads/s of the service and 5.8 KB/s of each daemon; the interval grows
+// with the list, so that both stay constant.
+constexpr auto vms_interval = milliseconds{5000};
+constexpr auto vms_pause_vm = milliseconds{140}; // for each VM listed
 constexpr auto step         = milliseconds{50};
 // Versions tried for a slot list when the published one is invalid.
 constexpr std::uint64_t older_versions = 8;
@@ -354,7 +357,8 @@
             }
         }
         set_peers(peers);
-        pause(vms_interval);
+        pause(std::max(vms_interval, vms_pause_vm * static_cast<std::int64_t>(
+                                                        list->vms.size())));
     }
 }
 
--- a/src/member_table.cpp
+++ b/src/member_table.cpp
@@ -178,11 +178,12 @@
     const auto& it = members_[slot.idx];
     if (it.incarnation == 0)
         return member_view::state::unknown;
-    if (!self(slot) && t - it.increased >= limits::member_dead)
+    const auto silence = t - it.increased - context_.spread_time();
+    if (!self(slot) && silence >= limits::member_dead)
         return member_view::state::dead;
     if (it.leaving)
         return member_view::state::leaving;
-    if (!self(slot) && t - it.increased >= limits::member_suspect)
+    if (!self(slot) && silence >= limits::member_suspect)
         return member_view::state::suspect;
     return member_view::state::alive;
 }
--- a/src/mesh.cpp
+++ b/src/mesh.cpp
@@ -29,7 +29,7 @@
 constexpr milliseconds heartbeat_timeout = seconds{6};
 constexpr milliseconds reconnect_min{100};
 constexpr milliseconds reconnect_max = seconds{2};
-constexpr seconds      idle_limit{30};
+constexpr seconds      idle_limit{20};
 constexpr milliseconds poll_limit = seconds{5};
 
 int ms(milliseconds it)
--- a/src/node_context.hpp
+++ b/src/node_context.hpp
@@ -23,6 +23,12 @@
 
     bool        on(node_guard it) const { return init.guards.on(it); }
     std::size_t slot_count() const { return init.slots.size(); }
+    /// Time that heartbeats need for the way over a fleet of this size.
+    microseconds spread_time() const
+    {
+        return limits::member_suspect_per_slot *
+               static_cast<std::int64_t>(slot_count());
+    }
 
     node_init               init;
     std::uint64_t           incarnation; ///< Of this process.
--- a/src/node_core.cpp
+++ b/src/node_core.cpp
@@ -69,8 +69,9 @@
             rival_seen = std::max(rival_seen, t);
         superseded       = true;
         const bool fresh = !store.ever_settled() && !ever_paused;
-        const bool gone  = t - rival_seen >= limits::member_suspect &&
-                          members.alive_count(t) > context.slot_count() / 2;
+        const bool gone =
+            t - rival_seen >= limits::member_suspect + context.spread_time() &&
+            members.alive_count(t) > context.slot_count() / 2;
         if (!fresh && !gone)
             return;
         superseded          = false;
