Tell processes of a slot apart by 16 bits in gossip

Cause: the low byte of the incarnation is equal for one replacement in 256, which would then inherit its predecessor's later heartbeat and be seen as silent for that long.

--- a/src/member_table.cpp
+++ b/src/member_table.cpp
@@ -11,11 +11,21 @@
 constexpr std::uint64_t reader_purpose = 0x72656164;
 // Changed entries go first until the whole fleet has heard of them.
 constexpr auto        change_spread   = seconds{15};
-constexpr std::size_t heartbeat_bytes = 3; // for each slot
+constexpr std::size_t heartbeat_bytes = 4; // for each slot
 // What is further ahead, modulo 2^16, is an older heartbeat. One byte would
 // not do: messages that a paused process had queued are minutes old.
 constexpr std::uint16_t newest_ahead = 32767;
 
+/// Tells the processes of a slot apart. With one byte a replacement in 256
+/// would get its predecessor's tag, and with it the predecessor's later
+/// heartbeat.
+std::uint16_t process_tag(std::uint64_t incarnation)
+{
+    return static_cast<std::uint16_t>(incarnation ^ (incarnation >> 16U) ^
+                                      (incarnation >> 32U) ^
+                                      (incarnation >> 48U));
+}
+
 } // namespace
 
 member_table::member_table(node_context& context)
@@ -121,9 +131,11 @@
             now == member_view::state::dead)
             continue;
         auto* const bytes = &out[n * heartbeat_bytes];
-        bytes[0]          = static_cast<char>(members_[n].incarnation);
-        bytes[1]          = static_cast<char>(members_[n].heartbeat);
-        bytes[2]          = static_cast<char>(members_[n].heartbeat >> 8U);
+        const auto  tag   = process_tag(members_[n].incarnation);
+        bytes[0]          = static_cast<char>(tag);
+        bytes[1]          = static_cast<char>(tag >> 8U);
+        bytes[2]          = static_cast<char>(members_[n].heartbeat);
+        bytes[3]          = static_cast<char>(members_[n].heartbeat >> 8U);
     }
 }
 
@@ -135,14 +147,15 @@
     const auto from = slot.idx * heartbeat_bytes;
     if (incarnation == 0 || from + heartbeat_bytes > bytes.size())
         return 0;
-    const auto at = [&](std::size_t n) {
-        return static_cast<std::uint8_t>(bytes[from + n]);
+    const auto word = [&](std::size_t n) {
+        return static_cast<std::uint16_t>(
+            static_cast<std::uint8_t>(bytes[from + n]) |
+            (static_cast<std::uint8_t>(bytes[from + n + 1]) << 8U));
     };
-    const auto low    = static_cast<std::uint16_t>(at(1) | (at(2) << 8U));
-    const bool absent = at(0) == 0 && low == 0;
-    const auto ahead =
-        static_cast<std::uint16_t>(low - static_cast<std::uint16_t>(heartbeat));
-    const bool known = at(0) == static_cast<std::uint8_t>(incarnation);
+    const auto ahead = static_cast<std::uint16_t>(
+        word(2) - static_cast<std::uint16_t>(heartbeat));
+    const bool absent = word(0) == 0 && word(2) == 0;
+    const bool known  = word(0) == process_tag(incarnation);
     return known && !absent && ahead <= newest_ahead ? ahead : 0;
 }
 
--- a/tests/node_core_test.cpp
+++ b/tests/node_core_test.cpp
@@ -72,7 +72,7 @@
         if (n > 1)
             message.mutable_gossip()->mutable_members()->DeleteSubrange(0, 1);
         message.mutable_gossip()->set_heartbeats(
-            {static_cast<char>(200), static_cast<char>(9 + n), 0});
+            {static_cast<char>(200), 0, static_cast<char>(9 + n), 0});
         core.on_message(message, now);
         core.tick(now);
         for (const auto& it : core.take_outgoing())
