--- a/src/bench_forward.cpp
+++ b/src/bench_forward.cpp
@@ -1,10 +1,21 @@
-/// Plain forwarding loop, the baseline for what the daemon adds.
-#include "bench_heap.hpp"
+/// The front end for callers against a plain forwarding loop of the same
+/// library, the baseline for what the daemon adds.
+#include "arbutusgate/policy.hpp"
+#include "caller_service.hpp"
+#include "claim_service.hpp"
+#include "deployment_catalog.hpp"
+#include "explain_ring.hpp"
 #include "http_client.hpp"
 #include "http_server.hpp"
 #include "io_thread.hpp"
+#include "metrics.hpp"
+#include "request_gate.hpp"
+#include "run_registry.hpp"
 
 #include <benchmark/benchmark.h>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
 
 #include <algorithm>
 #include <future>
@@ -43,7 +54,8 @@
 
 http_request make_call(std::string body)
 {
-    http_request out(http::verb::post, "/v1/call", 11);
+    http_request out(http::verb::post, "/v1/pipelines/work", 11);
+    out.set(http::field::authorization, "Bearer key-one");
     out.set(http::field::content_type, "application/json");
     out.body() = std::move(body);
     out.prepare_payload();
@@ -128,30 +140,128 @@
     return all;
 }
 
-void forward_plain(benchmark::State& state)
+/// Answers as a service does; ids are absent in calls of the plain loop.
+void answer_call(http_exchange& it)
+{
+    boost::system::error_code ec;
+    const auto call = boost::json::parse(it.request().body(), ec).as_object();
+    boost::json::object out{{"output", "y"}};
+    for (const auto* name : {"request_id", "stage", "attempt"}) {
+        if (const auto* value = call.if_contains(name))
+            out[name] = *value;
+    }
+    it.respond(ok(boost::json::serialize(out)));
+}
+
+/// The pipeline of the benchmark needs no claim.
+class no_claims final : public claim_service
+{
+public:
+    claim_event obtain(std::string_view, std::string_view,
+                       std::uint64_t) override
+    {
+        return {};
+    }
+    bool use(std::uint64_t) override { return false; }
+    void release(std::uint64_t) override {}
+    void record(std::uint64_t, recorded_answer) override {}
+};
+
+std::shared_ptr<deployment> one_target(const std::string& address)
+{
+    auto         out = std::make_shared<deployment>();
+    stage_config stage;
+    stage.name = "only";
+    stage.pool = pool_id{0};
+    pool_config pool;
+    pool.name             = "pool";
+    pool.targets          = {target_id{0}};
+    pool.slots_per_target = 1024;
+    out->pools.push_back(pool);
+    out->targets.push_back({"t", address, "a", pool_id{0}});
+    out->pipelines.push_back({"work", seconds{10}, {stage}, 0, 2});
+    out->accounts.push_back({"one", "key-one", 1, {}});
+    return out;
+}
+
+/// The daemon's front end on one thread, with all decisions of a request.
+class daemon_front
+{
+public:
+    explicit daemon_front(const std::string& target)
+        : rules_(one_target(target), {}, counts_.reasons()), catalog_(rules_)
+    {
+        caller_service_init init;
+        init.services.rules   = &rules_;
+        init.services.claims  = &claims_;
+        init.services.counts  = &counts_;
+        init.services.explain = &explain_;
+        init.services.runs    = &runs_;
+        init.services.on_load = [](const std::string&, const load_report&) {
+        };
+        init.catalog = &catalog_;
+        init.gate    = &gate_;
+        init.threads = {&thread_};
+        init.ready   = [] {
+            return true;
+        };
+        service_ = std::make_unique<caller_service>(std::move(init));
+        server_  = std::make_unique<http_server>(
+            make_server([this](auto& it) { service_->handle(it); }),
+            std::vector<io_thread*>{&thread_});
+        if (!server_->start().ok())
+            std::abort();
+    }
+
+    std::string address() const { return address_of(*server_); }
+
+private:
+    metrics                         counts_;
+    explain_ring                    explain_;
+    no_claims                       claims_;
+    request_gate                    gate_;
+    run_registry                    runs_;
+    policy                          rules_;
+    deployment_catalog              catalog_;
+    io_thread                       thread_;
+    std::unique_ptr<caller_service> service_;
+    std::unique_ptr<http_server>    server_;
+};
+
+constexpr std::size_t calls_each = 500;
+
+template <class Forwarder>
+void forward(benchmark::State& state)
 {
     io_thread   target_thread;
-    http_server target(make_server([](http_exchange& it) {
-                           it.respond(ok("{\"output\":\"y\"}"));
-                       }),
-                       {&target_thread});
+    http_server target(make_server(answer_call), {&target_thread});
     if (!target.start().ok())
         return state.SkipWithError("target does not start");
-    plain_forwarder forwarder(address_of(target));
-    io_thread       client_thread;
-    const auto      connections = static_cast<std::size_t>(state.range(0));
+    Forwarder  forwarder(address_of(target));
+    io_thread  client_thread;
+    const auto connections = static_cast<std::size_t>(state.range(0));
     for (auto _ : state) {
-        const auto times =
-            run_load(client_thread, forwarder.address(), connections, 500);
-        if (times.size() != connections * 500)
+        const auto times = run_load(client_thread, forwarder.address(),
+                                    connections, calls_each);
+        if (times.size() != connections * calls_each)
             return state.SkipWithError("calls were lost");
         state.counters["p50_ms"] = times[times.size() / 2];
         state.counters["p99_ms"] = times[times.size() * 99 / 100];
     }
     state.counters["calls_per_s"] =
-        benchmark::Counter(static_cast<double>(connections * 500),
+        benchmark::Counter(static_cast<double>(connections * calls_each),
                            benchmark::Counter::kIsIterationInvariantRate);
 }
+
+void forward_plain(benchmark::State& state)
+{
+    forward<plain_forwarder>(state);
+}
+
+void forward_daemon(benchmark::State& state)
+{
+    forward<daemon_front>(state);
+}
 BENCHMARK(forward_plain)
     ->Arg(1)
     ->Arg(8)
@@ -161,6 +271,15 @@
     ->UseRealTime()
     ->Unit(benchmark::kMillisecond);
 
+BENCHMARK(forward_daemon)
+    ->Arg(1)
+    ->Arg(8)
+    ->Arg(32)
+    ->Arg(128)
+    ->Iterations(3)
+    ->UseRealTime()
+    ->Unit(benchmark::kMillisecond);
+
 } // namespace
 
 } // namespace arbutusgate
