Ask a voter at once when it shows a new incarnation

Cause: a voter that lost its memory settles a retry window and a margin after each other voter's first answer in its newest incarnation. Change: a recovery request with a new incarnation makes the voter ask on the next tick.

--- a/src/claim_store.cpp
+++ b/src/claim_store.cpp
@@ -117,6 +117,12 @@
     if (!request.brief())
         reply.set_more(
             add_claims(*it, request.after(), t, *reply.mutable_claims()));
+    // The time until this voter settles counts from the other one's first
+    // answer in its new incarnation.
+    const auto known = it->answers.find(from);
+    if (it->state == shard_state::recovering && known != it->answers.end() &&
+        incarnation > known->second.incarnation)
+        next_ask_ = t;
 }
 
 void claim_store::on_recover_reply(slot_id from, std::uint64_t incarnation,
