Add a bench of the check of a version with many sites

Change: config_check_sites, 9,000 accounts and 600 targets, 1 to 20 sites. Conclusion: open until measured.

--- a/src/bench_config.cpp
+++ b/src/bench_config.cpp
@@ -83,6 +83,27 @@
     ->Arg(600)
     ->Unit(benchmark::kMillisecond);
 
+/// Each daemon checks all sites, so that a version is refused everywhere or
+/// nowhere.
+void config_check_sites(benchmark::State& state)
+{
+    config_documents documents{{"base", make_base(600, 9000)}};
+    for (std::int64_t n = 0; n < state.range(0); ++n)
+        documents[absl::StrFormat("site/s%d", n)] = absl::StrFormat(
+            "pipelines:\n  draft:\n    deadline_ms: %d\n", 4000 + n);
+    for (auto _ : state) {
+        auto it = check_version(documents, "s0", 1);
+        if (!it.issues.empty())
+            state.SkipWithError(it.issues.front().message.c_str());
+    }
+}
+BENCHMARK(config_check_sites)
+    ->Arg(1)
+    ->Arg(3)
+    ->Arg(8)
+    ->Arg(20)
+    ->Unit(benchmark::kMillisecond);
+
 } // namespace
 
 } // namespace arbutusgate
