Check versions once, changed sites only; measure links on real sockets

Cause: a daemon parsed the base of each version twice and noted all values, which only the command line shows; the cost of several sites, the memory of a check and the cost of a link beside its memory were not measured. Change: version_checker keeps the digests of the last valid version, parses the base once and skips other sites whose base and overlay did not change; values are not noted for daemons. Benches config_check_sites, config_check_overlay, config_check_memory and mesh_link_cost.

--- a/include/arbutusgate/configuration.hpp
+++ b/include/arbutusgate/configuration.hpp
@@ -53,9 +53,10 @@
 std::vector<std::string> config_sites(const config_documents& documents);
 
 /// Checks the documents as one version for a daemon of \p site: as
-/// check_config, with the issues of all other sites too. A version is valid
-/// as a whole or not at all. With documents near the size limit this takes
-/// hundreds of milliseconds, so it must not run on a fiber's thread.
+/// check_config, without values, with the issues of all other sites too. A
+/// version is valid as a whole or not at all. With documents near the size
+/// limit this takes hundreds of milliseconds, so it must not run on a fiber's
+/// thread.
 checked_config check_version(const config_documents& documents,
                              const std::string& site, std::uint64_t version);
 
--- a/src/bench_config.cpp
+++ b/src/bench_config.cpp
@@ -1,6 +1,8 @@
 /// Benchmarks of the configuration: time to check and merge documents.
 #include "arbutusgate/configuration.hpp"
 #include "bench_heap.hpp"
+#include "config_check.hpp"
+#include "version_checker.hpp"
 
 #include <benchmark/benchmark.h>
 
@@ -83,14 +85,20 @@
     ->Arg(600)
     ->Unit(benchmark::kMillisecond);
 
+config_documents make_sites(std::int64_t sites)
+{
+    config_documents out{{"base", make_base(600, 9000)}};
+    for (std::int64_t n = 0; n < sites; ++n)
+        out[absl::StrFormat("site/s%d", n)] = absl::StrFormat(
+            "pipelines:\n  draft:\n    deadline_ms: %d\n", 4000 + n);
+    return out;
+}
+
 /// Each daemon checks all sites, so that a version is refused everywhere or
-/// nowhere.
+/// nowhere. Here the base changes.
 void config_check_sites(benchmark::State& state)
 {
-    config_documents documents{{"base", make_base(600, 9000)}};
-    for (std::int64_t n = 0; n < state.range(0); ++n)
-        documents[absl::StrFormat("site/s%d", n)] = absl::StrFormat(
-            "pipelines:\n  draft:\n    deadline_ms: %d\n", 4000 + n);
+    const auto documents = make_sites(state.range(0));
     for (auto _ : state) {
         auto it = check_version(documents, "s0", 1);
         if (!it.issues.empty())
@@ -104,6 +112,45 @@
     ->Arg(20)
     ->Unit(benchmark::kMillisecond);
 
+/// The overlay of one site changes.
+void config_check_overlay(benchmark::State& state)
+{
+    auto            documents = make_sites(state.range(0));
+    version_checker checker("s0");
+    std::uint64_t   version = 0;
+    checker.check(documents, ++version);
+    for (auto _ : state) {
+        documents["site/s1"] = absl::StrFormat(
+            "pipelines:\n  draft:\n    deadline_ms: %d\n", 4000 + version % 2);
+        auto it = checker.check(documents, ++version);
+        if (!it.issues.empty())
+            state.SkipWithError(it.issues.front().message.c_str());
+    }
+}
+BENCHMARK(config_check_overlay)
+    ->Arg(3)
+    ->Arg(8)
+    ->Arg(20)
+    ->Arg(50)
+    ->Unit(benchmark::kMillisecond);
+
+/// The trees of the base and of one merged site, held at once while a version
+/// is checked.
+void config_check_memory(benchmark::State& state)
+{
+    const config_documents documents{{"base", make_base(45, state.range(0))}};
+    std::int64_t           bytes = 0;
+    for (auto _ : state) {
+        const auto before = heap_bytes();
+        auto       base   = load_document(documents, base_document);
+        auto       merged = base;
+        benchmark::DoNotOptimize(merged);
+        bytes = heap_bytes() - before;
+    }
+    state.counters["bytes"] = static_cast<double>(bytes);
+}
+BENCHMARK(config_check_memory)->Arg(100)->Arg(1000)->Arg(3000)->Arg(9000);
+
 } // namespace
 
 } // namespace arbutusgate
--- a/src/bench_mesh.cpp
+++ b/src/bench_mesh.cpp
@@ -7,8 +7,14 @@
 #include <benchmark/benchmark.h>
 #include <zmq.h>
 
+#include <linux/tcp.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
 #include <array>
 #include <atomic>
+#include <charconv>
+#include <filesystem>
 #include <memory>
 #include <thread>
 
@@ -37,33 +43,70 @@
     return true;
 }
 
-/// Heap of both ends of the links from one mesh to n others.
-void mesh_link_memory(benchmark::State& state)
+/// Bytes that the open TCP connections of this process have sent, without
+/// the headers of TCP and IP.
+std::uint64_t tcp_bytes_sent()
 {
-    const auto                 n = static_cast<std::uint32_t>(state.range(0));
-    const auto                 keys = make_keys();
-    std::atomic<std::uint64_t> arrived{0};
-    double                     bytes = 0;
-    for (auto _ : state) {
-        arrived = 0;
-        std::vector<std::unique_ptr<mesh>> others;
-        mesh hub({"127.0.0.1:0", keys, [](const pb::PeerMessage&) {
-                  }});
-        if (!hub.start().ok())
-            return state.SkipWithError("mesh does not start");
+    std::uint64_t out = 0;
+    for (const auto& entry :
+         std::filesystem::directory_iterator("/proc/self/fd")) {
+        const auto name = entry.path().filename().string();
+        int        fd   = -1;
+        std::from_chars(name.data(), name.data() + name.size(), fd);
+        tcp_info  info{};
+        socklen_t size = sizeof(info);
+        if (::getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) == 0)
+            out += info.tcpi_bytes_sent;
+    }
+    return out;
+}
+
+/// One mesh and n others, to each of which it can open a link.
+class mesh_star
+{
+public:
+    explicit mesh_star(std::uint32_t n)
+        : keys_(make_keys()),
+          hub_({"127.0.0.1:0", keys_, [](const pb::PeerMessage&) {
+                }})
+    {
+        started_ = hub_.start().ok();
         for (std::uint32_t k = 0; k < n; ++k) {
-            others.push_back(std::make_unique<mesh>(
-                mesh_init{"127.0.0.1:0", keys, [&](const pb::PeerMessage&) {
-                              ++arrived;
+            others_.push_back(std::make_unique<mesh>(
+                mesh_init{"127.0.0.1:0", keys_, [&](const pb::PeerMessage&) {
+                              ++arrived_;
                           }}));
-            if (!others.back()->start().ok())
-                return state.SkipWithError("mesh does not start");
-            hub.set_peer(slot_id{k}, others.back()->bound_address());
+            started_ = started_ && others_.back()->start().ok();
+            hub_.set_peer(slot_id{k}, others_.back()->bound_address());
         }
-        const auto before = heap_bytes();
+    }
+
+    /// \return false when a message was lost.
+    bool send_to_all()
+    {
+        const auto n = static_cast<std::uint32_t>(others_.size());
+        arrived_     = 0;
         for (std::uint32_t k = 0; k < n; ++k)
-            hub.send(slot_id{k}, pb::PeerMessage());
-        if (!wait_for(arrived, n))
+            hub_.send(slot_id{k}, pb::PeerMessage());
+        return started_ && wait_for(arrived_, n);
+    }
+
+private:
+    peer_keys                          keys_;
+    bool                               started_ = false;
+    std::atomic<std::uint64_t>         arrived_{0};
+    std::vector<std::unique_ptr<mesh>> others_;
+    mesh                               hub_;
+};
+
+/// Heap of both ends of the links from one mesh to n others.
+void mesh_link_memory(benchmark::State& state)
+{
+    double bytes = 0;
+    for (auto _ : state) {
+        mesh_star  star(static_cast<std::uint32_t>(state.range(0)));
+        const auto before = heap_bytes();
+        if (!star.send_to_all())
             return state.SkipWithError("messages were lost");
         bytes = static_cast<double>(heap_bytes() - before);
     }
@@ -71,6 +114,38 @@
 }
 BENCHMARK(mesh_link_memory)->Arg(4)->Arg(16)->Arg(32)->Arg(64)->Iterations(1);
 
+/// Processor time and bytes of both ends to open n links, with one empty
+/// message each; then bytes a second of the idle links.
+void mesh_link_cost(benchmark::State& state)
+{
+    constexpr seconds idle{8}; // four heartbeats
+    double            opened = 0, rate = 0;
+    for (auto _ : state) {
+        state.PauseTiming();
+        mesh_star star(static_cast<std::uint32_t>(state.range(0)));
+        state.ResumeTiming();
+        const auto before = tcp_bytes_sent();
+        if (!star.send_to_all())
+            return state.SkipWithError("messages were lost");
+        opened = static_cast<double>(tcp_bytes_sent() - before);
+        state.PauseTiming();
+        const auto start = tcp_bytes_sent();
+        std::this_thread::sleep_for(idle);
+        rate = static_cast<double>(tcp_bytes_sent() - start) /
+               static_cast<double>(idle.count());
+        state.ResumeTiming();
+    }
+    state.counters["open_bytes"] = opened;
+    state.counters["idle_bytes"] = rate;
+}
+BENCHMARK(mesh_link_cost)
+    ->Arg(4)
+    ->Arg(16)
+    ->Arg(32)
+    ->Arg(64)
+    ->Iterations(1)
+    ->MeasureProcessCPUTime();
+
 /// Processor time of both ends for a message with a payload of n bytes.
 void mesh_message(benchmark::State& state)
 {
--- a/src/config_codecs.cpp
+++ b/src/config_codecs.cpp
@@ -136,7 +136,7 @@
     if (!unique_as.empty())
         reader.require_unique(unique_as, text, at, at.node.position);
     out = text;
-    return secret ? digest(text) : text;
+    return secret && reader.keeps_values() ? digest(text) : text;
 }
 
 std::optional<std::string> name_value::read(config_reader&      reader,
--- a/src/config_reader.cpp
+++ b/src/config_reader.cpp
@@ -88,13 +88,15 @@
 void config_reader::note_value(std::string path, std::string value,
                                const source_position& at)
 {
-    values_.push_back(
-        {std::move(path), std::move(value), std::string(at.document), at.line});
+    if (keep_values_)
+        values_.push_back({std::move(path), std::move(value),
+                           std::string(at.document), at.line});
 }
 
 void config_reader::note_default(std::string path, std::string value)
 {
-    values_.push_back({std::move(path), std::move(value), "default", 0});
+    if (keep_values_)
+        values_.push_back({std::move(path), std::move(value), "default", 0});
 }
 
 void config_reader::declare(std::string_view category, std::string_view name,
--- a/src/config_reader.hpp
+++ b/src/config_reader.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace arbutusgate {
@@ -35,6 +36,14 @@
 public:
     using name_map = std::map<std::string, std::uint32_t, std::less<>>;
 
+    /// \param keep_values false: values are checked but not noted, which takes
+    /// half the time for a daemon, which needs issues and the result only.
+    explicit config_reader(bool keep_values = true) : keep_values_(keep_values)
+    {
+    }
+
+    bool keeps_values() const { return keep_values_; }
+
     void error(const source_position& at, std::string message);
     /// Reports at the value of \p at, with its path.
     void error(const located_node& at, std::string_view message);
@@ -59,10 +68,13 @@
     std::vector<config_value>&       values() { return values_; }
 
 private:
-    std::vector<config_issue>                                 issues_;
-    std::vector<config_value>                                 values_;
-    std::map<std::string, name_map, std::less<>>              names_;
-    std::map<std::string, std::map<std::string, std::string>> unique_;
+    bool                                         keep_values_;
+    std::vector<config_issue>                    issues_;
+    std::vector<config_value>                    values_;
+    std::map<std::string, name_map, std::less<>> names_;
+    std::map<std::string, std::unordered_map<std::string, std::string>,
+             std::less<>>
+        unique_;
 };
 
 } // namespace arbutusgate
--- a/src/fleet_node.cpp
+++ b/src/fleet_node.cpp
@@ -74,7 +74,7 @@
 fleet_node::fleet_node(fleet_node_init init, io_thread& control)
     : init_(std::move(init)), control_(control),
       platform_(control.io(), init_.settings.platform), reader_(platform_),
-      worker_(std::make_unique<worker_thread>())
+      checker_(init_.settings.site), worker_(std::make_unique<worker_thread>())
 {
     mesh_init mesh_values;
     mesh_values.listen     = init_.settings.peer;
@@ -375,13 +375,9 @@
     const auto node = host();
     if (!node)
         return;
-    auto checked =
-        check_config(event.documents, init_.settings.site, event.version);
-    auto issues = std::move(checked.issues);
-    if (issues.empty())
-        issues = check_all_sites(event.documents);
-    if (!issues.empty())
-        return reject_config(event, issues);
+    auto checked = checker_.check(event.documents, event.version);
+    if (!checked.issues.empty())
+        return reject_config(event, checked.issues);
     if (rejoin(checked.effective, *node))
         return;
     const auto in_force = node->apply([&](node_core& core, time_point now) {
--- a/src/fleet_node.hpp
+++ b/src/fleet_node.hpp
@@ -8,6 +8,7 @@
 #include "peer_link.hpp"
 #include "platform_client.hpp"
 #include "published_config.hpp"
+#include "version_checker.hpp"
 #include "worker_thread.hpp"
 
 #include "absl/status/status.h"
@@ -117,6 +118,7 @@
     std::atomic<std::uint64_t>              rejected_{0};
     std::atomic<bool>                       stopping_{false};
     std::atomic<int>                        loops_{0};
+    version_checker                         checker_; ///< Worker's only.
     std::unique_ptr<worker_thread>          worker_;
 };
 
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -1,4 +1,5 @@
 #include "config_files.hpp"
+#include "version_checker.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -263,6 +264,35 @@
     CHECK(check_all_sites({{"base", base_text}}).size() == 1);
 }
 
+// Guards against a fault that is passed over because a site was valid before:
+// sites that did not change are not checked again.
+TEST_CASE("a site is checked again when its overlay or the base changes")
+{
+    const config_documents valid = {
+        {"base", base_text}, {"site/x", ""}, {"site/y", ""}};
+    const config_documents closed = {
+        {"base", edited("  - pipelines.*.deadline_ms\n", "")},
+        {"site/x", ""},
+        {"site/y", "pipelines:\n  draft: { deadline_ms: 4000 }\n"}};
+    version_checker it("x");
+    CHECK(it.check(valid, 1).issues.empty());
+
+    auto overlay      = valid;
+    overlay["site/y"] = "pipelines: 1\n";
+    CHECK(has_issue(it.check(overlay, 2), "site/y", 1, "pipelines: not open"));
+    CHECK(has_issue(it.check(overlay, 3), "site/y", 1, "pipelines: not open"));
+
+    auto open    = closed;
+    open["base"] = base_text;
+    CHECK(it.check(open, 4).issues.empty());
+    CHECK(has_issue(it.check(closed, 5), "site/y", 2, "not open"));
+
+    const auto last = it.check(open, 6);
+    CHECK(last.issues.empty());
+    CHECK(last.effective.version == 6);
+    CHECK(last.effective.targets.size() == 2);
+}
+
 // Guards against values that the configuration service cannot hold.
 TEST_CASE("a document over 1 MB is refused")
 {
