Relay messages in a grid of the slots of a large fleet

Cause: mesh_link_cost showed that the links to random voters at 360 daemons break the bounds for control: 121 links out and in, whose heartbeats every 2 s took 9.9 KB/s of 4, and 4.2 handshakes a second of 2 to 2.9 ms, about 1% of a core. Their memory and the trees of a check together came to 35.5 of 32 MB. Ruled out: longer-lived links to all (62 MB), fewer claim groups (a voter would have 359 links), shorter idle times (more handshakes). Change: above 48 slots a daemon has links to the row and column of a square grid of the slots only; a message to any other slot is relayed once, over two possible relays in turn without those believed dead. Gossip goes to neighbours. Only the connecting side of a link sends heartbeats, every 2 s or 80 ms for each slot; unacknowledged data closes a connection after 6 s. Fleets of at most 48 slots behave as before but for the heartbeats of one side.

--- a/include/arbutusgate/config.hpp
+++ b/include/arbutusgate/config.hpp
@@ -31,6 +31,9 @@
 // Membership and gossip.
 inline constexpr auto        gossip_interval = 1s;
 inline constexpr std::size_t gossip_fanout   = 2;
+/// Slots up to which each daemon may have a link to each other one; a link
+/// takes 174 KB of both ends. Larger fleets relay (src/relay_grid.hpp).
+inline constexpr std::size_t direct_links = 48;
 /// Peers are taken from a window that moves slowly, since each link costs
 /// memory and a handshake.
 inline constexpr std::size_t gossip_window      = 16;
--- a/include/arbutusgate/node_core.hpp
+++ b/include/arbutusgate/node_core.hpp
@@ -154,6 +154,8 @@
     bool                     settled() const;
     std::uint32_t            alive_count(time_point now) const;
     std::vector<member_view> members(time_point now) const;
+    /// Slots that are suspect or dead.
+    std::vector<slot_id> silent_slots(time_point now) const;
 
 private:
     struct impl;
--- a/src/fleet_node.cpp
+++ b/src/fleet_node.cpp
@@ -2,6 +2,7 @@
 
 #include "io_thread.hpp"
 #include "log.hpp"
+#include "relay_grid.hpp"
 
 #include <boost/fiber/future/promise.hpp>
 
@@ -314,12 +315,16 @@
     values.link              = this;
     values.on_leaving        = init_.on_leaving;
     values.on_daemons        = init_.on_daemons;
-    values.on_config         = [this](config_event event) {
+    values.on_silent         = [this](const std::vector<slot_id>& slots) {
+        mesh_->set_silent(slots);
+    };
+    values.on_config = [this](config_event event) {
         worker_->post(
             [this, event = std::move(event)] { apply_config(event); });
     };
     place_.store(std::make_shared<const fleet_place>(
         fleet_place{slots, retry_window, incarnation}));
+    mesh_->set_grid(self, relay_grid(slots.size()));
     set_peers(init_.settings.peers);
     host_.store(std::make_shared<node_host>(std::move(values)));
     log(log_level::info, "joined the fleet",
--- a/src/member_table.cpp
+++ b/src/member_table.cpp
@@ -1,6 +1,9 @@
 #include "member_table.hpp"
 
+#include "relay_grid.hpp"
+
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <string_view>
 
@@ -40,6 +43,10 @@
             slot_id{n});
     }
     std::shuffle(order_.begin(), order_.end(), context_.random);
+    const relay_grid grid(members_.size());
+    std::copy_if(
+        order_.begin(), order_.end(), std::back_inserter(peers_),
+        [&](slot_id it) { return grid.adjacent(context_.init.self, it); });
     std::sort(weights.rbegin(), weights.rend());
     for (const auto& it : weights)
         by_weight_.push_back(it.second);
@@ -174,14 +181,14 @@
 
 std::vector<slot_id> member_table::next_peers(std::size_t count)
 {
-    const auto window = std::min(limits::gossip_window, order_.size());
+    const auto window = std::min(limits::gossip_window, peers_.size());
     std::vector<slot_id> peers;
     for (std::size_t n = 0; n < std::min(count, window); ++n) {
-        peers.push_back(order_[(window_ + next_peer_) % order_.size()]);
+        peers.push_back(peers_[(window_ + next_peer_) % peers_.size()]);
         if (++next_peer_ < window)
             continue;
         next_peer_ = 0;
-        window_    = (window_ + limits::gossip_window_step) % order_.size();
+        window_    = (window_ + limits::gossip_window_step) % peers_.size();
     }
     return peers;
 }
@@ -210,6 +217,18 @@
     return count;
 }
 
+std::vector<slot_id> member_table::silent(time_point t) const
+{
+    std::vector<slot_id> out;
+    for (std::uint32_t n = 0; n < members_.size(); ++n) {
+        const auto now = state(slot_id{n}, t);
+        if (now == member_view::state::suspect ||
+            now == member_view::state::dead)
+            out.push_back(slot_id{n});
+    }
+    return out;
+}
+
 std::vector<member_view> member_table::view(time_point t) const
 {
     std::vector<member_view> out;
--- a/src/member_table.hpp
+++ b/src/member_table.hpp
@@ -36,6 +36,8 @@
     member_view::state       state(slot_id slot, time_point t) const;
     std::uint32_t            alive_count(time_point t) const;
     std::vector<member_view> view(time_point t) const;
+    /// Slots that are suspect or dead.
+    std::vector<slot_id> silent(time_point t) const;
     /// True when this daemon is one of the readers of the service: the first
     /// alive one by rendezvous weight in each failure domain, and one more.
     bool is_reader(time_point t) const;
@@ -58,8 +60,9 @@
     node_context&        context_;
     std::vector<member>  members_;
     std::vector<slot_id> order_; ///< Of the others.
+    std::vector<slot_id> peers_; ///< Those with a direct link.
     std::vector<slot_id> by_weight_;
-    std::size_t          window_      = 0; ///< Its start in order_.
+    std::size_t          window_      = 0; ///< Its start in peers_.
     std::size_t          next_peer_   = 0; ///< In the window.
     std::size_t          next_sample_ = 0;
     bool                 leaving_     = false;
--- a/src/mesh.cpp
+++ b/src/mesh.cpp
@@ -1,6 +1,7 @@
 #include "mesh.hpp"
 
 #include "curve_authenticator.hpp"
+#include "relay_grid.hpp"
 #include "unique_fd.hpp"
 
 #include "peer.pb.h"
@@ -14,6 +15,7 @@
 #include <optional>
 #include <thread>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace arbutusgate {
 
@@ -21,12 +23,19 @@
 
 // A peer that does not read loses messages; every protocol on the mesh
 // tolerates that and resends.
-constexpr int          queue_limit       = 256; // messages for each peer
-constexpr std::int64_t message_limit     = 8 * 1024 * 1024; // bytes
-constexpr std::size_t  outbox_limit      = 4096;            // messages
-constexpr int          receive_batch     = 64;              // messages
-constexpr milliseconds heartbeat_period  = seconds{2};
-constexpr milliseconds heartbeat_timeout = seconds{6};
+constexpr int          queue_limit   = 256; // messages for each peer
+constexpr std::int64_t message_limit = 8 * 1024 * 1024; // bytes
+constexpr std::size_t  outbox_limit  = 4096;            // messages
+constexpr int          receive_batch = 64;              // messages
+// A connection that the peer no longer reads is closed when sent data was
+// not acknowledged for this time, or heartbeats were not answered for three
+// periods.
+constexpr milliseconds send_timeout     = seconds{6};
+constexpr milliseconds heartbeat_period = seconds{2};
+// Heartbeats every 2 s on the links of a fleet of 360 took 9.9 KB/s of a
+// daemon.
+constexpr milliseconds heartbeat_per_slot{80};
+constexpr int          heartbeats_missed = 3;
 constexpr milliseconds reconnect_min{100};
 constexpr milliseconds reconnect_max = seconds{2};
 constexpr seconds      idle_limit{20};
@@ -64,6 +73,9 @@
     peer_link*   link_to(slot_id slot);
     void         close_idle();
     void         secure(zmq::socket_t& socket);
+    void         relay(pb::PeerMessage& message);
+    slot_id      next_hop(slot_id to);
+    milliseconds heartbeat();
 
     mesh_init                              init;
     zmq::context_t                         context{1};
@@ -75,11 +87,16 @@
     std::mutex                               mutex;
     std::unordered_map<slot_id, std::string> addresses;
     std::vector<slot_id>                     moved; ///< Address changed.
+    slot_id                                  self;
+    relay_grid                               grid;
+    milliseconds                             heartbeat_time = heartbeat_period;
+    std::unordered_set<slot_id>              silent;
+    std::size_t                              turn = 0; ///< Of the two relays.
     std::deque<outgoing>                     outbox;
 
     std::atomic<bool>          stop{false};
     std::atomic<std::uint64_t> sent{0}, received{0}, bytes_out{0}, bytes_in{0},
-        dropped{0}, malformed{0}, rejected{0};
+        dropped{0}, malformed{0}, rejected{0}, relayed{0};
     std::thread thread;
 };
 
@@ -88,8 +105,7 @@
     socket.set(zmq::sockopt::curve_publickey, init.keys.public_key);
     socket.set(zmq::sockopt::curve_secretkey, init.keys.secret_key);
     socket.set(zmq::sockopt::linger, 0);
-    socket.set(zmq::sockopt::heartbeat_ivl, ms(heartbeat_period));
-    socket.set(zmq::sockopt::heartbeat_timeout, ms(heartbeat_timeout));
+    socket.set(zmq::sockopt::tcp_maxrt, ms(send_timeout));
     socket.set(zmq::sockopt::maxmsgsize, message_limit);
 }
 
@@ -158,10 +174,44 @@
             continue;
         }
         ++received;
-        init.on_message(message);
+        if (message.relay_to() == 0)
+            init.on_message(message);
+        else
+            relay(message);
     }
 }
 
+void mesh::impl::relay(pb::PeerMessage& message)
+{
+    const slot_id to{message.relay_to() - 1};
+    message.clear_relay_to();
+    ++relayed;
+    send_one({to, message.SerializeAsString()});
+}
+
+/// \return the slot that gets the frame: the recipient itself or a relay, the
+/// two possible ones in turn. The mutex is held.
+slot_id mesh::impl::next_hop(slot_id to)
+{
+    if (!self.valid() || grid.adjacent(self, to))
+        return to;
+    const auto relays = grid.relays(self, to);
+    for (std::size_t n = 0; n < relays.size(); ++n) {
+        const auto it = relays[turn++ % relays.size()];
+        if (it.valid() && !silent.contains(it))
+            return it;
+    }
+    return to;
+}
+
+/// Only the connecting side sends heartbeats; the other one closes the
+/// connection when they stop.
+milliseconds mesh::impl::heartbeat()
+{
+    std::lock_guard lock(mutex);
+    return heartbeat_time;
+}
+
 void mesh::impl::send_all()
 {
     std::deque<outgoing> batch;
@@ -210,6 +260,10 @@
     // All daemons of a fleet share one server key.
     socket.set(zmq::sockopt::curve_serverkey, init.keys.public_key);
     socket.set(zmq::sockopt::sndhwm, queue_limit);
+    const auto period = heartbeat();
+    socket.set(zmq::sockopt::heartbeat_ivl, ms(period));
+    socket.set(zmq::sockopt::heartbeat_timeout, ms(heartbeats_missed * period));
+    socket.set(zmq::sockopt::heartbeat_ttl, ms(heartbeats_missed * period));
     socket.set(zmq::sockopt::reconnect_ivl, ms(reconnect_min));
     socket.set(zmq::sockopt::reconnect_ivl_max, ms(reconnect_max));
     socket.connect("tcp://" + address);
@@ -261,6 +315,21 @@
     impl_->moved.push_back(slot);
 }
 
+void mesh::set_grid(slot_id self, const relay_grid& grid)
+{
+    std::lock_guard lock(impl_->mutex);
+    impl_->self = self;
+    impl_->grid = grid;
+    impl_->heartbeat_time =
+        std::max(heartbeat_period, heartbeat_per_slot * grid.slots());
+}
+
+void mesh::set_silent(const std::vector<slot_id>& slots)
+{
+    std::lock_guard lock(impl_->mutex);
+    impl_->silent = {slots.begin(), slots.end()};
+}
+
 void mesh::send(slot_id to, const pb::PeerMessage& message)
 {
     {
@@ -269,7 +338,14 @@
             ++impl_->dropped;
             return;
         }
-        impl_->outbox.push_back({to, message.SerializeAsString()});
+        const auto hop   = impl_->next_hop(to);
+        auto       frame = message.SerializeAsString();
+        if (hop != to) {
+            pb::PeerMessage recipient;
+            recipient.set_relay_to(to.idx + 1);
+            recipient.AppendToString(&frame);
+        }
+        impl_->outbox.push_back({hop, std::move(frame)});
     }
     impl_->wake();
 }
@@ -277,7 +353,7 @@
 mesh_stats mesh::stats() const
 {
     return {impl_->sent,    impl_->received,  impl_->bytes_out, impl_->bytes_in,
-            impl_->dropped, impl_->malformed, impl_->rejected};
+            impl_->dropped, impl_->malformed, impl_->rejected,  impl_->relayed};
 }
 
 } // namespace arbutusgate
--- a/src/mesh.hpp
+++ b/src/mesh.hpp
@@ -11,9 +11,12 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace arbutusgate {
 
+class relay_grid;
+
 namespace pb {
 class PeerMessage;
 }
@@ -37,6 +40,7 @@
     std::uint64_t dropped   = 0; ///< No address or full queue.
     std::uint64_t malformed = 0;
     std::uint64_t rejected  = 0; ///< Handshakes with an unknown key.
+    std::uint64_t relayed   = 0; ///< Passed on for other daemons.
 };
 
 /// Delivers messages at most once and may lose them without notice. One
@@ -56,7 +60,13 @@
     /// Address after start, "IP:port"; differs from listen for port 0.
     std::string bound_address() const;
     /// Address of the slot's current VM, "IP:port"; replaces an older one.
-    void       set_peer(slot_id slot, std::string address);
+    void set_peer(slot_id slot, std::string address);
+    /// Sets how messages reach slots without a direct link; until then all
+    /// links are direct.
+    void set_grid(slot_id self, const relay_grid& grid);
+    /// Slots that are not to relay, since they are believed dead. Replaces
+    /// the earlier list.
+    void       set_silent(const std::vector<slot_id>& slots);
     void       send(slot_id to, const pb::PeerMessage& message);
     mesh_stats stats() const;
 
--- a/src/node_core.cpp
+++ b/src/node_core.cpp
@@ -420,6 +420,11 @@
     return impl_->members.alive_count(impl_->clock.at(now));
 }
 
+std::vector<slot_id> node_core::silent_slots(time_point now) const
+{
+    return impl_->members.silent(impl_->clock.at(now));
+}
+
 std::vector<member_view> node_core::members(time_point now) const
 {
     return impl_->members.view(impl_->clock.at(now));
--- a/src/node_host.cpp
+++ b/src/node_host.cpp
@@ -34,17 +34,23 @@
 
 void node_host::run()
 {
+    std::vector<slot_id> last_silent;
     for (std::uint32_t last = 0;;) {
-        std::uint32_t daemons = 0;
+        std::uint32_t        daemons = 0;
+        std::vector<slot_id> silent;
         apply([&](node_core& core, time_point now) {
             core.tick(now);
             ready_  = core.ready(now);
             daemons = core.alive_count(now);
+            silent  = core.silent_slots(now);
             ticked_ = now;
         });
         if (init_.on_daemons && daemons != last)
             init_.on_daemons(daemons);
         last = daemons;
+        if (init_.on_silent && silent != last_silent)
+            init_.on_silent(silent);
+        last_silent = std::move(silent);
         std::unique_lock lock(mutex_);
         if (changed_.wait_for(lock, tick_interval, [this] { return stop_; }))
             return;
--- a/src/node_host.hpp
+++ b/src/node_host.hpp
@@ -32,6 +32,8 @@
     std::function<void(config_event)> on_config;
     std::function<void(const std::string& target)> on_leaving;
     std::function<void(std::uint32_t daemons)>     on_daemons;
+    /// Called when other slots than before are suspect or dead.
+    std::function<void(const std::vector<slot_id>& slots)> on_silent;
 };
 
 /// Thread-safe. Owns the tick thread and serializes calls of the core.
--- a/tests/caller_test.cpp
+++ b/tests/caller_test.cpp
@@ -128,7 +128,7 @@
         it.respond(json_answer(answer_to(body_of(it))));
         it.abort();
     });
-    front_end front(one_stage(stage_kind::service, true, {target.address()}));
+    front_end   front(one_stage(stage_kind::service, true, {target.address()}));
     for (int n = 0; n < 3; ++n) {
         const auto response = front.call(front.request());
         REQUIRE(response.status == 200);
--- a/tests/mesh_test.cpp
+++ b/tests/mesh_test.cpp
@@ -1,4 +1,5 @@
 #include "mesh.hpp"
+#include "relay_grid.hpp"
 
 #include "peer.pb.h"
 
@@ -7,6 +8,8 @@
 
 #include <array>
 #include <future>
+#include <memory>
+#include <vector>
 
 using namespace arbutusgate;
 
@@ -78,6 +81,64 @@
     CHECK(count == 0);
 }
 
+// Guards against messages lost between daemons that have no link, also when
+// one of the two daemons that could relay them is dead.
+TEST_CASE("a message without a direct link is relayed")
+{
+    const auto                         keys = make_keys();
+    const relay_grid                   grid(4, 1); // rows 0 1 and 2 3
+    std::promise<std::uint32_t>        arrived;
+    std::vector<std::unique_ptr<mesh>> all;
+    for (std::uint32_t n = 0; n < 4; ++n) {
+        all.push_back(std::make_unique<mesh>(
+            make_init(keys, [&arrived, n](const auto& it) {
+                if (n == 3)
+                    arrived.set_value(it.from_slot());
+            })));
+        REQUIRE(all.back()->start().ok());
+        all.back()->set_grid(slot_id{n}, grid);
+    }
+    for (auto& it : all) {
+        for (std::uint32_t n = 0; n < 4; ++n)
+            it->set_peer(slot_id{n}, all[n]->bound_address());
+    }
+    const std::uint32_t dead = GENERATE(1, 2);
+    all[0]->set_silent({slot_id{dead}});
+    pb::PeerMessage message;
+    message.set_from_slot(7);
+    all[0]->send(slot_id{3}, message);
+    auto future = arrived.get_future();
+    REQUIRE(future.wait_for(wait_limit) == std::future_status::ready);
+    CHECK(future.get() == 7);
+    CHECK(all[dead]->stats().relayed == 0);
+    CHECK(all[3 - dead]->stats().relayed == 1);
+}
+
+// Guards against pairs of slots that cannot reach each other.
+TEST_CASE("every pair of slots has a link or a relay with links to both")
+{
+    for (const std::uint32_t n : {2U, 48U, 49U, 50U, 56U, 57U, 360U}) {
+        const relay_grid grid(n);
+        std::size_t      links = 0;
+        for (std::uint32_t a = 0; a < n; ++a)
+            links = std::max(links, grid.neighbours(slot_id{a}).size());
+        CHECK(links <= (n <= 48 ? n - 1 : 36));
+        for (std::uint32_t k = 0; k < n * n; ++k) {
+            const slot_id a{k / n}, b{k % n};
+            if (grid.adjacent(a, b))
+                continue;
+            std::size_t usable = 0;
+            for (const auto it : grid.relays(a, b)) {
+                const bool links_both =
+                    it.valid() && grid.adjacent(a, it) && grid.adjacent(it, b);
+                REQUIRE((links_both || !it.valid()));
+                usable += links_both;
+            }
+            REQUIRE(usable > 0);
+        }
+    }
+}
+
 // Guards against a daemon that starts without protection because its keys
 // are wrong.
 TEST_CASE("a mesh does not start with invalid keys")
