Count a clock that goes back as a pause

The clock of process 4 went back 327 s, and before its next tick the process was paused for 3.2 s. The gap that the core saw was negative and taken for none, so the pause was not noticed, and a call was served under the version from before it.

Change: a negative gap counts as a pause. The fuzzer now lets clocks go back during pauses too. It leaves out only a pause of more than 2 s whose gap, as shown by the clock, is from 0 to 2 s, which is the design's 'pause that the clock does not show': the jump is then taken back at the wake-up. Before, every backward jump during a pause was left out, and one right before a pause was not.

--- a/src/fuzz_process.hpp
+++ b/src/fuzz_process.hpp
@@ -60,6 +60,8 @@
     bool          paused     = false;
     bool          draining   = false;
     microseconds  clock_offset{0};
+    time_point    last_call;      ///< True time of the core's latest call.
+    microseconds  last_offset{0}; ///< clock_offset at that call.
     time_point    started;
     time_point    paused_at;
     time_point    next_read;
@@ -81,6 +83,25 @@
     /// deadlines rely on a steady clock.
     time_point clock(time_point now) const { return now + clock_offset; }
 
+    /// The same for a call that the core takes its time from.
+    time_point observe(time_point now)
+    {
+        last_call   = now;
+        last_offset = clock_offset;
+        return clock(now);
+    }
+
+    /// True when a pause since the latest call shows as a gap that is neither
+    /// negative nor over the threshold: "a pause that the clock does not show"
+    /// of the design's residual risks.
+    bool hides_pause(time_point now) const
+    {
+        const auto gap   = now - last_call;
+        const auto shown = gap + clock_offset - last_offset;
+        return gap > limits::pause_threshold && shown >= microseconds{0} &&
+               shown <= limits::pause_threshold;
+    }
+
     std::uint64_t version_at(time_point at) const
     {
         std::uint64_t version = 0;
--- a/src/fuzz_world.cpp
+++ b/src/fuzz_world.cpp
@@ -164,12 +164,8 @@
     case fuzz_op_kind::drain:
         return drain(current(slot));
     case fuzz_op_kind::jump: {
-        auto&      it = *processes_[current(slot)];
-        const auto by = seconds{static_cast<int>(op.b) - 500};
-        // A clock that goes back across a pause hides it from the process;
-        // core_clock excludes that.
-        if (!it.paused || by > seconds{0})
-            it.clock_offset += by;
+        processes_[current(slot)]->clock_offset +=
+            seconds{static_cast<int>(op.b) - 500};
         return;
     }
     default:
@@ -238,7 +234,7 @@
             return;
         const auto& name = deployment_->targets[target].name;
         process.routes->set_leaving(name, true);
-        process.core->note_leaving_target(name, process.clock(now_));
+        process.core->note_leaving_target(name, process.observe(now_));
         pump(current(slot));
         leaving_[target] = {now_, current(slot)};
         return;
@@ -263,6 +259,7 @@
     auto it           = std::make_unique<fuzz_process>();
     it->slot          = slot;
     it->started       = now_;
+    it->last_call     = now_;
     it->core          = std::make_unique<node_core>(init_, now_);
     it->counters      = std::make_unique<reason_counters>();
     policy_init routes;
@@ -323,6 +320,9 @@
     if (!it.alive || !it.paused)
         return;
     it.paused = false;
+    // The fault model excludes hidden pauses, so the jump is taken back.
+    if (it.hides_pause(now_))
+        it.clock_offset = it.last_offset;
     // A pause below the threshold is not noticed and needs no confirmation.
     const bool noticed = now_ - it.paused_at > limits::pause_threshold;
     it.wake_floor      = noticed ? ~std::uint64_t{0} : 0;
@@ -353,7 +353,7 @@
         return;
     it.draining  = true;
     it.drain_end = now_ + drain_limit;
-    it.core->begin_drain(it.clock(now_));
+    it.core->begin_drain(it.observe(now_));
     pump(process);
 }
 
@@ -401,7 +401,7 @@
         on_tick(event.process);
         break;
     case fuzz_event_kind::message:
-        it.core->on_message(*event.message, it.clock(now_));
+        it.core->on_message(*event.message, it.observe(now_));
         break;
     case fuzz_event_kind::request:
         on_request(event);
@@ -427,7 +427,7 @@
 void fuzz_world::on_tick(std::uint32_t process)
 {
     auto& it = *processes_[process];
-    it.core->tick(it.clock(now_));
+    it.core->tick(it.observe(now_));
     if (now_ >= it.next_read && it.core->should_read_config(it.clock(now_))) {
         it.next_read = now_ + read_interval;
         push({.kind = fuzz_event_kind::config_read, .process = process},
@@ -464,9 +464,9 @@
     const auto actions = run.run->start(now_);
     for (const auto& action : actions) {
         if (std::holds_alternative<obtain_claim>(action))
-            run.claim =
-                it.core->begin_claim("a", std::to_string(event.key),
-                                     event.other_body ? 2 : 1, it.clock(now_));
+            run.claim = it.core->begin_claim("a", std::to_string(event.key),
+                                             event.other_body ? 2 : 1,
+                                             it.observe(now_));
     }
     act(event.process, event.call, actions);
 }
@@ -498,7 +498,7 @@
         else if (std::holds_alternative<wait_until>(action))
             run.waiting = true;
         else if (std::holds_alternative<release_claim>(action))
-            it.core->release_claim(run.claim, it.clock(now_));
+            it.core->release_claim(run.claim, it.observe(now_));
         else if (const auto* end = std::get_if<finish>(&action))
             return on_finish(it, call, *end);
     }
@@ -516,7 +516,7 @@
     else if (end.result == execution::failed)
         answer = fuzz_answer::failed;
     if (end.result == execution::done && !run.found)
-        it.core->record_answer(run.claim, {200, run.body}, it.clock(now_));
+        it.core->record_answer(run.claim, {200, run.body}, it.observe(now_));
     reasons_[call] = end.reason;
     oracle_.on_answer(call, answer, run.found.value_or(run.body));
     it.runs.erase(call);
@@ -601,7 +601,7 @@
     if (service_down_)
         return;
     const auto version = stale_.contains(it.slot) ? 1 : published_;
-    it.core->on_config_read(version, documents_of(version), it.clock(now_));
+    it.core->on_config_read(version, documents_of(version), it.observe(now_));
 }
 
 void fuzz_world::on_config_event(fuzz_process& it, const config_event& event)
@@ -610,10 +610,10 @@
         return oracle_.violation("a rejected version was offered again");
     if (!valid(event.version)) {
         it.rejected.insert(event.version);
-        return it.core->reject_config(event.version, it.clock(now_));
+        return it.core->reject_config(event.version, it.observe(now_));
     }
     const auto before = it.core->config_version();
-    it.core->accept_config(event.version, it.clock(now_));
+    it.core->accept_config(event.version, it.observe(now_));
     const auto after = it.core->config_version();
     if (after == before)
         return;
@@ -653,7 +653,7 @@
     result.result.attempt = event.attempt.attempt;
     if (event.attempt.stage == 0)
         return push(result, stage_time_);
-    if (!it.core->use_claim(run->second.claim, it.clock(now_))) {
+    if (!it.core->use_claim(run->second.claim, it.observe(now_))) {
         result.result.status = attempt_status::claim_lost;
         return push(result, microseconds{0});
     }
--- a/src/observed_clock.hpp
+++ b/src/observed_clock.hpp
@@ -10,14 +10,15 @@
 
 /// Sums the gaps between calls. A negative gap counts as none, a gap over
 /// limits::pause_threshold as that threshold, so that neither a pause nor a
-/// jump ages anything that the process keeps.
+/// jump ages anything that the process keeps. A clock that goes back may have
+/// gone back across a pause, so a negative gap counts as a pause.
 class observed_clock
 {
 public:
     struct reading
     {
         time_point at;
-        bool       paused = false; ///< The gap was over the threshold.
+        bool       paused = false; ///< Gap negative or over the threshold.
     };
 
     observed_clock(time_point now, bool limited) : last_(now), limited_(limited)
@@ -26,9 +27,10 @@
 
     reading advance(time_point now)
     {
-        const bool paused = now - last_ > limits::pause_threshold;
-        time_             = at(now);
-        last_             = now;
+        const bool paused =
+            now < last_ || now - last_ > limits::pause_threshold;
+        time_ = at(now);
+        last_ = now;
         return {time_, paused};
     }
 
--- a/tests/fuzz_test.cpp
+++ b/tests/fuzz_test.cpp
@@ -87,3 +87,44 @@
               op(kind::kill_all, 0, 0, 124), op(kind::supersede, 4, 0, 2958)};
     CHECK(violated(it) == "");
 }
+
+// Found by run 16494 of seed 77: the clock went back 327 s just before a pause
+// of 3.2 s, so that the gap was negative and the pause was not noticed. Work
+// was sent under the version from before it.
+TEST_CASE("a pause is noticed when the clock went back across it")
+{
+    fuzz_scenario it{4463881266376292684U, 9, {}};
+    it.ops = {op(kind::settle, 40'000),    op(kind::leaving, 1),
+              op(kind::jump, 4, 173, 229), op(kind::pause, 4),
+              op(kind::publish),           op(kind::wait, 0, 0, 3228),
+              op(kind::lose, 64),          op(kind::stale, 4),
+              op(kind::wake, 4),           op(kind::call, 4, 1, 163)};
+    CHECK(violated(it) == "");
+}
+
+// Guards against a fault model that leaves out more, or less, than a pause
+// that the clock does not show: one that lasts longer than the threshold and
+// leaves a gap from zero to the threshold.
+TEST_CASE("only a pause that the clock does not show is excluded")
+{
+    const time_point paused{std::chrono::hours{24}};
+    const auto       hides = [&](microseconds pause, microseconds jump) {
+        fuzz_process it;
+        it.observe(paused);
+        it.clock_offset += jump;
+        return it.hides_pause(paused + pause);
+    };
+    constexpr auto limit = limits::pause_threshold;
+    constexpr auto us    = microseconds{1};
+    CHECK(hides(limit + us, -us));
+    CHECK(hides(seconds{20}, seconds{-20}));
+    CHECK(hides(seconds{20}, limit - seconds{20}));
+    // Shown as a gap over the threshold.
+    CHECK_FALSE(hides(seconds{20}, limit + us - seconds{20}));
+    CHECK_FALSE(hides(limit + us, microseconds{0}));
+    // Shown as a gap below zero.
+    CHECK_FALSE(hides(seconds{20}, -us - seconds{20}));
+    // No pause that the core has to notice.
+    CHECK_FALSE(hides(limit, microseconds{0}));
+    CHECK_FALSE(hides(seconds{1}, milliseconds{-500}));
+}
--- a/tests/node_core_test.cpp
+++ b/tests/node_core_test.cpp
@@ -169,6 +169,18 @@
     CHECK_FALSE(fleet.nodes[0]->use_claim(paused.claim, fleet.now));
 }
 
+// Guards against a pause that a clock which goes back hides from the core.
+TEST_CASE("a clock that goes back counts as a pause")
+{
+    node_fleet fleet(5);
+    fleet.run(seconds{35});
+    const auto claim = fleet.claim(0, "k");
+    REQUIRE(fleet.nodes[0]->use_claim(claim.claim, fleet.now));
+    const auto back = fleet.now - microseconds{1};
+    CHECK_FALSE(fleet.nodes[0]->use_claim(claim.claim, back));
+    CHECK_FALSE(fleet.nodes[0]->settled());
+}
+
 // Guards against a version that does not reach every daemon, or that an
 // older one replaces.
 TEST_CASE("the highest version reaches every daemon")
