Update a pool's slots when a request asks for admission

The slots of a pool were counted only when an attempt ended. The last one ended while no target could be connected to, which gave the pool one slot; a request in its slow first stage (18 s) held it, and others were refused as overload with three targets usable and idle (seen in the trace: slots 1, committed 1, running 0, usable 3).

Change: admission counts the usable targets too.

--- a/src/pipeline_run.cpp
+++ b/src/pipeline_run.cpp
@@ -197,6 +197,9 @@
         std::lock_guard lock(pool.state->mutex);
         if (!pool.state->routes.admits(pool.targets, now))
             return false;
+        // Targets may be usable again since the last attempt ended.
+        const auto& config = config_->pools[pipeline().stages[n].pool.idx];
+        policy_.impl_->update_share(pool, config.slots_per_target, now);
     }
     return true;
 }
--- a/tests/fuzz_test.cpp
+++ b/tests/fuzz_test.cpp
@@ -141,3 +141,17 @@
               op(kind::kill_all, 0, 0, 26)};
     CHECK(violated(it) == "");
 }
+
+// Found by run 48439 of seed 4242: no target could be connected to when an
+// attempt ended, so the pool was given one slot, and that for as long as no
+// other attempt ended. A request in a slow first stage held it, and others
+// were refused as overload with all targets back and idle.
+TEST_CASE("a pool has its slots again when its targets are back")
+{
+    fuzz_scenario it{6390381716861063438U, 9, {}};
+    it.ops = {op(kind::settle, 40'000),    op(kind::targets, 2, 2, 51),
+              op(kind::call, 2, 4, 4495),  op(kind::call, 8, 1, 2129),
+              op(kind::slow_stage, 18260), op(kind::call, 2),
+              op(kind::wait, 0, 0, 10'000)};
+    CHECK(violated(it) == "");
+}
