--- a/src/member_table.cpp
+++ b/src/member_table.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <set>
 #include <string_view>
 
 namespace arbutusgate {
@@ -105,11 +104,15 @@
         const auto& it = members_[slot.idx];
         return it.incarnation != 0 && t - it.changed < change_spread;
     };
-    for (std::size_t n = 0; n < order_.size() && !full(); ++n) {
-        const auto slot = order_[(next_sample_ + n) % order_.size()];
+    // In turn too: after a restart of the fleet more changed than fit.
+    std::size_t seen = 0;
+    for (; seen < order_.size() && !full(); ++seen) {
+        const auto slot = order_[(next_changed_ + seen) % order_.size()];
         if (recent(slot))
             add_entry(slot, out);
     }
+    if (!order_.empty())
+        next_changed_ = (next_changed_ + seen) % order_.size();
     for (std::size_t n = 0; n < order_.size() && !full(); ++n) {
         const auto slot = order_[next_sample_];
         next_sample_    = (next_sample_ + 1) % order_.size();
@@ -240,15 +243,20 @@
 
 bool member_table::is_reader(time_point t) const
 {
-    std::set<std::string_view> domains;
-    bool                       extra = false;
+    // Few domains: a linear search is faster than a set.
+    std::vector<std::string_view> domains;
+    bool                          extra = false;
     for (const auto slot : by_weight_) {
         if (!self(slot) && state(slot, t) != member_view::state::alive)
             continue;
+        const std::string_view domain =
+            context_.init.slots[slot.idx].failure_domain;
         const bool first =
-            domains.insert(context_.init.slots[slot.idx].failure_domain).second;
+            std::find(domains.begin(), domains.end(), domain) == domains.end();
         if (self(slot))
             return first || !extra;
+        if (first)
+            domains.push_back(domain);
         extra = extra || !first;
     }
     return true;
