Test the admin port, its commands and a changed slot list

Cause: the admin port through the real service, the commands status, explain and drain against it, and a daemon whose slot list changed had no test. Change: tests with a daemon in the process before a fake platform and target; they share tests/daemon_process.hpp and tests/cli_run.hpp. A daemon tells its ports, since tests let the system choose them.

--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -170,6 +170,16 @@
     changed_.wait(lock, [this] { return drained_; });
 }
 
+std::uint16_t daemon::caller_port() const
+{
+    return caller_server_->port();
+}
+
+std::uint16_t daemon::admin_port() const
+{
+    return admin_server_->port();
+}
+
 std::string daemon::not_ready_reason() const
 {
     if (draining_)
--- a/src/daemon.hpp
+++ b/src/daemon.hpp
@@ -20,6 +20,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <cstdint>
 #include <future>
 #include <memory>
 #include <mutex>
@@ -46,6 +47,9 @@
     void drain_on_signals();
     /// Blocks until a drain has ended.
     void wait();
+    /// Ports in use after start, also when the settings leave them open.
+    std::uint16_t caller_port() const;
+    std::uint16_t admin_port() const;
 
     std::string not_ready_reason() const override;
     void        drain() override;
--- a/tests/cli_test.cpp
+++ b/tests/cli_test.cpp
@@ -1,5 +1,4 @@
-#include "cli.hpp"
-
+#include "cli_run.hpp"
 #include "config_files.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -8,44 +7,17 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
-#include <sstream>
 #include <thread>
 #include <vector>
 
 using namespace arbutusgate;
+using namespace arbutusgate::test;
 using boost::asio::ip::tcp;
 
 namespace {
 
 const std::string examples = ARBUTUSGATE_SOURCE_DIR "/examples/";
 
-struct cli_result
-{
-    cli_exit    code;
-    std::string out;
-    std::string err;
-};
-
-cli_result run(std::vector<std::string> args)
-{
-    args.insert(args.begin(), "arbutusgate");
-    std::vector<char*> argv;
-    for (auto& it : args)
-        argv.push_back(it.data());
-    argv.push_back(nullptr);
-    std::ostringstream out;
-    std::ostringstream err;
-    const auto         code =
-        run_cli(static_cast<int>(args.size()), argv.data(), out, err);
-    return {code, out.str(), err.str()};
-}
-
-bool contains(const std::string& text, const std::string& part)
-{
-    INFO(text);
-    return text.find(part) != std::string::npos;
-}
-
 /// Serves one call with a fixed answer and keeps the request.
 class one_call_server
 {
--- a/tests/daemon_test.cpp
+++ b/tests/daemon_test.cpp
@@ -1,79 +1,31 @@
-#include "daemon.hpp"
-#include "daemon_fixture.hpp"
-#include "sha256.hpp"
-
-#include "absl/strings/escaping.h"
-
-#include <zmq.h>
-
-#include <array>
+#include "daemon_process.hpp"
 
 using namespace arbutusgate;
 using namespace arbutusgate::test;
 
 namespace {
 
-std::string base_document(const std::string& target)
+fake_target::handler right_answers()
 {
-    return "open: [pools.*.slots_per_target]\nfleet:\n  slots:\n    a1: { "
-           "failure_domain: a }\n"
-           "pools:\n  stock:\n    kind: service\n    targets:\n"
-           "      stock-01: { address: " +
-           target +
-           ", failure_domain: a }\n"
-           "pipelines:\n  lookup:\n    deadline_ms: 5000\n    stages:\n"
-           "      - { name: stock, pool: stock, expected_ms: 10, cost: 1 }\n"
-           "accounts:\n  one: { key: key-of-account-one }\n";
-}
-
-constexpr std::string_view site_document =
-    "pools:\n  stock: { slots_per_target: 4 }\n";
-
-json::object entry(std::string_view name, std::string_view text)
-{
-    return {{"name", name}, {"sha256", absl::BytesToHexString(sha256(text))}};
+    return [](http_exchange& it, int) {
+        it.respond(json_answer(answer_to(body_of(it))));
+    };
 }
 
-/// Platform with one version of two documents and an empty VM list.
-fake_target::handler platform(const std::string& base)
+/// "SLOT/FAILURE_DOMAIN" of each member that a daemon knows.
+std::vector<std::string> slots_of(const arbutusgate::daemon& process)
 {
-    return [base](http_exchange& it, int) {
-        const std::string target(it.request().target());
-        http_response     response(http::status::ok, 11);
-        if (target.starts_with("/v1/config/head")) {
-            fiber_sleep(it.thread().io(), milliseconds{5});
-            response.body() = json::serialize(json::object{
-                {"version", 3},
-                {"documents", json::array{entry("base", base),
-                                          entry("site/main", site_document)}}});
-        }
-        else if (target.starts_with("/v1/vms")) {
-            response.body() = R"({"revision":1,"vms":[]})";
-        }
-        else {
-            response.body() =
-                target.find("site/main") == target.npos ? base : site_document;
-        }
-        it.respond(std::move(response));
-    };
+    std::vector<std::string> all;
+    const auto               status = status_of(process);
+    for (const auto& it : status.at("members").as_array())
+        all.push_back(std::string(it.at("slot").as_string()) + "/" +
+                      std::string(it.at("failure_domain").as_string()));
+    return all;
 }
 
-daemon_settings make_settings(const std::string& platform_address)
+bool has_version(const arbutusgate::daemon& process, std::uint64_t version)
 {
-    std::array<char, 41> public_key{};
-    std::array<char, 41> secret_key{};
-    REQUIRE(zmq_curve_keypair(public_key.data(), secret_key.data()) == 0);
-    daemon_settings it;
-    it.slot           = "a1";
-    it.site           = "main";
-    it.failure_domain = "a";
-    it.listen         = "127.0.0.1:0";
-    it.admin          = "127.0.0.1:0";
-    it.peer           = "127.0.0.1:0";
-    it.platform       = platform_address;
-    it.keys    = {public_key.data(), secret_key.data(), {public_key.data()}};
-    it.threads = 1;
-    return it;
+    return status_of(process).at("config_version") == json::value(version);
 }
 
 } // namespace
@@ -82,15 +34,13 @@
 // or whose drain fails readiness late or does not end.
 TEST_CASE("a daemon joins, takes its configuration and drains")
 {
-    fake_target         stock([](http_exchange& it, int) {
-        it.respond(json_answer(answer_to(body_of(it))));
-    });
-    fake_target         service(platform(base_document(stock.address())));
+    fake_target         stock(right_answers());
+    fake_platform       service(base_document(stock.address()));
     arbutusgate::daemon process(make_settings(service.address()));
     CHECK(process.not_ready_reason() == "not_ready");
     REQUIRE(process.start().ok());
     REQUIRE(eventually([&] { return process.not_ready_reason().empty(); }));
-    const auto status = json::parse(process.status_json()).as_object();
+    const auto status = status_of(process);
     CHECK(status.at("config_version") == json::value(3));
     CHECK(status.at("targets").as_array().size() == 1);
 
@@ -101,3 +51,48 @@
     CHECK(process.metrics_text().find("arbutusgate_draining 1\n") !=
           std::string::npos);
 }
+
+// Guards against a running daemon that changes its claim voters, and a new
+// process that keeps the old ones.
+TEST_CASE("a changed slot list takes effect on the next start")
+{
+    fake_target    stock(right_answers());
+    fake_platform  service(base_document(stock.address()));
+    const auto     settings = make_settings(service.address());
+    constexpr auto more =
+        "a0: { failure_domain: a }, a1: { failure_domain: a }";
+    {
+        arbutusgate::daemon first(settings);
+        REQUIRE(first.start().ok());
+        REQUIRE(eventually([&] { return first.not_ready_reason().empty(); }));
+        service.publish(4, base_document(stock.address(), more));
+        REQUIRE(eventually([&] { return has_version(first, 4); }));
+        CHECK(slots_of(first) == std::vector<std::string>{"a1/a"});
+        CHECK(first.not_ready_reason().empty());
+    }
+    arbutusgate::daemon second(settings);
+    REQUIRE(second.start().ok());
+    REQUIRE(eventually([&] { return !slots_of(second).empty(); }));
+    CHECK(slots_of(second) == std::vector<std::string>{"a0/a", "a1/a"});
+}
+
+// Guards against a daemon that serves with the slot list of its settings
+// although its first configuration has another one.
+TEST_CASE("a daemon joins again by the slot list of its configuration")
+{
+    fake_target   stock(right_answers());
+    fake_platform service(base_document(stock.address()));
+    service.up     = false;
+    auto settings  = make_settings(service.address());
+    settings.slots = {{"a1", "old"}};
+    arbutusgate::daemon process(settings);
+    REQUIRE(process.start().ok());
+    REQUIRE(eventually([&] { return !slots_of(process).empty(); }));
+    CHECK(slots_of(process) == std::vector<std::string>{"a1/old"});
+    CHECK(process.not_ready_reason() == "not_ready");
+
+    service.up = true;
+    REQUIRE(eventually([&] { return process.not_ready_reason().empty(); }));
+    CHECK(slots_of(process) == std::vector<std::string>{"a1/a"});
+    CHECK(has_version(process, 3));
+}
