Ask a leaving target until the policy takes it back

Cause: the policy ends a mark only by a report of more than 5 s after it. The watch ended its questions at the first report that the target serves, so a target that came back earlier got no work for limits::leaving_kept (300 s). Change: the watch goes on asking for the same bound and then ends the mark. Its clock is an init value, so that the test passes the bound in virtual time.

--- a/src/leaving_watch.cpp
+++ b/src/leaving_watch.cpp
@@ -1,6 +1,5 @@
 #include "leaving_watch.hpp"
 
-#include "daemon_clock.hpp"
 #include "http_client.hpp"
 #include "load_header.hpp"
 #include "log.hpp"
@@ -37,7 +36,7 @@
         init_.note_leaving(target);
     }
     report.leaving = report.leaving || contains(target);
-    init_.rules->on_load_report(target, report, daemon_now());
+    init_.rules->on_load_report(target, report, init_.now());
 }
 
 void leaving_watch::on_peer_report(const std::string& target)
@@ -58,23 +57,34 @@
     }
 }
 
+// The policy does not end a mark by an early report, which may be of the
+// process that leaves. Without further questions no later report would come.
 void leaving_watch::on_poll(const std::string& target,
                             const load_report& report)
 {
     if (report.leaving)
         return;
+    const auto now = init_.now();
     {
         std::lock_guard lock(mutex_);
-        leaving_.erase(target);
+        const auto      it = leaving_.find(target);
+        if (it == leaving_.end() ||
+            now - report.lag - it->second <= limits::leaving_bound)
+            return;
+        leaving_.erase(it);
     }
     log(log_level::info, "target serves again", {{"target", target}});
-    init_.rules->on_load_report(target, report, daemon_now());
+    init_.rules->set_leaving(target, false);
+    init_.rules->on_load_report(target, report, now);
 }
 
 std::set<std::string> leaving_watch::leaving() const
 {
-    std::lock_guard lock(mutex_);
-    return leaving_;
+    std::set<std::string> names;
+    std::lock_guard       lock(mutex_);
+    for (const auto& it : leaving_)
+        names.insert(it.first);
+    return names;
 }
 
 bool leaving_watch::contains(const std::string& target) const
@@ -87,7 +97,7 @@
 {
     {
         std::lock_guard lock(mutex_);
-        if (!leaving_.insert(target).second)
+        if (!leaving_.emplace(target, init_.now()).second)
             return;
     }
     log(log_level::info, "target is leaving", {{"target", target}});
--- a/src/leaving_watch.hpp
+++ b/src/leaving_watch.hpp
@@ -3,9 +3,12 @@
 
 #include "arbutusgate/policy.hpp"
 
+#include "daemon_clock.hpp"
+
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
+#include <map>
 #include <mutex>
 #include <set>
 #include <string>
@@ -19,10 +22,12 @@
     policy* rules = nullptr; ///< Outlives the watch.
     /// Tells the peers of a target that reported that it is leaving.
     std::function<void(std::string_view target)> note_leaving;
+    std::function<time_point()>                  now = daemon_now;
 };
 
 /// Thread-safe. A leaving target gets no work and so sends no reports; it is
-/// asked for its load instead.
+/// asked for its load instead, until a report of more than
+/// limits::leaving_bound after its mark says that it serves.
 class leaving_watch
 {
 public:
@@ -43,9 +48,10 @@
     void add(const std::string& target);
     void on_poll(const std::string& target, const load_report& report);
 
-    leaving_watch_init    init_;
-    mutable std::mutex    mutex_;
-    std::set<std::string> leaving_;
+    leaving_watch_init init_;
+    mutable std::mutex mutex_;
+    /// When each leaving target was marked.
+    std::map<std::string, time_point> leaving_;
 };
 
 } // namespace arbutusgate
--- a/tests/caller_test.cpp
+++ b/tests/caller_test.cpp
@@ -1,5 +1,10 @@
 #include "daemon_fixture.hpp"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+
 using namespace arbutusgate;
 using namespace arbutusgate::test;
 
@@ -66,6 +71,45 @@
     CHECK(target.calls() == 0);
 }
 
+// Guards against a request that is not complete in time being dropped without
+// an answer or a count. The client sends nothing more, so that the time-out is
+// the only possible end.
+TEST_CASE("a request that is not complete in time gets 408")
+{
+    namespace asio = boost::asio;
+    fake_target target([](http_exchange& it, int) {
+        it.respond(json_answer(answer_to(body_of(it))));
+    });
+    front_end   front(one_stage(stage_kind::service, true, {target.address()}),
+                      milliseconds{20});
+    for (const std::string part :
+         {"POST /v1/pipelines/work HTTP/1.1\r\nHost: a\r\n",
+          "POST /v1/pipelines/work HTTP/1.1\r\nHost: a\r\n"
+          "Authorization: Bearer key-one\r\nContent-Length: 14\r\n\r\n"
+          "{\"input\""})
+    {
+        INFO(part);
+        const auto before =
+            front.counts.reasons().get(refusal_reason::too_slow);
+        asio::io_context      io;
+        asio::ip::tcp::socket socket(io);
+        socket.connect({asio::ip::address_v4::loopback(), front.port()});
+        asio::write(socket, asio::buffer(part));
+        boost::beast::flat_buffer buffer;
+        http_response             response;
+        http::read(socket, buffer, response);
+        CHECK(response.result_int() == 408);
+        CHECK(!response["X-Request-Id"].empty());
+        CHECK(!response.keep_alive());
+        const auto problem = json::parse(response.body()).as_object();
+        CHECK(problem.at("reason") == json::value("too_slow"));
+        CHECK(problem.at("execution") == json::value("not_run"));
+        CHECK(front.counts.reasons().get(refusal_reason::too_slow) ==
+              before + 1);
+    }
+    CHECK(target.calls() == 0);
+}
+
 // Guards against a second run of work whose first run is known (P4).
 TEST_CASE("a repeated key gets the recorded answer byte for byte")
 {
@@ -128,7 +172,7 @@
         it.respond(json_answer(answer_to(body_of(it))));
         it.abort();
     });
-    front_end front(one_stage(stage_kind::service, true, {target.address()}));
+    front_end   front(one_stage(stage_kind::service, true, {target.address()}));
     for (int n = 0; n < 3; ++n) {
         const auto response = front.call(front.request());
         REQUIRE(response.status == 200);
--- a/tests/daemon_fixture.hpp
+++ b/tests/daemon_fixture.hpp
@@ -178,7 +178,9 @@
 class front_end
 {
 public:
-    explicit front_end(std::shared_ptr<const deployment> config)
+    /// \param read_timeout for a whole request.
+    explicit front_end(std::shared_ptr<const deployment> config,
+                       milliseconds read_timeout = limits::request_read)
         : rules_(config, {}, counts.reasons()), catalog_(rules_)
     {
         caller_service_init init;
@@ -199,8 +201,9 @@
         };
         service_ = std::make_unique<caller_service>(std::move(init));
         http_server_init server;
-        server.address = "127.0.0.1:0";
-        server.handler = [this](http_exchange& it) {
+        server.address      = "127.0.0.1:0";
+        server.read_timeout = read_timeout;
+        server.handler      = [this](http_exchange& it) {
             service_->handle(it);
         };
         server.on_error = [this](http_error it) {
@@ -230,11 +233,16 @@
         return result.get_future().get();
     }
 
+    std::uint16_t port() const { return server_->port(); }
+
     metrics       counts;
     explain_ring  explain;
     fake_claims   claims;
     request_gate  gate;
-    leaving_watch leaving{{&rules_, [](std::string_view) {
+    time_point    leaving_now{seconds{100}}; ///< Clock of the watch.
+    leaving_watch leaving{{&rules_, [](std::string_view) {},
+                           [this] {
+                               return leaving_now;
                            }}};
 
 private:
