Keep the tries of a request apart in the load tool

Cause: the id, text and stages of a lost try stood for the next one. A key that was lost and then met refused connections was reported as 'refused', and one that met 'not_run' as 'not_run', although the key may have run; a stream that was sent again after a lost one was reported as a gap, a wrong answer and 'not_run after streamed text'. No violation was hidden: the ids checked are those of refusals that came with an answer, which set their own id. Change: each try starts without the state of the one before; an open result of an earlier try outweighs later refusals.

--- a/src/load_caller.cpp
+++ b/src/load_caller.cpp
@@ -11,6 +11,7 @@
 #include <boost/json/serialize.hpp>
 
 #include <algorithm>
+#include <optional>
 
 namespace arbutusgate {
 
@@ -38,11 +39,14 @@
     const mix_pipeline&    pipeline;
     clock::time_point      start;
     load_result            result;
-    http_client*           client = nullptr;
-    clock::time_point      last_token;
-    std::string            text; ///< Received of a stream.
-    bool                   ended = false;
-    milliseconds           retry_after{0}; ///< Asked for by the daemon.
+    /// What the result of an earlier try leaves open, or none.
+    std::optional<load_outcome> open_result;
+    // Of the current try:
+    http_client*      client = nullptr;
+    clock::time_point last_token;
+    std::string       text; ///< Received of a stream.
+    bool              ended = false;
+    milliseconds      retry_after{0}; ///< Asked for by the daemon.
 
     milliseconds left() const
     {
@@ -50,6 +54,28 @@
             start + pipeline.deadline + answer_grace - clock::now());
         return std::max(rest, milliseconds{1});
     }
+    /// Nothing of an earlier try may be taken for the next one's.
+    void begin_try()
+    {
+        last_token  = {};
+        ended       = false;
+        retry_after = {};
+        text.clear();
+        result.status      = 0;
+        result.first_token = {};
+        result.reason.clear();
+        result.request_id.clear();
+        result.gaps.clear();
+        result.stages.clear();
+    }
+    /// The key may have run in an earlier try, whatever the last one says of
+    /// its own.
+    void end_tries()
+    {
+        if (open_result && (result.outcome == load_outcome::not_run ||
+                            result.outcome == load_outcome::refused))
+            result.outcome = *open_result;
+    }
     void violate(std::string what)
     {
         result.violations.push_back(std::move(what));
@@ -88,6 +114,7 @@
                 mix_.pipelines[request.pipeline],
                 clock::now(),
                 {},
+                {},
                 nullptr,
                 {},
                 {},
@@ -100,6 +127,7 @@
         ++it.result.tries;
         try_daemon(it);
     } while (it.result.tries < most_tries && prepare_retry(it));
+    it.end_tries();
     it.result.latency =
         std::chrono::duration_cast<microseconds>(clock::now() - it.start);
     if (it.result.outcome == load_outcome::whole &&
@@ -112,9 +140,7 @@
 {
     http_client client(io_);
     const auto& daemon = daemons_[it.result.daemon];
-    it.retry_after     = {};
-    it.result.status   = 0;
-    it.result.reason.clear();
+    it.begin_try();
     if (client.connect(daemon, connect_timeout)) {
         it.result.outcome = load_outcome::refused;
         return;
@@ -156,6 +182,7 @@
     if (it.request.key.empty() || !unknown ||
         now + wait > it.start + it.pipeline.deadline)
         return false;
+    it.open_result = it.result.outcome;
     fiber_sleep(io_, wait);
     return true;
 }
--- a/tests/load_test.cpp
+++ b/tests/load_test.cpp
@@ -8,6 +8,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <functional>
+#include <memory>
 #include <set>
 
 using namespace arbutusgate;
@@ -106,8 +108,109 @@
     });
 }
 
+/// Calls daemons that answer the keyed order by these functions, one after the
+/// other; an empty one refuses the connection.
+load_result
+call_daemons(const std::vector<std::function<void(http_exchange&)>>& answers,
+             bool                                                    stream)
+{
+    const auto               mix = *parse_mix(small_mix);
+    io_thread                server_thread;
+    io_thread                thread;
+    std::vector<std::string> daemons;
+    std::vector<std::unique_ptr<http_server>> servers;
+    for (const auto& answer : answers) {
+        http_server_init init;
+        init.address  = "127.0.0.1:0";
+        init.handler  = answer;
+        init.on_error = read_error_response;
+        auto& server  = servers.emplace_back(std::make_unique<http_server>(
+            std::move(init), std::vector<io_thread*>{&server_thread}));
+        REQUIRE(server->start().ok());
+        daemons.push_back("127.0.0.1:" + std::to_string(server->port()));
+        if (!answer)
+            server->stop();
+    }
+    planned_request request;
+    request.pipeline = 1;
+    request.key      = "key-1";
+    request.input    = "order [request t-1]";
+    request.stream   = stream;
+    return run_on(thread, [&] {
+        load_caller caller(mix, daemons, thread.io());
+        return caller.call(request, load_balancer::none);
+    });
+}
+
+http_response problem_of(std::string_view execution, std::string_view id)
+{
+    auto it = json_response(http::status::service_unavailable,
+                            {{"reason", "draining"}, {"execution", execution}});
+    it.set("X-Request-Id", id);
+    return it;
+}
+
+/// Names the request, streams the text and breaks the connection.
+void break_stream(http_exchange& it)
+{
+    http_response head(http::status::ok, 11);
+    head.set(http::field::content_type, "text/event-stream");
+    head.set("X-Request-Id", "lost-id");
+    it.begin_stream(std::move(head));
+    it.write(event("", {{"offset", 0}, {"text", "begun"}}));
+    it.abort();
+}
+
 } // namespace
 
+// Guards against a key that may have run being reported as not run or refused,
+// and against the id of a lost try standing for a later one.
+TEST_CASE("a refusal after a lost try leaves the result open")
+{
+    const auto refused = call_daemons({break_stream, {}, {}}, true);
+    CHECK(refused.tries == 3);
+    CHECK(refused.outcome == load_outcome::lost);
+    CHECK(refused.request_id.empty());
+    CHECK(refused.not_run_ids.empty());
+    CHECK(refused.lost_by == std::vector<std::size_t>{0});
+
+    const auto not_run = call_daemons(
+        {break_stream,
+         {},
+         [](http_exchange& it) { it.respond(problem_of("not_run", "other")); }},
+        true);
+    CHECK(not_run.outcome == load_outcome::lost);
+    CHECK(not_run.not_run_ids == std::vector<std::string>{"other"});
+    CHECK(not_run.violations.empty());
+
+    const auto unknown = call_daemons(
+        {[](http_exchange& it) { it.respond(problem_of("unknown", "u")); },
+         {},
+         {}},
+        false);
+    CHECK(unknown.outcome == load_outcome::unknown);
+    CHECK(call_daemons({{}, {}, {}}, false).outcome == load_outcome::refused);
+}
+
+// Guards against violations that only the text of a lost try causes.
+TEST_CASE("a stream is checked without the text of a lost try")
+{
+    const auto output = service_output("confirm", "order [request t-1]");
+    const auto answer = [&](http_exchange& it) {
+        http_response head(http::status::ok, 11);
+        head.set(http::field::content_type, "text/event-stream");
+        it.begin_stream(std::move(head));
+        it.write(event("", {{"offset", 0}, {"text", output}}));
+        it.write(event("done", {{"request_id", "r"}, {"output", output}}));
+        it.end_stream();
+    };
+    const auto result = call_daemons({break_stream, answer}, true);
+    CHECK(result.outcome == load_outcome::whole);
+    CHECK(result.request_id == "r");
+    CHECK(result.violations.empty());
+    CHECK(result.gaps.empty());
+}
+
 // Guards against a checker that passes streams which lost, doubled or mixed up
 // text.
 TEST_CASE("stream answers are checked for gaps, doubles and owner")
