Log JSON lines from the load tool and the stand-ins

The stand-ins' options were parsed with sscanf and strtoul, which took '5x' for 5; whole numbers out of range or with a fraction were cut off. parse_address took port 0 and unbracketed IPv6, so that some callers checked again and others did not. Change: start_log in both programs (results stay on standard output); lines for start, end, progress, control changes, failures and, at debug, each try. Level 'off' writes nothing. option_table checks range and fraction and has optional numbers and times. parse_address needs a real port and brackets; parse_listen_address, used by the server, allows port 0.

--- a/src/cli_options.cpp
+++ b/src/cli_options.cpp
@@ -100,8 +100,7 @@
                                 hint(it.log_level, log_levels)));
     std::string   host;
     std::uint16_t port = 0;
-    if (!it.admin.empty() &&
-        (!parse_address(it.admin, host, port) || port == 0))
+    if (!it.admin.empty() && !parse_address(it.admin, host, port))
         return wrong_use("--admin must be a numeric IP:port");
     return absl::OkStatus();
 }
--- a/src/config_codecs.cpp
+++ b/src/config_codecs.cpp
@@ -43,11 +43,7 @@
 {
     std::string   host;
     std::uint16_t port = 0;
-    if (!parse_address(text, host, port) || port == 0)
-        return false;
-    // Without brackets the end of an IPv6 address is ambiguous.
-    const bool bracketed = text.front() == '[';
-    return bracketed == (host.find(':') != std::string::npos);
+    return parse_address(text, host, port);
 }
 
 std::string digest(std::string_view text)
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -27,21 +27,31 @@
 
 } // namespace
 
-bool parse_address(std::string_view text, std::string& host,
-                   std::uint16_t& port)
+bool parse_listen_address(std::string_view text, std::string& host,
+                          std::uint16_t& port)
 {
     const auto colon = text.rfind(':');
     if (colon == std::string_view::npos)
         return false;
     host            = text.substr(0, colon);
     const auto tail = text.substr(colon + 1);
-    if (host.size() > 2 && host.front() == '[' && host.back() == ']')
+    // Without brackets the end of an IPv6 address is ambiguous.
+    const bool bracketed =
+        host.size() > 2 && host.front() == '[' && host.back() == ']';
+    if (bracketed)
         host = host.substr(1, host.size() - 2);
     const auto [end, ec] =
         std::from_chars(tail.data(), tail.data() + tail.size(), port);
     error_code address_ec;
-    asio::ip::make_address(host, address_ec);
-    return ec == std::errc{} && end == tail.data() + tail.size() && !address_ec;
+    const auto address = asio::ip::make_address(host, address_ec);
+    return ec == std::errc{} && end == tail.data() + tail.size() &&
+           !address_ec && address.is_v6() == bracketed;
+}
+
+bool parse_address(std::string_view text, std::string& host,
+                   std::uint16_t& port)
+{
+    return parse_listen_address(text, host, port) && port != 0;
 }
 
 struct http_client::impl
--- a/src/http_client.hpp
+++ b/src/http_client.hpp
@@ -52,8 +52,14 @@
     std::unique_ptr<impl> impl_;
 };
 
-/// Splits "IP:port". \return false when it is neither IPv4 nor IPv6.
+/// Splits "IP:port" or "[IPv6]:port".
+/// \return false when the IP or the port is not numeric, the port is 0, or
+///         brackets stand around anything but an IPv6 address.
 bool parse_address(std::string_view text, std::string& host,
                    std::uint16_t& port);
 
+/// As parse_address, with port 0 allowed: the system chooses one.
+bool parse_listen_address(std::string_view text, std::string& host,
+                          std::uint16_t& port);
+
 } // namespace arbutusgate
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -407,7 +407,7 @@
 {
     std::string   host;
     std::uint16_t port = 0;
-    if (!parse_address(state_->init.address, host, port))
+    if (!parse_listen_address(state_->init.address, host, port))
         return absl::InvalidArgumentError("not an IP:port address: " +
                                           state_->init.address);
     const tcp::endpoint endpoint(asio::ip::make_address(host), port);
--- a/src/load_caller.cpp
+++ b/src/load_caller.cpp
@@ -2,6 +2,7 @@
 
 #include "http_client.hpp"
 #include "io_thread.hpp"
+#include "log.hpp"
 #include "sse_reader.hpp"
 #include "standin_http.hpp"
 
@@ -110,16 +111,11 @@
 load_result load_caller::call(const planned_request& request,
                               std::size_t            except)
 {
-    exchange it{request,
-                mix_.pipelines[request.pipeline],
-                clock::now(),
-                {},
-                {},
-                nullptr,
-                {},
-                {},
-                false,
-                {}};
+    exchange it{request,      mix_.pipelines[request.pipeline],
+                clock::now(), {},
+                {},           nullptr,
+                {},           {},
+                false,        {}};
     it.result.number = request.number;
     do {
         it.result.daemon = balancer_.pick(clock::now(), except);
@@ -159,6 +155,13 @@
         read_answer(it);
         client.cancel();
     }
+    log(log_level::debug, "try ended",
+        {{"tag", it.request.tag},
+         {"daemon", daemon},
+         {"outcome", to_string(it.result.outcome)},
+         {"status", it.result.status},
+         {"reason", it.result.reason},
+         {"request_id", it.result.request_id}});
     if (it.result.outcome == load_outcome::lost)
         it.result.lost_by.push_back(it.result.daemon);
 }
--- a/src/load_main.cpp
+++ b/src/load_main.cpp
@@ -7,6 +7,7 @@
 #include "load_report.hpp"
 #include "load_run.hpp"
 #include "load_summary.hpp"
+#include "log.hpp"
 #include "option_table.hpp"
 
 #include "absl/strings/str_cat.h"
@@ -78,10 +79,10 @@
               addresses(it.may_die));
 }
 
-int fail(const std::string& text, int status)
+int wrong_use(const std::string& text)
 {
     std::fprintf(stderr, "arbutusgate-load: %s\n", text.c_str());
-    return status;
+    return exit_status::wrong_use;
 }
 
 bool write_file(const std::string& path, const std::string& text)
@@ -122,23 +123,34 @@
                    boost::json::serialize(json_report(summary)) + "\n") &&
         write_file(options.html, html_report(summary));
     std::printf("%s\n", result_line(summary).c_str());
-    if (!written)
-        return fail("cannot write a report", exit_status::failed);
+    if (!written) {
+        log(log_level::error, "cannot write a report",
+            {{"json", options.json}, {"html", options.html}});
+        return exit_status::failed;
+    }
     return summary.violations.empty() ? exit_status::ok : exit_status::failed;
 }
 
 int run(const load_options& options, const load_mix& mix)
 {
-    const auto plan    = make_plan(mix, options.rate, seconds{options.length},
-                                   options.seed, run_name(options.seed));
+    const auto plan = make_plan(mix, options.rate, seconds{options.length},
+                                options.seed, run_name(options.seed));
+    log(log_level::info, "run begins",
+        {{"mix", mix.name},
+         {"requests", plan.size()},
+         {"daemons", options.targets.size()},
+         {"seed", options.seed}});
     const auto results = run_plan(mix, plan, options.targets, options.threads);
+    log(log_level::info, "run ended", {{"results", results.size()}});
     std::optional<std::vector<executed_work>> executions;
     if (!options.controls.empty()) {
         std::this_thread::sleep_for(settle_time);
         auto read = read_executions(options.controls);
-        if (!read.ok())
-            return fail(std::string(read.status().message()),
-                        exit_status::failed);
+        if (!read.ok()) {
+            log(log_level::error, "cannot read the executions",
+                {{"error", std::string(read.status().message())}});
+            return exit_status::failed;
+        }
         executions = *std::move(read);
     }
     const check_input input{mix,
@@ -163,18 +175,18 @@
         return *status;
     if (options.targets.empty() || options.mix.empty() || options.rate <= 0 ||
         options.length == 0)
-        return fail("--target, --mix, --rate and --seconds are needed",
-                    exit_status::wrong_use);
+        return wrong_use("--target, --mix, --rate and --seconds are needed");
     if (options.rate > most_rate || options.length > most_seconds ||
         options.rate * options.length > most_requests)
-        return fail("the run is over 20000 requests/s, 3600 s or 1000000 "
-                    "requests",
-                    exit_status::wrong_use);
+        return wrong_use("the run is over 20000 requests/s, 3600 s or 1000000 "
+                         "requests");
     const auto mix = read_mix(options.mix);
     if (!mix.ok())
-        return fail(std::string(mix.status().message()),
-                    exit_status::wrong_use);
-    return run(options, *mix);
+        return wrong_use(std::string(mix.status().message()));
+    start_log(table.log_level());
+    const int status = run(options, *mix);
+    stop_log();
+    return status;
 }
 
 } // namespace arbutusgate
--- a/src/load_run.cpp
+++ b/src/load_run.cpp
@@ -3,6 +3,7 @@
 #include "http_client.hpp"
 #include "io_thread.hpp"
 #include "load_caller.hpp"
+#include "log.hpp"
 #include "standin_http.hpp"
 
 #include "absl/strings/str_cat.h"
@@ -11,7 +12,6 @@
 
 #include <algorithm>
 #include <atomic>
-#include <cstdio>
 #include <future>
 #include <iterator>
 #include <memory>
@@ -139,14 +139,16 @@
         ended_.set_value();
 }
 
-void print_progress(const run_progress& it, steady_clock::time_point start)
+void log_progress(const run_progress& it, steady_clock::time_point start)
 {
     const auto passed =
         std::chrono::duration_cast<seconds>(steady_clock::now() - start);
-    std::fprintf(stderr, "%4llds sent=%u open=%u whole=%u violations=%u\n",
-                 static_cast<long long>(passed.count()), it.sent.load(),
-                 it.sent.load() - it.done.load(), it.whole.load(),
-                 it.violations.load());
+    log(log_level::info, "progress",
+        {{"seconds", passed.count()},
+         {"sent", it.sent.load()},
+         {"open", it.sent.load() - it.done.load()},
+         {"whole", it.whole.load()},
+         {"violations", it.violations.load()}});
 }
 
 /// One page of records. \return false when there is no valid answer.
@@ -210,7 +212,7 @@
         ended.push_back(it->start(start));
     for (const auto& it : ended) {
         while (it.wait_for(progress_interval) != std::future_status::ready)
-            print_progress(progress, start);
+            log_progress(progress, start);
     }
     std::vector<load_result> all;
     for (const auto& it : workers) {
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -75,6 +75,8 @@
 
 bool start_log(std::string_view level)
 {
+    if (level == "off")
+        return true;
     auto lowest = log_level::info;
     if (!parse_level(level, lowest))
         return false;
--- a/src/log.hpp
+++ b/src/log.hpp
@@ -25,7 +25,8 @@
 
 /// Starts logging. Lines are written by a thread of the log, so that a slow
 /// reader of standard error does not block the callers.
-/// \param level "trace", "debug", "info", "warn" or "error".
+/// \param level "trace", "debug", "info", "warn", "error", or "off", with
+///              which nothing is written.
 /// \return false when the level is none of them.
 bool start_log(std::string_view level);
 /// Writes out what is queued and stops.
--- a/src/option_table.cpp
+++ b/src/option_table.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr const char* version_text = "0.1.0";
+constexpr const char* version_text = ARBUTUSGATE_VERSION;
 constexpr std::array  log_levels   = {"trace", "debug", "info",
                                       "warn",  "error", "off"};
 // getopt_long reports wrong use as '?', so that indices start above it.
@@ -62,7 +62,7 @@
         });
 }
 
-bool option_table::parse_number(const std::string& text, double& number)
+bool option_table::parse_double(const std::string& text, double& number)
 {
     return absl::SimpleAtod(text, &number) && std::isfinite(number);
 }
--- a/src/option_table.hpp
+++ b/src/option_table.hpp
@@ -1,8 +1,13 @@
 /// Long options of a program, parsed with getopt_long.
 #pragma once
 
+#include <algorithm>
+#include <chrono>
+#include <cmath>
 #include <concepts>
+#include <cstdint>
 #include <functional>
+#include <limits>
 #include <optional>
 #include <string>
 #include <vector>
@@ -30,7 +35,7 @@
     void add_flag(std::string name, std::string help, bool& flag);
     void add_text(std::string name, std::string value, std::string help,
                   std::string& text);
-    /// Number from `min` up.
+    /// Number from `min` up to what the type holds.
     template <class Number>
     requires std::integral<Number> || std::floating_point<Number>
     void add_number(std::string name, std::string value, std::string help,
@@ -38,10 +43,30 @@
     {
         add(std::move(name), std::move(value), std::move(help),
             [&number, min](const std::string& text) {
-                double parsed = 0;
-                if (!parse_number(text, parsed) || parsed < min)
+                return parse_number(text, min, number);
+            });
+    }
+    /// Number that stays empty unless the option is given.
+    template <class Number>
+    void add_number(std::string name, std::string value, std::string help,
+                    std::optional<Number>& number, double min = 0)
+    {
+        add(std::move(name), std::move(value), std::move(help),
+            [&number, min](const std::string& text) {
+                return parse_number(text, min, number.emplace());
+            });
+    }
+    /// Whole number of the duration's unit, from 0 up.
+    template <class Rep, class Period>
+    void add_time(std::string name, std::string value, std::string help,
+                  std::chrono::duration<Rep, Period>& time)
+    {
+        add(std::move(name), std::move(value), std::move(help),
+            [&time](const std::string& text) {
+                std::uint32_t n = 0;
+                if (!parse_number(text, 0, n))
                     return false;
-                number = static_cast<Number>(parsed);
+                time = std::chrono::duration<Rep, Period>{n};
                 return true;
             });
     }
@@ -60,7 +85,10 @@
         std::function<bool(const std::string&)> set;
     };
 
-    static bool parse_number(const std::string& text, double& number);
+    static bool parse_double(const std::string& text, double& number);
+    template <class Number>
+    static bool parse_number(const std::string& text, double min,
+                             Number& number);
     void        print_help() const;
 
     std::string        usage_;
@@ -68,6 +96,25 @@
     std::vector<entry> entries_;
 };
 
+template <class Number>
+bool option_table::parse_number(const std::string& text, double min,
+                                Number& number)
+{
+    double parsed = 0;
+    if (!parse_double(text, parsed) || parsed < min)
+        return false;
+    if constexpr (std::integral<Number>) {
+        // Larger whole numbers are not exact in a double.
+        constexpr double exact = 9007199254740992.0; // 2^53
+        const auto       most  = std::min(
+                   exact, static_cast<double>(std::numeric_limits<Number>::max()));
+        if (parsed != std::floor(parsed) || parsed > most)
+            return false;
+    }
+    number = static_cast<Number>(parsed);
+    return true;
+}
+
 /// Splits at commas; empty parts are left out.
 std::vector<std::string> split_list(const std::string& text);
 
--- a/src/standin_fleet.cpp
+++ b/src/standin_fleet.cpp
@@ -1,6 +1,7 @@
 #include "standin_fleet.hpp"
 
 #include "io_thread.hpp"
+#include "log.hpp"
 #include "standin_http.hpp"
 #include "standin_service.hpp"
 
@@ -142,6 +143,10 @@
         return exchange.respond(
             problem_response(http::status::bad_request, "bad_request"));
     const auto status = change(path.query("replica"), values);
+    log(log_level::info, "behaviour changed",
+        {{"replica", path.query("replica")},
+         {"values", values},
+         {"result", status.ToString()}});
     if (!status.ok())
         return exchange.respond(problem_response(
             http::status::bad_request, std::string(status.message())));
--- a/src/standin_main.cpp
+++ b/src/standin_main.cpp
@@ -3,6 +3,7 @@
 #include "config_files.hpp"
 #include "http_client.hpp"
 #include "io_thread.hpp"
+#include "log.hpp"
 #include "option_table.hpp"
 #include "standin_fleet.hpp"
 #include "standin_platform.hpp"
@@ -14,7 +15,7 @@
 
 #include <csignal>
 #include <cstdio>
-#include <cstdlib>
+#include <optional>
 
 namespace arbutusgate {
 
@@ -44,8 +45,8 @@
 
 int fail(const absl::Status& status)
 {
-    std::fprintf(stderr, "arbutusgate-standin: %s\n",
-                 std::string(status.message()).c_str());
+    log(log_level::error, "cannot start",
+        {{"error", std::string(status.message())}});
     return exit_status::failed;
 }
 
@@ -68,16 +69,20 @@
     return true;
 }
 
-template <class Duration>
-auto set_time(Duration& time)
+int serve_platform(platform_init init, const sigset_t& signals)
 {
-    return [&time](const std::string& text) {
-        double n = 0;
-        if (std::sscanf(text.c_str(), "%lf", &n) != 1 || n < 0)
-            return false;
-        time = Duration{static_cast<std::int64_t>(n)};
-        return true;
-    };
+    const std::string address = init.address;
+    const auto        vms     = init.vms.size();
+    io_thread         thread;
+    standin_platform  platform(std::move(init), thread);
+    if (const auto status = platform.start(); !status.ok())
+        return fail(status);
+    log(log_level::info, "started",
+        {{"kind", "platform"}, {"listen", address}, {"vms", vms}});
+    wait_for_end(signals);
+    log(log_level::info, "ends", {{"kind", "platform"}});
+    platform.stop();
+    return exit_status::ok;
 }
 
 int run_platform(int argc, char** argv)
@@ -91,9 +96,8 @@
                    folder);
     table.add("vm", "SLOT=IP:PORT", "live VM; may be repeated",
               [&](const std::string& it) { return add_vm(it, init.vms); });
-    table.add("list-lag-ms", "N", "age of the list of VMs",
-              set_time(init.list_lag));
-    table.add("latency-ms", "N", "time of each answer", set_time(init.latency));
+    table.add_time("list-lag-ms", "N", "age of the list of VMs", init.list_lag);
+    table.add_time("latency-ms", "N", "time of each answer", init.latency);
     table.add_number("read-rate", "N", "calls/s of all readers", init.read_rate,
                      1);
     table.add_number("read-burst", "N", "calls at once", init.read_burst, 1);
@@ -104,34 +108,35 @@
         return *status;
     if (init.address.empty() || folder.empty())
         return wrong_use("--listen and --config are needed");
+    const auto signals = block_end_signals();
+    start_log(table.log_level());
     auto documents = read_documents(folder);
-    if (!documents.ok())
-        return fail(documents.status());
-    init.documents = *std::move(documents);
-
-    const auto       signals = block_end_signals();
-    io_thread        thread;
-    standin_platform platform(std::move(init), thread);
-    if (const auto status = platform.start(); !status.ok())
-        return fail(status);
-    wait_for_end(signals);
-    platform.stop();
-    return exit_status::ok;
+    int  status    = exit_status::failed;
+    if (documents.ok()) {
+        init.documents = *std::move(documents);
+        status         = serve_platform(std::move(init), signals);
+    }
+    else {
+        fail(documents.status());
+    }
+    stop_log();
+    return status;
 }
 
 /// Options of the stand-ins for targets.
 struct replica_options
 {
-    std::string  listen;
-    std::string  replicas;
-    std::string  deployment;
-    std::string  control;
-    std::size_t  threads     = 1;
-    bool         latency_set = false;
-    bool         slots_set   = false;
-    bool         no_fencing  = false;
-    replica_init replica;
-    engine_init  engine;
+    std::string listen;
+    std::string replicas;
+    std::string deployment;
+    std::string control;
+    std::size_t threads    = 1;
+    bool        no_fencing = false;
+    /// Empty: those of the deployment, or the defaults.
+    std::optional<double>        latency_ms;
+    std::optional<std::uint32_t> slots;
+    replica_init                 replica;
+    engine_init                  engine;
 };
 
 void add_replica_options(option_table& table, replica_options& it)
@@ -145,25 +150,15 @@
                    it.deployment);
     table.add_text("control", "IP:PORT", "address for control", it.control);
     table.add_number("threads", "N", "threads for the replicas", it.threads, 1);
-    table.add("slots", "N", "calls that run at once in a replica",
-              [&](const std::string& text) {
-                  it.replica.slots = static_cast<std::uint32_t>(
-                      std::strtoul(text.c_str(), nullptr, 10));
-                  it.slots_set = true;
-                  return it.replica.slots > 0;
-              });
+    table.add_number("slots", "N", "calls that run at once in a replica",
+                     it.slots, 1);
     table.add_number("queue", "N", "calls that wait in a replica",
                      it.replica.queue);
-    table.add("report-lag-ms", "N", "age of load reports",
-              set_time(it.replica.report_lag));
-    table.add("latency-ms", "X",
-              "median time of a call, or between tokens of an engine",
-              [&](const std::string& text) {
-                  it.latency_set = true;
-                  return std::sscanf(text.c_str(), "%lf", &faults.latency_ms) ==
-                             1 &&
-                         faults.latency_ms >= 0;
-              });
+    table.add_time("report-lag-ms", "N", "age of load reports",
+                   it.replica.report_lag);
+    table.add_number("latency-ms", "X",
+                     "median time of a call, or between tokens of an engine",
+                     it.latency_ms);
     table.add_number("spread", "X", "sigma of the log-normal times",
                      faults.spread);
     table.add_number("fail-rate", "X", "share of calls that fail",
@@ -190,12 +185,12 @@
                      engine.cached_ms);
     table.add_number("cache-blocks", "N", "size of the prefix cache",
                      engine.cache_blocks);
-    table.add("event-delay-ms", "N", "delay of cache events",
-              set_time(engine.event_delay));
+    table.add_time("event-delay-ms", "N", "delay of cache events",
+                   engine.event_delay);
     table.add_number("event-loss", "X", "share of cache events lost",
                      engine.event_loss);
-    table.add("load-ms", "N", "time to carry out an order",
-              set_time(engine.load_time));
+    table.add_time("load-ms", "N", "time to carry out an order",
+                   engine.load_time);
     table.add_flag("no-fencing", "carry out orders with an old fence",
                    it.no_fencing);
 }
@@ -232,37 +227,25 @@
 void apply(const replica_options& options, const std::string& kind,
            std::size_t number, replica_init& it)
 {
-    const bool given   = !options.deployment.empty();
-    const auto latency = it.behaviour.latency_ms;
-    it.behaviour       = options.replica.behaviour;
-    it.queue           = options.replica.queue;
-    it.report_lag      = options.replica.report_lag;
-    it.seed            = options.replica.seed * 1000 + number;
-    if (!options.latency_set)
-        it.behaviour.latency_ms = kind == "engine" ? engine_token_ms : latency;
-    if (options.slots_set || !given)
-        it.slots = options.replica.slots;
+    const bool given        = !options.deployment.empty();
+    const auto latency      = it.behaviour.latency_ms;
+    it.behaviour            = options.replica.behaviour;
+    it.queue                = options.replica.queue;
+    it.report_lag           = options.replica.report_lag;
+    it.seed                 = options.replica.seed * 1000 + number;
+    it.behaviour.latency_ms = options.latency_ms.value_or(
+        kind == "engine" ? engine_token_ms : latency);
+    if (options.slots || !given)
+        it.slots = options.slots.value_or(options.replica.slots);
 }
 
-int run_replicas(int argc, char** argv, const std::string& kind)
+int serve_replicas(replica_options& options, const std::string& kind,
+                   std::vector<replica_init> replicas, const sigset_t& signals)
 {
-    replica_options options;
-    option_table    table("arbutusgate-standin " + kind + " [options]");
-    add_replica_options(table, options);
-    if (kind == "engine")
-        add_engine_options(table, options);
-    if (const auto status = table.parse(argc, argv))
-        return *status;
-    auto replicas = list_replicas(options, kind);
-    if (!replicas.ok()) {
-        fail(replicas.status());
-        return exit_status::wrong_use;
-    }
     options.engine.checks_fencing = !options.no_fencing;
-    const auto    signals         = block_end_signals();
     replica_fleet fleet(options.threads);
     std::size_t   n = 0;
-    for (auto& it : *replicas) {
+    for (auto& it : replicas) {
         apply(options, kind, n++, it);
         if (kind == "engine")
             fleet.add_engine(std::move(it), options.engine);
@@ -271,11 +254,37 @@
     }
     if (const auto status = fleet.start(options.control); !status.ok())
         return fail(status);
+    log(log_level::info, "started",
+        {{"kind", kind},
+         {"replicas", replicas.size()},
+         {"control", options.control},
+         {"seed", options.replica.seed}});
     wait_for_end(signals);
+    log(log_level::info, "ends", {{"kind", kind}});
     fleet.stop();
     return exit_status::ok;
 }
 
+int run_replicas(int argc, char** argv, const std::string& kind)
+{
+    replica_options options;
+    option_table    table("arbutusgate-standin " + kind + " [options]");
+    add_replica_options(table, options);
+    if (kind == "engine")
+        add_engine_options(table, options);
+    if (const auto status = table.parse(argc, argv))
+        return *status;
+    auto replicas = list_replicas(options, kind);
+    if (!replicas.ok())
+        return wrong_use(std::string(replicas.status().message()).c_str());
+    const auto signals = block_end_signals();
+    start_log(table.log_level());
+    const int status =
+        serve_replicas(options, kind, *std::move(replicas), signals);
+    stop_log();
+    return status;
+}
+
 } // namespace
 
 int standin_main(int argc, char** argv)
--- a/src/standin_platform.cpp
+++ b/src/standin_platform.cpp
@@ -2,6 +2,7 @@
 
 #include "fiber_token.hpp"
 #include "io_thread.hpp"
+#include "log.hpp"
 #include "standin_http.hpp"
 
 #include "absl/strings/str_cat.h"
@@ -248,6 +249,10 @@
         return exchange.respond(
             problem_response(http::status::bad_request, "bad_request"));
     const auto result = change(path.path, body);
+    log(log_level::info, "control",
+        {{"resource", path.path},
+         {"result", result.ToString()},
+         {"newest", documents_.newest()}});
     wake_watches();
     if (!result.ok())
         return exchange.respond(problem_response(
--- a/tests/load_test.cpp
+++ b/tests/load_test.cpp
@@ -114,10 +114,10 @@
 call_daemons(const std::vector<std::function<void(http_exchange&)>>& answers,
              bool                                                    stream)
 {
-    const auto               mix = *parse_mix(small_mix);
-    io_thread                server_thread;
-    io_thread                thread;
-    std::vector<std::string> daemons;
+    const auto                                mix = *parse_mix(small_mix);
+    io_thread                                 server_thread;
+    io_thread                                 thread;
+    std::vector<std::string>                  daemons;
     std::vector<std::unique_ptr<http_server>> servers;
     for (const auto& answer : answers) {
         http_server_init init;
@@ -174,11 +174,13 @@
     CHECK(refused.not_run_ids.empty());
     CHECK(refused.lost_by == std::vector<std::size_t>{0});
 
-    const auto not_run = call_daemons(
-        {break_stream,
-         {},
-         [](http_exchange& it) { it.respond(problem_of("not_run", "other")); }},
-        true);
+    const auto not_run =
+        call_daemons({break_stream,
+                      {},
+                      [](http_exchange& it) {
+                          it.respond(problem_of("not_run", "other"));
+                      }},
+                     true);
     CHECK(not_run.outcome == load_outcome::lost);
     CHECK(not_run.not_run_ids == std::vector<std::string>{"other"});
     CHECK(not_run.violations.empty());
