--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -1,48 +1,16 @@
-#include "config_files.hpp"
+#include "page_table.hpp"
 
-#include "absl/strings/ascii.h"
 #include "absl/strings/numbers.h"
 
 #include <catch2/catch.hpp>
 
 #include <cmath>
 #include <map>
-#include <sstream>
 
-using namespace arbutusgate;
+using namespace arbutusgate::test;
 
 namespace {
 
-using table_row = std::vector<std::string>;
-
-table_row split_row(const std::string& line)
-{
-    table_row          out;
-    std::istringstream cells(line.substr(1));
-    for (std::string cell; std::getline(cells, cell, '|');)
-        out.emplace_back(absl::StripAsciiWhitespace(cell));
-    return out;
-}
-
-/// Rows of the table that follows the heading.
-std::vector<table_row> read_table(const std::string& page,
-                                  const std::string& heading)
-{
-    std::vector<table_row> out;
-    const auto             at = page.find("\n## " + heading + "\n");
-    REQUIRE(at != std::string::npos);
-    std::istringstream lines(page.substr(at + 1));
-    for (std::string line; std::getline(lines, line);) {
-        if (!line.empty() && line.front() == '|')
-            out.push_back(split_row(line));
-        else if (!out.empty())
-            break;
-    }
-    REQUIRE(out.size() > 2);
-    out.erase(out.begin(), out.begin() + 2);
-    return out;
-}
-
 double number(const std::string& text)
 {
     double out = 0;
@@ -71,14 +39,12 @@
 // slopes.
 TEST_CASE("the capacity page's figures follow from its slopes")
 {
-    const auto page =
-        read_file(std::string(ARBUTUSGATE_SOURCE_DIR) + "/docs/CAPACITY.md");
-    REQUIRE(page.ok());
+    const auto                   page = read_page("docs/CAPACITY.md");
     std::map<std::string, slope> slopes;
-    for (const auto& it : read_table(*page, "Slopes"))
+    for (const auto& it : read_table(page, "## Slopes"))
         slopes[it.at(0)] = {number(it.at(1)), number(it.at(2))};
     std::map<std::string, double> totals;
-    for (const auto& it : read_table(*page, "Roles")) {
+    for (const auto& it : read_table(page, "## Roles")) {
         // role, mechanism, resource, slope, count, rate, result
         INFO(it.at(0) << " " << it.at(3));
         REQUIRE(slopes.count(it.at(3)) == 1);
@@ -88,7 +54,7 @@
         check_close(number(it.at(6)), result);
         totals[it.at(2)] += result;
     }
-    const auto stated = read_table(*page, "Totals");
+    const auto stated = read_table(page, "## Totals");
     CHECK(stated.size() == totals.size());
     for (const auto& it : stated) {
         // resource, total, bound
