--- a/src/cli.cpp
+++ b/src/cli.cpp
@@ -66,7 +66,7 @@
     boost::system::error_code ec;
     const auto                value = json::parse(answer.body, ec);
     if (options.json || ec)
-        out << answer.body << '\n';
+        out << answer.body << (answer.body.ends_with('\n') ? "" : "\n");
     else
         print_tables(out, value);
 }
--- a/tests/admin_test.cpp
+++ b/tests/admin_test.cpp
@@ -146,7 +146,7 @@
 
     const auto drained = it.command({"drain"});
     CHECK(drained.code == cli_exit::done);
-    CHECK(drained.out == "draining\n\n");
+    CHECK(drained.out == "draining\n");
     const auto ready = it.get("/readyz");
     CHECK(ready.status == 503);
     CHECK(ready.body == "draining\n");
