Command engines to the desired state of the configuration

Change: pools of kind generate may have an `engine` with model, version, adapters and role. One daemon for each pool reads the engines every 5 s and sends commands whose fencing number is the version of the configuration. At most max(1, n/4) engines of a pool load because of one daemon. Engines that are found in another state are commanded again, at growing intervals. A process that was paused sends nothing until a peer has confirmed its configuration; engines that ignore the fencing number get commands only from a daemon that hears a majority. Counters, log lines and `engines` in /admin/status.

--- a/include/arbutusgate/config.hpp
+++ b/include/arbutusgate/config.hpp
@@ -59,6 +59,16 @@
 inline constexpr std::size_t leaving_entries = 256;
 inline constexpr std::size_t leaving_sent    = 32;
 
+// Commands to engines.
+inline constexpr auto command_poll = 5s;
+/// An engine refuses work while it loads; a quarter of a pool may load.
+inline constexpr std::size_t command_share = 4;
+/// From the second reversion of an engine on, and doubled with each one.
+inline constexpr auto command_backoff_least = 5s;
+inline constexpr auto command_backoff_most  = 300s;
+/// An engine that kept its state this long has no earlier reversion.
+inline constexpr auto command_kept = 300s;
+
 // Requests.
 inline constexpr std::size_t   request_body     = 1024 * 1024; // bytes
 inline constexpr std::size_t   request_header   = 16 * 1024;   // bytes
--- a/include/arbutusgate/deployment.hpp
+++ b/include/arbutusgate/deployment.hpp
@@ -6,7 +6,9 @@
 #include "arbutusgate/types.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace arbutusgate {
@@ -30,6 +32,29 @@
     pool_id     pool;
 };
 
+/// Phases of a generation that an engine runs.
+enum class engine_role
+{
+    mixed,
+    prefill,
+    decode,
+};
+
+/// Word of the configuration and of the engines' protocol.
+std::string_view to_string(engine_role);
+
+/// Desired state of the engines of a pool. An empty text leaves the choice to
+/// the engine.
+struct engine_config
+{
+    std::string              model;
+    std::string              version;
+    std::vector<std::string> adapters; ///< In the order of the document.
+    engine_role              role = engine_role::mixed;
+
+    bool operator==(const engine_config&) const = default;
+};
+
 /// Replicas that are interchangeable for a stage.
 struct pool_config
 {
@@ -41,6 +66,8 @@
     bool prefix_affinity = false;
     /// The targets refuse an order with an old fencing number.
     bool checks_fencing = false;
+    /// Engines of a pool without it get no commands.
+    std::optional<engine_config> engine;
 };
 
 /// One step of a pipeline.
--- a/include/arbutusgate/node_core.hpp
+++ b/include/arbutusgate/node_core.hpp
@@ -152,6 +152,10 @@
     bool ready(time_point now) const;
     /// False while this voter recovers, or confirms itself after a pause.
     bool                     settled() const;
+    /// False from a pause until the hold after it is over and a peer has
+    /// confirmed the configuration in force, and while a newer process of the
+    /// slot is known. Call it directly before the work that depends on it.
+    bool                     confirmed(time_point now);
     std::uint32_t            alive_count(time_point now) const;
     std::vector<member_view> members(time_point now) const;
 
--- /dev/null
+++ b/src/command_planner.cpp
@@ -0,0 +1,302 @@
+#include "command_planner.hpp"
+
+#include "claim_group.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace arbutusgate {
+
+namespace {
+
+constexpr std::uint64_t controller_purpose = 0x636d6473;
+
+bool is_controller(std::string_view pool, const command_view& view)
+{
+    const auto         purpose = rendezvous_weight(pool, controller_purpose);
+    const std::string* first   = nullptr;
+    std::uint64_t      most    = 0;
+    for (const auto& it : view.alive) {
+        const auto weight = rendezvous_weight(it, purpose);
+        if (!first || weight > most) {
+            first = &it;
+            most  = weight;
+        }
+    }
+    return first && *first == view.self;
+}
+
+/// Pause before the command after this reversion, counted from 1.
+seconds backoff(std::uint32_t reversion)
+{
+    if (reversion <= 1)
+        return seconds{0};
+    constexpr std::uint32_t most_doublings = 16;
+    const auto              doublings = std::min(reversion - 2, most_doublings);
+    return std::min<seconds>(limits::command_backoff_least *
+                                 (std::int64_t{1} << doublings),
+                             limits::command_backoff_most);
+}
+
+std::size_t allowed_share(std::size_t engines)
+{
+    return std::max<std::size_t>(1, engines / limits::command_share);
+}
+
+} // namespace
+
+void command_planner::choose_pools(const deployment&   config,
+                                   const command_view& view)
+{
+    if (config.version == version_ && view.alive == alive_)
+        return;
+    version_ = config.version;
+    alive_   = view.alive;
+    forget_others(config);
+    for (const auto& it : config.pools) {
+        if (it.engine)
+            pools_[it.name].controlled = is_controller(it.name, view);
+    }
+}
+
+void command_planner::forget_others(const deployment& config)
+{
+    std::set<std::string_view> pools;
+    std::set<std::string_view> addresses;
+    for (const auto& it : config.pools) {
+        if (it.engine)
+            pools.insert(it.name);
+        for (const auto target : it.targets)
+            addresses.insert(config.targets[target.idx].address);
+    }
+    std::erase_if(pools_,
+                  [&](const auto& it) { return !pools.contains(it.first); });
+    std::erase_if(engines_, [&](const auto& it) {
+        return !addresses.contains(it.first);
+    });
+}
+
+std::vector<engine_read> command_planner::begin_reads(const deployment& config,
+                                                      const command_view& view,
+                                                      time_point          now)
+{
+    choose_pools(config, view);
+    ++round_;
+    std::vector<engine_read> out;
+    for (const auto& it : config.pools) {
+        if (!it.engine)
+            continue;
+        auto& pool   = pools_[it.name];
+        pool.reading = pool.controlled && now >= pool.next;
+        if (!pool.reading)
+            continue;
+        pool.next = now + limits::command_poll;
+        for (const auto target : it.targets) {
+            const auto& address = config.targets[target.idx].address;
+            auto&       engine  = engines_[address];
+            engine.round        = round_;
+            engine.state.reset();
+            out.push_back({target, address, round_});
+        }
+    }
+    return out;
+}
+
+bool command_planner::on_state(const engine_read&  read,
+                               const engine_state& state, time_point now)
+{
+    const auto found = engines_.find(read.address);
+    if (found == engines_.end() || found->second.round != read.round)
+        return false;
+    auto& it   = found->second;
+    it.state   = state;
+    it.read_at = now;
+    if (state.ready && (it.accepted || state.fence >= it.pending))
+        it.pending = 0;
+    return note_state(it, state, now);
+}
+
+/// \return true when the engine left the state that it was commanded.
+bool command_planner::note_state(engine& it, const engine_state& state,
+                                 time_point now)
+{
+    if (!it.commanded)
+        return false;
+    // Another daemon has a newer version.
+    if (state.fence > it.commanded->fence) {
+        it.commanded.reset();
+        return false;
+    }
+    if (state.fence == it.commanded->fence &&
+        state.wanted == it.commanded->wanted) {
+        if (now - it.kept_since >= limits::command_kept)
+            it.reverted = 0;
+        return false;
+    }
+    it.reverted_fence = it.commanded->fence;
+    it.commanded.reset();
+    it.not_before = now + backoff(++it.reverted);
+    return true;
+}
+
+bool command_planner::may_command(const pool_config&  it,
+                                  const command_view& view) const
+{
+    if (guards_.on(command_guard::pause_confirm) && !view.confirmed)
+        return false;
+    return it.checks_fencing || !guards_.on(command_guard::heard_majority) ||
+           2 * view.heard > view.slots;
+}
+
+bool command_planner::needs_command(const engine&        it,
+                                    const engine_config& wanted,
+                                    std::uint64_t version, time_point now) const
+{
+    const bool same = it.state->wanted == wanted;
+    if (now < it.not_before && it.reverted_fence == version)
+        return false;
+    if (!guards_.on(command_guard::version_fence))
+        return !same;
+    // Its commander has a newer version; this daemon will learn of it.
+    if (guards_.on(command_guard::newer_fence) && it.state->fence > version)
+        return false;
+    if (!guards_.on(command_guard::correction) && it.taken >= version)
+        return false;
+    return it.state->fence < version || !same;
+}
+
+std::vector<engine_command>
+command_planner::take_commands(const deployment&   config,
+                               const command_view& view, time_point now)
+{
+    std::vector<engine_command> out;
+    // What the reads were begun for is no longer in force.
+    if (config.version != version_)
+        return out;
+    for (const auto& it : config.pools) {
+        const auto found = pools_.find(it.name);
+        if (found == pools_.end() || !found->second.reading)
+            continue;
+        found->second.reading = false;
+        if (may_command(it, view))
+            command_pool(config, it, now, out);
+    }
+    return out;
+}
+
+void command_planner::command_pool(const deployment&  config,
+                                   const pool_config& it, time_point now,
+                                   std::vector<engine_command>& out)
+{
+    const auto  allowed = allowed_share(it.targets.size());
+    std::size_t pending = 0; // may load because of this daemon
+    std::size_t absent  = 0; // these, and all others seen not ready
+    for (const auto target : it.targets) {
+        const auto& engine = engines_[config.targets[target.idx].address];
+        pending += engine.pending != 0;
+        absent += engine.pending != 0 || (engine.state && !engine.state->ready);
+    }
+    for (const auto target : it.targets) {
+        const auto& place  = config.targets[target.idx];
+        auto&       engine = engines_[place.address];
+        if (!engine.state || now - engine.read_at > limits::command_poll)
+            continue;
+        const auto& state = *engine.state;
+        // The last controller commanded it; this one sees whether it stays.
+        if (!engine.commanded && state.fence == config.version &&
+            state.wanted == *it.engine)
+        {
+            engine.commanded  = order{state.fence, state.wanted};
+            engine.kept_since = now;
+        }
+        if (!needs_command(engine, *it.engine, config.version, now))
+            continue;
+        engine_command command{it.name,           place.name,     place.address,
+                               config.version,    config.version, *it.engine,
+                               it.checks_fencing, engine.pending};
+        if (!guards_.on(command_guard::version_fence))
+            command.fence = state.fence + 1;
+        if (state.wanted != *it.engine) {
+            const bool counted   = engine.pending != 0;
+            const bool is_absent = counted || !state.ready;
+            if (guards_.on(command_guard::share) &&
+                ((!counted && pending >= allowed) ||
+                 (!is_absent && absent >= allowed)))
+                continue;
+            pending += !counted;
+            absent += !is_absent;
+            engine.pending = command.fence;
+        }
+        engine.accepted = false;
+        out.push_back(std::move(command));
+    }
+}
+
+bool command_planner::may_send(const engine_command& command,
+                               const deployment&     config,
+                               const command_view&   view) const
+{
+    if (!guards_.on(command_guard::recheck))
+        return true;
+    if (config.version != command.version)
+        return false;
+    const auto it =
+        std::ranges::find(config.pools, command.pool, &pool_config::name);
+    return it != config.pools.end() && may_command(*it, view);
+}
+
+void command_planner::on_result(const engine_command& command,
+                                command_result result, time_point now)
+{
+    const auto found = engines_.find(command.address);
+    if (found == engines_.end())
+        return;
+    auto& it = found->second;
+    switch (result) {
+    case command_result::accepted:
+        it.accepted = true;
+        it.taken    = command.version;
+        if (!it.commanded)
+            it.kept_since = now;
+        it.commanded = order{command.fence, command.wanted};
+        return;
+    case command_result::not_sent:
+    case command_result::refused:
+        it.pending = command.pending_before;
+        return;
+    case command_result::unknown:
+        return;
+    }
+}
+
+std::vector<engine_report>
+command_planner::report(const deployment& config) const
+{
+    std::vector<engine_report> out;
+    for (const auto& it : config.pools) {
+        const auto pool = pools_.find(it.name);
+        if (pool == pools_.end() || !pool->second.controlled || !it.engine)
+            continue;
+        for (const auto target : it.targets) {
+            const auto& place = config.targets[target.idx];
+            const auto  found = engines_.find(place.address);
+            auto&       row   = out.emplace_back();
+            row.pool          = it.name;
+            row.target        = place.name;
+            if (found == engines_.end())
+                continue;
+            row.reverted      = found->second.reverted;
+            const auto& state = found->second.state;
+            if (!state)
+                continue;
+            row.known = true;
+            row.fence = state->fence;
+            row.ready = state->ready;
+            row.current =
+                state->fence == config.version && state->wanted == *it.engine;
+        }
+    }
+    return out;
+}
+
+} // namespace arbutusgate
--- a/src/config_schema.hpp
+++ b/src/config_schema.hpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -177,6 +178,23 @@
     return out;
 }
 
+/// Key with one mapping that may be absent but not empty.
+template <class T, class C, class V>
+schema_field<T> optional_section(std::string_view key,
+                                 std::optional<V> C::*member,
+                                 const schema<V>&     keys)
+{
+    schema_field<T> out;
+    out.shape = shape_of(std::string(key), keys);
+    out.need  = presence::optional;
+    out.read  = [=](config_reader& reader, const located_node& at, T& it) {
+        if (!require_mapping(reader, at) || !require_count(reader, at, {1, 64}))
+            return;
+        read_mapping(reader, at, keys, (it.*member).emplace());
+    };
+    return out;
+}
+
 /// Reports a name that is not allowed as the key of an entry.
 void check_entry_name(config_reader& reader, const located_node& at);
 
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -19,6 +19,8 @@
 // A target that serves again gets work within this time.
 constexpr auto poll_interval = milliseconds{2000};
 constexpr auto poll_step     = milliseconds{50};
+// The planner says what is due.
+constexpr auto command_interval = milliseconds{1000};
 // The node core repeats a hand-off for 10 s; a voter that no peer answers
 // then ends without it, which leaves a majority of the others.
 constexpr auto hand_over_limit = seconds{15};
@@ -63,6 +65,10 @@
                 [this](auto it) {
                     fleet_.note_leaving(it);
                 }}),
+      commands_({[this] { return catalog_.current(); },
+                 [this] {
+                     return fleet_.view_for_commands();
+                 }}),
       admin_(*this)
 {
     make_servers();
@@ -72,16 +78,29 @@
 {
     caller_server_->stop();
     admin_server_->stop();
+    end_polling();
     fleet_.stop();
-    stopping_ = true;
-    if (polling_)
-        poll_ended_.get_future().get();
     if (signals_) {
         control_->spawn([this] { signals_->cancel(); });
         signals_ended_.get_future().get();
     }
 }
 
+void daemon::end_polling()
+{
+    stopping_ = true;
+    if (!polling_)
+        return;
+    std::promise<void> stopped;
+    control_->spawn([&] {
+        commands_.stop();
+        stopped.set_value();
+    });
+    stopped.get_future().get();
+    commands_ended_.get_future().get();
+    poll_ended_.get_future().get();
+}
+
 request_services daemon::make_services()
 {
     request_services it;
@@ -141,6 +160,7 @@
         return status;
     polling_ = true;
     control_->spawn([this] { poll_leaving(); });
+    control_->spawn([this] { run_commands(); });
     log(log_level::info, "started",
         {{"slot", settings_.slot},
          {"listen", settings_.listen},
@@ -189,15 +209,26 @@
 
 void daemon::poll_leaving()
 {
-    while (!stopping_) {
-        for (auto left = poll_interval; left.count() > 0 && !stopping_;
-             left -= poll_step)
-            fiber_sleep(control_->io(), poll_step);
+    while (pause(poll_interval))
         leaving_.poll(control_->io());
-    }
     poll_ended_.set_value();
 }
 
+void daemon::run_commands()
+{
+    while (pause(command_interval))
+        commands_.poll(control_->io());
+    commands_ended_.set_value();
+}
+
+/// \return false when the daemon stops.
+bool daemon::pause(milliseconds time)
+{
+    for (; time > milliseconds{0} && !stopping_; time -= poll_step)
+        fiber_sleep(control_->io(), poll_step);
+    return !stopping_;
+}
+
 void daemon::run_drain()
 {
     fiber_sleep(control_->io(), drain_grace);
--- a/src/daemon.hpp
+++ b/src/daemon.hpp
@@ -6,6 +6,7 @@
 
 #include "admin_service.hpp"
 #include "caller_service.hpp"
+#include "command_sender.hpp"
 #include "deployment_catalog.hpp"
 #include "explain_ring.hpp"
 #include "fleet_node.hpp"
@@ -57,6 +58,9 @@
     request_services make_services();
     void             make_servers();
     void             poll_leaving();
+    void             run_commands();
+    bool             pause(milliseconds time);
+    void             end_polling();
     void             run_drain();
     void             hand_claims_over();
     void             close_callers();
@@ -72,6 +76,7 @@
     std::unique_ptr<io_thread>               control_;
     fleet_node                               fleet_;
     leaving_watch                            leaving_;
+    command_sender                           commands_;
     std::unique_ptr<caller_service>          callers_;
     admin_service                            admin_;
     std::unique_ptr<http_server>             caller_server_;
@@ -82,6 +87,7 @@
     std::atomic<bool>       draining_{false};
     std::atomic<bool>       stopping_{false};
     std::promise<void>      poll_ended_;
+    std::promise<void>      commands_ended_;
     bool                    polling_ = false;
     std::mutex              mutex_;
     std::condition_variable changed_;
--- a/src/daemon_status.cpp
+++ b/src/daemon_status.cpp
@@ -77,6 +77,20 @@
     return all;
 }
 
+json::array engines_json(const std::vector<engine_report>& engines)
+{
+    json::array all;
+    for (const auto& it : engines)
+        all.push_back({{"pool", it.pool},
+                       {"target", it.target},
+                       {"readable", it.known},
+                       {"fence", it.fence},
+                       {"current", it.current},
+                       {"ready", it.ready},
+                       {"reverted", it.reverted}});
+    return all;
+}
+
 double number(std::uint64_t it)
 {
     return static_cast<double>(it);
@@ -86,7 +100,8 @@
 
 std::string daemon::metrics_text() const
 {
-    const auto fleet = fleet_.status();
+    const auto fleet    = fleet_.status();
+    const auto commands = commands_.stats();
     return metrics_.text({
         {"requests_running", "Requests being served.", number(gate_.running())},
         {"connections", "Open connections of callers.",
@@ -113,6 +128,21 @@
          number(fleet.mesh.malformed), true},
         {"peer_dropped_messages_total", "Messages without a way to the peer.",
          number(fleet.mesh.dropped), true},
+        {"engine_reads_total", "Reads of the engines' states.",
+         number(commands.reads), true},
+        {"engine_reads_failed_total", "Reads without a usable answer.",
+         number(commands.reads_failed), true},
+        {"command_sent_total", "Commands sent to engines.",
+         number(commands.sent), true},
+        {"command_withheld_total",
+         "Commands held back by the check before the send.",
+         number(commands.withheld), true},
+        {"command_refused_total", "Commands with an old fencing number.",
+         number(commands.refused), true},
+        {"command_failed_total", "Commands without a usable answer.",
+         number(commands.failed), true},
+        {"command_reverted_total", "Engines found in another state.",
+         number(commands.reverted), true},
     });
 }
 
@@ -138,6 +168,7 @@
         {"members", members_json(fleet)},
         {"targets", targets_json(*config)},
         {"leaving", leaving_json(leaving_.leaving())},
+        {"engines", engines_json(commands_.report())},
         {"wrong_results", metrics_.wrong_results()},
         {"refusals", reasons_json<refusal_reason>(counts)},
         {"retries", reasons_json<retry_reason>(counts)},
--- a/src/deployment_schema.cpp
+++ b/src/deployment_schema.cpp
@@ -18,6 +18,7 @@
 constexpr entry_count pipelines_count{1, 256};
 constexpr entry_count stages_count{1, 32};
 constexpr entry_count accounts_count{1, 65536};
+constexpr entry_count adapters_count{0, 64};
 constexpr std::size_t shortest_key = 16; // characters of an account key
 
 const choice_value<stage_kind> kind_codec{{{"encode", stage_kind::encode},
@@ -26,6 +27,10 @@
                                            {"generate", stage_kind::generate},
                                            {"service", stage_kind::service}}};
 
+const choice_value<engine_role> role_codec{{{"mixed", engine_role::mixed},
+                                            {"prefill", engine_role::prefill},
+                                            {"decode", engine_role::decode}}};
+
 schema<fleet_draft> fleet_schema()
 {
     const schema<slot_config> slot{
@@ -39,6 +44,20 @@
     };
 }
 
+schema<engine_config> engine_schema()
+{
+    return {
+        field<engine_config>("model", &engine_config::model, text_value{},
+                             presence::optional),
+        field<engine_config>("version", &engine_config::version, text_value{},
+                             presence::optional),
+        list_of("adapters", &engine_config::adapters, text_value{},
+                adapters_count),
+        field<engine_config>("role", &engine_config::role, role_codec,
+                             presence::defaulted),
+    };
+}
+
 schema<pool_draft> pool_schema()
 {
     const schema<target_config> target{
@@ -56,6 +75,8 @@
                           bool_value{}, presence::defaulted),
         field<pool_draft>("checks_fencing", &pool_draft::checks_fencing,
                           bool_value{}, presence::defaulted),
+        optional_section<pool_draft>("engine", &pool_draft::engine,
+                                     engine_schema()),
         by_name("targets", &pool_draft::replicas, target, "target",
                 targets_count),
     };
@@ -122,6 +143,30 @@
     return *at;
 }
 
+/// Rules of one pool.
+void check_pool(config_reader& reader, const config_node& root,
+                const pool_draft& pool)
+{
+    if (!pool.engine)
+        return;
+    const auto& node   = nearest_node(root, {"pools", pool.name});
+    const auto& engine = nearest_node(node, {"engine"});
+    const auto  path   = concat("pools.", pool.name, ".engine");
+    // An unknown kind was reported already.
+    const auto* kind = node.find("kind");
+    if (kind && kind->text == kind_codec.print(pool.kind) &&
+        pool.kind != stage_kind::generate)
+        reader.error(engine.key_position,
+                     concat(path, ": only for a pool of kind generate"));
+    std::set<std::string_view> names;
+    for (const auto& it : pool.engine->adapters) {
+        if (!names.insert(it).second)
+            reader.error(
+                nearest_node(engine, {"adapters"}).key_position,
+                concat(path, ".adapters: ", quote_text(it), " stands twice"));
+    }
+}
+
 /// Rules of one pipeline.
 class pipeline_rules
 {
@@ -226,6 +271,15 @@
 
 } // namespace
 
+std::string_view to_string(engine_role it)
+{
+    for (const auto& [name, value] : role_codec.choices) {
+        if (value == it)
+            return name;
+    }
+    return "mixed";
+}
+
 const schema<deployment_draft>& deployment_schema()
 {
     // Names are declared in this order: slots before targets, pools before
@@ -258,6 +312,8 @@
 void check_rules(config_reader& reader, const config_node& root,
                  const deployment_draft& draft)
 {
+    for (const auto& it : draft.pools)
+        check_pool(reader, root, it);
     bool claims = false;
     for (const auto& it : draft.pipelines) {
         claims = claims || it.has_non_idempotent();
--- a/src/fleet_node.cpp
+++ b/src/fleet_node.cpp
@@ -199,6 +199,27 @@
     return it;
 }
 
+command_view fleet_node::view_for_commands() const
+{
+    command_view it;
+    const auto   node = host();
+    if (!node)
+        return it;
+    const auto place = place_.load();
+    it.self          = init_.settings.slot;
+    it.slots         = place->slots.size();
+    node->apply([&](node_core& core, time_point now) {
+        it.confirmed = core.confirmed(now); // notices a pause first
+        it.heard     = core.alive_count(now);
+        for (const auto& member : core.members(now)) {
+            if (member.current == member_view::state::alive &&
+                member.slot.idx < place->slots.size())
+                it.alive.push_back(place->slots[member.slot.idx].name);
+        }
+    });
+    return it;
+}
+
 void fleet_node::send(slot_id to, const pb::PeerMessage& message)
 {
     mesh_->send(to, message);
--- a/src/fleet_node.hpp
+++ b/src/fleet_node.hpp
@@ -3,6 +3,7 @@
 
 #include "arbutusgate/settings.hpp"
 
+#include "command_types.hpp"
 #include "mesh.hpp"
 #include "node_host.hpp"
 #include "peer_link.hpp"
@@ -81,6 +82,8 @@
     void         begin_drain();
     bool         drained() const;
     fleet_status status() const;
+    /// What commands to engines depend on, at this moment.
+    command_view view_for_commands() const;
 
 private:
     std::shared_ptr<node_host> host() const { return host_.load(); }
--- a/src/node_core.cpp
+++ b/src/node_core.cpp
@@ -415,6 +415,12 @@
     return impl_->store.settled();
 }
 
+bool node_core::confirmed(time_point now)
+{
+    const auto t = impl_->advance(now);
+    return impl_->may_claim(t);
+}
+
 std::uint32_t node_core::alive_count(time_point now) const
 {
     return impl_->members.alive_count(impl_->clock.at(now));
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -251,6 +251,39 @@
     CHECK(diff_configs(fine("0.12345678"), fine("0.12345679")).size() == 1);
 }
 
+// Guards against desired states of engines that are lost or half checked.
+TEST_CASE("a pool may give the desired state of its engines")
+{
+    const std::string kind = "    kind: generate\n";
+    const auto with = [&](const std::string& engine, const std::string& as) {
+        return check(
+            edited(kind, "    kind: " + as + "\n    engine: " + engine + "\n"));
+    };
+    const auto out =
+        with("{ model: m, version: \"2\", adapters: [a, b] }", "generate");
+    REQUIRE(out.issues.empty());
+    CHECK(out.effective.pools[0].engine ==
+          engine_config{"m", "2", {"a", "b"}, engine_role::mixed});
+    CHECK(value_at(out, "pools.models.engine.role").value == "mixed");
+    const auto before  = check(base_text);
+    const auto changes = diff_configs(before, out);
+    REQUIRE(!changes.empty());
+    CHECK(changes.front().path == "pools.models.engine.adapters.0");
+    CHECK(changes.front().immediate);
+    CHECK_FALSE(before.effective.pools[0].engine);
+
+    const auto issue = [&](const std::string& engine, const std::string& text,
+                           const std::string& as = "generate") {
+        return has_issue(with(engine, as), "base", 14, text);
+    };
+    CHECK(issue("{ role: decoder }",
+                "unknown word 'decoder'; did you mean 'decode'"));
+    CHECK(issue("{ modle: m }", "did you mean 'model'"));
+    CHECK(issue("{ adapters: [a, a] }", "'a' stands twice"));
+    CHECK(issue("{}", "pools.models.engine"));
+    CHECK(issue("{ model: m }", "only for a pool of kind generate", "service"));
+}
+
 // Guards against a version that some sites put in force and others reject.
 TEST_CASE("a version is refused when the overlay of another site is faulty")
 {
--- a/tests/node_core_test.cpp
+++ b/tests/node_core_test.cpp
@@ -169,6 +169,29 @@
     CHECK_FALSE(fleet.nodes[0]->use_claim(paused.claim, fleet.now));
 }
 
+// Guards against commands to engines by a process that just resumed.
+TEST_CASE("a resumed process is confirmed after the hold and by a peer")
+{
+    node_fleet fleet(5);
+    fleet.nodes[0]->on_config_read(7, documents, fleet.now);
+    fleet.run(seconds{5});
+    REQUIRE(fleet.nodes[0]->confirmed(fleet.now));
+    bool parted  = false;
+    fleet.asleep = 0;
+    fleet.drop   = [&](std::uint32_t from, const outgoing_message& it) {
+        return parted && (from == 0 || it.to.idx == 0);
+    };
+    fleet.run(seconds{3});
+    fleet.asleep = ~0U;
+    CHECK_FALSE(fleet.nodes[0]->confirmed(fleet.now));
+    parted = true;
+    fleet.run(seconds{20});
+    CHECK_FALSE(fleet.nodes[0]->confirmed(fleet.now));
+    parted = false;
+    fleet.run(seconds{5});
+    CHECK(fleet.nodes[0]->confirmed(fleet.now));
+}
+
 // Guards against a version that does not reach every daemon, or that an
 // older one replaces.
 TEST_CASE("the highest version reaches every daemon")
