--- a/include/arbutusgate/node_core.hpp
+++ b/include/arbutusgate/node_core.hpp
@@ -151,7 +151,7 @@
     /// True when a version is in force that may be served.
     bool ready(time_point now) const;
     /// False while this voter recovers, or confirms itself after a pause.
-    bool                     settled() const;
+    bool settled() const;
     /// False from a pause until the hold after it is over and a peer has
     /// confirmed the configuration in force, and while a newer process of the
     /// slot is known. Call it directly before the work that depends on it.
--- a/src/command_sender.cpp
+++ b/src/command_sender.cpp
@@ -88,13 +88,14 @@
     run_parallel(reads.size(), reads_at_once, [&](std::size_t n) {
         read(io, reads[n], config->targets[reads[n].target.idx].name);
     });
-    // A version that came into force meanwhile ends the round.
-    const auto commands =
-        planner_.take_commands(*init_.config(), init_.view(), init_.now());
-    run_parallel(commands.size(), commands_at_once,
-                 [&](std::size_t n) { execute(io, commands[n]); });
-    if (reads.empty())
-        return;
+    if (!reads.empty()) {
+        // A version that came into force meanwhile ends the round.
+        const auto commands =
+            planner_.take_commands(*init_.config(), init_.view(), init_.now());
+        run_parallel(commands.size(), commands_at_once,
+                     [&](std::size_t n) { execute(io, commands[n]); });
+    }
+    // Pools that this daemon no longer controls leave the report.
     auto            report = planner_.report(*config);
     std::lock_guard lock(mutex_);
     report_ = std::move(report);
--- a/tests/daemon_test.cpp
+++ b/tests/daemon_test.cpp
@@ -1,6 +1,8 @@
 #include "daemon.hpp"
 #include "daemon_fixture.hpp"
+#include "fiber_http.hpp"
 #include "sha256.hpp"
+#include "standin_fleet.hpp"
 
 #include "absl/strings/escaping.h"
 
@@ -101,3 +103,37 @@
     CHECK(process.metrics_text().find("arbutusgate_draining 1\n") !=
           std::string::npos);
 }
+
+// Guards against a planner and a sender that no daemon runs.
+TEST_CASE("a daemon commands the engines of its configuration")
+{
+    replica_init init;
+    init.name    = "stock-01";
+    init.address = "127.0.0.1:0";
+    replica_fleet fleet(1);
+    fleet.add_engine(init, {});
+    REQUIRE(fleet.start("127.0.0.1:0").ok());
+    const auto engine = fleet.replicas().front()->address();
+    auto       base   = base_document(engine);
+    const auto with   = [&](const std::string& from, const std::string& to) {
+        base.replace(base.find(from), from.size(), to);
+    };
+    with("kind: service", "kind: generate\n    engine: { model: veld }");
+    with("cost: 1 }", "cost: 1, model: veld, max_tokens: 9 }");
+
+    fake_target         service(platform(base));
+    arbutusgate::daemon process(make_settings(service.address()));
+    REQUIRE(process.start().ok());
+    io_thread thread;
+    CHECK(eventually([&] {
+        const auto state = fetch(thread, engine, "/v1/orders").json;
+        return text_of(state, "model") == "veld" &&
+               number_of(state, "fence", 0) == 3;
+    }));
+    CHECK(eventually([&] {
+        return process.metrics_text().find(
+                   "arbutusgate_command_sent_total 1") != std::string::npos;
+    }));
+    const auto status = json::parse(process.status_json()).as_object();
+    CHECK(status.at("engines").as_array().size() == 1);
+}
