Test that an unanswered command keeps its place in the share

Cause: the rule has no guard of its own, and the 100 scenarios of the fuzz test did not reach it.

Change: a directed test.

--- a/tests/command_test.cpp
+++ b/tests/command_test.cpp
@@ -166,6 +166,32 @@
     CHECK(found);
 }
 
+// Guards against more loading engines than allowed when a command without an
+// answer arrives late (fuzz seed 5, run 1892, with this rule off).
+TEST_CASE("an engine with an unanswered command keeps its place")
+{
+    auto config = one_engine();
+    config.targets.push_back({"f", "127.0.0.1:2", "a", pool_id{0}});
+    config.pools[0].targets.push_back(target_id{1});
+    command_planner    planner;
+    time_point         now;
+    const engine_state before{0, {}, true};
+    const engine_state after{1, *config.pools[0].engine, true};
+    const auto round = [&](const engine_state& e, const engine_state& f) {
+        now += limits::command_poll;
+        for (const auto& it : planner.begin_reads(config, lone_view(), now))
+            planner.on_state(it, it.target.idx == 0 ? e : f, now);
+        const auto all = planner.take_commands(config, lone_view(), now);
+        REQUIRE(all.size() == 1);
+        planner.on_result(all[0], command_result::unknown, now);
+        return all[0].target;
+    };
+    CHECK(round(after, before) == "f");
+    // Now e needs a command, too; f may load at any moment.
+    CHECK(round(before, before) == "f");
+    CHECK(round(before, after) == "e");
+}
+
 // Guards against a controller that fights another commander without a pause,
 // or that keeps pausing after the engine kept its state.
 TEST_CASE("repeated reversions are corrected at growing intervals")
