--- a/src/log.cpp
+++ b/src/log.cpp
@@ -87,6 +87,8 @@
     log4cplus::SharedAppenderPtr queue(
         new log4cplus::AsyncAppender(console, queue_length));
     auto root = log4cplus::Logger::getRoot();
+    // Tests run several programs in one process.
+    root.removeAllAppenders();
     root.addAppender(queue);
     root.setLogLevel(native(lowest));
     running = true;
