Tell a process of a newer one of its slot

All processes were replaced, three voters with lower incarnations than their predecessors. Late messages of those showed the higher ones to one daemon that was cut off. When the cut had healed, the ended processes counted as dead there, so that its gossip left them out: the voters never learned that they had to rise, and the daemon counted none of their grants. Still so 60 s later in the trace.

Change: gossip from a process of which a newer one is known is answered with the entry of the newer one.

--- a/src/member_table.hpp
+++ b/src/member_table.hpp
@@ -21,6 +21,8 @@
     /// Heartbeats of all members, and up to so many whole entries: the own
     /// one, then those that changed lately, then others in turn.
     void send(pb::Gossip& out, std::size_t entries, time_point t);
+    /// The whole entry of one slot, with the newest incarnation known.
+    void add_entry(slot_id slot, pb::Gossip& out) const;
     /// How far the heartbeats of a gossip message are ahead of the known
     /// one of the slot's process; 0: not ahead, or of another process.
     static std::uint32_t heartbeats_ahead(const std::string& bytes,
@@ -53,7 +55,6 @@
     bool self(slot_id slot) const { return slot == context_.init.self; }
     void send_heartbeats(std::string& out, time_point t) const;
     void receive_heartbeats(const std::string& bytes, time_point t);
-    void add_entry(slot_id slot, pb::Gossip& out) const;
 
     node_context&        context_;
     std::vector<member>  members_;
--- a/src/node_core.cpp
+++ b/src/node_core.cpp
@@ -135,6 +135,16 @@
         gossip.set_reply_wanted(nonce != 0);
     }
 
+    /// Tells a process of the newer one that is known of its slot. Gossip
+    /// leaves that one out when it has ended, but grants of the sender do not
+    /// count here until it has risen above it.
+    void tell_newest(slot_id slot)
+    {
+        auto& gossip = *context.out.add(slot).mutable_gossip();
+        members.add_entry(slot, gossip);
+        config.digest(*gossip.mutable_config());
+    }
+
     /// Passes news on at once.
     void spread(time_point t)
     {
@@ -220,6 +230,8 @@
         context.newest.note(from, incarnation);
         switch (message.body_case()) {
         case pb::PeerMessage::kGossip:
+            if (incarnation < context.newest.newest(from))
+                tell_newest(from);
             return on_gossip(from, message.gossip(), t);
         case pb::PeerMessage::kClaimRequest:
             return store.on_request(from, message.claim_request(), t);
--- a/tests/fuzz_test.cpp
+++ b/tests/fuzz_test.cpp
@@ -155,3 +155,19 @@
               op(kind::wait, 0, 0, 10'000)};
     CHECK(violated(it) == "");
 }
+
+// Found by run 56696 of seed 4242: late messages of ended processes showed a
+// daemon alone, cut off, the higher incarnations of three voters. Gossip left
+// the ended processes out, so that the voters never rose above them and the
+// daemon could claim nothing for ever.
+TEST_CASE("a voter learns of an incarnation that one daemon alone knows")
+{
+    fuzz_scenario it{11325333285466666026U, 9, {}};
+    it.ops = {op(kind::settle, 40'000),      op(kind::slow_to, 4, 5000),
+              op(kind::wait, 0, 0, 3500),    op(kind::publish),
+              op(kind::wait, 0, 0, 2500),    op(kind::cut, 16, 33489391),
+              op(kind::cut, 33489391, 16),   op(kind::wait, 0, 0, 6000),
+              op(kind::call, 8, 3),          op(kind::kill_all, 0, 0, 43),
+              op(kind::until_repeat, 32, 3), op(kind::wait, 0, 0, 4202)};
+    CHECK(violated(it) == "");
+}
