Measure the front end's calls by processor time of its thread

Calls a second of two separate runs differ with the other load of the machine. forward_ratio runs the plain loop and the front end in turn and divides their calls by the processor time of the forwarding thread, which is the stated objective (calls per second per core). src/local_front.hpp sets up the front end for the benchmarks.

--- a/src/bench_forward.cpp
+++ b/src/bench_forward.cpp
@@ -1,16 +1,10 @@
 /// The front end for callers against a plain forwarding loop of the same
 /// library, the baseline for what the daemon adds.
-#include "arbutusgate/policy.hpp"
-#include "caller_service.hpp"
-#include "claim_service.hpp"
-#include "deployment_catalog.hpp"
-#include "explain_ring.hpp"
+#include "bench_front.hpp"
 #include "http_client.hpp"
 #include "http_server.hpp"
 #include "io_thread.hpp"
-#include "metrics.hpp"
-#include "request_gate.hpp"
-#include "run_registry.hpp"
+#include "local_front.hpp"
 
 #include <benchmark/benchmark.h>
 #include <boost/json/object.hpp>
@@ -36,32 +30,6 @@
     return out;
 }
 
-http_server_init make_server(std::function<void(http_exchange&)> handler)
-{
-    http_server_init out;
-    out.address  = "127.0.0.1:0";
-    out.handler  = std::move(handler);
-    out.on_error = [](http_error) {
-        return http_response(http::status::bad_request, 11);
-    };
-    return out;
-}
-
-std::string address_of(const http_server& it)
-{
-    return "127.0.0.1:" + std::to_string(it.port());
-}
-
-http_request make_call(std::string body)
-{
-    http_request out(http::verb::post, "/v1/pipelines/work", 11);
-    out.set(http::field::authorization, "Bearer key-one");
-    out.set(http::field::content_type, "application/json");
-    out.body() = std::move(body);
-    out.prepare_payload();
-    return out;
-}
-
 /// One call over a connection that is kept open.
 std::string call(http_client& client, const http_request& request)
 {
@@ -82,6 +50,7 @@
     }
 
     std::string address() const { return address_of(server_); }
+    io_thread&  thread() { return thread_; }
 
 private:
     void forward(http_exchange& it)
@@ -153,83 +122,65 @@
     it.respond(ok(boost::json::serialize(out)));
 }
 
-/// The pipeline of the benchmark needs no claim.
-class no_claims final : public claim_service
+/// The daemon's front end in front of the target.
+class daemon_front
 {
 public:
-    claim_event obtain(std::string_view, std::string_view,
-                       std::uint64_t) override
+    explicit daemon_front(const std::string& target)
+        : front_(one_target(target, stage_kind::service), claims_,
+                 [](const std::string&, const load_report&) {})
     {
-        return {};
+        if (!front_.start().ok())
+            std::abort();
     }
-    bool use(std::uint64_t) override { return false; }
-    void release(std::uint64_t) override {}
-    void record(std::uint64_t, recorded_answer) override {}
+
+    std::string address() const { return front_.address(); }
+    io_thread&  thread() { return front_.thread(); }
+
+private:
+    no_claims   claims_;
+    local_front front_;
 };
 
-std::shared_ptr<deployment> one_target(const std::string& address)
+constexpr std::size_t calls_each = 500;
+
+double quantile(const std::vector<double>& sorted, double share)
 {
-    auto         out = std::make_shared<deployment>();
-    stage_config stage;
-    stage.name = "only";
-    stage.pool = pool_id{0};
-    pool_config pool;
-    pool.name             = "pool";
-    pool.targets          = {target_id{0}};
-    pool.slots_per_target = 1024;
-    out->pools.push_back(pool);
-    out->targets.push_back({"t", address, "a", pool_id{0}});
-    out->pipelines.push_back({"work", seconds{10}, {stage}, 0, 2});
-    out->accounts.push_back({"one", "key-one", 1, {}});
-    return out;
+    return sorted[static_cast<std::size_t>(
+        share * static_cast<double>(sorted.size() - 1))];
 }
 
-/// The daemon's front end on one thread, with all decisions of a request.
-class daemon_front
+/// Calls in a second of the forwarding thread's processor time.
+template <class Forwarder>
+class core_rate
 {
 public:
-    explicit daemon_front(const std::string& target)
-        : rules_(one_target(target), {}, counts_.reasons()), catalog_(rules_)
+    explicit core_rate(Forwarder& it) : it_(it) {}
+
+    /// \return sorted times of the calls in ms; empty when calls were lost.
+    std::vector<double> run(io_thread& client, std::size_t connections)
     {
-        caller_service_init init;
-        init.services.rules   = &rules_;
-        init.services.claims  = &claims_;
-        init.services.counts  = &counts_;
-        init.services.explain = &explain_;
-        init.services.runs    = &runs_;
-        init.services.on_load = [](const std::string&, const load_report&) {
-        };
-        init.catalog = &catalog_;
-        init.gate    = &gate_;
-        init.threads = {&thread_};
-        init.ready   = [] {
-            return true;
-        };
-        service_ = std::make_unique<caller_service>(std::move(init));
-        server_  = std::make_unique<http_server>(
-            make_server([this](auto& it) { service_->handle(it); }),
-            std::vector<io_thread*>{&thread_});
-        if (!server_->start().ok())
-            std::abort();
+        const auto start = processor_time(it_.thread());
+        auto times = run_load(client, it_.address(), connections, calls_each);
+        used_ += processor_time(it_.thread()) - start;
+        calls_ += times.size();
+        if (times.size() != connections * calls_each)
+            times.clear();
+        return times;
     }
 
-    std::string address() const { return address_of(*server_); }
+    double get() const
+    {
+        return static_cast<double>(calls_) /
+               std::chrono::duration<double>(used_).count();
+    }
 
 private:
-    metrics                         counts_;
-    explain_ring                    explain_;
-    no_claims                       claims_;
-    request_gate                    gate_;
-    run_registry                    runs_;
-    policy                          rules_;
-    deployment_catalog              catalog_;
-    io_thread                       thread_;
-    std::unique_ptr<caller_service> service_;
-    std::unique_ptr<http_server>    server_;
+    Forwarder&               it_;
+    std::chrono::nanoseconds used_{0};
+    std::size_t              calls_ = 0;
 };
 
-constexpr std::size_t calls_each = 500;
-
 template <class Forwarder>
 void forward(benchmark::State& state)
 {
@@ -238,21 +189,45 @@
     if (!target.start().ok())
         return state.SkipWithError("target does not start");
     Forwarder  forwarder(address_of(target));
+    core_rate  rate(forwarder);
     io_thread  client_thread;
     const auto connections = static_cast<std::size_t>(state.range(0));
     for (auto _ : state) {
-        const auto times = run_load(client_thread, forwarder.address(),
-                                    connections, calls_each);
-        if (times.size() != connections * calls_each)
+        const auto times = rate.run(client_thread, connections);
+        if (times.empty())
             return state.SkipWithError("calls were lost");
-        state.counters["p50_ms"] = times[times.size() / 2];
-        state.counters["p99_ms"] = times[times.size() * 99 / 100];
+        state.counters["p50_ms"] = quantile(times, 0.5);
+        state.counters["p99_ms"] = quantile(times, 0.99);
     }
+    state.counters["calls_per_core_s"] = rate.get();
     state.counters["calls_per_s"] =
         benchmark::Counter(static_cast<double>(connections * calls_each),
                            benchmark::Counter::kIsIterationInvariantRate);
 }
 
+/// Both forwarders in turn, so that other load on the machine meets both.
+void forward_ratio(benchmark::State& state)
+{
+    io_thread   target_thread;
+    http_server target(make_server(answer_call), {&target_thread});
+    if (!target.start().ok())
+        return state.SkipWithError("target does not start");
+    plain_forwarder plain(address_of(target));
+    daemon_front    front(address_of(target));
+    core_rate       plain_rate(plain);
+    core_rate       front_rate(front);
+    io_thread       client_thread;
+    const auto      connections = static_cast<std::size_t>(state.range(0));
+    for (auto _ : state) {
+        if (plain_rate.run(client_thread, connections).empty() ||
+            front_rate.run(client_thread, connections).empty())
+            return state.SkipWithError("calls were lost");
+    }
+    state.counters["plain_per_core_s"]  = plain_rate.get();
+    state.counters["daemon_per_core_s"] = front_rate.get();
+    state.counters["ratio"]             = front_rate.get() / plain_rate.get();
+}
+
 void forward_plain(benchmark::State& state)
 {
     forward<plain_forwarder>(state);
@@ -280,6 +255,15 @@
     ->UseRealTime()
     ->Unit(benchmark::kMillisecond);
 
+BENCHMARK(forward_ratio)
+    ->Arg(1)
+    ->Arg(8)
+    ->Arg(32)
+    ->Arg(128)
+    ->Iterations(5)
+    ->UseRealTime()
+    ->Unit(benchmark::kMillisecond);
+
 } // namespace
 
 } // namespace arbutusgate
