Read random bytes for many request ids at once

std::random_device took 0.82 us for each word on this machine (10,000 calls), so 3.3 us for each request id. getrandom now fills 1 KB for 64 ids.

--- a/src/caller_service.cpp
+++ b/src/caller_service.cpp
@@ -7,8 +7,12 @@
 #include "io_thread.hpp"
 #include "log.hpp"
 
+#include <sys/random.h>
+
+#include <array>
+#include <cerrno>
+#include <cstdlib>
 #include <exception>
-#include <random>
 
 namespace arbutusgate {
 
@@ -31,19 +35,38 @@
     return refusal_reason::bad_request;
 }
 
+void read_random(unsigned char* to, std::size_t size)
+{
+    while (size > 0) {
+        const auto n = getrandom(to, size, 0);
+        if (n < 0 && errno != EINTR)
+            std::abort(); // the kernel has no generator
+        if (n > 0) {
+            to += n;
+            size -= static_cast<std::size_t>(n);
+        }
+    }
+}
+
 } // namespace
 
 std::string make_request_id()
 {
-    // random_device reads the system's generator, which cannot be predicted
-    // from earlier ids.
-    constexpr std::string_view      digits = "0123456789abcdef";
-    thread_local std::random_device device;
-    std::string                     id;
-    for (int word = 0; word < 4; ++word) {
-        auto bits = device();
-        for (int n = 0; n < 8; ++n, bits >>= 4U)
-            id += digits[bits & 15U];
+    // The system's generator cannot be predicted from earlier ids. It is read
+    // for many ids at once: one word of std::random_device took 0.8 us.
+    constexpr std::string_view digits  = "0123456789abcdef";
+    constexpr std::size_t      id_size = 16; // bytes
+    thread_local std::array<unsigned char, 64 * id_size> bytes;
+    thread_local std::size_t                             used = bytes.size();
+    if (used == bytes.size()) {
+        read_random(bytes.data(), bytes.size());
+        used = 0;
+    }
+    std::string id;
+    id.reserve(2 * id_size);
+    for (const auto end = used + id_size; used < end; ++used) {
+        id += digits[bytes[used] >> 4U];
+        id += digits[bytes[used] & 15U];
     }
     return id;
 }
