Build the JSON and metric labels of a request with fewer allocations

callgrind (forward_daemon and forward_plain at 8 connections) showed 53,000 more instructions for a request in the front end than in the plain loop, a third of them in malloc and free. Small JSON values now lie in memory on the stack, answers are compared without building values, and the labels of a series are written into memory that the thread keeps.

--- a/src/caller_answer.cpp
+++ b/src/caller_answer.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon_clock.hpp"
 #include "http_server.hpp"
+#include "json_memory.hpp"
 #include "sse.hpp"
 
 #include <boost/json/object.hpp>
@@ -56,8 +57,9 @@
 
 void caller_answer::write_text(std::uint64_t offset, std::string_view text)
 {
-    const auto data =
-        json::serialize(json::object{{"offset", offset}, {"text", text}});
+    json_memory        memory;
+    const json::object body({{"offset", offset}, {"text", text}}, memory.get());
+    const auto         data = json::serialize(body);
     if (!exchange_.write(sse_text("", data)) && gone_)
         gone_();
 }
--- a/src/caller_request_reader.cpp
+++ b/src/caller_request_reader.cpp
@@ -1,5 +1,7 @@
 #include "caller_request_reader.hpp"
 
+#include "json_memory.hpp"
+
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 #include <xxhash.h>
@@ -62,8 +64,9 @@
 std::optional<problem> read_body(const http_request& from,
                                  caller_request&     request)
 {
+    json_memory               memory;
     boost::system::error_code ec;
-    const auto                parsed = json::parse(from.body(), ec);
+    const auto parsed = json::parse(from.body(), ec, memory.get());
     if (ec || !parsed.is_object())
         return bad_request("the body is not a JSON object");
     const auto& body  = parsed.get_object();
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -89,16 +89,32 @@
     std::array<shard, shard_count> shards_;
 };
 
-std::string label(std::string_view name, std::string_view value)
+/// Appends `name="value"`, after a comma unless it is the first label.
+void add_label(std::string& text, std::string_view name, std::string_view value)
 {
-    std::string text(name);
+    if (!text.empty())
+        text += ',';
+    text += name;
     text += "=\"";
-    for (const char c : value) {
-        if (c == '"' || c == '\\')
-            text += '\\';
-        text += c == '\n' ? ' ' : c;
+    if (value.find_first_of("\"\\\n") == value.npos) {
+        text += value;
     }
-    return text += '"';
+    else {
+        for (const char c : value) {
+            if (c == '"' || c == '\\')
+                text += '\\';
+            text += c == '\n' ? ' ' : c;
+        }
+    }
+    text += '"';
+}
+
+/// Empty text that keeps its memory from one use on this thread to the next.
+std::string& label_text()
+{
+    thread_local std::string text;
+    text.clear();
+    return text;
 }
 
 void write_head(std::ostream& out, std::string_view name, std::string_view type,
@@ -176,35 +192,42 @@
 void metrics::count_request(std::string_view pipeline, std::string_view outcome,
                             microseconds latency)
 {
-    const auto name = label("pipeline", pipeline);
-    impl_->requests.apply(name + "," + label("outcome", outcome),
-                          [](auto& it) { ++it.value; });
-    impl_->request_latency.apply(name, [&](auto& it) { it.observe(latency); });
+    auto& labels = label_text();
+    add_label(labels, "pipeline", pipeline);
+    impl_->request_latency.apply(labels,
+                                 [&](auto& it) { it.observe(latency); });
+    add_label(labels, "outcome", outcome);
+    impl_->requests.apply(labels, [](auto& it) { ++it.value; });
 }
 
 void metrics::count_attempt(std::string_view pipeline, std::string_view stage,
                             std::string_view outcome, microseconds latency)
 {
-    const auto name = label("pipeline", pipeline) + "," + label("stage", stage);
-    impl_->attempts.apply(name + "," + label("outcome", outcome),
-                          [](auto& it) { ++it.value; });
-    impl_->attempt_latency.apply(name, [&](auto& it) { it.observe(latency); });
+    auto& labels = label_text();
+    add_label(labels, "pipeline", pipeline);
+    add_label(labels, "stage", stage);
+    impl_->attempt_latency.apply(labels,
+                                 [&](auto& it) { it.observe(latency); });
+    add_label(labels, "outcome", outcome);
+    impl_->attempts.apply(labels, [](auto& it) { ++it.value; });
 }
 
 void metrics::observe_first_text(std::string_view pipeline,
                                  microseconds     latency)
 {
-    impl_->first_text.apply(label("pipeline", pipeline),
-                            [&](auto& it) { it.observe(latency); });
+    auto& labels = label_text();
+    add_label(labels, "pipeline", pipeline);
+    impl_->first_text.apply(labels, [&](auto& it) { it.observe(latency); });
 }
 
 void metrics::add_cost(std::string_view pipeline, std::string_view stage,
                        double cost, bool wasted)
 {
-    impl_->cost.apply(label("pipeline", pipeline) + "," +
-                          label("stage", stage) + "," +
-                          label("use", wasted ? "wasted" : "complete"),
-                      [&](auto& it) { it.value += cost; });
+    auto& labels = label_text();
+    add_label(labels, "pipeline", pipeline);
+    add_label(labels, "stage", stage);
+    add_label(labels, "use", wasted ? "wasted" : "complete");
+    impl_->cost.apply(labels, [&](auto& it) { it.value += cost; });
 }
 
 std::string
--- a/src/request_executor.cpp
+++ b/src/request_executor.cpp
@@ -3,6 +3,7 @@
 #include "arbutusgate/policy.hpp"
 
 #include "daemon_clock.hpp"
+#include "json_memory.hpp"
 #include "log.hpp"
 #include "stream_reader.hpp"
 
@@ -281,16 +282,19 @@
 
 std::string request_executor::summary() const
 {
-    json::array stages;
+    json_memory  memory;
+    json::array  stages(memory.get());
+    json::object body(memory.get());
     for (std::size_t n = 0; n < stages_.size(); ++n)
         stages.push_back({{"name", pipeline().stages[n].name},
                           {"target", stages_[n].target},
                           {"attempts", stages_[n].attempts},
                           {"cost", stages_[n].cost}});
-    return json::serialize(json::object{{"request_id", request_.request_id},
-                                        {"pipeline", pipeline().name},
-                                        {"output", output_},
-                                        {"stages", std::move(stages)}});
+    body["request_id"] = request_.request_id;
+    body["pipeline"]   = pipeline().name;
+    body["output"]     = output_;
+    body["stages"]     = std::move(stages);
+    return json::serialize(body);
 }
 
 // An unknown result is not recorded: a repeated key is then told that the
--- a/src/stage_caller.cpp
+++ b/src/stage_caller.cpp
@@ -3,6 +3,7 @@
 #include "connection_pool.hpp"
 #include "daemon_clock.hpp"
 #include "http_client.hpp"
+#include "json_memory.hpp"
 #include "load_header.hpp"
 #include "sse.hpp"
 #include "stream_reader.hpp"
@@ -53,9 +54,11 @@
     const bool   engine = work.stage->kind == stage_kind::generate;
     http_request request(http::verb::post,
                          engine ? "/v1/completions" : "/v1/call", 11);
-    json::object body{{"request_id", work.request_id},
-                      {"stage", work.stage->name},
-                      {"attempt", work.start.attempt}};
+    json_memory  memory;
+    json::object body({{"request_id", work.request_id},
+                       {"stage", work.stage->name},
+                       {"attempt", work.start.attempt}},
+                      memory.get());
     if (engine) {
         body["model"]         = work.stage->model;
         body["prompt"]        = work.input;
@@ -102,6 +105,20 @@
     return it && it->is_string() && it->get_string() == "not_run";
 }
 
+bool text_is(const json::object& from, std::string_view name,
+             std::string_view expected)
+{
+    const auto* it = from.if_contains(name);
+    return it && it->is_string() && it->get_string() == expected;
+}
+
+bool number_is(const json::object& from, std::string_view name,
+               std::uint32_t expected)
+{
+    const auto* it = from.if_contains(name);
+    return it && *it == expected;
+}
+
 } // namespace
 
 std::string_view to_string(attempt_status it)
@@ -276,20 +293,17 @@
 
 void stage_caller::attempt_call::check_answer(const std::string& body)
 {
-    error_code ec;
-    const auto parsed = json::parse(body, ec);
+    json_memory memory;
+    error_code  ec;
+    const auto  parsed = json::parse(body, ec, memory.get());
     if (ec || !parsed.is_object()) {
         fail(attempt_status::failed, "answer is not a JSON object");
         return;
     }
-    const auto& it    = parsed.get_object();
-    const auto  equal = [&it](std::string_view name, const json::value& value) {
-        const auto* found = it.if_contains(name);
-        return found && *found == value;
-    };
-    if (!equal("request_id", json::value(work_.request_id)) ||
-        !equal("stage", json::value(work_.stage->name)) ||
-        !equal("attempt", json::value(work_.start.attempt)))
+    const auto& it = parsed.get_object();
+    if (!text_is(it, "request_id", work_.request_id) ||
+        !text_is(it, "stage", work_.stage->name) ||
+        !number_is(it, "attempt", work_.start.attempt))
     {
         fail(attempt_status::wrong_result, "answer to other work");
         return;
