Keep up to 128 idle connections of a target

With 16, the front end opened a connection for many calls of more than 16 callers at once: 1,957 connects for 48,000 calls (strace, forward_daemon at 32 connections), now 128.

--- a/src/connection_pool.cpp
+++ b/src/connection_pool.cpp
@@ -10,8 +10,9 @@
 
 // Connections idle for longer may have been dropped on the way unnoticed.
 constexpr auto idle_limit = seconds{10};
-// Beyond this many, keeping idle connections of a target saves nothing.
-constexpr std::size_t idle_per_target = 16;
+// Bounds the descriptors after a burst. With 16, calls of more than 16 callers
+// at once mostly opened a connection of their own, which doubled their cost.
+constexpr std::size_t idle_per_target = 128;
 
 } // namespace
 
