--- a/src/bench_forward.cpp
+++ b/src/bench_forward.cpp
@@ -143,6 +143,10 @@
 };
 
 constexpr std::size_t calls_each = 500;
+// Enough callers that a call is hardly ever late for want of a free one.
+constexpr std::size_t  paced_callers = 64;
+constexpr std::size_t  paced_calls   = 1000;
+constexpr milliseconds paced_lead{50}; // for connecting
 
 double quantile(const std::vector<double>& sorted, double share)
 {
@@ -228,6 +232,106 @@
     state.counters["ratio"]             = front_rate.get() / plain_rate.get();
 }
 
+/// Calls at a fixed rate, whether or not earlier ones have ended. Their times
+/// count from the moment at which they were due.
+std::vector<double> run_paced(io_thread& thread, const std::string& address,
+                              double calls_per_s)
+{
+    struct schedule
+    {
+        std::chrono::steady_clock::time_point start;
+        std::chrono::nanoseconds              gap;
+        std::size_t                           next = 0;
+        std::vector<double>                   times;
+        std::promise<void>                    ended;
+        std::size_t                           callers = paced_callers;
+    };
+    auto plan   = std::make_shared<schedule>();
+    plan->start = std::chrono::steady_clock::now() + paced_lead;
+    plan->gap =
+        std::chrono::nanoseconds{static_cast<std::int64_t>(1e9 / calls_per_s)};
+    for (std::size_t n = 0; n < paced_callers; ++n) {
+        thread.spawn([&thread, address, plan] {
+            http_client client(thread.io());
+            const bool  connected = !client.connect(address, call_timeout);
+            while (connected && plan->next < paced_calls) {
+                const auto due  = plan->start + plan->gap * plan->next++;
+                const auto wait = std::chrono::duration_cast<microseconds>(
+                    due - std::chrono::steady_clock::now());
+                if (wait > microseconds{0})
+                    fiber_sleep(thread.io(), wait);
+                if (call(client, make_call("{\"input\":\"x\"}")).empty())
+                    break;
+                const std::chrono::duration<double, std::milli> time =
+                    std::chrono::steady_clock::now() - due;
+                plan->times.push_back(time.count());
+            }
+            if (--plan->callers == 0)
+                plan->ended.set_value();
+        });
+    }
+    plan->ended.get_future().wait();
+    std::sort(plan->times.begin(), plan->times.end());
+    return plan->times;
+}
+
+double median(std::vector<double> values)
+{
+    std::sort(values.begin(), values.end());
+    return quantile(values, 0.5);
+}
+
+/// Quantiles of each slice of a paced load. Their medians leave out slices in
+/// which other work of the machine held up a thread.
+struct paced_quantiles
+{
+    /// \return false when calls were lost.
+    bool add(const std::vector<double>& times)
+    {
+        if (times.size() != paced_calls)
+            return false;
+        p50.push_back(quantile(times, 0.5));
+        p99.push_back(quantile(times, 0.99));
+        return true;
+    }
+
+    std::vector<double> p50, p99; ///< ms
+};
+
+/// What the front end adds at half of the calls a second that saturate it.
+void forward_half_load(benchmark::State& state)
+{
+    io_thread   target_thread;
+    http_server target(make_server(answer_call), {&target_thread});
+    if (!target.start().ok())
+        return state.SkipWithError("target does not start");
+    plain_forwarder plain(address_of(target));
+    daemon_front    front(address_of(target));
+    io_thread       client_thread;
+    const auto      connections = static_cast<std::size_t>(state.range(0));
+    const auto      start       = std::chrono::steady_clock::now();
+    const auto      n =
+        run_load(client_thread, front.address(), connections, calls_each)
+            .size();
+    const std::chrono::duration<double> time =
+        std::chrono::steady_clock::now() - start;
+    const auto      rate = static_cast<double>(n) / time.count() / 2;
+    paced_quantiles plain_times, front_times;
+    for (auto _ : state) {
+        if (!plain_times.add(run_paced(client_thread, plain.address(), rate)) ||
+            !front_times.add(run_paced(client_thread, front.address(), rate)))
+            return state.SkipWithError("calls were lost");
+    }
+    const auto note = [&](const char* name, double a, double b) {
+        state.counters[std::string("plain_") + name + "_ms"]  = a;
+        state.counters[std::string("daemon_") + name + "_ms"] = b;
+        state.counters[std::string("added_") + name + "_ms"]  = b - a;
+    };
+    note("p50", median(plain_times.p50), median(front_times.p50));
+    note("p99", median(plain_times.p99), median(front_times.p99));
+    state.counters["calls_per_s"] = rate;
+}
+
 void forward_plain(benchmark::State& state)
 {
     forward<plain_forwarder>(state);
@@ -237,6 +341,7 @@
 {
     forward<daemon_front>(state);
 }
+
 BENCHMARK(forward_plain)
     ->Arg(1)
     ->Arg(8)
@@ -264,6 +369,12 @@
     ->UseRealTime()
     ->Unit(benchmark::kMillisecond);
 
+BENCHMARK(forward_half_load)
+    ->Arg(32)
+    ->Iterations(15)
+    ->UseRealTime()
+    ->Unit(benchmark::kMillisecond);
+
 } // namespace
 
 } // namespace arbutusgate
--- a/src/local_front.hpp
+++ b/src/local_front.hpp
@@ -64,6 +64,9 @@
     /// \return Unavailable when no port can be bound.
     absl::Status start() { return server_->start(); }
 
+    /// Closes all connections and waits for their requests to end.
+    void stop() { server_->stop(); }
+
     /// "IP:port" for callers.
     std::string address() const
     {
--- a/tests/daemon_fixture.hpp
+++ b/tests/daemon_fixture.hpp
@@ -3,13 +3,11 @@
 
 #include "arbutusgate/policy.hpp"
 
-#include "caller_service.hpp"
-#include "explain_ring.hpp"
 #include "http_client.hpp"
 #include "http_server.hpp"
 #include "io_thread.hpp"
 #include "leaving_watch.hpp"
-#include "metrics.hpp"
+#include "local_front.hpp"
 
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
@@ -179,37 +177,18 @@
 {
 public:
     explicit front_end(std::shared_ptr<const deployment> config)
-        : rules_(config, {}, counts.reasons()), catalog_(rules_)
+        : front_(std::move(config), claims,
+                 [this](const std::string& it, const load_report& report) {
+                     leaving.on_report(it, report);
+                 })
     {
-        caller_service_init init;
-        init.services.rules   = &rules_;
-        init.services.claims  = &claims;
-        init.services.counts  = &counts;
-        init.services.explain = &explain;
-        init.services.runs    = &runs_;
-        init.services.on_load = [this](const std::string& it,
-                                       const load_report& report) {
-            leaving.on_report(it, report);
-        };
-        init.catalog = &catalog_;
-        init.gate    = &gate;
-        init.threads = {&thread_};
-        init.ready   = [] {
-            return true;
-        };
-        service_ = std::make_unique<caller_service>(std::move(init));
-        http_server_init server;
-        server.address = "127.0.0.1:0";
-        server.handler = [this](http_exchange& it) {
-            service_->handle(it);
-        };
-        server.on_error = [this](http_error it) {
-            return service_->on_error(it);
-        };
-        server_ = std::make_unique<http_server>(
-            std::move(server), std::vector<io_thread*>{&thread_});
-        REQUIRE(server_->start().ok());
+        REQUIRE(front_.start().ok());
     }
+    // No request may use `leaving` once it is gone.
+    ~front_end() { front_.stop(); }
+
+    front_end(const front_end&)            = delete;
+    front_end& operator=(const front_end&) = delete;
 
     http_request request(std::string body = R"({"input":"in"})") const
     {
@@ -230,11 +209,16 @@
         return result.get_future().get();
     }
 
-    metrics       counts;
-    explain_ring  explain;
-    fake_claims   claims;
-    request_gate  gate;
-    leaving_watch leaving{{&rules_, [](std::string_view) {
+    fake_claims claims;
+
+private:
+    local_front front_;
+
+public:
+    metrics&      counts  = front_.counts();
+    explain_ring& explain = front_.explain();
+    request_gate& gate    = front_.gate();
+    leaving_watch leaving{{&front_.rules(), [](std::string_view) {
                            }}};
 
 private:
@@ -244,8 +228,7 @@
         caller_response           it;
         http_client               client(client_.io());
         boost::system::error_code ec;
-        ec = client.connect("127.0.0.1:" + std::to_string(server_->port()),
-                            generous);
+        ec = client.connect(front_.address(), generous);
         if (ec || (ec = client.send(request, generous)))
             return it;
         it.status     = client.head().result_int();
@@ -260,13 +243,7 @@
         }
     }
 
-    policy                          rules_;
-    deployment_catalog              catalog_;
-    run_registry                    runs_;
-    io_thread                       thread_;
-    io_thread                       client_;
-    std::unique_ptr<caller_service> service_;
-    std::unique_ptr<http_server>    server_;
+    io_thread client_;
 };
 
 } // namespace arbutusgate::test
