Eject targets that are much slower than their pool

Cause: a replica that answers ten times slower than its pool kept its share of the work, since only failures led to ejection.

Change: the router keeps the time of each target's attempts as a multiple of what the stage usually takes (for streams, the time of a token). A target at three times the pool's median target is ejected within the cap of a third and probed again. A stream that probes a suspect target goes on at another one after the learned 95th percentile. Time-outs of slow targets are no sign of the pool's load and teach no times.

Conclusion: ejection alone is not enough; streams that a replica holds when it becomes slow need a check while the attempt runs.

--- a/include/arbutusgate/pipeline_run.hpp
+++ b/include/arbutusgate/pipeline_run.hpp
@@ -166,8 +166,10 @@
     microseconds needed(std::size_t from) const;
     /// Time that the whole pipeline rarely exceeds.
     microseconds needed_high() const;
-    milliseconds attempt_timeout(time_point now) const;
-    void         learn(const attempt_result& result, time_point now);
+    milliseconds attempt_timeout(time_point now);
+    /// Time of the attempt as a multiple of the usual one; 0: unknown.
+    double slowness(const attempt_result& result, microseconds elapsed);
+    void   learn(const attempt_result& result, time_point now);
     /// \return the cost of the finished attempt.
     double learn_cost(const attempt_result& result);
 
@@ -201,10 +203,12 @@
     std::uint64_t offset_  = 0;
     target_id     target_;
     time_point    attempt_start_;
-    bool          claiming_ = false;
-    bool          claimed_  = false;
-    bool          sent_     = false; ///< Non-idempotent work may have run.
-    bool          finished_ = false;
+    /// The attempt ends early, to go on elsewhere if its target is still slow.
+    bool may_move_ = false;
+    bool claiming_ = false;
+    bool claimed_  = false;
+    bool sent_     = false; ///< Non-idempotent work may have run.
+    bool finished_ = false;
 };
 
 } // namespace arbutusgate
--- a/src/pipeline_run.cpp
+++ b/src/pipeline_run.cpp
@@ -125,7 +125,9 @@
         return give_up(refusal_reason::deadline_exceeded, {});
     if (adaptive()) {
         auto wait = admit(now);
-        if (wait.empty() && !probe_ && info_.deadline - now < needed(stage_))
+        // The rest of a stream takes less than the stage.
+        if (wait.empty() && !probe_ && offset_ == 0 &&
+            info_.deadline - now < needed(stage_))
             wait = give_up(refusal_reason::deadline_unreachable, retry_later);
         if (wait.empty())
             wait = enter(now);
@@ -374,23 +376,54 @@
            microseconds{static_cast<std::int64_t>(std::sqrt(square))};
 }
 
-milliseconds pipeline_run::attempt_timeout(time_point now) const
+milliseconds pipeline_run::attempt_timeout(time_point now)
 {
     auto left = info_.deadline - now;
+    may_move_ = false;
     if (adaptive()) {
         left -= needed(stage_ + 1);
         const auto& stage = pipeline().stages[stage_];
-        // Streams are watched by their chunks instead.
-        if (stage.idempotent && stage.kind != stage_kind::generate)
+        const auto& times = view_->stages[info_.pipeline.idx][stage_]->time;
+        if (stage.idempotent && stage.kind != stage_kind::generate) {
             left = std::min<microseconds>(
-                left, view_->stages[info_.pipeline.idx][stage_]->time.high() *
-                              lost_call_factor +
-                          lost_call_margin);
+                left, times.high() * lost_call_factor + lost_call_margin);
+        }
+        else if (stage.idempotent && route_->probing && retries_ == 0 &&
+                 pipeline().retries > 0)
+        {
+            // A stream that probes a suspect target goes on elsewhere while
+            // there is time. For all streams this cost other work: at 2x
+            // load 2 to 4% of the cost, and long streams were cut needlessly.
+            may_move_ = times.high() < left;
+            left      = std::min(left, times.high());
+        }
     }
     return std::max(milliseconds{1},
                     std::chrono::duration_cast<milliseconds>(left));
 }
 
+double pipeline_run::slowness(const attempt_result& result,
+                              microseconds          elapsed)
+{
+    auto& learned = *view_->stages[info_.pipeline.idx][stage_];
+    if (pipeline().stages[stage_].kind != stage_kind::generate)
+        return static_cast<double>(elapsed.count()) /
+               static_cast<double>(learned.time.median().count());
+    // The time of a token says more than that of the whole stream, whose
+    // length varies.
+    const auto usual = learned.token_time.median();
+    if (result.tokens == 0)
+        return 0;
+    const auto token = std::max(microseconds{1}, elapsed / result.tokens);
+    learned.token_time.add(token);
+    if (usual == microseconds{0})
+        return 0;
+    const auto pace =
+        static_cast<double>(token.count()) / static_cast<double>(usual.count());
+    // Of a few tokens, most of the time is queueing and prefill.
+    return elapsed < learned.time.median() ? std::min(1.0, pace) : pace;
+}
+
 double pipeline_run::learn_cost(const attempt_result& result)
 {
     const auto& stage = pipeline().stages[stage_];
@@ -409,19 +442,29 @@
     auto&       times   = view_->stages[info_.pipeline.idx][stage_]->time;
     const bool  done    = result.status == attempt_status::done;
     const bool  late    = result.status == attempt_status::timeout;
+    const bool  moves   = late && may_move_;
+    const auto  slower  = done || late ? slowness(result, elapsed) : 0;
+    bool        slow    = false;
     ready_runs  ready;
     {
         const auto&     pool  = pool_of(stage_);
         auto&           state = *pool.state;
         std::lock_guard lock(state.mutex);
-        state.routes.on_result(pool.targets, *route_, result.status, now);
+        // A stream that advanced shows by its pace whether its target fails.
+        state.routes.on_result(pool.targets, *route_,
+                               moves && slower > 0 ? attempt_status::done
+                                                   : result.status,
+                               now, slower);
+        slow = route_->slow;
         if (done)
             state.retries.on_success();
         policy_.impl_->update_share(
             pool, config_->pools[stage.pool.idx].slots_per_target, now);
-        if (done || late || result.status == attempt_status::not_run) {
+        // A slow target says nothing about the pool's load.
+        if (!slow && (done || late || result.status == attempt_status::not_run))
+        {
             auto signal = load_signal::free;
-            if (!done)
+            if (!done && !moves)
                 signal = load_signal::refused;
             else if (router::full(pool.targets, now) ||
                      elapsed > times.high() * 2)
@@ -436,7 +479,7 @@
     policy_.impl_->notify(ready);
     // A time-out is a lower bound of the time; without it a stage that became
     // slow would be cut off for ever.
-    if ((done || late) && offset_ == 0)
+    if ((done || late) && !slow && offset_ == 0)
         times.add(elapsed);
 }
 
@@ -475,7 +518,10 @@
         return true;
     const auto&     pool = pool_of(stage_);
     std::lock_guard lock(pool.state->mutex);
-    return pool.state->retries.take();
+    // A stream that was cut off in order to move is not given up for lack of
+    // budget.
+    return pool.state->retries.take() ||
+           (status == attempt_status::timeout && may_move_);
 }
 
 run_actions pipeline_run::retry(const attempt_result& result, time_point now)
--- a/src/policy_impl.hpp
+++ b/src/policy_impl.hpp
@@ -24,12 +24,13 @@
 struct learned_stage
 {
     learned_stage(microseconds expected, double cost)
-        : time(expected), cost(cost)
+        : time(expected), token_time(microseconds{0}), cost(cost)
     {
     }
 
     stage_quantiles     time;
-    std::atomic<double> cost; ///< Mean of a call.
+    stage_quantiles     token_time; ///< Of generate; for each token.
+    std::atomic<double> cost;       ///< Mean of a call.
 };
 
 /// Learned state of one pool, with its lock. Kept by name over deployments.
--- a/src/policy_quantiles.cpp
+++ b/src/policy_quantiles.cpp
@@ -59,7 +59,7 @@
         }
         below += *it;
     }
-    return lowest;
+    return 0;
 }
 
 void stage_quantiles::update()
--- a/src/policy_quantiles.hpp
+++ b/src/policy_quantiles.hpp
@@ -15,7 +15,8 @@
 class stage_quantiles
 {
 public:
-    /// \param expected stands for the median until samples replace it.
+    /// \param expected stands for the median until samples replace it; zero:
+    /// the quantiles are zero until there are samples.
     explicit stage_quantiles(microseconds expected);
 
     void add(microseconds sample);
--- a/src/policy_router.cpp
+++ b/src/policy_router.cpp
@@ -14,6 +14,13 @@
 // without earlier ones make it suspect.
 constexpr auto failure_weight = 0.25;
 constexpr auto suspect_share  = 0.5;
+// A target is slow when its attempts take this many times as long as those of
+// the pool's median target. Log-normal times of healthy targets stay below.
+constexpr double slow_factor     = 3;
+constexpr double slowness_weight = 0.25;
+// One attempt at ten times the usual time shows a slow target: a daemon sends
+// few requests to each target and loses them while it waits for more evidence.
+constexpr double most_slowness = 10;
 // An outage of 10 s must be over for the policy within 10 s of its end, so no
 // target is left alone for longer than this.
 constexpr auto first_ejection      = seconds{2};
@@ -73,7 +80,7 @@
 
 bool suspect(const route_target& it)
 {
-    return it.failures >= suspect_share;
+    return it.failures >= suspect_share || it.slow;
 }
 
 /// Suspect, and too early to try again. A target that is not ejected, because
@@ -294,8 +301,25 @@
         now + backoff(first_ejection, longest_ejection, it.ejections++);
 }
 
+void router::learn_slowness(const route_targets& targets, route_target& it,
+                            double sample)
+{
+    sample = std::min(sample, most_slowness);
+    if (it.probing)
+        it.slowness = sample;
+    else
+        it.slowness += (sample - it.slowness) * slowness_weight;
+    // When all targets are slow, none is an outlier.
+    std::vector<double> all;
+    for (const auto& other : targets)
+        all.push_back(other->slowness);
+    const auto median = all.begin() + static_cast<long>((all.size() - 1) / 2);
+    std::nth_element(all.begin(), median, all.end());
+    it.slow = it.slowness > slow_factor * std::max(1.0, *median);
+}
+
 void router::on_result(const route_targets& targets, route_target& it,
-                       attempt_status status, time_point now)
+                       attempt_status status, time_point now, double slowness)
 {
     if (status == attempt_status::connect_failed) {
         it.unreachable_until =
@@ -308,9 +332,11 @@
         return; // Refusing work under load is no fault.
     const bool done = status == attempt_status::done;
     it.failures += ((done ? 0.0 : 1.0) - it.failures) * failure_weight;
-    if (!done)
+    if (slowness > 0)
+        learn_slowness(targets, it, slowness);
+    if (!done || it.slow)
         it.failed_at = now;
-    if (done && it.probing) {
+    if (done && it.probing && !it.slow) {
         it.ejections = 0;
         it.failures  = 0;
     }
--- a/src/policy_router.hpp
+++ b/src/policy_router.hpp
@@ -23,8 +23,13 @@
     time_point leaving_since;
 
     /// Share of recent attempts that failed, as a moving average.
-    double        failures = 0;
-    time_point    failed_at;     ///< Last failure.
+    double     failures = 0;
+    time_point failed_at; ///< Last failure.
+    /// Time of recent attempts as a multiple of what their stages usually
+    /// take, as a moving average.
+    double slowness = 1;
+    /// Much slower than the rest of the pool by its last result.
+    bool          slow      = false;
     std::uint32_t ejections = 0; ///< In a row; lengthens the next one.
     time_point    ejected_until;
     std::uint32_t connects_failed = 0; ///< In a row.
@@ -60,8 +65,10 @@
     /// \return index in targets, or -1 when none may get work.
     int choose(const route_targets& targets, const route_query& query);
     /// Learns from an attempt's end.
+    /// \param slowness its time as a multiple of what its stage usually takes;
+    /// 0: unknown.
     void on_result(const route_targets& targets, route_target& it,
-                   attempt_status status, time_point now);
+                   attempt_status status, time_point now, double slowness = 0);
 
     static void on_report(route_target& it, const load_report& report,
                           time_point now);
@@ -83,6 +90,8 @@
     static bool better(const route_target& a, const route_target& b,
                        time_point now);
     void eject(const route_targets& targets, route_target& it, time_point now);
+    static void learn_slowness(const route_targets& targets, route_target& it,
+                               double sample);
 
     policy_strategy  strategy_;
     std::mt19937_64  random_;
--- a/src/replay.cpp
+++ b/src/replay.cpp
@@ -490,7 +490,8 @@
         result.stream_offset =
             open.action.resume_offset + static_cast<std::uint64_t>(tokens);
         // Text of an unfinished stream was passed on and counts as useful.
-        if (status == attempt_status::silent)
+        if (status == attempt_status::silent ||
+            status == attempt_status::timeout)
             it.useful[open.action.stage] += stage_of(open).cost * tokens / 1000;
         perform(open.request, it.run->on_attempt(result, now_));
     }
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -221,6 +221,52 @@
     CHECK(chosen.count(4) > 30); // The only good one.
 }
 
+// Guards against a target that answers, but so slowly that its requests are
+// late, and against ejecting targets when the whole pool is slow.
+TEST_CASE("a target much slower than its pool is ejected until it recovers")
+{
+    auto       targets = make_targets(6);
+    router     routes(policy_strategy::adaptive, 1);
+    const auto answer = [&](int n, double slowness, time_point now) {
+        routes.on_result(targets, *targets[n], attempt_status::done, now,
+                         slowness);
+    };
+    for (int n = 0; n < 6; ++n)
+        answer(n, 1, start);
+    SECTION("one slow target")
+    {
+        answer(0, 10, start);
+        CHECK(targets[0]->ejected_until > start);
+        auto now = targets[0]->ejected_until;
+        // The probe is slow again, and the next ejection longer.
+        targets[0]->probing = true;
+        answer(0, 10, now);
+        CHECK(targets[0]->ejected_until - now > seconds{2});
+        now = targets[0]->ejected_until;
+        answer(0, 1, now);
+        CHECK_FALSE(targets[0]->slow);
+        CHECK(targets[0]->ejections == 0);
+    }
+    SECTION("the whole pool")
+    {
+        for (int round = 0; round < 20; ++round) {
+            for (int n = 0; n < 6; ++n)
+                answer(n, 10, start + seconds{round});
+        }
+        for (const auto& it : targets)
+            CHECK_FALSE(it->slow);
+    }
+    SECTION("more than a third")
+    {
+        for (int n = 0; n < 4; ++n)
+            answer(n, 10, start);
+        int ejected = 0;
+        for (const auto& it : targets)
+            ejected += it->ejected_until > start ? 1 : 0;
+        CHECK(ejected == 2);
+    }
+}
+
 // Guards against many requests waiting for the connection to a lost target.
 TEST_CASE("one attempt at a time probes an unreachable target")
 {
