Replace the appenders of an earlier log when one starts

Cause: start_log added its appender beside those of the command line, so that in the process of the tests each line was written twice, once without its frame; the test of JSON lines failed in the whole run and passed alone. Change: start_log removes the appenders that are there.

--- a/src/log.cpp
+++ b/src/log.cpp
@@ -87,6 +87,7 @@
     log4cplus::SharedAppenderPtr queue(
         new log4cplus::AsyncAppender(console, queue_length));
     auto root = log4cplus::Logger::getRoot();
+    root.removeAllAppenders(); // Such as the command line's, in tests.
     root.addAppender(queue);
     root.setLogLevel(native(lowest));
     running = true;
