--- a/src/node_core.cpp
+++ b/src/node_core.cpp
@@ -230,7 +230,10 @@
         context.newest.note(from, incarnation);
         switch (message.body_case()) {
         case pb::PeerMessage::kGossip:
-            if (incarnation < context.newest.newest(from))
+            // Such an answer has no heartbeats; two old processes would answer
+            // each other's for ever.
+            if (incarnation < context.newest.newest(from) &&
+                !message.gossip().heartbeats().empty())
                 tell_newest(from);
             return on_gossip(from, message.gossip(), t);
         case pb::PeerMessage::kClaimRequest:
--- a/tests/node_core_test.cpp
+++ b/tests/node_core_test.cpp
@@ -148,6 +148,32 @@
     CHECK(sent.size() == slots);
 }
 
+// Guards against two old processes that answer each other for ever (seen as
+// memory that grew until a fuzz run of seed 4242 was killed).
+TEST_CASE("only gossip with heartbeats is answered with a newer process")
+{
+    node_init init;
+    init.self        = slot_id{0};
+    init.incarnation = 100;
+    init.slots.resize(5);
+    time_point      now;
+    node_core       core(init, now);
+    pb::PeerMessage message;
+    message.set_from_slot(2);
+    message.set_from_incarnation(300);
+    message.mutable_gossip();
+    core.on_message(message, now);
+    message.set_from_incarnation(200);
+    core.on_message(message, now);
+    CHECK(core.take_outgoing().empty());
+    message.mutable_gossip()->set_heartbeats(std::string(20, '\0'));
+    core.on_message(message, now);
+    const auto answers = core.take_outgoing();
+    REQUIRE(answers.size() == 1);
+    CHECK(answers[0].to == slot_id{2});
+    CHECK(answers[0].message->gossip().heartbeats().empty());
+}
+
 // Guards against a key that runs twice through two daemons, and against a
 // finished key whose answer is lost.
 TEST_CASE("a key is granted once and its answer is found elsewhere")
