Tell handlers when a server stops

Cause: http_server::stop closed the sockets, which cancels the watch of each client; the handler was not told and worked on until the deadline of its request. Ruled out: a lost executor wake-up; the on_client_gone action was never run. Change: stop tells the handler as if the client had left; a request that was read while the server stopped is not handed over. Conclusion: stop waits for handlers only as long as they take to cancel.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -86,6 +86,8 @@
     void serve();
     /// Closes the socket; called on the connection's thread.
     void close();
+    /// Closes the socket and tells the handler that its client is gone.
+    void cut_off();
     void close_if_idle();
 
     const http_request& request() const override { return *request_; }
@@ -111,6 +113,7 @@
     void complete(error_code ec);
     void watch_client();
     void on_readable();
+    void tell_gone();
     void end_watch();
 
     std::shared_ptr<http_server_state>                     owner_;
@@ -135,7 +138,8 @@
     error_code ec;
     stream_.socket().set_option(tcp::no_delay(true), ec);
     stream_.socket().non_blocking(true, ec);
-    while (owner_->accepting && wait_for_request() && read_request()) {
+    while (owner_->accepting && wait_for_request() && read_request() &&
+           !broken_) {
         watch_client();
         owner_->init.handler(*this);
         end_watch();
@@ -152,6 +156,14 @@
     stream_.close();
 }
 
+// The closed socket cancels the watch, which then says nothing; a handler
+// would work on until its deadline.
+void http_connection::cut_off()
+{
+    close();
+    tell_gone();
+}
+
 void http_connection::close_if_idle()
 {
     if (idle_)
@@ -321,6 +333,11 @@
                                                tcp::socket::message_peek, ec);
     if (n > 0 || ec == asio::error::would_block)
         return;
+    tell_gone();
+}
+
+void http_connection::tell_gone()
+{
     gone_ = true;
     if (auto action = std::exchange(gone_action_, nullptr))
         action();
@@ -449,7 +466,7 @@
 void http_server::stop()
 {
     stop_accepting();
-    state_->for_each([](detail::http_connection& it) { it.close(); });
+    state_->for_each([](detail::http_connection& it) { it.cut_off(); });
     std::unique_lock lock(state_->mutex);
     state_->changed.wait(lock, [this] {
         return state_->open.empty() && !state_->accept_running;
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -2,6 +2,9 @@
 #include "http_server.hpp"
 #include "io_thread.hpp"
 
+#include <boost/fiber/future/future.hpp>
+#include <boost/fiber/future/promise.hpp>
+
 #include <catch2/catch.hpp>
 
 #include <future>
@@ -115,3 +118,35 @@
         server.stop();
     }
 }
+
+// Guards against a stop that waits until the deadline of a request, whose
+// handler was not told that its connection was closed.
+TEST_CASE("a server that stops tells its handlers")
+{
+    io_thread          server_thread;
+    io_thread          thread;
+    std::promise<void> begun;
+    bool               told = false;
+    auto               init = echo_init();
+    init.handler            = [&](http_exchange& it) {
+        boost::fibers::promise<void> gone;
+        it.on_client_gone([&] { gone.set_value(); });
+        begun.set_value();
+        told = gone.get_future().wait_for(seconds{20}) ==
+               boost::fibers::future_status::ready;
+    };
+    http_server server(std::move(init), {&server_thread});
+    REQUIRE(server.start().ok());
+    const auto  address = "127.0.0.1:" + std::to_string(server.port());
+    http_client client(thread.io());
+    auto        connected = std::async(std::launch::async, [&] {
+        return run_on(thread, [&] {
+            return client.connect(address, seconds{20}) ||
+                   client.send(post("x"), seconds{20});
+        });
+    });
+    begun.get_future().wait();
+    server.stop();
+    CHECK(told);
+    CHECK(connected.get());
+}
