--- a/include/arbutusgate/config.hpp
+++ b/include/arbutusgate/config.hpp
@@ -29,8 +29,11 @@
 inline constexpr std::size_t recorded_body  = 64 * 1024; // bytes
 
 // Membership and gossip.
-inline constexpr auto        gossip_interval = 1s;
-inline constexpr std::size_t gossip_fanout   = 2;
+inline constexpr auto gossip_interval = 1s;
+/// Added in fleets of more than direct_links slots: the messages grow with the
+/// fleet, and at 360 the controller of a pool needs 0.3 of its 4 KB/s.
+inline constexpr auto        gossip_interval_per_slot = 500us;
+inline constexpr std::size_t gossip_fanout            = 2;
 /// Slots up to which each daemon may have a link to each other one; a link
 /// takes 174 KB of both ends. Larger fleets relay (src/relay_grid.hpp).
 inline constexpr std::size_t direct_links = 48;
--- a/src/node_context.hpp
+++ b/src/node_context.hpp
@@ -23,6 +23,15 @@
 
     bool        on(node_guard it) const { return init.guards.on(it); }
     std::size_t slot_count() const { return init.slots.size(); }
+    /// Time between gossip messages.
+    microseconds gossip_interval() const
+    {
+        microseconds it = limits::gossip_interval;
+        if (slot_count() > limits::direct_links)
+            it += limits::gossip_interval_per_slot *
+                  static_cast<std::int64_t>(slot_count());
+        return it;
+    }
     /// Time that heartbeats need for the way over a fleet of this size.
     microseconds spread_time() const
     {
--- a/src/node_core.cpp
+++ b/src/node_core.cpp
@@ -171,7 +171,7 @@
     {
         if (t < next_gossip)
             return;
-        next_gossip = t + limits::gossip_interval;
+        next_gossip = t + context.gossip_interval();
         members.beat(t);
         leaving.expire(t);
         for (const auto peer : members.next_peers(limits::gossip_fanout))
