--- a/src/command_planner.cpp
+++ b/src/command_planner.cpp
@@ -157,7 +157,7 @@
         return false;
     if (!guards_.on(command_guard::version_fence))
         return !same;
-    // Its commander has a newer version; this daemon will learn of it.
+    // Its controller has a newer version; this daemon will learn of it.
     if (guards_.on(command_guard::newer_fence) && it.state->fence > version)
         return false;
     if (!guards_.on(command_guard::correction) && it.taken >= version)
