Set up a lone node core once in its tests

Cause: five tests of node_core_test.cpp repeated the same set-up. Change: lone_node and message_from; the checks are the same. Conclusion: a new test of a lone core needs one line of set-up.

--- a/tests/node_core_test.cpp
+++ b/tests/node_core_test.cpp
@@ -11,12 +11,29 @@
 const std::map<std::string, std::string> documents = {{"base", "b1"},
                                                       {"site/x", "x1"}};
 
+/// Incarnation 100 of slot 0, whose peers are messages of the test.
+node_init lone_node(std::size_t slots = 5)
+{
+    node_init it;
+    it.self        = slot_id{0};
+    it.incarnation = 100;
+    it.slots.resize(slots);
+    return it;
+}
+
+/// An empty message of a peer.
+pb::PeerMessage message_from(std::uint32_t slot, std::uint64_t incarnation)
+{
+    pb::PeerMessage it;
+    it.set_from_slot(slot);
+    it.set_from_incarnation(incarnation);
+    return it;
+}
+
 /// Gossip of slot 1 that shows another process of slot 0.
 pb::PeerMessage gossip_of_rival(std::uint64_t heartbeat, std::uint64_t beat)
 {
-    pb::PeerMessage message;
-    message.set_from_slot(1);
-    message.set_from_incarnation(1);
+    auto message = message_from(1, 1);
     for (std::uint32_t n = 0; n < 5; ++n) {
         auto& entry = *message.mutable_gossip()->add_members();
         entry.set_slot(n);
@@ -32,12 +49,8 @@
 // other daemons repeated that one's old heartbeats (fuzz seed 1, run 181).
 TEST_CASE("repeated heartbeats of an ended process do not count")
 {
-    node_init init;
-    init.self        = slot_id{0};
-    init.incarnation = 100;
-    init.slots.resize(5);
     time_point now;
-    node_core  core(init, now);
+    node_core  core(lone_node(), now);
     // After a pause a process does not rise at once.
     now += seconds{3};
     core.tick(now);
@@ -58,12 +71,8 @@
 // heartbeat bytes have to count.
 TEST_CASE("heartbeat bytes keep a superseded process from rising")
 {
-    node_init init;
-    init.self        = slot_id{0};
-    init.incarnation = 100;
-    init.slots.resize(5);
     time_point now;
-    node_core  core(init, now);
+    node_core  core(lone_node(), now);
     now += seconds{3};
     core.tick(now);
     std::uint64_t risen = 0;
@@ -87,15 +96,9 @@
 // others from settling (fuzz seed 1, run 901).
 TEST_CASE("an incarnation known from a claim is gossiped")
 {
-    node_init init;
-    init.self        = slot_id{0};
-    init.incarnation = 100;
-    init.slots.resize(5);
-    time_point      now;
-    node_core       core(init, now);
-    pb::PeerMessage message;
-    message.set_from_slot(2);
-    message.set_from_incarnation(300);
+    time_point now;
+    node_core  core(lone_node(), now);
+    auto       message = message_from(2, 300);
     message.mutable_claim_release();
     core.on_message(gossip_of_rival(0, 1), now);
     core.on_message(message, now);
@@ -117,15 +120,9 @@
 TEST_CASE("changed members are gossiped in turn")
 {
     constexpr std::uint32_t slots = 20;
-    node_init               init;
-    init.self        = slot_id{0};
-    init.incarnation = 100;
-    init.slots.resize(slots);
-    time_point      now;
-    node_core       core(init, now);
-    pb::PeerMessage message;
-    message.set_from_slot(1);
-    message.set_from_incarnation(1);
+    time_point              now;
+    node_core               core(lone_node(slots), now);
+    auto                    message = message_from(1, 1);
     for (std::uint32_t n = 1; n < slots; ++n) {
         auto& entry = *message.mutable_gossip()->add_members();
         entry.set_slot(n);
@@ -152,15 +149,9 @@
 // memory that grew until a fuzz run of seed 4242 was killed).
 TEST_CASE("only gossip with heartbeats is answered with a newer process")
 {
-    node_init init;
-    init.self        = slot_id{0};
-    init.incarnation = 100;
-    init.slots.resize(5);
-    time_point      now;
-    node_core       core(init, now);
-    pb::PeerMessage message;
-    message.set_from_slot(2);
-    message.set_from_incarnation(300);
+    time_point now;
+    node_core  core(lone_node(), now);
+    auto       message = message_from(2, 300);
     message.mutable_gossip();
     core.on_message(message, now);
     message.set_from_incarnation(200);
