--- a/src/bench_forward.cpp
+++ b/src/bench_forward.cpp
@@ -185,17 +185,31 @@
     std::size_t              calls_ = 0;
 };
 
+/// Target with a thread of its own that answers each call at once.
+class answering_target
+{
+public:
+    answering_target() : server_(make_server(answer_call), {&thread_})
+    {
+        if (!server_.start().ok())
+            std::abort();
+    }
+
+    std::string address() const { return address_of(server_); }
+
+private:
+    io_thread   thread_;
+    http_server server_;
+};
+
 template <class Forwarder>
 void forward(benchmark::State& state)
 {
-    io_thread   target_thread;
-    http_server target(make_server(answer_call), {&target_thread});
-    if (!target.start().ok())
-        return state.SkipWithError("target does not start");
-    Forwarder  forwarder(address_of(target));
-    core_rate  rate(forwarder);
-    io_thread  client_thread;
-    const auto connections = static_cast<std::size_t>(state.range(0));
+    answering_target target;
+    Forwarder        forwarder(target.address());
+    core_rate        rate(forwarder);
+    io_thread        client_thread;
+    const auto       connections = static_cast<std::size_t>(state.range(0));
     for (auto _ : state) {
         const auto times = rate.run(client_thread, connections);
         if (times.empty())
@@ -212,16 +226,13 @@
 /// Both forwarders in turn, so that other load on the machine meets both.
 void forward_ratio(benchmark::State& state)
 {
-    io_thread   target_thread;
-    http_server target(make_server(answer_call), {&target_thread});
-    if (!target.start().ok())
-        return state.SkipWithError("target does not start");
-    plain_forwarder plain(address_of(target));
-    daemon_front    front(address_of(target));
-    core_rate       plain_rate(plain);
-    core_rate       front_rate(front);
-    io_thread       client_thread;
-    const auto      connections = static_cast<std::size_t>(state.range(0));
+    answering_target target;
+    plain_forwarder  plain(target.address());
+    daemon_front     front(target.address());
+    core_rate        plain_rate(plain);
+    core_rate        front_rate(front);
+    io_thread        client_thread;
+    const auto       connections = static_cast<std::size_t>(state.range(0));
     for (auto _ : state) {
         if (plain_rate.run(client_thread, connections).empty() ||
             front_rate.run(client_thread, connections).empty())
@@ -301,16 +312,13 @@
 /// What the front end adds at half of the calls a second that saturate it.
 void forward_half_load(benchmark::State& state)
 {
-    io_thread   target_thread;
-    http_server target(make_server(answer_call), {&target_thread});
-    if (!target.start().ok())
-        return state.SkipWithError("target does not start");
-    plain_forwarder plain(address_of(target));
-    daemon_front    front(address_of(target));
-    io_thread       client_thread;
-    const auto      connections = static_cast<std::size_t>(state.range(0));
-    const auto      start       = std::chrono::steady_clock::now();
-    const auto      n =
+    answering_target target;
+    plain_forwarder  plain(target.address());
+    daemon_front     front(target.address());
+    io_thread        client_thread;
+    const auto       connections = static_cast<std::size_t>(state.range(0));
+    const auto       start       = std::chrono::steady_clock::now();
+    const auto       n =
         run_load(client_thread, front.address(), connections, calls_each)
             .size();
     const std::chrono::duration<double> time =
