--- a/include/arbutusgate/config.hpp
+++ b/include/arbutusgate/config.hpp
@@ -75,6 +75,9 @@
 /// An engine that kept its state this long has no earlier reversion.
 inline constexpr auto command_kept = 300s;
 
+/// Connections idle for longer may have been dropped on the way unnoticed.
+inline constexpr auto connection_idle = 10s;
+
 // Requests.
 inline constexpr std::size_t   request_body     = 1024 * 1024; // bytes
 inline constexpr std::size_t   request_header   = 16 * 1024;   // bytes
--- a/src/config_check.cpp
+++ b/src/config_check.cpp
@@ -90,11 +90,6 @@
     return out;
 }
 
-std::string to_string(const config_issue& it)
-{
-    return concat(it.document, ":", it.line, ":", it.column, ": ", it.message);
-}
-
 std::vector<std::string> config_sites(const config_documents& documents)
 {
     std::vector<std::string> out;
--- a/src/config_reader.cpp
+++ b/src/config_reader.cpp
@@ -133,4 +133,9 @@
               concat(at.path, ": the same ", category, " as ", found->second));
 }
 
+std::string to_string(const config_issue& it)
+{
+    return concat(it.document, ":", it.line, ":", it.column, ": ", it.message);
+}
+
 } // namespace arbutusgate
--- a/src/connection_pool.cpp
+++ b/src/connection_pool.cpp
@@ -8,38 +8,46 @@
 
 namespace {
 
-// Connections idle for longer may have been dropped on the way unnoticed.
-constexpr auto idle_limit = seconds{10};
 // Bounds the descriptors after a burst. With 16, calls of more than 16 callers
 // at once mostly opened a connection of their own, which doubled their cost.
 constexpr std::size_t idle_per_target = 128;
+constexpr auto        prune_interval  = seconds{2};
 
 } // namespace
 
 std::unique_ptr<http_client> connection_pool::take(const std::string& address)
 {
     const auto it = idle_.find(address);
-    if (it == idle_.end() || it->second.empty())
-        return nullptr;
-    auto last = std::move(it->second.back());
-    it->second.pop_back();
-    if (daemon_now() - last.since > idle_limit) {
-        it->second.clear(); // the others have been idle for longer
+    if (it == idle_.end())
         return nullptr;
+    const auto now = daemon_now();
+    while (!it->second.empty()) {
+        auto last = std::move(it->second.back());
+        it->second.pop_back();
+        if (now < last.until && last.client->quiet())
+            return std::move(last.client);
     }
-    return std::move(last.client);
+    return nullptr;
 }
 
 void connection_pool::put(const std::string&           address,
-                          std::unique_ptr<http_client> it)
+                          std::unique_ptr<http_client> it, milliseconds keep)
 {
     const auto now = daemon_now();
     prune(now);
-    if (!it->reusable())
+    if (!it->reusable() || keep <= milliseconds{0})
         return;
     auto& list = idle_[address];
     if (list.size() < idle_per_target)
-        list.push_back({std::move(it), now});
+        list.push_back({std::move(it), now + keep});
+}
+
+std::size_t connection_pool::idle() const
+{
+    std::size_t n = 0;
+    for (const auto& it : idle_)
+        n += it.second.size();
+    return n;
 }
 
 std::unique_ptr<http_client> connection_pool::create()
@@ -54,13 +62,12 @@
 
 void connection_pool::prune(time_point now)
 {
-    if (now - pruned_ < idle_limit)
+    if (now - pruned_ < prune_interval)
         return;
     pruned_ = now;
     for (auto it = idle_.begin(); it != idle_.end();) {
-        std::erase_if(it->second, [now](const auto& entry) {
-            return now - entry.since > idle_limit;
-        });
+        std::erase_if(it->second,
+                      [now](const auto& entry) { return now >= entry.until; });
         it = it->second.empty() ? idle_.erase(it) : std::next(it);
     }
 }
--- a/src/connection_pool.hpp
+++ b/src/connection_pool.hpp
@@ -1,8 +1,10 @@
-/// Idle connections to targets, for idempotent work.
+/// Idle connections to targets.
 #pragma once
 
 #include "http_client.hpp"
 
+#include "arbutusgate/config.hpp"
+
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -16,10 +18,14 @@
 public:
     explicit connection_pool(boost::asio::io_context& io) : io_(io) {}
 
-    /// \return an idle connection, or none.
+    /// \return an idle connection that is open and silent, or none.
     std::unique_ptr<http_client> take(const std::string& address);
     /// Keeps the connection when it may be used again.
-    void put(const std::string& address, std::unique_ptr<http_client> it);
+    /// \param keep time after which it is not used any more.
+    void put(const std::string& address, std::unique_ptr<http_client> it,
+             milliseconds keep = limits::connection_idle);
+    /// Idle connections of all targets.
+    std::size_t idle() const;
     /// Closes the idle connections of a target that went silent.
     void drop(const std::string& address);
     /// \return a connection that is not yet connected.
@@ -29,7 +35,7 @@
     struct idle_connection
     {
         std::unique_ptr<http_client> client;
-        time_point                   since;
+        time_point                   until;
     };
 
     void prune(time_point now);
--- /dev/null
+++ b/src/forward_run.cpp
@@ -0,0 +1,674 @@
+#include "forward_run.hpp"
+
+#include "event_splitter.hpp"
+#include "http_server.hpp"
+#include "log.hpp"
+#include "metrics.hpp"
+#include "problem.hpp"
+#include "retry_budget.hpp"
+#include "state_follower.hpp"
+#include "target_directory.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <map>
+
+namespace arbutusgate::gateway {
+
+using boost::system::error_code;
+
+namespace {
+
+constexpr milliseconds  connect_limit{400};
+constexpr std::uint32_t connect_tries   = 3;
+constexpr std::uint32_t foreign_answers = 3; ///< Skipped on a connection.
+/// A caller of a daemon without configuration may come back after this.
+constexpr milliseconds not_ready_retry{500};
+constexpr milliseconds no_target_retry{1000};
+constexpr milliseconds target_full_retry{250};
+/// A target's stream that is silent for longer is resumed elsewhere.
+constexpr milliseconds resume_silence{1200};
+constexpr std::size_t  plain_limit = 1024 * 1024; // bytes held of an answer
+/// A stage must leave this for what follows it.
+constexpr milliseconds model_reserve{200};
+/// Results of this size and more are not moved between failure domains.
+constexpr std::uint64_t large_result         = 200'000; // bytes
+constexpr double        large_result_penalty = 1.0;
+constexpr double        other_domain_penalty = 0.02;
+constexpr std::uint32_t default_urgency      = 5;
+
+} // namespace
+
+forward_run::forward_run(gateway_parts& parts, http_exchange& exchange)
+    : parts_(parts), exchange_(exchange), arrived_(daemon_now()),
+      changed_(std::make_shared<fiber_signal>())
+{
+}
+
+void forward_run::run()
+{
+    call_ = parts_.codec.decode_call(exchange_.request());
+    exchange_.on_client_gone([this] { on_caller_gone(); });
+    auto failure = prepare();
+    if (!failure)
+        failure = run_stages();
+    if (!failure && !gone_)
+        failure = call_targets();
+    exchange_.on_client_gone(nullptr);
+    release_results();
+    if (gone_) {
+        parts_.counters.reasons().add(refusal_reason::client_gone);
+        log_end("client_gone", 0);
+        exchange_.abort();
+    }
+    else if (failure) {
+        refuse(*failure);
+    }
+}
+
+void forward_run::on_caller_gone()
+{
+    gone_ = true;
+    if (current_)
+        current_->cancel();
+    changed_->notify();
+}
+
+milliseconds forward_run::left() const
+{
+    return std::max(milliseconds{1}, std::chrono::duration_cast<milliseconds>(
+                                         until_ - daemon_now()));
+}
+
+bool forward_run::time_over() const
+{
+    return daemon_now() + milliseconds{1} >= until_;
+}
+
+std::optional<run_failure> forward_run::prepare()
+{
+    table_ = parts_.state.table();
+    if (!table_ || !parts_.state.targets_known())
+        return run_failure{refusal_reason::not_ready, execution::not_run,
+                           not_ready_retry};
+    route_ = table_->find(call_.host, call_.path);
+    if (!route_)
+        return run_failure{refusal_reason::no_such_pipeline};
+    if (table_->config().has_accounts && route_->needs_account) {
+        account_ = table_->account_of(call_.key);
+        if (!account_)
+            return run_failure{refusal_reason::unauthorized};
+    }
+    if (call_.attempt.empty())
+        return run_failure{refusal_reason::bad_request};
+    rank_ = account_ && account_->rank ? *account_->rank : route_->rank;
+    constexpr milliseconds no_limit{60'000};
+    auto                   time = call_.patience.value_or(no_limit);
+    if (route_->timeout > milliseconds{0})
+        time = std::min(time, route_->timeout);
+    until_            = arrived_ + time;
+    const auto* share = pick_share(
+        route_->services, std::uniform_real_distribution<>()(parts_.random));
+    service_ = share ? table_->find_service(share->service) : nullptr;
+    if (!service_)
+        return run_failure{refusal_reason::no_target, execution::not_run,
+                           no_target_retry};
+    parts_.budget.count_request(service_->name, arrived_);
+    return std::nullopt;
+}
+
+// Stages ---------------------------------------------------------------------
+
+bool forward_run::stage_ready(std::uint32_t stage) const
+{
+    return std::all_of(route_->stages[stage].after.begin(),
+                       route_->stages[stage].after.end(),
+                       [this](std::uint32_t it) {
+                           return it < tickets_.size() && tickets_[it] &&
+                                  tickets_[it]->state == order_state::done;
+                       });
+}
+
+std::vector<std::string> forward_run::inputs_of(std::uint32_t stage) const
+{
+    std::vector<std::string> out;
+    for (const auto it : route_->stages[stage].after) {
+        const auto& handles = tickets_[it]->handles;
+        if (handles.empty()) {
+            // A stage without pieces passes on what it would have read.
+            const auto earlier = inputs_of(it);
+            out.insert(out.end(), earlier.begin(), earlier.end());
+        }
+        out.insert(out.end(), handles.begin(), handles.end());
+    }
+    return out;
+}
+
+std::vector<std::string> forward_run::final_inputs() const
+{
+    std::vector<bool> followed(route_->stages.size(), false);
+    for (const auto& it : route_->stages) {
+        for (const auto n : it.after)
+            followed[n] = true;
+    }
+    std::vector<std::string> out;
+    for (std::uint32_t n = 0; n < route_->stages.size(); ++n) {
+        if (followed[n])
+            continue;
+        const auto& handles = tickets_[n]->handles;
+        out.insert(out.end(), handles.begin(), handles.end());
+    }
+    return out;
+}
+
+stage_order forward_run::make_order(std::uint32_t stage) const
+{
+    const auto& step   = route_->stages[stage];
+    const auto  count  = stage < call_.pieces.size() ? call_.pieces[stage] : 0;
+    const auto  inputs = inputs_of(stage);
+    stage_order out;
+    out.service            = step.service;
+    out.group.count        = count;
+    out.group.rank         = rank_;
+    out.group.goal         = arrived_ + route_->latency_goal - model_reserve;
+    out.group.limit        = until_ - model_reserve;
+    out.group.result_bytes = step.result_bytes;
+    out.group.kind         = static_cast<std::uint32_t>(
+        XXH3_64bits_withSeed(route_->name.data(), route_->name.size(), stage));
+    for (std::uint32_t n = 0; n < count; ++n) {
+        stage_piece it;
+        it.attempt = call_.attempt;
+        it.stage   = stage;
+        it.piece   = n;
+        it.key     = step.after.empty() ? call_.piece_key : "";
+        it.inputs  = inputs;
+        out.pieces.push_back(std::move(it));
+    }
+    return out;
+}
+
+/// \return false after a refusal.
+bool forward_run::submit_stages(run_failure& failure)
+{
+    for (std::uint32_t n = 0; n < route_->stages.size(); ++n) {
+        if (tickets_[n] || !stage_ready(n))
+            continue;
+        auto order = make_order(n);
+        if (order.pieces.empty()) {
+            tickets_[n]        = std::make_shared<stage_ticket>();
+            tickets_[n]->state = order_state::done;
+            return submit_stages(failure);
+        }
+        tickets_[n] = parts_.stages.submit(std::move(order), changed_);
+        if (tickets_[n]->state == order_state::refused) {
+            failure = stage_failure(*tickets_[n]);
+            return false;
+        }
+    }
+    return true;
+}
+
+run_failure forward_run::stage_failure(const stage_ticket& it) const
+{
+    switch (it.state) {
+    case order_state::refused:
+        return {refusal_reason::overloaded, execution::not_run, it.retry_after};
+    case order_state::late:
+        return {refusal_reason::deadline_unreachable, execution::not_run,
+                target_full_retry};
+    default:
+        return {refusal_reason::stage_failed, execution::not_run,
+                target_full_retry};
+    }
+}
+
+std::optional<run_failure> forward_run::run_stages()
+{
+    tickets_.resize(route_->stages.size());
+    run_failure failure;
+    const auto  settled = [this] {
+        return gone_ ||
+               std::any_of(tickets_.begin(), tickets_.end(),
+                            [](const auto& it) {
+                               return it && it->state != order_state::waiting &&
+                                      it->state != order_state::done;
+                           });
+    };
+    const auto all_done = [this] {
+        return std::all_of(tickets_.begin(), tickets_.end(),
+                           [](const auto& it) {
+                               return it && it->state == order_state::done;
+                           });
+    };
+    if (!submit_stages(failure))
+        return failure;
+    while (!all_done() && !settled()) {
+        const auto waiting = [this] {
+            return std::count_if(
+                tickets_.begin(), tickets_.end(), [](const auto& it) {
+                    return it && it->state == order_state::waiting;
+                });
+        };
+        const auto before = waiting();
+        if (!changed_->wait_until(until_,
+                                  [&] { return gone_ || waiting() != before; }))
+            return run_failure{refusal_reason::deadline_unreachable,
+                               execution::not_run, target_full_retry};
+        if (!settled() && !submit_stages(failure))
+            return failure;
+    }
+    if (gone_)
+        return std::nullopt;
+    for (const auto& it : tickets_) {
+        if (it->state != order_state::done)
+            return stage_failure(*it);
+    }
+    note_result_domain();
+    return std::nullopt;
+}
+
+void forward_run::note_result_domain()
+{
+    std::map<std::string, std::uint64_t> bytes;
+    for (std::size_t n = 0; n < tickets_.size(); ++n) {
+        for (const auto& handle : tickets_[n]->handles) {
+            const auto* maker = parts_.targets.find_by_address(
+                std::string_view(handle).substr(0, handle.find('/')));
+            if (maker)
+                bytes[maker->failure_domain] += route_->stages[n].result_bytes;
+        }
+    }
+    const auto most = std::max_element(
+        bytes.begin(), bytes.end(),
+        [](const auto& a, const auto& b) { return a.second < b.second; });
+    if (most != bytes.end())
+        result_domain_ = most->first;
+}
+
+void forward_run::release_results()
+{
+    if (std::exchange(results_released_, true))
+        return;
+    for (const auto& it : tickets_) {
+        if (!it)
+            continue;
+        if (it->state == order_state::waiting)
+            parts_.stages.withdraw(it);
+        parts_.stages.release(it->handles);
+    }
+}
+
+// Targets --------------------------------------------------------------------
+
+std::uint64_t forward_run::result_bytes() const
+{
+    std::uint64_t out = 0;
+    for (std::size_t n = 0; n < tickets_.size(); ++n)
+        out += tickets_[n]->handles.size() * route_->stages[n].result_bytes;
+    return out;
+}
+
+std::uint64_t forward_run::affinity() const
+{
+    if (!route_->prompt_affine || call_.prompt.size() < 2)
+        return 0;
+    // The last part belongs to the request itself.
+    const auto& it = call_.prompt[call_.prompt.size() - 2];
+    return XXH3_64bits(it.id.data(), it.id.size()) | 1;
+}
+
+const target* forward_run::choose()
+{
+    pick_hints hints;
+    hints.tried          = &tried_;
+    hints.failure_domain = parts_.failure_domain;
+    hints.domain_penalty = other_domain_penalty;
+    if (result_bytes() >= large_result) {
+        hints.failure_domain = result_domain_;
+        hints.domain_penalty = large_result_penalty;
+    }
+    hints.affinity = affinity();
+    hints.tokens   = call_.prompt_tokens;
+    return parts_.picker.pick(parts_.targets.usable(service_->name), hints,
+                              daemon_now());
+}
+
+bool forward_run::may_repeat(attempt_result last) const
+{
+    if (gone_ || time_over() || attempts_ >= route_->max_attempts)
+        return false;
+    if (last == attempt_result::not_run)
+        return true;
+    return route_->repeatable() &&
+           (last != attempt_result::cut || last_event_.has_value());
+}
+
+run_failure forward_run::attempt_failure(attempt_result last) const
+{
+    if (last == attempt_result::not_run)
+        return {refusal_reason::overloaded, execution::not_run,
+                target_full_retry};
+    if (time_over())
+        return {refusal_reason::deadline_exceeded, execution::unknown, {}};
+    return {refusal_reason::stage_failed, execution::unknown, {}};
+}
+
+std::optional<run_failure> forward_run::call_targets()
+{
+    std::uint32_t connects     = 0;
+    auto          last         = attempt_result::not_run;
+    bool          may_have_run = false;
+    for (;;) {
+        const auto* found = choose();
+        if (!found || time_over())
+            break;
+        const auto at        = *found;
+        had_connect_failure_ = false;
+        last                 = attempt(at);
+        if (last == attempt_result::answered || gone_)
+            return std::nullopt;
+        tried_.push_back(at.id);
+        may_have_run = may_have_run || last != attempt_result::not_run;
+        if (had_connect_failure_) {
+            if (++connects >= connect_tries || time_over())
+                break;
+            continue;
+        }
+        ++attempts_;
+        if (!may_repeat(last) ||
+            !parts_.budget.take(service_->name, daemon_now()))
+            break;
+        parts_.counters.reasons().add(
+            last == attempt_result::not_run ? retry_reason::target_not_run
+            : last == attempt_result::cut   ? retry_reason::stream_resume
+                                            : retry_reason::target_failed);
+    }
+    if (began_) {
+        log_end("cut", 0);
+        exchange_.abort();
+        return std::nullopt;
+    }
+    auto out = attempt_failure(last);
+    if (may_have_run)
+        out.result = execution::unknown;
+    return out;
+}
+
+void forward_run::finish_call(const target& at, call_outcome how)
+{
+    parts_.picker.finish(at.id, call_number_,
+                         gone_ ? call_outcome::cancelled : how, daemon_now());
+}
+
+forward_run::attempt_result forward_run::attempt(const target& at)
+{
+    const auto tokens = call_.prompt_tokens;
+    call_number_      = parts_.picker.start(at.id, tokens, daemon_now());
+    error_code ec;
+    const auto most = service_->max_connections / std::max(1U, parts_.daemons);
+    auto       lease =
+        parts_.connections.open(at, most, std::min(connect_limit, left()), ec);
+    if (!lease) {
+        had_connect_failure_ = true;
+        finish_call(at, ec == boost::asio::error::no_descriptors
+                            ? call_outcome::cancelled
+                            : call_outcome::connect_failed);
+        log(log_level::warning, "cannot connect to the target",
+            {{"request", call_.attempt},
+             {"target", at.id},
+             {"error", ec.message()}});
+        return attempt_result::not_run;
+    }
+    current_          = &*lease;
+    const auto result = send(at, lease);
+    current_          = nullptr;
+    return result;
+}
+
+forward_run::attempt_result forward_run::send(const target&     at,
+                                              connection_lease& lease)
+{
+    if (gone_ || time_over()) {
+        finish_call(at, call_outcome::cancelled);
+        return attempt_result::not_run;
+    }
+    call_context context;
+    context.target    = at.id;
+    context.account   = account_ ? account_->name : "";
+    context.time_left = left();
+    context.inputs    = final_inputs();
+    if (service_->engine)
+        context.urgency = std::min(9U, default_urgency + rank_ - 1);
+    context.resume_after = last_event_;
+    const auto request = parts_.codec.encode_call(exchange_.request(), context);
+    log(log_level::info, "request sent",
+        {{"request", call_.attempt},
+         {"target", at.id},
+         {"in_flight", parts_.picker.in_flight(at.id)},
+         {"left_ms", context.time_left.count()},
+         {"resumed", last_event_.has_value()}});
+    const auto ec = lease->send(request, left());
+    if (ec) {
+        log(log_level::warning, "no answer from the target",
+            {{"request", call_.attempt},
+             {"target", at.id},
+             {"error", ec.message()},
+             {"client_gone", gone_}});
+        finish_call(at, call_outcome::broken);
+        return began_ ? attempt_result::cut : attempt_result::failed;
+    }
+    if (!skip_foreign(lease)) {
+        finish_call(at, call_outcome::broken);
+        return began_ ? attempt_result::cut : attempt_result::failed;
+    }
+    return read_answer(at, lease);
+}
+
+// An answer to another request may stand before the answer to this one.
+bool forward_run::skip_foreign(connection_lease& lease)
+{
+    error_code ec;
+    for (std::uint32_t n = 0; n < foreign_answers; ++n) {
+        head_ = parts_.codec.decode_answer(lease->head());
+        if (head_.attempt == call_.attempt)
+            return true;
+        // A refusal may come before the target has read the request's id.
+        if (head_.not_run && head_.attempt.empty())
+            return true;
+        log(log_level::warning, "answer to another request dropped",
+            {{"request", call_.attempt}, {"answer_to", head_.attempt}});
+        lease->read_all(left(), ec);
+        if (!ec)
+            ec = lease->read_head(left());
+        if (ec)
+            return false;
+    }
+    return false;
+}
+
+call_outcome forward_run::refusal_kind() const
+{
+    if (head_.status ==
+        static_cast<unsigned>(http::status::misdirected_request))
+        return call_outcome::misdirected;
+    const bool idle = head_.load && head_.load->waiting == 0 &&
+                      head_.load->running < head_.load->slots;
+    return idle ? call_outcome::refused_idle : call_outcome::refused;
+}
+
+forward_run::attempt_result forward_run::read_answer(const target&     at,
+                                                     connection_lease& lease)
+{
+    const auto now = daemon_now();
+    parts_.picker.answered(at.id, call_number_, now);
+    if (head_.load)
+        parts_.picker.load_stated(at.id, *head_.load, now);
+    if (head_.not_run) {
+        log(log_level::info, "target refused the request",
+            {{"request", call_.attempt},
+             {"target", at.id},
+             {"status", head_.status}});
+        const auto how = refusal_kind();
+        error_code ec;
+        lease->read_all(left(), ec);
+        finish_call(at, how);
+        if (!ec)
+            parts_.connections.give_back(std::move(lease), head_.idle_time);
+        return attempt_result::not_run;
+    }
+    const bool good = head_.status >= 200 && head_.status < 300;
+    if (!head_.proven || head_.encoded) {
+        log(log_level::warning, "answer is not the target's",
+            {{"request", call_.attempt},
+             {"target", at.id},
+             {"status", head_.status}});
+        finish_call(at, call_outcome::broken);
+        return began_ ? attempt_result::cut : attempt_result::failed;
+    }
+    if (began_ && !good) {
+        finish_call(at, call_outcome::error);
+        return attempt_result::cut;
+    }
+    if (good && head_.event_body)
+        return relay_stream(at, lease);
+    return relay_plain(at, lease);
+}
+
+forward_run::attempt_result forward_run::relay_plain(const target&     at,
+                                                     connection_lease& lease)
+{
+    error_code ec;
+    auto       head         = parts_.codec.relay_head(lease->head());
+    auto       body         = lease->read_all(left(), ec);
+    const bool server_error = head_.status >= 500;
+    finish_call(at, ec             ? call_outcome::broken
+                    : server_error ? call_outcome::error
+                                   : call_outcome::done);
+    if (ec) {
+        log(log_level::warning, "answer ends early",
+            {{"request", call_.attempt},
+             {"target", at.id},
+             {"error", ec.message()}});
+        return attempt_result::failed;
+    }
+    parts_.connections.give_back(std::move(lease), head_.idle_time);
+    if (server_error && route_->repeatable() &&
+        attempts_ + 1 < route_->max_attempts && !time_over() &&
+        parts_.budget.left(service_->name, daemon_now()) >= 1)
+        return attempt_result::failed;
+    head.body() = std::move(body);
+    log_end("answered", head_.status);
+    exchange_.respond(std::move(head));
+    return attempt_result::answered;
+}
+
+forward_run::attempt_result forward_run::relay_stream(const target&     at,
+                                                      connection_lease& lease)
+{
+    error_code ec;
+    const bool whole = relay_events(*lease, ec);
+    finish_call(at, whole ? call_outcome::done : call_outcome::broken);
+    if (whole) {
+        exchange_.end_stream();
+        log_end("answered", head_.status);
+        parts_.connections.give_back(std::move(lease), head_.idle_time);
+        return attempt_result::answered;
+    }
+    log(log_level::warning, "stream ends early",
+        {{"request", call_.attempt},
+         {"target", at.id},
+         {"events", events_},
+         {"client_gone", gone_},
+         {"error", ec.message()}});
+    return began_ ? attempt_result::cut : attempt_result::failed;
+}
+
+/// \return true when the target ended its stream and all of it was sent.
+bool forward_run::relay_events(http_client& from, error_code& ec)
+{
+    event_splitter events;
+    for (;;) {
+        const auto silence =
+            route_->repeatable() ? std::min(left(), resume_silence) : left();
+        const auto text =
+            from.read_some(events_ == 0 && !began_ ? left() : silence, ec);
+        if (ec || gone_)
+            return false;
+        if (text.empty())
+            return events.rest().empty();
+        events.add(text);
+        std::string batch;
+        while (auto it = events.next()) {
+            if (it->id)
+                last_event_ = it->id;
+            batch += it->text;
+            ++events_;
+        }
+        if (batch.empty())
+            continue;
+        if (!began_) {
+            began_ = true;
+            exchange_.begin_stream(parts_.codec.relay_head(from.head()));
+            parts_.counters.observe_first_text(route_->name,
+                                               daemon_now() - arrived_);
+            if (!route_->may_be_resumed)
+                release_results();
+        }
+        if (!exchange_.write(batch)) {
+            gone_ = true;
+            return false;
+        }
+        if (time_over()) {
+            ec = boost::asio::error::timed_out;
+            return false;
+        }
+    }
+}
+
+// Ends -----------------------------------------------------------------------
+
+void forward_run::refuse(const run_failure& it)
+{
+    problem out{it.reason, it.result, it.retry_after, ""};
+    parts_.counters.reasons().add(it.reason);
+    auto response = problem_response(out, call_.attempt);
+    if (it.retry_after > milliseconds{0}) {
+        // Fractions of a second are understood.
+        const auto ms = it.retry_after.count();
+        response.set(http::field::retry_after,
+                     std::to_string(static_cast<double>(ms) / 1000));
+    }
+    // "Not run" is a promise that only some statuses may give.
+    if (it.result == execution::unknown)
+        response.result(it.reason == refusal_reason::deadline_exceeded
+                            ? http::status::gateway_timeout
+                            : http::status::bad_gateway);
+    else if (it.reason == refusal_reason::overloaded ||
+             it.reason == refusal_reason::no_target ||
+             it.reason == refusal_reason::not_ready ||
+             it.reason == refusal_reason::stage_failed ||
+             it.reason == refusal_reason::deadline_unreachable)
+        response.result(http::status::service_unavailable);
+    log_end(to_string(it.reason), response.result_int());
+    exchange_.respond(std::move(response));
+}
+
+void forward_run::log_end(std::string_view outcome, unsigned status)
+{
+    const auto took =
+        std::chrono::duration_cast<milliseconds>(daemon_now() - arrived_);
+    parts_.counters.count_request(route_ ? route_->name : "none", outcome,
+                                  took);
+    log(log_level::info, "request ended",
+        {{"request", call_.attempt},
+         {"route", route_ ? route_->name : ""},
+         {"outcome", outcome},
+         {"status", status},
+         {"took_ms", took.count()},
+         {"attempts", attempts_},
+         {"events", events_},
+         {"config", table_ ? table_->version() : 0}});
+}
+
+} // namespace arbutusgate::gateway
--- /dev/null
+++ b/src/gateway.cpp
@@ -0,0 +1,349 @@
+#include "gateway.hpp"
+
+#include "forward_run.hpp"
+#include "http_server.hpp"
+#include "io_thread.hpp"
+#include "log.hpp"
+#include "metrics.hpp"
+#include "problem.hpp"
+#include "retry_budget.hpp"
+#include "state_follower.hpp"
+#include "state_reader.hpp"
+#include "target_directory.hpp"
+
+#include <atomic>
+#include <chrono>
+#include <future>
+#include <random>
+#include <thread>
+
+namespace arbutusgate::gateway {
+
+namespace {
+
+/// Targets that lapsed with the store are back within this time.
+constexpr milliseconds lapse_grace{2000};
+/// Callers come until the readiness check has failed twice, once a second.
+constexpr milliseconds notice_time{2300};
+/// Kept of the grace for the process's own end.
+constexpr milliseconds exit_margin{300};
+constexpr milliseconds drain_poll{20};
+
+std::string_view to_string(target_change it)
+{
+    switch (it) {
+    case target_change::none:
+        return "none";
+    case target_change::joined:
+        return "joined";
+    case target_change::leaving:
+        return "leaving";
+    case target_change::gone:
+        break;
+    }
+    return "gone";
+}
+
+refusal_reason reason_of(http_error it)
+{
+    switch (it) {
+    case http_error::malformed:
+        return refusal_reason::bad_request;
+    case http_error::header_too_large:
+        return refusal_reason::header_too_large;
+    case http_error::body_too_large:
+        return refusal_reason::too_large;
+    case http_error::too_slow:
+        break;
+    }
+    return refusal_reason::too_slow;
+}
+
+std::uint64_t random_seed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32) | device();
+}
+
+retry_limits limits_of(const gateway_bounds& it)
+{
+    return {it.retry_ratio, it.retry_slack, it.retry_window};
+}
+
+} // namespace
+
+struct gateway::impl
+{
+    explicit impl(gateway_init it);
+
+    void             start_on_thread();
+    void             follow();
+    follow_events    events();
+    void             configured(const route_table& table);
+    void             target_changed(const std::string& id, target_change what);
+    void             serve(http_exchange& exchange);
+    void             serve_ready(http_exchange& exchange) const;
+    void             serve_metrics(http_exchange& exchange) const;
+    bool             ready() const;
+    http_server_init listener(std::string                         address,
+                              std::function<void(http_exchange&)> handler);
+
+    gateway_settings  settings;
+    const wire_codec& codec;
+    std::function<std::unique_ptr<state_reader>(boost::asio::io_context&)>
+        make_reader;
+
+    io_thread thread;
+    metrics   counters;
+
+    // Used on the thread only.
+    target_directory                    targets{lapse_grace};
+    target_picker                       picker{random_seed()};
+    retry_budget                        budget;
+    std::mt19937_64                     random{random_seed()};
+    std::unique_ptr<state_follower>     state;
+    std::unique_ptr<target_connections> connections;
+    std::unique_ptr<stage_desk>         stages;
+    std::unique_ptr<state_reader>       reader;
+    std::unique_ptr<gateway_parts>      parts;
+
+    std::unique_ptr<http_server> front;
+    std::unique_ptr<http_server> readiness;
+    std::unique_ptr<http_server> metrics_port;
+
+    std::atomic<bool>          started{false};
+    std::atomic<bool>          draining{false};
+    std::atomic<bool>          stopping{false};
+    std::atomic<std::uint32_t> open_requests{0};
+    std::promise<void>         follower_ended;
+};
+
+gateway::impl::impl(gateway_init it)
+    : settings(std::move(it.settings)), codec(it.codec),
+      make_reader(std::move(it.make_reader)), budget(limits_of(settings.bounds))
+{
+}
+
+follow_events gateway::impl::events()
+{
+    follow_events out;
+    out.configured = [this](const route_table& it) {
+        configured(it);
+    };
+    out.target_changed = [this](const std::string& id, target_change what) {
+        target_changed(id, what);
+    };
+    out.source_lost = [](const std::string& why) {
+        log(log_level::warning, "store lost", {{"error", why}});
+    };
+    out.source_back = [](milliseconds away) {
+        log(log_level::info, "store regained", {{"away_ms", away.count()}});
+    };
+    out.rejected = [](const std::string& why) {
+        log(log_level::warning, "configuration not usable", {{"error", why}});
+    };
+    return out;
+}
+
+void gateway::impl::configured(const route_table& table)
+{
+    const auto& it = table.config().limits;
+    front->set_limits(it.header_bytes, it.body_bytes, it.header_time,
+                      it.idle_time);
+    log(log_level::info, "configuration in force",
+        {{"version", table.version()},
+         {"routes", table.config().routes.size()},
+         {"services", table.config().services.size()},
+         {"accounts", table.config().accounts.size()}});
+}
+
+void gateway::impl::target_changed(const std::string& id, target_change what)
+{
+    const auto* it = targets.find(id);
+    log(log_level::info, "target changed",
+        {{"target", id},
+         {"change", to_string(what)},
+         {"service", it ? it->service : ""}});
+    if (what == target_change::leaving)
+        return;
+    picker.forget(id);
+    connections->drop(id);
+    stages->forget(id);
+}
+
+void gateway::impl::start_on_thread()
+{
+    auto& io = thread.io();
+    state = std::make_unique<state_follower>(follow_times{}, events(), targets,
+                                             daemon_now());
+    connections = std::make_unique<target_connections>(io);
+    stages      = std::make_unique<stage_desk>(
+        stage_desk_init{io, codec, *state, targets, *connections});
+    reader = make_reader(io);
+    parts  = std::make_unique<gateway_parts>(
+        gateway_parts{codec, *state, targets, picker, *connections, *stages,
+                      budget, counters, random, settings.failure_domain, 9});
+    budget.set_daemons(9);
+    spawn_fiber([this] {
+        follow();
+        follower_ended.set_value();
+    });
+}
+
+void gateway::impl::follow()
+{
+    const auto times = follow_times{};
+    while (!stopping) {
+        const auto step = state->next(daemon_now());
+        switch (step.what) {
+        case state_follower::call::sleep:
+            fiber_sleep(thread.io(), step.until - daemon_now());
+            break;
+        case state_follower::call::read_configuration: {
+            auto it = reader->read_configuration(times.timeout);
+            state->on_configuration(std::move(it), daemon_now());
+            break;
+        }
+        case state_follower::call::read_targets: {
+            auto it = reader->read_targets(step.page, times.timeout);
+            state->on_page(std::move(it), daemon_now());
+            break;
+        }
+        case state_follower::call::watch: {
+            auto it = reader->watch(step.after, times.wait,
+                                    times.wait + times.timeout);
+            state->on_changes(std::move(it), daemon_now());
+            break;
+        }
+        }
+    }
+}
+
+void gateway::impl::serve(http_exchange& exchange)
+{
+    ++open_requests;
+    forward_run(*parts, exchange).run();
+    --open_requests;
+}
+
+bool gateway::impl::ready() const
+{
+    return !draining && state->table() && state->targets_known();
+}
+
+void gateway::impl::serve_ready(http_exchange& exchange) const
+{
+    const bool    known = exchange.request().target() == settings.ready_path;
+    http_response out(!known    ? http::status::not_found
+                      : ready() ? http::status::ok
+                                : http::status::service_unavailable,
+                      11);
+    exchange.respond(std::move(out));
+}
+
+void gateway::impl::serve_metrics(http_exchange& exchange) const
+{
+    const auto    calls = stages->stats();
+    http_response out(http::status::ok, 11);
+    out.set(http::field::content_type, "text/plain; version=0.0.4");
+    out.body() = counters.text({
+        {"open_requests", "Requests being served.",
+         static_cast<double>(open_requests.load())},
+        {"stage_calls_total", "Calls to stage targets.",
+         static_cast<double>(calls.calls), true},
+        {"stage_pieces_total", "Pieces sent to stage targets.",
+         static_cast<double>(calls.pieces), true},
+    });
+    exchange.respond(std::move(out));
+}
+
+http_server_init
+gateway::impl::listener(std::string                         address,
+                        std::function<void(http_exchange&)> handler)
+{
+    http_server_init out;
+    out.address  = std::move(address);
+    out.handler  = std::move(handler);
+    out.on_error = [this](http_error it) {
+        const auto reason = reason_of(it);
+        counters.reasons().add(reason);
+        log(log_level::info, "request not read",
+            {{"reason", arbutusgate::to_string(reason)}});
+        return problem_response(refusal(reason), "");
+    };
+    return out;
+}
+
+gateway::gateway(gateway_init init)
+    : impl_(std::make_unique<impl>(std::move(init)))
+{
+    auto*                   self = impl_.get();
+    std::vector<io_thread*> on{&self->thread};
+    const auto&             it = self->settings;
+    self->front                = std::make_unique<http_server>(
+        self->listener(it.listen, [self](http_exchange& e) { self->serve(e); }),
+        on);
+    self->readiness = std::make_unique<http_server>(
+        self->listener(it.ready,
+                       [self](http_exchange& e) { self->serve_ready(e); }),
+        on);
+    self->metrics_port = std::make_unique<http_server>(
+        self->listener(it.metrics,
+                       [self](http_exchange& e) { self->serve_metrics(e); }),
+        on);
+}
+
+gateway::~gateway()
+{
+    impl_->stopping = true;
+    if (impl_->started)
+        impl_->follower_ended.get_future().wait();
+    impl_->front->stop();
+    impl_->readiness->stop();
+    impl_->metrics_port->stop();
+    std::promise<void> ended;
+    impl_->thread.spawn([this, &ended] {
+        impl_->parts.reset();
+        impl_->stages.reset();
+        impl_->connections.reset();
+        impl_->reader.reset();
+        ended.set_value();
+    });
+    ended.get_future().wait();
+}
+
+absl::Status gateway::start()
+{
+    std::promise<void> ready;
+    impl_->thread.spawn([this, &ready] {
+        impl_->start_on_thread();
+        ready.set_value();
+    });
+    ready.get_future().wait();
+    impl_->started = true;
+    for (auto* it : {impl_->front.get(), impl_->readiness.get(),
+                     impl_->metrics_port.get()})
+    {
+        if (auto status = it->start(); !status.ok())
+            return status;
+    }
+    return absl::OkStatus();
+}
+
+void gateway::drain()
+{
+    const auto until =
+        daemon_now() + impl_->settings.bounds.drain_grace - exit_margin;
+    impl_->draining = true;
+    impl_->front->announce_close();
+    log(log_level::info, "draining",
+        {{"open_requests", impl_->open_requests.load()}});
+    std::this_thread::sleep_for(notice_time);
+    impl_->front->stop_accepting();
+    while (impl_->open_requests > 0 && daemon_now() < until)
+        std::this_thread::sleep_for(drain_poll);
+    log(log_level::info, "stopping",
+        {{"open_requests", impl_->open_requests.load()}});
+}
+
+} // namespace arbutusgate::gateway
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -64,16 +64,37 @@
     boost::beast::flat_buffer  buffer;
     std::optional<parser_type> parser;
     bool                       sent      = false;
+    bool                       writing   = false; ///< A request is not out yet.
     bool                       connected = false;
     bool                       broken    = false;
 };
 
+namespace {
+
+/// A request on its way; it may still be written when its answer is here.
+struct outgoing_request
+{
+    explicit outgoing_request(const http_request& it)
+        : message(it), serializer(message)
+    {
+    }
+
+    http_request                                message;
+    http::request_serializer<http::string_body> serializer;
+};
+
+} // namespace
+
 http_client::http_client(asio::io_context& io)
-    : impl_(std::make_unique<impl>(io))
+    : impl_(std::make_shared<impl>(io))
 {
 }
 
-http_client::~http_client() = default;
+http_client::~http_client()
+{
+    // An unfinished write holds the connection's state until it ends.
+    impl_->stream.close();
+}
 
 error_code http_client::connect(const std::string& address,
                                 milliseconds       timeout)
@@ -95,16 +116,31 @@
 }
 
 error_code http_client::send(const http_request& request, milliseconds timeout)
+{
+    impl_->stream.expires_after(timeout);
+    impl_->sent      = true;
+    impl_->writing   = true;
+    auto  out        = std::make_shared<outgoing_request>(request);
+    auto& serializer = out->serializer;
+    // The target may answer before it has read all of the request, and may
+    // then stop reading; so the answer is awaited during the write.
+    http::async_write(
+        impl_->stream, serializer,
+        [state = impl_, out = std::move(out)](error_code ec, std::size_t) {
+            state->writing = false;
+            state->broken  = state->broken || ec;
+        });
+    return read_head(timeout);
+}
+
+error_code http_client::read_head(milliseconds timeout)
 {
     error_code ec;
     impl_->parser.emplace();
     impl_->parser->body_limit(body_limit);
     impl_->stream.expires_after(timeout);
-    impl_->sent = true;
-    http::async_write(impl_->stream, request, fiber_token{ec});
-    if (!ec)
-        http::async_read_header(impl_->stream, impl_->buffer, *impl_->parser,
-                                fiber_token{ec});
+    http::async_read_header(impl_->stream, impl_->buffer, *impl_->parser,
+                            fiber_token{ec});
     impl_->broken = impl_->broken || ec;
     return ec;
 }
@@ -167,7 +203,24 @@
 bool http_client::reusable() const
 {
     return impl_->connected && !impl_->broken && impl_->parser &&
-           impl_->parser->is_done() && impl_->parser->get().keep_alive();
+           impl_->parser->is_done() && impl_->parser->get().keep_alive() &&
+           !impl_->writing && impl_->buffer.size() == 0;
+}
+
+bool http_client::body_read() const
+{
+    return impl_->parser && impl_->parser->is_done();
+}
+
+bool http_client::quiet()
+{
+    char       byte = 0;
+    error_code ec;
+    auto&      socket = impl_->stream.socket();
+    socket.non_blocking(true, ec);
+    if (!ec)
+        socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+    return ec == asio::error::would_block;
 }
 
 } // namespace arbutusgate
--- a/src/http_client.hpp
+++ b/src/http_client.hpp
@@ -28,10 +28,14 @@
     /// \param address "IP:port".
     boost::system::error_code connect(const std::string& address,
                                       milliseconds       timeout);
-    /// Sends the request and reads the head of the response.
+    /// Sends the request and reads the head of the response, which may come
+    /// before the whole request is out.
     /// \param timeout for the whole of it.
     boost::system::error_code send(const http_request& request,
                                    milliseconds        timeout);
+    /// Reads the head of one more response, after a response to another
+    /// request was read to its end.
+    boost::system::error_code read_head(milliseconds timeout);
     /// Head of the response after send.
     const http::response_header<>& head() const;
     /// Reads the next part of the body. An empty text without an error is
@@ -46,10 +50,14 @@
     bool bytes_sent() const;
     /// True when another request may be sent on this connection.
     bool reusable() const;
+    /// True when the body of the response was read to its end.
+    bool body_read() const;
+    /// True when an idle connection is open and no byte has arrived on it.
+    bool quiet();
 
 private:
     struct impl;
-    std::unique_ptr<impl> impl_;
+    std::shared_ptr<impl> impl_;
 };
 
 /// Splits "IP:port" or "[IPv6]:port".
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -61,6 +61,7 @@
     std::vector<io_thread*> threads;
     tcp::acceptor           acceptor;
     std::atomic<bool>       accepting{true};
+    std::atomic<bool>       closing{false}; ///< Responses end connections.
 
     std::mutex              mutex;
     std::condition_variable changed;
@@ -256,7 +257,7 @@
 
 void http_connection::prepare(http_response& response)
 {
-    if (!owner_->accepting)
+    if (!owner_->accepting || owner_->closing)
         keep_alive_ = false;
     response.version(11);
     response.keep_alive(keep_alive_);
@@ -452,6 +453,23 @@
     return state_->acceptor.local_endpoint(ec).port();
 }
 
+void http_server::set_limits(std::uint32_t header_bytes,
+                             std::uint32_t body_bytes,
+                             milliseconds  read_timeout,
+                             milliseconds  idle_timeout)
+{
+    auto& init        = state_->init;
+    init.header_limit = header_bytes;
+    init.body_limit   = body_bytes;
+    init.read_timeout = read_timeout;
+    init.idle_timeout = idle_timeout;
+}
+
+void http_server::announce_close()
+{
+    state_->closing = true;
+}
+
 void http_server::stop_accepting()
 {
     if (!state_->accepting.exchange(false))
--- a/src/http_server.hpp
+++ b/src/http_server.hpp
@@ -89,6 +89,12 @@
     /// \return Unavailable when the address cannot be bound.
     absl::Status  start();
     std::uint16_t port() const;
+    /// Replaces limits and timeouts of requests that are read from now on.
+    /// Only to be called on the server's thread, which must be its only one.
+    void set_limits(std::uint32_t header_bytes, std::uint32_t body_bytes,
+                    milliseconds read_timeout, milliseconds idle_timeout);
+    /// From now on each response ends its connection; new ones are accepted.
+    void announce_close();
     /// Stops accepting; idle connections close at once, others after their
     /// current request.
     void stop_accepting();
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -1,7 +1,7 @@
 #include "arbutusgate/settings.hpp"
 
 #include "config_files.hpp"
-#include "config_schema.hpp"
+#include "settings_document.hpp"
 
 namespace arbutusgate {
 
@@ -61,28 +61,13 @@
     return keys;
 }
 
-absl::Status to_status(const std::vector<config_issue>& issues)
-{
-    std::string out;
-    for (const auto& it : issues)
-        out += concat(out.empty() ? "" : "\n", to_string(it));
-    return absl::InvalidArgumentError(out);
-}
-
 } // namespace
 
 absl::StatusOr<daemon_settings> parse_settings(const std::string& text,
                                                const std::string& name)
 {
-    auto document = parse_document(name, text);
-    if (!document.issues.empty())
-        return to_status(document.issues);
-    config_reader   reader;
-    daemon_settings out;
-    read_mapping(reader, {document.root, ""}, settings_schema(), out);
-    if (!reader.issues().empty())
-        return to_status(reader.issues());
-    return out;
+    return parse_settings_document<daemon_settings>(text, name,
+                                                    settings_schema());
 }
 
 absl::StatusOr<daemon_settings> load_settings(const std::string& path)
--- /dev/null
+++ b/src/settings_document.hpp
@@ -0,0 +1,36 @@
+/// Reading of a settings file by its schema.
+#pragma once
+
+#include "config_schema.hpp"
+#include "config_tree.hpp"
+
+#include "absl/status/statusor.h"
+
+#include <string>
+#include <vector>
+
+namespace arbutusgate {
+
+/// \return InvalidArgument with one line for each issue.
+absl::Status issues_status(const std::vector<config_issue>& issues);
+
+/// Checks the text of a settings file.
+/// \param name stands before line and column of each error.
+/// \return InvalidArgument with one line for each error.
+template <class T>
+absl::StatusOr<T> parse_settings_document(const std::string& text,
+                                          const std::string& name,
+                                          const schema<T>&   keys)
+{
+    auto document = parse_document(name, text);
+    if (!document.issues.empty())
+        return issues_status(document.issues);
+    config_reader reader;
+    T             out;
+    read_mapping(reader, {document.root, ""}, keys, out);
+    if (!reader.issues().empty())
+        return issues_status(reader.issues());
+    return out;
+}
+
+} // namespace arbutusgate
--- /dev/null
+++ b/src/stage_batcher.cpp
@@ -0,0 +1,338 @@
+#include "stage_batcher.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace arbutusgate::gateway {
+
+namespace {
+
+// A call that takes this many times its expected time, and the margin, is
+// taken for lost; its pieces are made elsewhere.
+constexpr double       overdue_factor = 2.5;
+constexpr milliseconds overdue_margin{300};
+constexpr milliseconds failed_pause{200}; // doubled with each failure
+constexpr milliseconds failed_pause_most{2000};
+constexpr double       learn_gain = 0.1;
+/// A target whose calls take longer than this gets work last.
+constexpr double slow_pace = 1.8;
+/// Pieces of a group that a call could not finish anyway start this long
+/// before the last moment.
+constexpr milliseconds last_start_margin{150};
+
+} // namespace
+
+microseconds stage_batcher::piece_time(std::uint32_t kind) const
+{
+    const auto it = piece_times_.find(kind);
+    return it == piece_times_.end()
+               ? limits_.piece_time
+               : microseconds{static_cast<std::int64_t>(it->second)};
+}
+
+microseconds
+stage_batcher::call_time(const std::vector<batched_piece>& pieces) const
+{
+    auto out = limits_.call_time;
+    for (const auto& it : pieces) {
+        const auto group = groups_.find(it.group);
+        out += group == groups_.end() ? limits_.piece_time
+                                      : piece_time(group->second.it.kind);
+    }
+    return out;
+}
+
+time_point stage_batcher::expected_done(const piece_group& it,
+                                        std::size_t        targets,
+                                        time_point         now) const
+{
+    const auto own = piece_time(it.kind) * it.count;
+    return now + state(targets).backlog + limits_.call_time + own;
+}
+
+batcher_state stage_batcher::state(std::size_t targets) const
+{
+    batcher_state out;
+    out.waiting = waiting_;
+    out.calls   = calls_.size();
+    microseconds work{0};
+    for (const auto& [id, group] : groups_)
+        work += piece_time(group.it.kind) * group.pieces.size();
+    const auto batches = (waiting_ + limits_.batch - 1) / limits_.batch;
+    work += limits_.call_time * batches;
+    for (const auto& [id, it] : calls_)
+        work += it.call.expected / 2;
+    const auto servers = std::max<std::size_t>(1, targets * limits_.slots);
+    out.backlog        = work / servers;
+    return out;
+}
+
+void stage_batcher::add(const piece_group& it)
+{
+    waiting_group group{it, {}};
+    for (auto n = it.count; n > 0; --n)
+        group.pieces.push_back(n - 1);
+    waiting_ += it.count;
+    groups_.emplace(it.id, std::move(group));
+}
+
+void stage_batcher::cancel(std::uint64_t group)
+{
+    const auto it = groups_.find(group);
+    if (it == groups_.end())
+        return;
+    waiting_ -= it->second.pieces.size();
+    groups_.erase(it);
+}
+
+std::vector<std::uint64_t> stage_batcher::expire(time_point now)
+{
+    std::vector<std::uint64_t> out;
+    for (const auto& [id, group] : groups_) {
+        if (!group.pieces.empty() && now >= group.it.limit)
+            out.push_back(id);
+    }
+    for (const auto id : out)
+        cancel(id);
+    return out;
+}
+
+// Groups that can still meet their goal come first, in the order of goal and
+// rank; late ones follow, unless they must start now to be of any use.
+std::vector<std::uint64_t> stage_batcher::order(time_point now) const
+{
+    struct key
+    {
+        int           turn = 0;
+        std::int64_t  when = 0;
+        std::uint64_t id   = 0;
+    };
+    constexpr milliseconds rank_step{200};
+    std::vector<key>       keys;
+    for (const auto& [id, group] : groups_) {
+        if (group.pieces.empty())
+            continue;
+        const auto& it = group.it;
+        const auto  need =
+            limits_.call_time + piece_time(it.kind) * group.pieces.size();
+        const bool urgent = now + 2 * need + last_start_margin > it.limit;
+        const bool late   = now + need > it.goal;
+        const auto by     = (late ? it.limit : it.goal) + rank_step * it.rank;
+        keys.push_back(
+            {urgent || !late ? 0 : 1, by.time_since_epoch().count(), id});
+    }
+    std::sort(keys.begin(), keys.end(), [](const key& a, const key& b) {
+        return std::tie(a.turn, a.when, a.id) < std::tie(b.turn, b.when, b.id);
+    });
+    std::vector<std::uint64_t> out;
+    for (const auto& it : keys)
+        out.push_back(it.id);
+    return out;
+}
+
+std::uint64_t stage_batcher::room_left(target_state& it, time_point now) const
+{
+    while (!it.kept.empty() && it.kept.begin()->first <= now) {
+        it.room_used -= std::min(it.room_used, it.kept.begin()->second);
+        it.kept.erase(it.kept.begin());
+    }
+    return limits_.result_room > it.room_used
+               ? limits_.result_room - it.room_used
+               : 0;
+}
+
+stage_batcher::target_state*
+stage_batcher::choose(const std::vector<const target*>& targets,
+                      std::string& id, time_point now)
+{
+    target_state* best       = nullptr;
+    double        best_score = 0;
+    for (const auto* it : targets) {
+        auto& entry = targets_[it->id];
+        if (entry.calls >= limits_.slots || now < entry.paused_until)
+            continue;
+        const auto room = static_cast<double>(room_left(entry, now));
+        const auto all  = static_cast<double>(
+            std::max<std::uint64_t>(1, limits_.result_room));
+        const auto score =
+            (entry.pace > slow_pace ? entry.pace : 1) + (1 - room / all);
+        if (!best || score < best_score) {
+            best       = &entry;
+            best_score = score;
+            id         = it->id;
+        }
+    }
+    return best;
+}
+
+void stage_batcher::fill(stage_call& call, target_state& at, time_point now)
+{
+    auto room = room_left(at, now);
+    for (const auto id : order(now)) {
+        auto& group = groups_.at(id);
+        while (!group.pieces.empty() && call.pieces.size() < limits_.batch &&
+               group.it.result_bytes <= room)
+        {
+            call.pieces.push_back({id, group.pieces.back()});
+            group.pieces.pop_back();
+            room -= group.it.result_bytes;
+            at.room_used += group.it.result_bytes;
+            at.kept.emplace(now + limits_.result_kept, group.it.result_bytes);
+            --waiting_;
+        }
+        if (call.pieces.size() >= limits_.batch)
+            return;
+    }
+}
+
+std::optional<stage_call>
+stage_batcher::next(const std::vector<const target*>& targets, time_point now)
+{
+    if (waiting_ == 0)
+        return std::nullopt;
+    stage_call call;
+    auto*      at = choose(targets, call.target, now);
+    if (!at)
+        return std::nullopt;
+    fill(call, *at, now);
+    if (call.pieces.empty())
+        return std::nullopt;
+    call.id       = next_call_++;
+    call.expected = call_time(call.pieces);
+    ++at->calls;
+    calls_.emplace(call.id, running_call{call, now, false});
+    return call;
+}
+
+void stage_batcher::learn(const stage_call& call, microseconds took)
+{
+    auto&      at = targets_[call.target];
+    const auto ratio =
+        static_cast<double>(took.count()) /
+        static_cast<double>(std::max<std::int64_t>(1, call.expected.count()));
+    at.pace += 2 * learn_gain * (ratio - at.pace);
+    // Kinds are told apart only in calls that hold one of them.
+    std::optional<std::uint32_t> kind;
+    for (const auto& it : call.pieces) {
+        const auto group = groups_.find(it.group);
+        if (group == groups_.end() || (kind && *kind != group->second.it.kind))
+            return;
+        kind = group->second.it.kind;
+    }
+    if (!kind || ratio > slow_pace)
+        return;
+    const auto sample =
+        static_cast<double>((took - limits_.call_time).count()) /
+        static_cast<double>(call.pieces.size());
+    const auto least = static_cast<double>(limits_.piece_time.count()) / 8;
+    auto       known = static_cast<double>(piece_time(*kind).count());
+    known += learn_gain * (std::max(sample, least) - known);
+    piece_times_[*kind] = known;
+}
+
+void stage_batcher::finish(std::uint64_t                     call,
+                           const std::vector<piece_outcome>& outcomes,
+                           bool target_failed, time_point now)
+{
+    const auto it = calls_.find(call);
+    if (it == calls_.end())
+        return;
+    const auto& ended = it->second;
+    auto&       at    = targets_[ended.call.target];
+    at.calls -= std::min(at.calls, 1U);
+    if (target_failed) {
+        at.paused_until =
+            now + std::min(failed_pause * (1 << std::min(at.failures, 6U)),
+                           failed_pause_most);
+        ++at.failures;
+    }
+    else {
+        at.failures = 0;
+        learn(ended.call, now - ended.since);
+    }
+    for (std::size_t n = 0; n < ended.call.pieces.size(); ++n) {
+        const auto& piece = ended.call.pieces[n];
+        const auto  group = groups_.find(piece.group);
+        const auto  how =
+            n < outcomes.size() ? outcomes[n] : piece_outcome::retry;
+        if (how != piece_outcome::made && group != groups_.end())
+            at.room_used -=
+                std::min(at.room_used, group->second.it.result_bytes);
+        if (how == piece_outcome::retry && group != groups_.end() &&
+            !ended.overdue) {
+            group->second.pieces.push_back(piece.piece);
+            ++waiting_;
+        }
+    }
+    calls_.erase(it);
+}
+
+std::vector<std::uint64_t> stage_batcher::overdue(time_point now)
+{
+    std::vector<std::uint64_t> out;
+    for (auto& [id, it] : calls_) {
+        const auto limit = std::chrono::duration_cast<microseconds>(
+                               it.call.expected * overdue_factor) +
+                           overdue_margin;
+        if (it.overdue || now - it.since < limit)
+            continue;
+        it.overdue = true;
+        out.push_back(id);
+        auto& at = targets_[it.call.target];
+        at.paused_until =
+            now + std::min(failed_pause * (1 << std::min(at.failures, 6U)),
+                           failed_pause_most);
+        ++at.failures;
+        for (const auto& piece : it.call.pieces) {
+            const auto group = groups_.find(piece.group);
+            if (group == groups_.end())
+                continue;
+            group->second.pieces.push_back(piece.piece);
+            ++waiting_;
+        }
+    }
+    return out;
+}
+
+time_point stage_batcher::wake_at(time_point now) const
+{
+    auto out = now + seconds{1};
+    for (const auto& [id, it] : calls_) {
+        if (!it.overdue)
+            out = std::min(out, it.since +
+                                    std::chrono::duration_cast<microseconds>(
+                                        it.call.expected * overdue_factor) +
+                                    overdue_margin);
+    }
+    if (waiting_ > 0) {
+        for (const auto& [id, it] : targets_) {
+            if (it.paused_until > now)
+                out = std::min(out, it.paused_until);
+        }
+        out = std::min(out, now + milliseconds{50});
+    }
+    return out;
+}
+
+void stage_batcher::released(const std::string& target, std::uint64_t bytes)
+{
+    const auto it = targets_.find(target);
+    if (it == targets_.end())
+        return;
+    it->second.room_used -= std::min(it->second.room_used, bytes);
+    // The same bytes must not be given back again when they would lapse.
+    for (auto kept = it->second.kept.begin(); kept != it->second.kept.end();
+         ++kept) {
+        if (kept->second == bytes) {
+            it->second.kept.erase(kept);
+            return;
+        }
+    }
+}
+
+void stage_batcher::forget(const std::string& target)
+{
+    targets_.erase(target);
+}
+
+} // namespace arbutusgate::gateway
--- /dev/null
+++ b/src/stage_batcher.hpp
@@ -0,0 +1,143 @@
+/// Queue of one stage service: which pieces go into the next call, and to
+/// which target.
+#pragma once
+
+#include "gateway_types.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace arbutusgate::gateway {
+
+/// Pieces of one stage of one call; all are needed.
+struct piece_group
+{
+    std::uint64_t id    = 0;        ///< Chosen by the owner; unique.
+    std::uint32_t count = 0;        ///< Pieces.
+    std::uint32_t rank  = 0;        ///< 0 is the most urgent.
+    time_point    goal{};           ///< A later result makes the call late.
+    time_point    limit{};          ///< A later result is of no use.
+    std::uint64_t result_bytes = 0; ///< Of each piece.
+    /// Pieces of the same kind take about the same time.
+    std::uint32_t kind = 0;
+};
+
+/// One piece in a call.
+struct batched_piece
+{
+    std::uint64_t group = 0;
+    std::uint32_t piece = 0;
+};
+
+/// A call to be made.
+struct stage_call
+{
+    std::uint64_t              id = 0;
+    std::string                target;
+    std::vector<batched_piece> pieces;
+    microseconds               expected{0}; ///< Duration.
+};
+
+/// What the target said of one piece, or that it said nothing.
+enum class piece_outcome
+{
+    made,
+    retry,  ///< No result, but another call may give one.
+    failed, ///< Another call gives none either.
+};
+
+/// What the batcher believes of its queue.
+struct batcher_state
+{
+    std::size_t  waiting = 0; ///< Pieces.
+    std::size_t  calls   = 0; ///< At work.
+    microseconds backlog{0};  ///< Time until a new piece would start.
+};
+
+/// Belongs to one thread; does no I/O and reads no clock.
+class stage_batcher
+{
+public:
+    explicit stage_batcher(stage_limits limits) : limits_(limits) {}
+
+    void set_limits(const stage_limits& limits) { limits_ = limits; }
+
+    /// When the last piece of such a group would be done, by what waits now.
+    time_point expected_done(const piece_group& it, std::size_t targets,
+                             time_point now) const;
+    void       add(const piece_group& it);
+    /// Pieces that wait are dropped; results of running ones are of no use.
+    void cancel(std::uint64_t group);
+
+    /// The next call, if a target is free and pieces wait.
+    std::optional<stage_call> next(const std::vector<const target*>& targets,
+                                   time_point                        now);
+    /// Groups whose limit has passed while pieces wait; they are dropped.
+    std::vector<std::uint64_t> expire(time_point now);
+
+    /// A call ended.
+    /// \param outcomes of each piece, in the call's order.
+    /// \param how as target_picker's outcome: whether the target is to blame.
+    void finish(std::uint64_t call, const std::vector<piece_outcome>& outcomes,
+                bool target_failed, time_point now);
+    /// A call takes much longer than expected: its pieces wait again.
+    /// \return ids of such calls; each is named once.
+    std::vector<std::uint64_t> overdue(time_point now);
+    /// When next() or overdue() may have something without a new event.
+    time_point wake_at(time_point now) const;
+
+    /// Results were given up at a target.
+    void released(const std::string& target, std::uint64_t bytes);
+    void forget(const std::string& target);
+
+    batcher_state state(std::size_t targets) const;
+
+private:
+    struct waiting_group
+    {
+        piece_group                it;
+        std::vector<std::uint32_t> pieces; ///< That wait, last one first.
+    };
+
+    struct running_call
+    {
+        stage_call call;
+        time_point since{};
+        bool       overdue = false;
+    };
+
+    struct target_state
+    {
+        std::uint32_t calls     = 0;
+        std::uint64_t room_used = 0;
+        time_point    paused_until{};
+        std::uint32_t failures = 0; ///< In a row.
+        double        pace     = 1; ///< Measured over expected time.
+        /// Bytes of results and when they lapse by themselves.
+        std::multimap<time_point, std::uint64_t> kept;
+    };
+
+    microseconds piece_time(std::uint32_t kind) const;
+    microseconds call_time(const std::vector<batched_piece>& pieces) const;
+    void         learn(const stage_call& call, microseconds took);
+    std::vector<std::uint64_t> order(time_point now) const;
+    target_state*              choose(const std::vector<const target*>& targets,
+                                      std::string& id, time_point now);
+    void          fill(stage_call& call, target_state& at, time_point now);
+    std::uint64_t room_left(target_state& it, time_point now) const;
+
+    stage_limits                                     limits_;
+    std::uint64_t                                    next_call_ = 1;
+    std::unordered_map<std::uint64_t, waiting_group> groups_;
+    std::map<std::uint64_t, running_call>            calls_;
+    std::unordered_map<std::string, target_state>    targets_;
+    /// Learned time of a piece by kind, in microseconds.
+    std::unordered_map<std::uint32_t, double> piece_times_;
+    std::size_t                               waiting_ = 0;
+};
+
+} // namespace arbutusgate::gateway
--- /dev/null
+++ b/src/stage_desk.cpp
@@ -0,0 +1,388 @@
+#include "stage_desk.hpp"
+
+#include "io_thread.hpp"
+#include "log.hpp"
+#include "state_follower.hpp"
+#include "target_connections.hpp"
+#include "target_directory.hpp"
+
+#include <algorithm>
+
+namespace arbutusgate::gateway {
+
+namespace {
+
+/// A call that takes longer gives no result that anyone waits for.
+constexpr milliseconds call_limit{4000};
+constexpr milliseconds connect_limit{400};
+constexpr milliseconds release_limit{1000};
+/// Results that are given up wait this long for others of the same target.
+constexpr milliseconds  release_delay{120};
+constexpr std::uint32_t piece_failures    = 4; // of one order
+constexpr std::uint32_t stage_connections = 8; // to one target
+
+milliseconds left_until(time_point until, time_point now)
+{
+    return std::max(milliseconds{1},
+                    std::chrono::duration_cast<milliseconds>(until - now));
+}
+
+std::string_view address_of(std::string_view handle)
+{
+    return handle.substr(0, handle.find('/'));
+}
+
+} // namespace
+
+std::string_view to_string(order_state it)
+{
+    switch (it) {
+    case order_state::waiting:
+        return "waiting";
+    case order_state::done:
+        return "done";
+    case order_state::refused:
+        return "refused";
+    case order_state::late:
+        return "late";
+    case order_state::input_gone:
+        return "input_gone";
+    case order_state::failed:
+        break;
+    }
+    return "failed";
+}
+
+stage_desk::stage_desk(stage_desk_init init)
+    : init_(init), alive_(std::make_shared<bool>(true))
+{
+    spawn_fiber([this, alive = alive_] {
+        while (*alive)
+            tick();
+    });
+    spawn_fiber([this, alive = alive_] {
+        while (*alive) {
+            fiber_sleep(init_.io, release_delay);
+            if (*alive)
+                flush_releases();
+        }
+    });
+}
+
+stage_desk::~stage_desk()
+{
+    *alive_ = false;
+    work_.notify();
+}
+
+stage_desk::pool* stage_desk::find_pool(const std::string& service)
+{
+    const auto  table = init_.state.table();
+    const auto* entry = table ? table->find_service(service) : nullptr;
+    const auto  found = pools_.find(service);
+    if (!entry || !entry->stage)
+        return found == pools_.end() ? nullptr : found->second.get();
+    if (found != pools_.end()) {
+        found->second->batcher.set_limits(*entry->stage);
+        return found->second.get();
+    }
+    return pools_.emplace(service, std::make_unique<pool>(*entry->stage))
+        .first->second.get();
+}
+
+std::shared_ptr<stage_ticket>
+stage_desk::submit(stage_order order, std::shared_ptr<fiber_signal> changed)
+{
+    auto ticket         = std::make_shared<stage_ticket>();
+    ticket->changed     = std::move(changed);
+    ticket->id          = next_group_++;
+    order.group.id      = ticket->id;
+    auto*       it      = find_pool(order.service);
+    const auto& targets = init_.targets.usable(order.service);
+    if (!it || targets.empty()) {
+        ticket->state       = order_state::refused;
+        ticket->retry_after = seconds{1};
+        return ticket;
+    }
+    const auto now = daemon_now();
+    const auto done =
+        it->batcher.expected_done(order.group, targets.size(), now);
+    if (done > order.group.limit) {
+        ticket->state       = order_state::refused;
+        ticket->retry_after = left_until(done, order.group.limit);
+        return ticket;
+    }
+    it->batcher.add(order.group);
+    const auto  service = order.service;
+    group_entry entry;
+    entry.missing = order.group.count;
+    entry.handles.resize(order.group.count);
+    entry.order  = std::move(order);
+    entry.ticket = ticket;
+    it->groups.emplace(ticket->id, std::move(entry));
+    pump(service, *it);
+    work_.notify();
+    return ticket;
+}
+
+void stage_desk::withdraw(const std::shared_ptr<stage_ticket>& ticket)
+{
+    for (auto& [service, it] : pools_) {
+        if (it->groups.contains(ticket->id))
+            end(*it, ticket->id, order_state::failed);
+    }
+}
+
+void stage_desk::pump(const std::string& service, pool& it)
+{
+    const auto now = daemon_now();
+    while (auto call = it.batcher.next(init_.targets.usable(service), now)) {
+        ++stats_.calls;
+        stats_.pieces += call->pieces.size();
+        spawn_fiber([this, alive = alive_, service, call = *std::move(call)] {
+            if (*alive)
+                run_call(service, call);
+        });
+    }
+}
+
+std::vector<stage_piece> stage_desk::encode(const stage_call& call,
+                                            pool&             it) const
+{
+    const auto               now = daemon_now();
+    std::vector<stage_piece> out;
+    for (const auto& entry : call.pieces) {
+        const auto group = it.groups.find(entry.group);
+        if (group == it.groups.end())
+            return {};
+        out.push_back(group->second.order.pieces.at(entry.piece));
+        out.back().time_left = left_until(group->second.order.group.limit, now);
+    }
+    return out;
+}
+
+std::vector<piece_result> stage_desk::exchange(const stage_call& call, pool& it,
+                                               bool& target_failed)
+{
+    const auto* at     = init_.targets.find(call.target);
+    auto        pieces = encode(call, it);
+    if (!at || pieces.empty())
+        return {};
+    boost::system::error_code ec;
+    auto                      lease =
+        init_.connections.open(*at, stage_connections, connect_limit, ec);
+    target_failed = true;
+    if (!lease)
+        return {};
+    const auto until = daemon_now() + call_limit;
+    ec = lease->send(init_.codec.encode_stage_call(pieces, *at), call_limit);
+    if (ec)
+        return {};
+    const auto head = init_.codec.decode_answer(lease->head());
+    const auto body = lease->read_all(left_until(until, daemon_now()), ec);
+    if (ec)
+        return {};
+    init_.connections.give_back(std::move(lease), head.idle_time);
+    if (head.status != static_cast<unsigned>(http::status::ok)) {
+        ++stats_.refused_calls;
+        log(log_level::info, "stage call refused",
+            {{"target", call.target}, {"status", head.status}});
+        return {};
+    }
+    auto results = init_.codec.decode_stage_results(body, pieces.size());
+    if (!results.ok()) {
+        log(log_level::warning, "stage answer is malformed",
+            {{"target", call.target}, {"error", results.status().ToString()}});
+        return {};
+    }
+    target_failed = false;
+    return *std::move(results);
+}
+
+void stage_desk::run_call(const std::string& service, const stage_call& call)
+{
+    const auto started       = daemon_now();
+    bool       target_failed = false;
+    auto       results = exchange(call, *pools_.at(service), target_failed);
+    auto&      it      = *pools_.at(service);
+    const auto now     = daemon_now();
+    const auto took =
+        std::chrono::duration_cast<milliseconds>(now - started).count();
+    if (target_failed)
+        ++stats_.failed_calls;
+    const auto outcomes = settle(service, it, call, results);
+    it.batcher.finish(call.id, outcomes, target_failed, now);
+    log(log_level::info, "stage call ended",
+        {{"service", service},
+         {"target", call.target},
+         {"pieces", call.pieces.size()},
+         {"took_ms", took},
+         {"expected_ms", call.expected.count() / 1000},
+         {"waiting", it.batcher.state(1).waiting},
+         {"failed", target_failed}});
+    pump(service, it);
+}
+
+std::vector<piece_outcome>
+stage_desk::settle(const std::string& service, pool& it, const stage_call& call,
+                   const std::vector<piece_result>& results)
+{
+    std::vector<piece_outcome> out;
+    for (std::size_t n = 0; n < results.size(); ++n)
+        out.push_back(
+            settle_piece(service, it, call, call.pieces[n], results[n]));
+    return out;
+}
+
+piece_outcome stage_desk::settle_piece(const std::string& service, pool& it,
+                                       const stage_call&    call,
+                                       const batched_piece& piece,
+                                       const piece_result&  result)
+{
+    const auto found = it.groups.find(piece.group);
+    if (!result.handle.empty()) {
+        ++stats_.results;
+        const auto bytes     = found == it.groups.end()
+                                   ? 0
+                                   : found->second.order.group.result_bytes;
+        made_[result.handle] = {service, call.target, bytes};
+        if (found == it.groups.end() ||
+            !found->second.handles.at(piece.piece).empty()) {
+            ++stats_.duplicates;
+            release({result.handle});
+            return piece_outcome::made;
+        }
+        auto& entry                   = found->second;
+        entry.handles.at(piece.piece) = result.handle;
+        if (--entry.missing == 0)
+            end(it, piece.group, order_state::done);
+        return piece_outcome::made;
+    }
+    if (found == it.groups.end())
+        return piece_outcome::failed;
+    switch (result.failure) {
+    case piece_failure::late:
+        end(it, piece.group, order_state::late);
+        return piece_outcome::failed;
+    case piece_failure::input_gone:
+        end(it, piece.group, order_state::input_gone);
+        return piece_outcome::failed;
+    default:
+        break;
+    }
+    if (++found->second.failures < piece_failures)
+        return piece_outcome::retry;
+    end(it, piece.group, order_state::failed);
+    return piece_outcome::failed;
+}
+
+void stage_desk::end(pool& it, std::uint64_t group, order_state how)
+{
+    const auto found = it.groups.find(group);
+    if (found == it.groups.end())
+        return;
+    auto entry = std::move(found->second);
+    it.groups.erase(found);
+    it.batcher.cancel(group);
+    auto& ticket = *entry.ticket;
+    ticket.state = how;
+    if (how == order_state::done) {
+        ticket.handles = std::move(entry.handles);
+    }
+    else {
+        std::erase(entry.handles, std::string{});
+        release(entry.handles);
+    }
+    ticket.changed->notify();
+}
+
+void stage_desk::tick()
+{
+    auto       wake = daemon_now() + seconds{1};
+    const auto now  = daemon_now();
+    bool       busy = false;
+    for (auto& [service, it] : pools_) {
+        if (it->groups.empty() && it->batcher.state(1).calls == 0)
+            continue;
+        busy = true;
+        for (const auto id : it->batcher.expire(now))
+            end(*it, id, order_state::late);
+        for (const auto id : it->batcher.overdue(now)) {
+            ++stats_.overdue_calls;
+            log(log_level::warning, "stage call is overdue",
+                {{"service", service}, {"call", id}});
+        }
+        pump(service, *it);
+        wake = std::min(wake, it->batcher.wake_at(now));
+    }
+    if (!busy)
+        wake = now + std::chrono::minutes{1};
+    wake = std::max(wake, now + milliseconds{10});
+    work_.wait_until(wake, [this, busy, n = next_group_] {
+        return !*alive_ || (!busy && next_group_ != n);
+    });
+}
+
+void stage_desk::release(const std::vector<std::string>& handles)
+{
+    for (const auto& it : handles) {
+        if (!it.empty())
+            releases_[std::string(address_of(it))].push_back(it);
+    }
+}
+
+void stage_desk::flush_releases()
+{
+    for (auto& [address, handles] : std::exchange(releases_, {})) {
+        std::string id;
+        for (const auto& it : handles) {
+            const auto found = made_.find(it);
+            if (found == made_.end())
+                continue;
+            id = found->second.target;
+            if (const auto at = pools_.find(found->second.service);
+                at != pools_.end())
+                at->second->batcher.released(id, found->second.bytes);
+            made_.erase(found);
+        }
+        const auto* at = init_.targets.find(id);
+        if (!at)
+            continue;
+        spawn_fiber([this, alive = alive_, to = *at,
+                     handles = std::move(handles)] {
+            if (!*alive)
+                return;
+            boost::system::error_code ec;
+            auto lease = init_.connections.open(to, stage_connections,
+                                                connect_limit, ec);
+            if (!lease)
+                return;
+            if (lease->send(init_.codec.encode_release(handles, to),
+                            release_limit))
+                return;
+            const auto head = init_.codec.decode_answer(lease->head());
+            lease->read_all(release_limit, ec);
+            if (!ec)
+                init_.connections.give_back(std::move(lease), head.idle_time);
+        });
+    }
+}
+
+void stage_desk::forget(const std::string& target)
+{
+    for (auto& [service, it] : pools_)
+        it->batcher.forget(target);
+    std::erase_if(made_, [&](const auto& entry) {
+        return entry.second.target == target;
+    });
+}
+
+batcher_state stage_desk::queue(const std::string& service) const
+{
+    const auto it = pools_.find(service);
+    return it == pools_.end() ? batcher_state{}
+                              : it->second->batcher.state(
+                                    init_.targets.usable(service).size());
+}
+
+} // namespace arbutusgate::gateway
--- /dev/null
+++ b/src/stage_desk.hpp
@@ -0,0 +1,156 @@
+/// Has the pieces of stages made: batches them into calls to targets and hands
+/// the results to those who wait.
+#pragma once
+
+#include "stage_batcher.hpp"
+#include "wire_codec.hpp"
+
+#include "fiber_signal.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace arbutusgate::gateway {
+
+class state_follower;
+class target_connections;
+class target_directory;
+
+/// All pieces of one stage of one call.
+struct stage_order
+{
+    std::string              service;
+    piece_group              group; ///< Its id is set by the desk.
+    std::vector<stage_piece> pieces;
+};
+
+/// How an order stands.
+enum class order_state
+{
+    waiting,
+    done,       ///< All pieces have results.
+    refused,    ///< Cannot be done in time; nothing was made.
+    late,       ///< Its limit passed.
+    input_gone, ///< An earlier result no longer exists.
+    failed,     ///< Targets gave no result.
+};
+
+/// Stable identifier, as in logs and metrics.
+std::string_view to_string(order_state it);
+
+/// Filled by the desk; read by the fiber that waits.
+struct stage_ticket
+{
+    order_state                   state = order_state::waiting;
+    std::vector<std::string>      handles;        ///< Of each piece, when done.
+    milliseconds                  retry_after{0}; ///< When refused.
+    std::shared_ptr<fiber_signal> changed;
+    std::uint64_t                 id = 0;
+};
+
+/// What a desk uses; all outlive it.
+struct stage_desk_init
+{
+    boost::asio::io_context& io;
+    const wire_codec&        codec;
+    state_follower&          state;
+    target_directory&        targets;
+    target_connections&      connections;
+};
+
+/// Counts since start.
+struct stage_desk_stats
+{
+    std::uint64_t calls         = 0;
+    std::uint64_t pieces        = 0;
+    std::uint64_t results       = 0;
+    std::uint64_t refused_calls = 0;
+    std::uint64_t failed_calls  = 0;
+    std::uint64_t overdue_calls = 0;
+    std::uint64_t duplicates    = 0;
+};
+
+/// Belongs to one thread.
+class stage_desk
+{
+public:
+    explicit stage_desk(stage_desk_init init);
+    ~stage_desk();
+
+    stage_desk(const stage_desk&)            = delete;
+    stage_desk& operator=(const stage_desk&) = delete;
+
+    /// \param changed is notified when the ticket's state changes.
+    std::shared_ptr<stage_ticket> submit(stage_order                   order,
+                                         std::shared_ptr<fiber_signal> changed);
+    /// The results are not needed any more; made ones are released.
+    void withdraw(const std::shared_ptr<stage_ticket>& ticket);
+    /// Gives up results at their makers, a little later.
+    void release(const std::vector<std::string>& handles);
+    /// A target is gone or started anew.
+    void forget(const std::string& target);
+
+    /// What the queue of a service looks like.
+    batcher_state    queue(const std::string& service) const;
+    stage_desk_stats stats() const { return stats_; }
+
+private:
+    struct group_entry
+    {
+        stage_order                   order;
+        std::shared_ptr<stage_ticket> ticket;
+        std::vector<std::string>      handles;
+        std::uint32_t                 missing  = 0;
+        std::uint32_t                 failures = 0;
+    };
+
+    struct pool
+    {
+        explicit pool(const stage_limits& limits) : batcher(limits) {}
+
+        stage_batcher                                  batcher;
+        std::unordered_map<std::uint64_t, group_entry> groups;
+    };
+
+    struct made_result
+    {
+        std::string   service;
+        std::string   target;
+        std::uint64_t bytes = 0;
+    };
+
+    pool* find_pool(const std::string& service);
+    void  pump(const std::string& service, pool& it);
+    void  run_call(const std::string& service, const stage_call& call);
+    std::vector<piece_result>  exchange(const stage_call& call, pool& it,
+                                        bool& target_failed);
+    std::vector<stage_piece>   encode(const stage_call& call, pool& it) const;
+    std::vector<piece_outcome> settle(const std::string& service, pool& it,
+                                      const stage_call&                call,
+                                      const std::vector<piece_result>& results);
+    piece_outcome settle_piece(const std::string& service, pool& it,
+                               const stage_call&    call,
+                               const batched_piece& piece,
+                               const piece_result&  result);
+    void          end(pool& it, std::uint64_t group, order_state how);
+    void          tick();
+    void          flush_releases();
+
+    stage_desk_init                                        init_;
+    std::shared_ptr<bool>                                  alive_;
+    std::unordered_map<std::string, std::unique_ptr<pool>> pools_;
+    std::unordered_map<std::string, made_result>           made_;
+    /// Handles to give up, by address.
+    std::unordered_map<std::string, std::vector<std::string>> releases_;
+    fiber_signal                                              work_;
+    std::uint64_t                                             next_group_ = 1;
+    stage_desk_stats                                          stats_;
+};
+
+} // namespace arbutusgate::gateway
--- /dev/null
+++ b/src/target_directory.cpp
@@ -0,0 +1,116 @@
+#include "target_directory.hpp"
+
+#include <set>
+
+namespace arbutusgate::gateway {
+
+target_change target_directory::put(target it)
+{
+    const auto known = targets_.find(it.id);
+    auto       out   = target_change::joined;
+    if (known != targets_.end()) {
+        const auto& old = known->second.it;
+        if (old.started_at == it.started_at && old.address == it.address &&
+            old.service == it.service && !known->second.lapsed)
+        {
+            if (old.leaving == it.leaving && old.slots == it.slots)
+                return target_change::none;
+            out = target_change::none;
+        }
+        if (old.service != it.service) {
+            const auto service = old.service;
+            targets_.erase(known);
+            rebuild(service);
+        }
+    }
+    if (it.leaving)
+        out = target_change::leaving;
+    const auto id      = it.id;
+    const auto service = it.service;
+    targets_[id]       = entry{std::move(it), false};
+    rebuild(service);
+    return out;
+}
+
+target_change target_directory::remove(const std::string& id, time_point now)
+{
+    const auto it = targets_.find(id);
+    if (it == targets_.end())
+        return target_change::none;
+    if (now < lapse_until_ && !it->second.it.leaving) {
+        it->second.lapsed = true;
+        return target_change::none;
+    }
+    const auto service = it->second.it.service;
+    targets_.erase(it);
+    rebuild(service);
+    return target_change::gone;
+}
+
+std::vector<std::string> target_directory::replace_all(std::vector<target> list,
+                                                       time_point          now)
+{
+    std::set<std::string> present;
+    for (auto& it : list) {
+        present.insert(it.id);
+        put(std::move(it));
+    }
+    std::vector<std::string> absent;
+    for (const auto& [id, it] : targets_) {
+        if (!present.contains(id) && !it.lapsed)
+            absent.push_back(id);
+    }
+    std::erase_if(absent, [&](const auto& id) {
+        return remove(id, now) != target_change::gone;
+    });
+    return absent;
+}
+
+std::vector<std::string> target_directory::expire(time_point now)
+{
+    std::vector<std::string> out;
+    if (now < lapse_until_)
+        return out;
+    for (const auto& [id, it] : targets_) {
+        if (it.lapsed)
+            out.push_back(id);
+    }
+    for (const auto& id : out)
+        remove(id, now);
+    return out;
+}
+
+const target* target_directory::find(const std::string& id) const
+{
+    const auto it = targets_.find(id);
+    return it == targets_.end() ? nullptr : &it->second.it;
+}
+
+const target* target_directory::find_by_address(std::string_view address) const
+{
+    for (const auto& [id, it] : targets_) {
+        if (it.it.address == address)
+            return &it.it;
+    }
+    return nullptr;
+}
+
+const std::vector<const target*>&
+target_directory::usable(std::string_view service) const
+{
+    static const std::vector<const target*> none;
+    const auto it = usable_.find(std::string(service));
+    return it == usable_.end() ? none : it->second;
+}
+
+void target_directory::rebuild(const std::string& service)
+{
+    auto& list = usable_[service];
+    list.clear();
+    for (const auto& [id, it] : targets_) {
+        if (it.it.service == service && !it.it.leaving)
+            list.push_back(&it.it);
+    }
+}
+
+} // namespace arbutusgate::gateway
--- /dev/null
+++ b/src/target_directory.hpp
@@ -0,0 +1,77 @@
+/// Which targets exist, as published, and which of them may get work.
+#pragma once
+
+#include "gateway_types.hpp"
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace arbutusgate::gateway {
+
+/// Change of a target's entry that others act on.
+enum class target_change
+{
+    none,
+    joined,  ///< New, or started again under its id.
+    leaving, ///< Gets no new work.
+    gone,    ///< Its entry was removed.
+};
+
+/// Belongs to one thread.
+class target_directory
+{
+public:
+    /// \param lapse_grace time that targets whose entry lapsed while the
+    /// source was unreachable stay usable after it is back.
+    explicit target_directory(milliseconds lapse_grace)
+        : lapse_grace_(lapse_grace)
+    {
+    }
+
+    /// An entry was written.
+    target_change put(target it);
+    /// An entry was removed.
+    target_change remove(const std::string& id, time_point now);
+    /// Entries that are unreadable or name no service are as removed.
+    target_change reject(const std::string& id, time_point now)
+    {
+        return remove(id, now);
+    }
+    /// The source answers again after an outage. Until the grace has passed,
+    /// removed entries count as lapsed.
+    void source_returned(time_point now) { lapse_until_ = now + lapse_grace_; }
+    /// A whole list was read: entries that are not in it are removed.
+    /// \return ids of the removed ones.
+    std::vector<std::string> replace_all(std::vector<target> list,
+                                         time_point          now);
+    /// Ends the grace of lapsed entries.
+    /// \return ids of the targets that are now gone.
+    std::vector<std::string> expire(time_point now);
+
+    /// \return null when no such target is known.
+    const target* find(const std::string& id) const;
+    /// \return null when no known target has the address.
+    const target* find_by_address(std::string_view address) const;
+    /// Targets of the service that may get new work.
+    const std::vector<const target*>& usable(std::string_view service) const;
+    std::size_t                       size() const { return targets_.size(); }
+
+private:
+    struct entry
+    {
+        target it;
+        bool   lapsed = false;
+    };
+
+    void rebuild(const std::string& service);
+
+    milliseconds                                                lapse_grace_;
+    time_point                                                  lapse_until_{};
+    std::map<std::string, entry>                                targets_;
+    std::unordered_map<std::string, std::vector<const target*>> usable_;
+};
+
+} // namespace arbutusgate::gateway
