Free the results of earlier stages as soon as later ones have read them

Cause: at a burst of span checks the calls to kov-dealers carried 28 of 44 pieces while 1,000 waited: the makers' room for results was full, mostly with results that had been read already, and the owner never gave back the room of pieces that were not made. Ruled out: the pace of the calls (as expected by the service's figures). Change: results are released once all later stages have read them, and the room of a result is kept and given back in one place.

--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -255,6 +255,7 @@
                                   [&] { return gone_ || waiting() != before; }))
             return run_failure{refusal_reason::deadline_unreachable,
                                execution::not_run, target_full_retry};
+        release_read_results();
         if (!settled() && !submit_stages(failure))
             return failure;
     }
@@ -268,6 +269,29 @@
     return std::nullopt;
 }
 
+/// Gives up results that all later stages have read, since their makers have
+/// little room.
+void forward_run::release_read_results()
+{
+    for (std::uint32_t n = 0; n < tickets_.size(); ++n) {
+        if (!tickets_[n] || tickets_[n]->handles.empty())
+            continue;
+        std::size_t readers = 0;
+        bool        read    = true;
+        for (std::uint32_t k = 0; k < tickets_.size(); ++k) {
+            const auto& after = route_->stages[k].after;
+            if (std::find(after.begin(), after.end(), n) == after.end())
+                continue;
+            ++readers;
+            // Without pieces it has passed these results on.
+            read = read && tickets_[k] && !tickets_[k]->handles.empty();
+        }
+        if (readers > 0 && read)
+            parts_.stages.release(route_->stages[n].service,
+                                  std::exchange(tickets_[n]->handles, {}));
+    }
+}
+
 void forward_run::note_result_domain()
 {
     std::map<std::string, std::uint64_t> bytes;
--- a/src/forward_run.hpp
+++ b/src/forward_run.hpp
@@ -97,6 +97,7 @@
     void          refuse(const run_failure& it);
     void          release_results();
     void          note_result_domain();
+    void          release_read_results();
     void          on_caller_gone();
     milliseconds  left() const;
     bool          time_over() const;
--- a/src/stage_batcher.cpp
+++ b/src/stage_batcher.cpp
@@ -133,7 +133,7 @@
 std::uint64_t stage_batcher::room_left(target_state& it, time_point now) const
 {
     while (!it.kept.empty() && it.kept.begin()->first <= now) {
-        it.room_used -= std::min(it.room_used, it.kept.begin()->second);
+        it.room_used -= it.kept.begin()->second;
         it.kept.erase(it.kept.begin());
     }
     return limits_.result_room > it.room_used
@@ -173,7 +173,8 @@
         while (!group.pieces.empty() && call.pieces.size() < limits_.batch &&
                group.it.result_bytes <= room)
         {
-            call.pieces.push_back({id, group.pieces.back()});
+            call.pieces.push_back(
+                {id, group.pieces.back(), group.it.result_bytes});
             group.pieces.pop_back();
             room -= group.it.result_bytes;
             at.room_used += group.it.result_bytes;
@@ -255,9 +256,8 @@
         const auto  group = groups_.find(piece.group);
         const auto  how =
             n < outcomes.size() ? outcomes[n] : piece_outcome::retry;
-        if (how != piece_outcome::made && group != groups_.end())
-            at.room_used -=
-                std::min(at.room_used, group->second.it.result_bytes);
+        if (how != piece_outcome::made)
+            give_back(at, piece.result_bytes);
         if (how == piece_outcome::retry && group != groups_.end() &&
             !ended.overdue) {
             group->second.pieces.push_back(piece.piece);
@@ -314,22 +314,23 @@
     return out;
 }
 
-void stage_batcher::released(const std::string& target, std::uint64_t bytes)
+void stage_batcher::give_back(target_state& it, std::uint64_t bytes)
 {
-    const auto it = targets_.find(target);
-    if (it == targets_.end())
+    for (auto kept = it.kept.begin(); kept != it.kept.end(); ++kept) {
+        if (kept->second != bytes)
+            continue;
+        it.room_used -= bytes;
+        it.kept.erase(kept);
         return;
-    it->second.room_used -= std::min(it->second.room_used, bytes);
-    // The same bytes must not be given back again when they would lapse.
-    for (auto kept = it->second.kept.begin(); kept != it->second.kept.end();
-         ++kept) {
-        if (kept->second == bytes) {
-            it->second.kept.erase(kept);
-            return;
-        }
     }
 }
 
+void stage_batcher::released(const std::string& target, std::uint64_t bytes)
+{
+    if (const auto it = targets_.find(target); it != targets_.end())
+        give_back(it->second, bytes);
+}
+
 void stage_batcher::forget(const std::string& target)
 {
     targets_.erase(target);
--- a/src/stage_batcher.hpp
+++ b/src/stage_batcher.hpp
@@ -29,8 +29,9 @@
 /// One piece in a call.
 struct batched_piece
 {
-    std::uint64_t group = 0;
-    std::uint32_t piece = 0;
+    std::uint64_t group        = 0;
+    std::uint32_t piece        = 0;
+    std::uint64_t result_bytes = 0;
 };
 
 /// A call to be made.
@@ -90,7 +91,7 @@
     /// When next() or overdue() may have something without a new event.
     time_point wake_at(time_point now) const;
 
-    /// Results were given up at a target.
+    /// A result was given up at a target.
     void released(const std::string& target, std::uint64_t bytes);
     void forget(const std::string& target);
 
@@ -112,12 +113,12 @@
 
     struct target_state
     {
-        std::uint32_t calls     = 0;
-        std::uint64_t room_used = 0;
+        std::uint32_t calls = 0;
         time_point    paused_until{};
         std::uint32_t failures = 0; ///< In a row.
         double        pace     = 1; ///< Measured over expected time.
-        /// Bytes of results and when they lapse by themselves.
+        std::uint64_t room_used = 0; ///< Sum of kept.
+        /// Bytes of results by the time when they lapse by themselves.
         std::multimap<time_point, std::uint64_t> kept;
     };
 
@@ -129,6 +130,7 @@
                                       std::string& id, time_point now);
     void          fill(stage_call& call, target_state& at, time_point now);
     std::uint64_t room_left(target_state& it, time_point now) const;
+    static void   give_back(target_state& it, std::uint64_t bytes);
 
     stage_limits                                     limits_;
     std::uint64_t                                    next_call_ = 1;
