Give up results sooner

Cause: with kov-dealers at a burst the makers' room still bounded the calls (33 of 44 pieces); read results were held 180 ms more before their makers knew. Ruled out: room kept for results that were cancelled (now known by piece). Change: releases wait 25 ms at the caller's daemon and 30 ms at the owner.

--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -18,7 +18,7 @@
 constexpr milliseconds connect_limit{300};
 constexpr milliseconds gossip_limit{500};
 constexpr milliseconds release_limit{1000};
-constexpr milliseconds release_delay{60};
+constexpr milliseconds release_delay{25};
 constexpr milliseconds round_time{400};
 /// Owners that are tried for one order, before it is made here.
 constexpr int owner_tries = 2;
--- a/src/stage_desk.cpp
+++ b/src/stage_desk.cpp
@@ -17,7 +17,7 @@
 constexpr milliseconds connect_limit{400};
 constexpr milliseconds release_limit{1000};
 /// Results that are given up wait this long for others of the same target.
-constexpr milliseconds  release_delay{120};
+constexpr milliseconds  release_delay{30};
 constexpr std::uint32_t piece_failures    = 4; // of one order
 constexpr std::uint32_t stage_connections = 8; // to one target
 
@@ -242,10 +242,7 @@
     const auto found = it.groups.find(piece.group);
     if (!result.handle.empty()) {
         ++stats_.results;
-        const auto bytes     = found == it.groups.end()
-                                   ? 0
-                                   : found->second.order.group.result_bytes;
-        made_[result.handle] = {service, call.target, bytes};
+        made_[result.handle] = {service, call.target, piece.result_bytes};
         if (found == it.groups.end() ||
             !found->second.handles.at(piece.piece).empty()) {
             ++stats_.duplicates;
