Leave the time of later stages in the goal of each stage

Cause: each stage worked towards the goal of the whole request, so that in a burst all requests were just late: the queue could not tell who can still make it. Ruled out: idle targets (the four remaining of kov-dealers ran full batches). Change: goal and limit of a stage's order leave the learned times of the stages after it and of the first event; only orders on time are learned from.

--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -8,6 +8,7 @@
 #include "retry_budget.hpp"
 #include "state_follower.hpp"
 #include "target_directory.hpp"
+#include "time_estimates.hpp"
 
 #include <xxhash.h>
 
@@ -30,8 +31,9 @@
 /// A target's stream that is silent for longer is resumed elsewhere.
 constexpr milliseconds resume_silence{1200};
 constexpr std::size_t  plain_limit = 1024 * 1024; // bytes held of an answer
-/// A stage must leave this for what follows it.
+/// Times of a target's first event and of a stage until they are learned.
 constexpr milliseconds model_reserve{200};
+constexpr milliseconds stage_reserve{300};
 /// Results of this size and more are not moved between failure domains.
 constexpr std::uint64_t large_result         = 200'000; // bytes
 constexpr double        large_result_penalty = 1.0;
@@ -162,6 +164,23 @@
     return out;
 }
 
+/// Time from the results of a stage to the first event, as learned.
+microseconds forward_run::after_stage(std::uint32_t stage) const
+{
+    auto out = parts_.times.get(service_->name, model_reserve);
+    for (std::uint32_t n = 0; n < route_->stages.size(); ++n) {
+        const auto& it = route_->stages[n];
+        const auto  reads =
+            std::find(it.after.begin(), it.after.end(), stage) !=
+            it.after.end();
+        if (reads && n > stage)
+            out = std::max(out, after_stage(n) +
+                                    parts_.times.get(it.service,
+                                                     stage_reserve));
+    }
+    return out;
+}
+
 stage_order forward_run::make_order(std::uint32_t stage) const
 {
     const auto& step   = route_->stages[stage];
@@ -171,8 +190,9 @@
     out.service            = step.service;
     out.group.count        = count;
     out.group.rank         = rank_;
-    out.group.goal         = arrived_ + route_->latency_goal - model_reserve;
-    out.group.limit        = until_ - model_reserve;
+    const auto rest  = after_stage(stage);
+    out.group.goal   = arrived_ + route_->latency_goal - rest;
+    out.group.limit  = until_ - rest;
     out.group.result_bytes = step.result_bytes;
     out.group.kind         = static_cast<std::uint32_t>(
         XXH3_64bits_withSeed(route_->name.data(), route_->name.size(), stage));
@@ -200,7 +220,8 @@
             tickets_[n]->state = order_state::done;
             return submit_stages(failure);
         }
-        tickets_[n] = parts_.stages.submit(std::move(order), changed_);
+        submitted_[n] = daemon_now();
+        tickets_[n]   = parts_.stages.submit(std::move(order), changed_);
         if (tickets_[n]->state == order_state::refused) {
             failure = stage_failure(*tickets_[n]);
             return false;
@@ -226,6 +247,7 @@
 std::optional<run_failure> forward_run::run_stages()
 {
     tickets_.resize(route_->stages.size());
+    submitted_.resize(route_->stages.size());
     run_failure failure;
     const auto  settled = [this] {
         return gone_ ||
@@ -255,6 +277,7 @@
                                   [&] { return gone_ || waiting() != before; }))
             return run_failure{refusal_reason::deadline_unreachable,
                                execution::not_run, target_full_retry};
+        learn_stage_times();
         release_read_results();
         if (!settled() && !submit_stages(failure))
             return failure;
@@ -269,6 +292,21 @@
     return std::nullopt;
 }
 
+/// Late orders wait behind others on purpose and say nothing of the time that
+/// an order on time takes.
+void forward_run::learn_stage_times()
+{
+    const auto now = daemon_now();
+    for (std::uint32_t n = 0; n < tickets_.size(); ++n) {
+        if (submitted_[n] == time_point{} ||
+            tickets_[n]->state != order_state::done)
+            continue;
+        if (now <= arrived_ + route_->latency_goal - after_stage(n))
+            parts_.times.add(route_->stages[n].service, now - submitted_[n]);
+        submitted_[n] = {};
+    }
+}
+
 /// Gives up results that all later stages have read, since their makers have
 /// little room.
 void forward_run::release_read_results()
@@ -429,6 +467,7 @@
 forward_run::attempt_result forward_run::attempt(const target& at)
 {
     const auto tokens = call_.prompt_tokens;
+    called_ = daemon_now();
     call_number_      = parts_.picker.start(at.id, tokens, daemon_now());
     error_code ec;
     const auto most = service_->max_connections / std::max(1U, parts_.daemons);
@@ -633,10 +672,13 @@
         if (batch.empty())
             continue;
         if (!began_) {
-            began_ = true;
+            began_         = true;
+            const auto now = daemon_now();
+            if (now <= arrived_ + route_->latency_goal)
+                parts_.times.add(service_->name, now - called_);
             exchange_.begin_stream(parts_.codec.relay_head(from.head()));
             parts_.counters.observe_first_text(route_->name,
-                                               daemon_now() - arrived_);
+                                               now - arrived_);
             if (!route_->may_be_resumed)
                 release_results();
         }
--- a/src/forward_run.hpp
+++ b/src/forward_run.hpp
@@ -27,6 +27,7 @@
 class route_table;
 class state_follower;
 class target_directory;
+class time_estimates;
 
 /// What the requests of one daemon share; all belong to its thread.
 struct gateway_parts
@@ -38,6 +39,7 @@
     target_connections& connections;
     stage_service&      stages;
     retry_budget&       budget;
+    time_estimates&     times;
     metrics&            counters;
     std::mt19937_64&    random;
     std::string         failure_domain;
@@ -78,6 +80,7 @@
     std::vector<std::string>   inputs_of(std::uint32_t stage) const;
     std::vector<std::string>   final_inputs() const;
     bool                       stage_ready(std::uint32_t stage) const;
+    microseconds after_stage(std::uint32_t stage) const;
     run_failure                stage_failure(const stage_ticket& it) const;
 
     std::optional<run_failure> call_targets();
@@ -98,6 +101,7 @@
     void          release_results();
     void          note_result_domain();
     void          release_read_results();
+    void          learn_stage_times();
     void          on_caller_gone();
     milliseconds  left() const;
     bool          time_over() const;
@@ -113,10 +117,12 @@
     const account*                     account_ = nullptr;
     const service*                     service_ = nullptr;
     time_point                         arrived_;
+    time_point                         called_{}; ///< Latest attempt.
     time_point                         until_{}; ///< Deadline or timeout.
     std::uint32_t                      rank_ = 0;
 
     std::vector<std::shared_ptr<stage_ticket>> tickets_; ///< By stage.
+    std::vector<time_point> submitted_; ///< By stage.
     std::shared_ptr<fiber_signal>              changed_;
     std::string result_domain_; ///< Where most result bytes lie.
     bool        results_released_ = false;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -12,6 +12,7 @@
 #include "state_follower.hpp"
 #include "state_reader.hpp"
 #include "target_directory.hpp"
+#include "time_estimates.hpp"
 
 #include <atomic>
 #include <chrono>
@@ -104,6 +105,7 @@
     target_directory                    targets{lapse_grace};
     target_picker                       picker{random_seed()};
     retry_budget                        budget;
+    time_estimates times;
     std::mt19937_64                     random{random_seed()};
     std::unique_ptr<state_follower>     state;
     std::unique_ptr<target_connections> connections;
@@ -190,7 +192,7 @@
     reader = make_reader(io);
     parts  = std::make_unique<gateway_parts>(
         gateway_parts{codec, *state, targets, picker, *connections, *peers,
-                      budget, counters, random, settings.failure_domain});
+                      budget, times, counters, random, settings.failure_domain});
     spawn_fiber([this] {
         follow();
         follower_ended.set_value();
