Never put late orders before those on time; wait for room

Cause: after all daemons were killed 170 requests failed, since each answer that a maker's room is full counted as a failure of the order. Callers of streams were served after they had left, since the limit of an order was the deadline and not the caller's patience. Change: a full room pauses the target and is no failure; orders end when the caller leaves; late orders get only what those on time leave.

--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -10,6 +10,8 @@
 #include "target_directory.hpp"
 #include "time_estimates.hpp"
 
+#include "arbutusgate/config.hpp"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -40,6 +42,14 @@
 constexpr double        other_domain_penalty = 0.02;
 constexpr std::uint32_t default_urgency      = 5;
 
+/// Callers of a stream leave when nothing comes for so long.
+milliseconds stream_patience(const route& it)
+{
+    return std::max({limits::stream_patience,
+                     limits::stream_patience_goals * it.latency_goal,
+                     limits::stream_patience_gaps * it.gap_goal});
+}
+
 } // namespace
 
 forward_run::forward_run(gateway_parts& parts, http_exchange& exchange)
@@ -109,7 +119,11 @@
     auto                   time = call_.patience.value_or(no_limit);
     if (route_->timeout > milliseconds{0})
         time = std::min(time, route_->timeout);
-    until_            = arrived_ + time;
+    until_ = arrived_ + time;
+    first_event_by_ =
+        route_->rule == repeat_rule::stream
+            ? std::min(until_, arrived_ + stream_patience(*route_))
+            : until_;
     const auto* share = pick_share(
         route_->services, std::uniform_real_distribution<>()(parts_.random));
     service_ = share ? table_->find_service(share->service) : nullptr;
@@ -192,7 +206,8 @@
     out.group.rank         = rank_;
     const auto rest  = after_stage(stage);
     out.group.goal   = arrived_ + route_->latency_goal - rest;
-    out.group.limit  = until_ - rest;
+    out.group.limit  = first_event_by_ - rest;
+    out.group.begun = !step.after.empty();
     out.group.result_bytes = step.result_bytes;
     out.group.kind         = static_cast<std::uint32_t>(
         XXH3_64bits_withSeed(route_->name.data(), route_->name.size(), stage));
@@ -273,7 +288,7 @@
                 });
         };
         const auto before = waiting();
-        if (!changed_->wait_until(until_,
+        if (!changed_->wait_until(first_event_by_,
                                   [&] { return gone_ || waiting() != before; }))
             return run_failure{refusal_reason::deadline_unreachable,
                                execution::not_run, target_full_retry};
--- a/src/forward_run.hpp
+++ b/src/forward_run.hpp
@@ -119,6 +119,7 @@
     time_point                         arrived_;
     time_point                         called_{}; ///< Latest attempt.
     time_point                         until_{}; ///< Deadline or timeout.
+    time_point first_event_by_{}; ///< The caller leaves then.
     std::uint32_t                      rank_ = 0;
 
     std::vector<std::shared_ptr<stage_ticket>> tickets_; ///< By stage.
--- a/src/stage_batcher.cpp
+++ b/src/stage_batcher.cpp
@@ -18,7 +18,11 @@
 constexpr double slow_pace = 1.8;
 /// Pieces of a group that a call could not finish anyway start this long
 /// before the last moment.
-constexpr milliseconds last_start_margin{150};
+/// A group yields to groups of the next more urgent rank whose goal is up to
+/// this much later.
+constexpr milliseconds rank_step{200};
+/// A target whose room is full gets no call for this long.
+constexpr milliseconds full_pause{150};
 
 } // namespace
 
@@ -46,8 +50,22 @@
                                         std::size_t        targets,
                                         time_point         now) const
 {
-    const auto own = piece_time(it.kind) * it.count;
-    return now + state(targets).backlog + limits_.call_time + own;
+    const auto   own  = turn_of(it, it.count, now);
+    auto         work = piece_time(it.kind) * it.count;
+    std::size_t  n    = it.count;
+    for (const auto& [id, group] : groups_) {
+        if (group.pieces.empty() ||
+            turn_of(group.it, group.pieces.size(), now) > own)
+            continue;
+        n += group.pieces.size();
+        work += piece_time(group.it.kind) * group.pieces.size();
+    }
+    work += limits_.call_time * ((n + limits_.batch - 1) / limits_.batch);
+    for (const auto& [id, entry] : calls_)
+        work += entry.call.expected / 2;
+    const auto servers = std::max<std::size_t>(1, targets * limits_.slots);
+    const auto alone   = limits_.call_time + piece_time(it.kind) * it.count;
+    return now + std::max<microseconds>(work / servers, alone);
 }
 
 batcher_state stage_batcher::state(std::size_t targets) const
@@ -98,34 +116,28 @@
 }
 
 // Groups that can still meet their goal come first, in the order of goal and
-// rank; late ones follow, unless they must start now to be of any use.
+// rank; late ones get what is left. To put late ones first before their limit
+// makes those on time late in turn, and in the end more of both are lost.
+stage_batcher::turn stage_batcher::turn_of(const piece_group& it,
+                                           std::size_t        pieces,
+                                           time_point         now) const
+{
+    const auto need   = limits_.call_time + piece_time(it.kind) * pieces;
+    const bool late   = now + need > it.goal;
+    const auto by     = (late ? it.limit : it.goal) + rank_step * it.rank;
+    return {late ? 1 : 0, by.time_since_epoch().count(), it.id};
+}
+
 std::vector<std::uint64_t> stage_batcher::order(time_point now) const
 {
-    struct key
-    {
-        int           turn = 0;
-        std::int64_t  when = 0;
-        std::uint64_t id   = 0;
-    };
-    constexpr milliseconds rank_step{200};
-    std::vector<key>       keys;
+    std::vector<turn> turns;
     for (const auto& [id, group] : groups_) {
-        if (group.pieces.empty())
-            continue;
-        const auto& it = group.it;
-        const auto  need =
-            limits_.call_time + piece_time(it.kind) * group.pieces.size();
-        const bool urgent = now + 2 * need + last_start_margin > it.limit;
-        const bool late   = now + need > it.goal;
-        const auto by     = (late ? it.limit : it.goal) + rank_step * it.rank;
-        keys.push_back(
-            {urgent || !late ? 0 : 1, by.time_since_epoch().count(), id});
+        if (!group.pieces.empty())
+            turns.push_back(turn_of(group.it, group.pieces.size(), now));
     }
-    std::sort(keys.begin(), keys.end(), [](const key& a, const key& b) {
-        return std::tie(a.turn, a.when, a.id) < std::tie(b.turn, b.when, b.id);
-    });
+    std::sort(turns.begin(), turns.end());
     std::vector<std::uint64_t> out;
-    for (const auto& it : keys)
+    for (const auto& it : turns)
         out.push_back(it.id);
     return out;
 }
@@ -258,8 +270,10 @@
             n < outcomes.size() ? outcomes[n] : piece_outcome::retry;
         if (how != piece_outcome::made)
             give_back(at, piece.result_bytes);
-        if (how == piece_outcome::retry && group != groups_.end() &&
-            !ended.overdue) {
+        if (how == piece_outcome::no_room)
+            at.paused_until = std::max(at.paused_until, now + full_pause);
+        if ((how == piece_outcome::retry || how == piece_outcome::no_room) &&
+            group != groups_.end() && !ended.overdue) {
             group->second.pieces.push_back(piece.piece);
             ++waiting_;
         }
--- a/src/stage_batcher.hpp
+++ b/src/stage_batcher.hpp
@@ -24,6 +24,8 @@
     std::uint64_t result_bytes = 0; ///< Of each piece.
     /// Pieces of the same kind take about the same time.
     std::uint32_t kind = 0;
+    /// Earlier stages of the call have results already.
+    bool begun = false;
 };
 
 /// One piece in a call.
@@ -47,7 +49,8 @@
 enum class piece_outcome
 {
     made,
-    retry,  ///< No result, but another call may give one.
+    no_room, ///< The target's room for results is full.
+    retry,   ///< No result, but another call may give one.
     failed, ///< Another call gives none either.
 };
 
@@ -67,7 +70,8 @@
 
     void set_limits(const stage_limits& limits) { limits_ = limits; }
 
-    /// When the last piece of such a group would be done, by what waits now.
+    /// When the last piece of such a group would be done, by what waits now
+    /// and would go first.
     time_point expected_done(const piece_group& it, std::size_t targets,
                              time_point now) const;
     void       add(const piece_group& it);
@@ -125,6 +129,18 @@
     microseconds piece_time(std::uint32_t kind) const;
     microseconds call_time(const std::vector<batched_piece>& pieces) const;
     void         learn(const stage_call& call, microseconds took);
+    /// Place of a group in the queue; less goes first.
+    struct turn
+    {
+        int           late = 0; ///< 1: cannot meet its goal, and may wait.
+        std::int64_t  when = 0;
+        std::uint64_t id   = 0;
+
+        auto operator<=>(const turn&) const = default;
+    };
+
+    turn turn_of(const piece_group& it, std::size_t pieces,
+                 time_point now) const;
     std::vector<std::uint64_t> order(time_point now) const;
     target_state*              choose(const std::vector<const target*>& targets,
                                       std::string& id, time_point now);
--- a/src/stage_desk.cpp
+++ b/src/stage_desk.cpp
@@ -264,6 +264,9 @@
     case piece_failure::input_gone:
         end(it, piece.group, order_state::input_gone);
         return piece_outcome::failed;
+    case piece_failure::no_room:
+        // Released results make room; the order\'s limit bounds the wait.
+        return piece_outcome::no_room;
     default:
         break;
     }
