Make stages in the failure domain of their inputs

Change: an order names the domain of its inputs and waits up to 120 ms for a target there; a group with large results stays in one domain.

--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -16,6 +16,7 @@
 
 #include <algorithm>
 #include <map>
+#include <numeric>
 
 namespace arbutusgate::gateway {
 
@@ -183,14 +184,13 @@
 {
     auto out = parts_.times.get(service_->name, model_reserve);
     for (std::uint32_t n = 0; n < route_->stages.size(); ++n) {
-        const auto& it = route_->stages[n];
-        const auto  reads =
-            std::find(it.after.begin(), it.after.end(), stage) !=
-            it.after.end();
+        const auto& it   = route_->stages[n];
+        const auto reads = std::find(it.after.begin(), it.after.end(), stage) !=
+                           it.after.end();
         if (reads && n > stage)
-            out = std::max(out, after_stage(n) +
-                                    parts_.times.get(it.service,
-                                                     stage_reserve));
+            out =
+                std::max(out, after_stage(n) +
+                                  parts_.times.get(it.service, stage_reserve));
     }
     return out;
 }
@@ -201,15 +201,15 @@
     const auto  count  = stage < call_.pieces.size() ? call_.pieces[stage] : 0;
     const auto  inputs = inputs_of(stage);
     stage_order out;
-    out.service            = step.service;
-    out.group.count        = count;
-    out.group.rank         = rank_;
-    const auto rest  = after_stage(stage);
-    out.group.goal   = arrived_ + route_->latency_goal - rest;
-    out.group.limit  = first_event_by_ - rest;
-    out.group.begun = !step.after.empty();
-    out.group.result_bytes = step.result_bytes;
-    out.group.kind         = static_cast<std::uint32_t>(
+    out.service              = step.service;
+    out.group.count          = count;
+    out.group.rank           = rank_;
+    const auto rest          = after_stage(stage);
+    out.group.goal           = arrived_ + route_->latency_goal - rest;
+    out.group.limit          = first_event_by_ - rest;
+    out.group.failure_domain = domain_of(step.after);
+    out.group.result_bytes   = step.result_bytes;
+    out.group.kind           = static_cast<std::uint32_t>(
         XXH3_64bits_withSeed(route_->name.data(), route_->name.size(), stage));
     for (std::uint32_t n = 0; n < count; ++n) {
         stage_piece it;
@@ -303,7 +303,9 @@
         if (it->state != order_state::done)
             return stage_failure(*it);
     }
-    note_result_domain();
+    std::vector<std::uint32_t> all(tickets_.size());
+    std::iota(all.begin(), all.end(), 0U);
+    result_domain_ = domain_of(all);
     return std::nullopt;
 }
 
@@ -345,10 +347,12 @@
     }
 }
 
-void forward_run::note_result_domain()
+/// The failure domain where most bytes of the stages' results lie.
+std::string
+forward_run::domain_of(const std::vector<std::uint32_t>& stages) const
 {
     std::map<std::string, std::uint64_t> bytes;
-    for (std::size_t n = 0; n < tickets_.size(); ++n) {
+    for (const auto n : stages) {
         for (const auto& handle : tickets_[n]->handles) {
             const auto* maker = parts_.targets.find_by_address(
                 std::string_view(handle).substr(0, handle.find('/')));
@@ -359,8 +363,7 @@
     const auto most = std::max_element(
         bytes.begin(), bytes.end(),
         [](const auto& a, const auto& b) { return a.second < b.second; });
-    if (most != bytes.end())
-        result_domain_ = most->first;
+    return most == bytes.end() ? "" : most->first;
 }
 
 void forward_run::release_results()
@@ -482,7 +485,7 @@
 forward_run::attempt_result forward_run::attempt(const target& at)
 {
     const auto tokens = call_.prompt_tokens;
-    called_ = daemon_now();
+    called_           = daemon_now();
     call_number_      = parts_.picker.start(at.id, tokens, daemon_now());
     error_code ec;
     const auto most = service_->max_connections / std::max(1U, parts_.daemons);
@@ -692,8 +695,7 @@
             if (now <= arrived_ + route_->latency_goal)
                 parts_.times.add(service_->name, now - called_);
             exchange_.begin_stream(parts_.codec.relay_head(from.head()));
-            parts_.counters.observe_first_text(route_->name,
-                                               now - arrived_);
+            parts_.counters.observe_first_text(route_->name, now - arrived_);
             if (!route_->may_be_resumed)
                 release_results();
         }
--- a/src/forward_run.hpp
+++ b/src/forward_run.hpp
@@ -79,9 +79,10 @@
     stage_order                make_order(std::uint32_t stage) const;
     std::vector<std::string>   inputs_of(std::uint32_t stage) const;
     std::vector<std::string>   final_inputs() const;
-    bool                       stage_ready(std::uint32_t stage) const;
+    std::string  domain_of(const std::vector<std::uint32_t>& stages) const;
+    bool         stage_ready(std::uint32_t stage) const;
     microseconds after_stage(std::uint32_t stage) const;
-    run_failure                stage_failure(const stage_ticket& it) const;
+    run_failure  stage_failure(const stage_ticket& it) const;
 
     std::optional<run_failure> call_targets();
     const target*              choose();
@@ -99,7 +100,6 @@
 
     void          refuse(const run_failure& it);
     void          release_results();
-    void          note_result_domain();
     void          release_read_results();
     void          learn_stage_times();
     void          on_caller_gone();
@@ -118,12 +118,12 @@
     const service*                     service_ = nullptr;
     time_point                         arrived_;
     time_point                         called_{}; ///< Latest attempt.
-    time_point                         until_{}; ///< Deadline or timeout.
-    time_point first_event_by_{}; ///< The caller leaves then.
-    std::uint32_t                      rank_ = 0;
+    time_point                         until_{};  ///< Deadline or timeout.
+    time_point    first_event_by_{};              ///< The caller leaves then.
+    std::uint32_t rank_ = 0;
 
-    std::vector<std::shared_ptr<stage_ticket>> tickets_; ///< By stage.
-    std::vector<time_point> submitted_; ///< By stage.
+    std::vector<std::shared_ptr<stage_ticket>> tickets_;   ///< By stage.
+    std::vector<time_point>                    submitted_; ///< By stage.
     std::shared_ptr<fiber_signal>              changed_;
     std::string result_domain_; ///< Where most result bytes lie.
     bool        results_released_ = false;
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -111,7 +111,7 @@
     out.set_limit_ms(left(it.group.limit, now).count());
     out.set_result_bytes(it.group.result_bytes);
     out.set_kind(it.group.kind);
-    out.set_begun(it.group.begun);
+    out.set_failure_domain(it.group.failure_domain);
     for (const auto& piece : it.pieces) {
         auto& entry = *out.add_pieces();
         entry.set_attempt(piece.attempt);
@@ -131,14 +131,14 @@
     if (!in.ParseFromString(bytes) || in.pieces().empty())
         return std::nullopt;
     stage_order out;
-    out.service            = in.service();
-    out.group.rank         = in.rank();
-    out.group.goal         = now + milliseconds{in.goal_ms()};
-    out.group.limit        = now + milliseconds{in.limit_ms()};
-    out.group.result_bytes = in.result_bytes();
-    out.group.kind         = in.kind();
-    out.group.begun = in.begun();
-    out.group.count        = static_cast<std::uint32_t>(in.pieces_size());
+    out.service              = in.service();
+    out.group.rank           = in.rank();
+    out.group.goal           = now + milliseconds{in.goal_ms()};
+    out.group.limit          = now + milliseconds{in.limit_ms()};
+    out.group.result_bytes   = in.result_bytes();
+    out.group.kind           = in.kind();
+    out.group.failure_domain = in.failure_domain();
+    out.group.count          = static_cast<std::uint32_t>(in.pieces_size());
     for (const auto& it : in.pieces())
         out.pieces.push_back(decode(it));
     return out;
--- a/src/stage_batcher.cpp
+++ b/src/stage_batcher.cpp
@@ -21,6 +21,10 @@
 /// A group yields to groups of the next more urgent rank whose goal is up to
 /// this much later.
 constexpr milliseconds rank_step{200};
+/// Inputs wait this long for a target in their failure domain.
+constexpr milliseconds domain_wait{120};
+/// Results of a group of this size stay in one failure domain.
+constexpr std::uint64_t domain_bytes = 100'000;
 /// A target whose room is full gets no call for this long.
 constexpr milliseconds full_pause{150};
 
@@ -50,9 +54,9 @@
                                         std::size_t        targets,
                                         time_point         now) const
 {
-    const auto   own  = turn_of(it, it.count, now);
-    auto         work = piece_time(it.kind) * it.count;
-    std::size_t  n    = it.count;
+    const auto  own  = turn_of(it, it.count, now);
+    auto        work = piece_time(it.kind) * it.count;
+    std::size_t n    = it.count;
     for (const auto& [id, group] : groups_) {
         if (group.pieces.empty() ||
             turn_of(group.it, group.pieces.size(), now) > own)
@@ -85,9 +89,9 @@
     return out;
 }
 
-void stage_batcher::add(const piece_group& it)
+void stage_batcher::add(const piece_group& it, time_point now)
 {
-    waiting_group group{it, {}};
+    waiting_group group{it, {}, now};
     for (auto n = it.count; n > 0; --n)
         group.pieces.push_back(n - 1);
     waiting_ += it.count;
@@ -122,9 +126,9 @@
                                            std::size_t        pieces,
                                            time_point         now) const
 {
-    const auto need   = limits_.call_time + piece_time(it.kind) * pieces;
-    const bool late   = now + need > it.goal;
-    const auto by     = (late ? it.limit : it.goal) + rank_step * it.rank;
+    const auto need = limits_.call_time + piece_time(it.kind) * pieces;
+    const bool late = now + need > it.goal;
+    const auto by   = (late ? it.limit : it.goal) + rank_step * it.rank;
     return {late ? 1 : 0, by.time_since_epoch().count(), it.id};
 }
 
@@ -153,12 +157,12 @@
                : 0;
 }
 
-stage_batcher::target_state*
-stage_batcher::choose(const std::vector<const target*>& targets,
-                      std::string& id, time_point now)
+/// Targets that can take a call, the best one first.
+std::vector<const target*>
+stage_batcher::free_targets(const std::vector<const target*>& targets,
+                            time_point                        now)
 {
-    target_state* best       = nullptr;
-    double        best_score = 0;
+    std::vector<std::pair<double, const target*>> out;
     for (const auto* it : targets) {
         auto& entry = targets_[it->id];
         if (entry.calls >= limits_.slots || now < entry.paused_until)
@@ -166,33 +170,56 @@
         const auto room = static_cast<double>(room_left(entry, now));
         const auto all  = static_cast<double>(
             std::max<std::uint64_t>(1, limits_.result_room));
-        const auto score =
-            (entry.pace > slow_pace ? entry.pace : 1) + (1 - room / all);
-        if (!best || score < best_score) {
-            best       = &entry;
-            best_score = score;
-            id         = it->id;
-        }
+        out.emplace_back(
+            (entry.pace > slow_pace ? entry.pace : 1) + (1 - room / all), it);
+    }
+    std::stable_sort(out.begin(), out.end(), [](const auto& a, const auto& b) {
+        return a.first < b.first;
+    });
+    std::vector<const target*> list;
+    for (const auto& [score, it] : out)
+        list.push_back(it);
+    return list;
+}
+
+/// Inputs from another failure domain are read only after a short wait for a
+/// target that is nearer to them.
+bool stage_batcher::may_go_to(const waiting_group& group, const target& at,
+                              time_point now) const
+{
+    return group.it.failure_domain.empty() ||
+           group.it.failure_domain == at.failure_domain ||
+           now - group.since >= domain_wait;
+}
+
+void stage_batcher::take(stage_call& call, waiting_group& group,
+                         const target& at, std::uint64_t& room, time_point now)
+{
+    const auto bytes = group.it.result_bytes;
+    auto&      state = targets_[at.id];
+    // The next stage reads all results of a group together.
+    if (group.it.failure_domain.empty() &&
+        bytes * group.it.count >= domain_bytes)
+        group.it.failure_domain = at.failure_domain;
+    while (!group.pieces.empty() && call.pieces.size() < limits_.batch &&
+           bytes <= room)
+    {
+        call.pieces.push_back({group.it.id, group.pieces.back(), bytes});
+        group.pieces.pop_back();
+        room -= bytes;
+        state.room_used += bytes;
+        state.kept.emplace(now + limits_.result_kept, bytes);
+        --waiting_;
     }
-    return best;
 }
 
-void stage_batcher::fill(stage_call& call, target_state& at, time_point now)
+void stage_batcher::fill(stage_call& call, const target& at, time_point now)
 {
-    auto room = room_left(at, now);
+    auto room = room_left(targets_[at.id], now);
     for (const auto id : order(now)) {
         auto& group = groups_.at(id);
-        while (!group.pieces.empty() && call.pieces.size() < limits_.batch &&
-               group.it.result_bytes <= room)
-        {
-            call.pieces.push_back(
-                {id, group.pieces.back(), group.it.result_bytes});
-            group.pieces.pop_back();
-            room -= group.it.result_bytes;
-            at.room_used += group.it.result_bytes;
-            at.kept.emplace(now + limits_.result_kept, group.it.result_bytes);
-            --waiting_;
-        }
+        if (may_go_to(group, at, now))
+            take(call, group, at, room, now);
         if (call.pieces.size() >= limits_.batch)
             return;
     }
@@ -203,18 +230,19 @@
 {
     if (waiting_ == 0)
         return std::nullopt;
-    stage_call call;
-    auto*      at = choose(targets, call.target, now);
-    if (!at)
-        return std::nullopt;
-    fill(call, *at, now);
-    if (call.pieces.empty())
-        return std::nullopt;
-    call.id       = next_call_++;
-    call.expected = call_time(call.pieces);
-    ++at->calls;
-    calls_.emplace(call.id, running_call{call, now, false});
-    return call;
+    for (const auto* at : free_targets(targets, now)) {
+        stage_call call;
+        call.target = at->id;
+        fill(call, *at, now);
+        if (call.pieces.empty())
+            continue;
+        call.id       = next_call_++;
+        call.expected = call_time(call.pieces);
+        ++targets_[at->id].calls;
+        calls_.emplace(call.id, running_call{call, now, false});
+        return call;
+    }
+    return std::nullopt;
 }
 
 void stage_batcher::learn(const stage_call& call, microseconds took)
@@ -273,7 +301,8 @@
         if (how == piece_outcome::no_room)
             at.paused_until = std::max(at.paused_until, now + full_pause);
         if ((how == piece_outcome::retry || how == piece_outcome::no_room) &&
-            group != groups_.end() && !ended.overdue) {
+            group != groups_.end() && !ended.overdue)
+        {
             group->second.pieces.push_back(piece.piece);
             ++waiting_;
         }
--- a/src/stage_batcher.hpp
+++ b/src/stage_batcher.hpp
@@ -24,8 +24,8 @@
     std::uint64_t result_bytes = 0; ///< Of each piece.
     /// Pieces of the same kind take about the same time.
     std::uint32_t kind = 0;
-    /// Earlier stages of the call have results already.
-    bool begun = false;
+    /// Where most bytes of the inputs lie; empty: anywhere.
+    std::string failure_domain;
 };
 
 /// One piece in a call.
@@ -51,7 +51,7 @@
     made,
     no_room, ///< The target's room for results is full.
     retry,   ///< No result, but another call may give one.
-    failed, ///< Another call gives none either.
+    failed,  ///< Another call gives none either.
 };
 
 /// What the batcher believes of its queue.
@@ -74,7 +74,7 @@
     /// and would go first.
     time_point expected_done(const piece_group& it, std::size_t targets,
                              time_point now) const;
-    void       add(const piece_group& it);
+    void       add(const piece_group& it, time_point now);
     /// Pieces that wait are dropped; results of running ones are of no use.
     void cancel(std::uint64_t group);
 
@@ -106,6 +106,7 @@
     {
         piece_group                it;
         std::vector<std::uint32_t> pieces; ///< That wait, last one first.
+        time_point                 since{};
     };
 
     struct running_call
@@ -119,8 +120,8 @@
     {
         std::uint32_t calls = 0;
         time_point    paused_until{};
-        std::uint32_t failures = 0; ///< In a row.
-        double        pace     = 1; ///< Measured over expected time.
+        std::uint32_t failures  = 0; ///< In a row.
+        double        pace      = 1; ///< Measured over expected time.
         std::uint64_t room_used = 0; ///< Sum of kept.
         /// Bytes of results by the time when they lapse by themselves.
         std::multimap<time_point, std::uint64_t> kept;
@@ -142,9 +143,13 @@
     turn turn_of(const piece_group& it, std::size_t pieces,
                  time_point now) const;
     std::vector<std::uint64_t> order(time_point now) const;
-    target_state*              choose(const std::vector<const target*>& targets,
-                                      std::string& id, time_point now);
-    void          fill(stage_call& call, target_state& at, time_point now);
+    std::vector<const target*>
+    free_targets(const std::vector<const target*>& targets, time_point now);
+    void          fill(stage_call& call, const target& at, time_point now);
+    void          take(stage_call& call, waiting_group& group, const target& at,
+                       std::uint64_t& room, time_point now);
+    bool          may_go_to(const waiting_group& group, const target& at,
+                            time_point now) const;
     std::uint64_t room_left(target_state& it, time_point now) const;
     static void   give_back(target_state& it, std::uint64_t bytes);
 
--- a/src/stage_desk.cpp
+++ b/src/stage_desk.cpp
@@ -112,7 +112,7 @@
         ticket->retry_after = left_until(done, order.group.limit);
         return ticket;
     }
-    it->batcher.add(order.group);
+    it->batcher.add(order.group, now);
     const auto  service = order.service;
     group_entry entry;
     entry.missing = order.group.count;
