--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -37,6 +37,8 @@
 /// Times of a target's first event and of a stage until they are learned.
 constexpr milliseconds model_reserve{200};
 constexpr milliseconds stage_reserve{300};
+/// Inputs must be read this long before they lapse.
+constexpr milliseconds input_margin{300};
 /// Results of this size and more are not moved between failure domains.
 constexpr std::uint64_t large_result         = 200'000; // bytes
 constexpr double        large_result_penalty = 1.0;
@@ -195,6 +197,19 @@
     return out;
 }
 
+/// When the first of a stage's inputs lapses.
+time_point forward_run::inputs_kept_until(std::uint32_t stage) const
+{
+    auto out = first_event_by_;
+    for (const auto n : route_->stages[stage].after) {
+        const auto* maker = table_->find_service(route_->stages[n].service);
+        if (maker && maker->stage && made_at_[n] != time_point{})
+            out = std::min(out, made_at_[n] + maker->stage->result_kept -
+                                    input_margin);
+    }
+    return out;
+}
+
 stage_order forward_run::make_order(std::uint32_t stage) const
 {
     const auto& step   = route_->stages[stage];
@@ -207,6 +222,7 @@
     const auto rest          = after_stage(stage);
     out.group.goal           = arrived_ + route_->latency_goal - rest;
     out.group.limit          = first_event_by_ - rest;
+    out.group.limit = std::min(out.group.limit, inputs_kept_until(stage));
     out.group.failure_domain = domain_of(step.after);
     out.group.result_bytes   = step.result_bytes;
     out.group.kind           = static_cast<std::uint32_t>(
@@ -263,6 +279,7 @@
 {
     tickets_.resize(route_->stages.size());
     submitted_.resize(route_->stages.size());
+    made_at_.resize(route_->stages.size());
     run_failure failure;
     const auto  settled = [this] {
         return gone_ ||
@@ -321,6 +338,7 @@
         if (now <= arrived_ + route_->latency_goal - after_stage(n))
             parts_.times.add(route_->stages[n].service, now - submitted_[n]);
         submitted_[n] = {};
+        made_at_[n]   = now;
     }
 }
 
