Let a more urgent rank go 600 ms ahead instead of 200 ms

Cause: design chats (rank 2) took kov-dealers' calls before span checks (rank 0) of the same burst. Conclusion: kept, since operators rank their routes.

--- a/src/stage_batcher.cpp
+++ b/src/stage_batcher.cpp
@@ -20,7 +20,7 @@
 /// before the last moment.
 /// A group yields to groups of the next more urgent rank whose goal is up to
 /// this much later.
-constexpr milliseconds rank_step{200};
+constexpr milliseconds rank_step{600};
 /// Inputs wait this long for a target in their failure domain.
 constexpr milliseconds domain_wait{120};
 /// Results of a group of this size stay in one failure domain.
