Refuse at entry what a late stage cannot do in time

Change: owners tell the waits of orders on time and of late ones; a daemon adds them up along the stages before the first one (entry_admission). While orders on time keep coming, late ones wait at least as long as the oldest has waited.

--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -66,6 +66,8 @@
     call_ = parts_.codec.decode_call(exchange_.request());
     exchange_.on_client_gone([this] { on_caller_gone(); });
     auto failure = prepare();
+    if (!failure)
+        failure = admit();
     if (!failure)
         failure = run_stages();
     if (!failure && !gone_)
@@ -139,6 +141,40 @@
 
 // Stages ---------------------------------------------------------------------
 
+std::optional<run_failure> forward_run::admit()
+{
+    // A single stage is decided on by its owner, which knows more.
+    if (route_->stages.size() < 2)
+        return std::nullopt;
+    request_outlook outlook;
+    outlook.answer = parts_.times.get(service_->name, model_reserve);
+    outlook.goal   = arrived_ + route_->latency_goal;
+    outlook.limit  = first_event_by_;
+    for (std::uint32_t n = 0; n < route_->stages.size(); ++n) {
+        const auto&   step  = route_->stages[n];
+        const auto    count = n < call_.pieces.size() ? call_.pieces[n] : 0;
+        const auto*   maker = table_->find_service(step.service);
+        stage_outlook it;
+        it.after   = step.after;
+        it.skipped = count == 0;
+        it.queue   = parts_.stages.queue(step.service);
+        if (maker && maker->stage)
+            it.call =
+                maker->stage->call_time +
+                maker->stage->piece_time * std::min(count, maker->stage->batch);
+        outlook.stages.push_back(std::move(it));
+    }
+    const auto decision = decide_entry(outlook, daemon_now());
+    if (decision.admitted)
+        return std::nullopt;
+    log(log_level::info, "refused at entry",
+        {{"request", call_.attempt},
+         {"expected_ms", decision.expected.count() / 1000},
+         {"left_ms", left().count()}});
+    return run_failure{refusal_reason::overloaded, execution::not_run,
+                       decision.retry_after};
+}
+
 bool forward_run::stage_ready(std::uint32_t stage) const
 {
     return std::all_of(route_->stages[stage].after.begin(),
@@ -216,12 +252,12 @@
     const auto  count  = stage < call_.pieces.size() ? call_.pieces[stage] : 0;
     const auto  inputs = inputs_of(stage);
     stage_order out;
-    out.service              = step.service;
-    out.group.count          = count;
-    out.group.rank           = rank_;
-    const auto rest          = after_stage(stage);
-    out.group.goal           = arrived_ + route_->latency_goal - rest;
-    out.group.limit          = first_event_by_ - rest;
+    out.service     = step.service;
+    out.group.count = count;
+    out.group.rank  = rank_;
+    const auto rest = after_stage(stage);
+    out.group.goal  = arrived_ + route_->latency_goal - rest;
+    out.group.limit = first_event_by_ - rest;
     out.group.limit = std::min(out.group.limit, inputs_kept_until(stage));
     out.group.failure_domain = domain_of(step.after);
     out.group.result_bytes   = step.result_bytes;
--- a/src/forward_run.hpp
+++ b/src/forward_run.hpp
@@ -74,6 +74,7 @@
     };
 
     std::optional<run_failure> prepare();
+    std::optional<run_failure> admit();
     std::optional<run_failure> run_stages();
     bool                       submit_stages(run_failure& failure);
     stage_order                make_order(std::uint32_t stage) const;
@@ -82,7 +83,7 @@
     std::string  domain_of(const std::vector<std::uint32_t>& stages) const;
     bool         stage_ready(std::uint32_t stage) const;
     microseconds after_stage(std::uint32_t stage) const;
-    time_point inputs_kept_until(std::uint32_t stage) const;
+    time_point   inputs_kept_until(std::uint32_t stage) const;
     run_failure  stage_failure(const stage_ticket& it) const;
 
     std::optional<run_failure> call_targets();
@@ -125,7 +126,7 @@
 
     std::vector<std::shared_ptr<stage_ticket>> tickets_;   ///< By stage.
     std::vector<time_point>                    submitted_; ///< By stage.
-    std::vector<time_point> made_at_;   ///< By stage.
+    std::vector<time_point>                    made_at_;   ///< By stage.
     std::shared_ptr<fiber_signal>              changed_;
     std::string result_domain_; ///< Where most result bytes lie.
     bool        results_released_ = false;
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -81,10 +81,11 @@
     pb::GatewayGossip out;
     for (const auto& member : it.members)
         encode(member, *out.add_members());
-    for (const auto& [service, backlog] : it.queues) {
+    for (const auto& [service, wait] : it.queues) {
         auto& queue = *out.add_queues();
         queue.set_service(service);
-        queue.set_backlog_ms(static_cast<std::uint32_t>(backlog.count()));
+        queue.set_on_time_us(static_cast<std::uint64_t>(wait.on_time.count()));
+        queue.set_all_us(static_cast<std::uint64_t>(wait.all.count()));
     }
     return out.SerializeAsString();
 }
@@ -98,7 +99,9 @@
     for (const auto& it : in.members())
         out.members.push_back(decode(it));
     for (const auto& it : in.queues())
-        out.queues[it.service()] = milliseconds{it.backlog_ms()};
+        out.queues[it.service()] = {
+            microseconds{static_cast<std::int64_t>(it.on_time_us())},
+            microseconds{static_cast<std::int64_t>(it.all_us())}};
     return out;
 }
 
--- a/src/peer_codec.hpp
+++ b/src/peer_codec.hpp
@@ -15,8 +15,8 @@
 struct peer_gossip
 {
     std::vector<peer> members; ///< The sender first.
-    /// Time until a new piece would start, of services that the sender owns.
-    std::map<std::string, milliseconds> queues;
+    /// Waits in front of the services that the sender owns.
+    std::map<std::string, stage_queue> queues;
 };
 
 /// How an order ended at its owner.
--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -117,8 +117,7 @@
     out.members = table_.entries(now);
     for (const auto& it : services_()) {
         if (table_.owner_of(it, now) == table_.self().address)
-            out.queues[it] =
-                std::chrono::duration_cast<milliseconds>(desk_.backlog(it));
+            out.queues[it] = desk_.queue(it);
     }
     return out;
 }
@@ -129,8 +128,8 @@
     const auto before = table_.alive(now).size();
     for (const auto& member : it.members)
         table_.merge(member, now);
-    for (const auto& [service, backlog] : it.queues)
-        queues_[service] = backlog;
+    for (const auto& [service, wait] : it.queues)
+        queues_[service] = wait;
     const auto after = table_.alive(now).size();
     if (before != after)
         log(log_level::info, "peers changed",
@@ -316,12 +315,12 @@
     }
 }
 
-microseconds peer_mesh::backlog(const std::string& service) const
+stage_queue peer_mesh::queue(const std::string& service) const
 {
     if (table_.owner_of(service, daemon_now()) == table_.self().address)
-        return desk_.backlog(service);
+        return desk_.queue(service);
     const auto it = queues_.find(service);
-    return it == queues_.end() ? microseconds{0} : it->second;
+    return it == queues_.end() ? stage_queue{} : it->second;
 }
 
 // Messages of others ---------------------------------------------------------
--- a/src/peer_mesh.hpp
+++ b/src/peer_mesh.hpp
@@ -47,10 +47,10 @@
 
     std::shared_ptr<stage_ticket>
     submit(stage_order order, std::shared_ptr<fiber_signal> changed) override;
-    void         withdraw(const std::shared_ptr<stage_ticket>& ticket) override;
-    void         release(const std::string&              service,
-                         const std::vector<std::string>& handles) override;
-    microseconds backlog(const std::string& service) const override;
+    void        withdraw(const std::shared_ptr<stage_ticket>& ticket) override;
+    void        release(const std::string&              service,
+                        const std::vector<std::string>& handles) override;
+    stage_queue queue(const std::string& service) const override;
 
     /// Serves a message of another daemon.
     void serve(http_exchange& exchange);
@@ -98,7 +98,7 @@
     connection_pool                           pool_;
     std::shared_ptr<bool>                     alive_;
     std::map<std::uint64_t, remote_ptr>       remote_; ///< By ticket id.
-    std::map<std::string, milliseconds>       queues_; ///< Of other owners.
+    std::map<std::string, stage_queue>        queues_; ///< Of other owners.
     std::map<std::string, std::vector<std::string>> releases_; ///< By owner.
     std::uint64_t                                   next_id_;
     peer_mesh_stats                                 stats_;
--- a/src/stage_batcher.cpp
+++ b/src/stage_batcher.cpp
@@ -72,20 +72,41 @@
     return now + std::max<microseconds>(work / servers, alone);
 }
 
-batcher_state stage_batcher::state(std::size_t targets) const
+batcher_state stage_batcher::state(std::size_t targets, time_point now) const
 {
     batcher_state out;
-    out.waiting = waiting_;
-    out.calls   = calls_.size();
-    microseconds work{0};
-    for (const auto& [id, group] : groups_)
-        work += piece_time(group.it.kind) * group.pieces.size();
-    const auto batches = (waiting_ + limits_.batch - 1) / limits_.batch;
-    work += limits_.call_time * batches;
+    out.waiting         = waiting_;
+    out.calls           = calls_.size();
+    std::size_t  pieces = 0;
+    microseconds on_time{0};
+    microseconds late{0};
+    microseconds oldest{0};
+    for (const auto& [id, group] : groups_) {
+        if (group.pieces.empty())
+            continue;
+        const auto n    = group.pieces.size();
+        const auto work = piece_time(group.it.kind) * n;
+        if (turn_of(group.it, n, now).late == 0) {
+            pieces += n;
+            on_time += work;
+        }
+        else {
+            late += work;
+            // While those on time keep coming, late ones wait longer than
+            // the work before them takes.
+            oldest = std::max(oldest, now - group.since);
+        }
+    }
+    const auto calls = [this](std::size_t n) {
+        return limits_.call_time * ((n + limits_.batch - 1) / limits_.batch);
+    };
+    microseconds running{0};
     for (const auto& [id, it] : calls_)
-        work += it.call.expected / 2;
+        running += it.call.expected / 2;
     const auto servers = std::max<std::size_t>(1, targets * limits_.slots);
-    out.backlog        = work / servers;
+    out.on_time        = (on_time + calls(pieces) + running) / servers;
+    out.all     = std::max<microseconds>(
+            oldest, (on_time + late + calls(waiting_) + running) / servers);
     return out;
 }
 
--- a/src/stage_batcher.hpp
+++ b/src/stage_batcher.hpp
@@ -59,7 +59,8 @@
 {
     std::size_t  waiting = 0; ///< Pieces.
     std::size_t  calls   = 0; ///< At work.
-    microseconds backlog{0};  ///< Time until a new piece would start.
+    microseconds on_time{0};  ///< Wait of a piece that can meet its goal.
+    microseconds all{0};      ///< Wait of a piece that cannot.
 };
 
 /// Belongs to one thread; does no I/O and reads no clock.
@@ -99,7 +100,7 @@
     void released(const std::string& target, std::uint64_t bytes);
     void forget(const std::string& target);
 
-    batcher_state state(std::size_t targets) const;
+    batcher_state state(std::size_t targets, time_point now) const;
 
 private:
     struct waiting_group
--- a/src/stage_desk.cpp
+++ b/src/stage_desk.cpp
@@ -218,7 +218,7 @@
          {"pieces", call.pieces.size()},
          {"took_ms", took},
          {"expected_ms", call.expected.count() / 1000},
-         {"waiting", it.batcher.state(1).waiting},
+         {"waiting", it.batcher.state(1, now).waiting},
          {"failed", target_failed}});
     pump(service, it);
 }
@@ -302,7 +302,7 @@
     const auto now  = daemon_now();
     bool       busy = false;
     for (auto& [service, it] : pools_) {
-        if (it->groups.empty() && it->batcher.state(1).calls == 0)
+        if (it->groups.empty() && it->batcher.state(1, now).calls == 0)
             continue;
         busy = true;
         for (const auto id : it->batcher.expire(now))
@@ -380,17 +380,14 @@
     });
 }
 
-microseconds stage_desk::backlog(const std::string& service) const
-{
-    return queue(service).backlog;
-}
-
-batcher_state stage_desk::queue(const std::string& service) const
+stage_queue stage_desk::queue(const std::string& service) const
 {
     const auto it = pools_.find(service);
-    return it == pools_.end() ? batcher_state{}
-                              : it->second->batcher.state(
-                                    init_.targets.usable(service).size());
+    if (it == pools_.end())
+        return {};
+    const auto state = it->second->batcher.state(
+        init_.targets.usable(service).size(), daemon_now());
+    return {state.on_time, state.all};
 }
 
 } // namespace arbutusgate::gateway
--- a/src/stage_desk.hpp
+++ b/src/stage_desk.hpp
@@ -59,15 +59,13 @@
     submit(stage_order order, std::shared_ptr<fiber_signal> changed) override;
     void withdraw(const std::shared_ptr<stage_ticket>& ticket) override;
     /// The service is of no interest here: handles name their makers.
-    void         release(const std::string&              service,
-                         const std::vector<std::string>& handles) override;
-    microseconds backlog(const std::string& service) const override;
+    void        release(const std::string&              service,
+                        const std::vector<std::string>& handles) override;
+    stage_queue queue(const std::string& service) const override;
 
     /// A target is gone or started anew.
     void forget(const std::string& target);
 
-    /// What the queue of a service looks like.
-    batcher_state    queue(const std::string& service) const;
     stage_desk_stats stats() const { return stats_; }
 
 private:
--- a/src/stage_service.hpp
+++ b/src/stage_service.hpp
@@ -1,6 +1,7 @@
 /// Where a request has its stages made.
 #pragma once
 
+#include "entry_admission.hpp"
 #include "stage_batcher.hpp"
 #include "wire_codec.hpp"
 
@@ -62,8 +63,8 @@
     /// Gives up results at their makers, a little later.
     virtual void release(const std::string&              service,
                          const std::vector<std::string>& handles) = 0;
-    /// Time until a new piece of the service would start, as last known.
-    virtual microseconds backlog(const std::string& service) const = 0;
+    /// Waits in front of the service, as last known.
+    virtual stage_queue queue(const std::string& service) const = 0;
 };
 
 } // namespace arbutusgate::gateway
