Log to standard output without a thread, bounded in lines and bytes

Cause: the log's queue blocks its callers when 4,096 lines wait, and its thread costs a wake-up a line.

--- a/src/log.cpp
+++ b/src/log.cpp
@@ -1,5 +1,7 @@
 #include "log.hpp"
 
+#include "bounded_appender.hpp"
+
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <log4cplus/asyncappender.h>
@@ -9,6 +11,8 @@
 #include <log4cplus/logger.h>
 #include <log4cplus/spi/loggingevent.h>
 
+#include <unistd.h>
+
 #include <atomic>
 #include <memory>
 
@@ -16,7 +20,9 @@
 
 namespace {
 
-constexpr unsigned queue_length = 4096; // lines
+constexpr unsigned      queue_length  = 4096;       // lines
+constexpr std::uint32_t bounded_lines = 1500;       // a second
+constexpr std::size_t   bounded_bytes = 512 * 1024; // unread
 
 std::atomic<bool> running{false};
 
@@ -71,9 +77,26 @@
     return false;
 }
 
+log4cplus::SharedAppenderPtr queued_error()
+{
+    log4cplus::SharedAppenderPtr console(
+        new log4cplus::ConsoleAppender(true, true));
+    console->setLayout(std::make_unique<json_layout>());
+    return log4cplus::SharedAppenderPtr(
+        new log4cplus::AsyncAppender(console, queue_length));
+}
+
+log4cplus::SharedAppenderPtr bounded_output()
+{
+    log4cplus::SharedAppenderPtr out(
+        new bounded_appender(STDOUT_FILENO, bounded_lines, bounded_bytes));
+    out->setLayout(std::make_unique<json_layout>());
+    return out;
+}
+
 } // namespace
 
-bool start_log(std::string_view level)
+bool start_log(std::string_view level, log_output output)
 {
     if (level == "off")
         return true;
@@ -81,14 +104,10 @@
     if (!parse_level(level, lowest))
         return false;
     log4cplus::initialize();
-    log4cplus::SharedAppenderPtr console(
-        new log4cplus::ConsoleAppender(true, true));
-    console->setLayout(std::make_unique<json_layout>());
-    log4cplus::SharedAppenderPtr queue(
-        new log4cplus::AsyncAppender(console, queue_length));
     auto root = log4cplus::Logger::getRoot();
     root.removeAllAppenders(); // Such as the command line's, in tests.
-    root.addAppender(queue);
+    root.addAppender(output == log_output::queued_error ? queued_error()
+                                                        : bounded_output());
     root.setLogLevel(native(lowest));
     running = true;
     return true;
--- a/src/log.hpp
+++ b/src/log.hpp
@@ -1,4 +1,4 @@
-/// Log of the programs: one JSON object a line on standard error.
+/// Log of the programs: one JSON object a line.
 #pragma once
 
 #include <boost/json/value_ref.hpp>
@@ -23,12 +23,23 @@
 using log_fields = std::initializer_list<
     std::pair<boost::json::string_view, boost::json::value_ref>>;
 
-/// Starts logging. Lines are written by a thread of the log, so that a slow
-/// reader of standard error does not block the callers.
+/// Where a program logs.
+enum class log_output
+{
+    /// Standard error, by a thread of the log, so that a slow reader does not
+    /// block the callers until 4,096 lines wait.
+    queued_error,
+    /// Standard output, by the calling thread; bounded in lines and bytes. A
+    /// reader that stalls costs lines and never blocks.
+    bounded_output,
+};
+
+/// Starts logging.
 /// \param level "trace", "debug", "info", "warn", "error", or "off", with
 ///              which nothing is written.
 /// \return false when the level is none of them.
-bool start_log(std::string_view level);
+bool start_log(std::string_view level,
+               log_output       output = log_output::queued_error);
 /// Writes out what is queued and stops.
 void stop_log();
 
--- a/tools/arbutusgate-gateway.cpp
+++ b/tools/arbutusgate-gateway.cpp
@@ -68,7 +68,7 @@
         std::cerr << settings.status().message() << '\n';
         return exit_status::wrong_use;
     }
-    if (!start_log(settings->log_level)) {
+    if (!start_log(settings->log_level, log_output::bounded_output)) {
         std::cerr << "unknown log level: " << settings->log_level << '\n';
         return exit_status::wrong_use;
     }
