--- a/src/bounded_appender.cpp
+++ b/src/bounded_appender.cpp
@@ -48,6 +48,7 @@
 {
     if (!budget_.admit(level_of(event.getLogLevel()), daemon_now()))
         return;
+    flush();
     note_dropped();
     std::ostringstream line;
     layout->formatAndAppend(line, event);
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -79,19 +79,19 @@
 {
     explicit impl(gateway_init it);
 
-    void             start_on_thread();
-    void             follow();
-    follow_events    events();
-    void             configured(const route_table& table);
-    void             target_changed(const std::string& id, target_change what);
-    void             serve(http_exchange& exchange);
-    void             serve_ready(http_exchange& exchange) const;
-    void             serve_metrics(http_exchange& exchange) const;
-    bool             ready() const;
-    peer_table own_peers() const;
+    void          start_on_thread();
+    void          follow();
+    follow_events events();
+    void          configured(const route_table& table);
+    void          target_changed(const std::string& id, target_change what);
+    void          serve(http_exchange& exchange);
+    void          serve_ready(http_exchange& exchange) const;
+    void          serve_metrics(http_exchange& exchange) const;
+    bool          ready() const;
+    peer_table    own_peers() const;
     std::vector<std::string> stage_services() const;
-    http_server_init listener(std::string                         address,
-                              std::function<void(http_exchange&)> handler);
+    http_server_init         listener(std::string                         address,
+                                      std::function<void(http_exchange&)> handler);
 
     gateway_settings  settings;
     const wire_codec& codec;
@@ -105,7 +105,7 @@
     target_directory                    targets{lapse_grace};
     target_picker                       picker{random_seed()};
     retry_budget                        budget;
-    time_estimates times;
+    time_estimates                      times;
     std::mt19937_64                     random{random_seed()};
     std::unique_ptr<state_follower>     state;
     std::unique_ptr<target_connections> connections;
@@ -190,9 +190,9 @@
     peers  = std::make_unique<peer_mesh>(io, own_peers(), *stages,
                                         [this] { return stage_services(); });
     reader = make_reader(io);
-    parts  = std::make_unique<gateway_parts>(
-        gateway_parts{codec, *state, targets, picker, *connections, *peers,
-                      budget, times, counters, random, settings.failure_domain});
+    parts  = std::make_unique<gateway_parts>(gateway_parts{
+        codec, *state, targets, picker, *connections, *peers, budget, times,
+        counters, random, settings.failure_domain});
     spawn_fiber([this] {
         follow();
         follower_ended.set_value();
@@ -372,6 +372,16 @@
     return absl::OkStatus();
 }
 
+std::uint16_t gateway::port() const
+{
+    return impl_->front->port();
+}
+
+std::uint16_t gateway::ready_port() const
+{
+    return impl_->readiness->port();
+}
+
 void gateway::drain()
 {
     const auto until =
--- a/src/gateway.hpp
+++ b/src/gateway.hpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -37,6 +38,10 @@
 
     /// \return Unavailable when an address cannot be bound.
     absl::Status start();
+    /// Ports of callers and of readiness checks, after start; they differ from
+    /// the settings for port 0.
+    std::uint16_t port() const;
+    std::uint16_t ready_port() const;
     /// Not ready any more; ends idle connections after those that send callers
     /// have noticed, and waits for open requests within the grace.
     void drain();
--- /dev/null
+++ b/tests/gateway_fixture.cpp
@@ -0,0 +1,108 @@
+#include "gateway_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace arbutusgate::gateway::test {
+
+namespace {
+
+route make_route(std::string path, repeat_rule rule, std::uint32_t attempts)
+{
+    route out;
+    out.name         = path;
+    out.host         = "a.example";
+    out.path_prefix  = std::move(path);
+    out.rule         = rule;
+    out.timeout      = milliseconds{20'000};
+    out.latency_goal = milliseconds{5000};
+    out.max_attempts = attempts;
+    out.services     = {{"s", 1}};
+    return out;
+}
+
+configuration make_config()
+{
+    configuration out;
+    out.version = 1;
+    out.routes  = {make_route("/once/", repeat_rule::non_idempotent, 1),
+                   make_route("/again/", repeat_rule::idempotent, 2),
+                   make_route("/stream/", repeat_rule::stream, 1),
+                   make_route("/resume/", repeat_rule::stream, 2),
+                   make_route("/staged/", repeat_rule::idempotent, 1)};
+    out.routes[3].may_be_resumed = true;
+    out.routes[4].stages         = {{"p", {}, 1000}, {"p", {0}, 1000}};
+    service plain{"s", "", 1000, {}, {}};
+    service stage{"p", "", 1000, stage_limits{}, {}};
+    stage.stage->batch       = 8;
+    stage.stage->call_time   = milliseconds{10};
+    stage.stage->piece_time  = milliseconds{1};
+    stage.stage->result_room = 1'000'000;
+    stage.stage->result_kept = milliseconds{60'000};
+    out.services             = {plain, stage};
+    out.accounts             = {{"acc", {"k"}, {}}};
+    out.has_accounts         = true;
+    return out;
+}
+
+} // namespace
+
+gateway_fixture::gateway_fixture(std::vector<target> targets)
+{
+    gateway_settings settings;
+    settings.node           = "n1";
+    settings.failure_domain = "d1";
+    settings.listen = settings.ready = settings.peer = settings.metrics =
+        "127.0.0.1:0";
+    settings.store              = "127.0.0.1:1";
+    settings.bounds.retry_ratio = 10; // Budgets have tests of their own.
+    settings.bounds.retry_slack = 0;
+    gateway_                    = std::make_unique<gateway>(gateway_init{
+        settings, codec_, [targets](asio::io_context& io) {
+            return std::make_unique<fixed_reader>(io, make_config(), targets);
+        }});
+    REQUIRE(gateway_->start().ok());
+    asio::io_context io;
+    for (;;) {
+        tcp::socket socket(io);
+        socket.connect(
+            {asio::ip::address_v4::loopback(), gateway_->ready_port()});
+        asio::write(socket, asio::buffer(std::string(
+                                "GET /readyz HTTP/1.1\r\nHost: a\r\n\r\n")));
+        std::string text;
+        asio::read_until(socket, asio::dynamic_buffer(text), "\r\n\r\n");
+        if (text.starts_with("HTTP/1.1 200"))
+            return;
+        std::this_thread::yield();
+    }
+}
+
+std::string gateway_fixture::request(const std::string& path,
+                                     const std::string& body,
+                                     const std::string& extra)
+{
+    return "POST " + path +
+           " HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer k\r\n"
+           "Arbutusgate-Attempt-Id: 9c41\r\n"
+           "Arbutusgate-Deadline-Ms: 15000\r\nConnection: close\r\n" +
+           extra + "Content-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+}
+
+std::string gateway_fixture::exchange(const std::string& text) const
+{
+    asio::io_context          io;
+    tcp::socket               socket(io);
+    boost::system::error_code ec;
+    socket.connect({asio::ip::address_v4::loopback(), port()}, ec);
+    REQUIRE_FALSE(ec);
+    asio::write(socket, asio::buffer(text), ec);
+    std::string            out;
+    std::array<char, 4096> part{};
+    while (!ec) {
+        const auto n = socket.read_some(asio::buffer(part), ec);
+        out.append(part.data(), n);
+    }
+    return out;
+}
+
+} // namespace arbutusgate::gateway::test
--- /dev/null
+++ b/tests/gateway_fixture.hpp
@@ -0,0 +1,244 @@
+/// A gateway with scripted targets on loopback, and callers that send raw
+/// bytes.
+#pragma once
+
+#include "fiber_http.hpp"
+#include "gateway.hpp"
+#include "http_codec.hpp"
+#include "state_reader.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace arbutusgate::gateway::test {
+
+namespace asio = boost::asio;
+using tcp      = asio::ip::tcp;
+
+/// One connection at a scripted target.
+class target_session
+{
+public:
+    explicit target_session(tcp::socket socket) : socket_(std::move(socket)) {}
+
+    /// Head and body of the next request; empty at the end.
+    std::string read()
+    {
+        boost::system::error_code ec;
+        const auto n = asio::read_until(socket_, asio::dynamic_buffer(buffer_),
+                                        "\r\n\r\n", ec);
+        if (ec)
+            return {};
+        auto       head = buffer_.substr(0, n);
+        const auto at   = head.find("Content-Length: ");
+        const auto size =
+            at == std::string::npos ? 0U : std::stoul(head.substr(at + 16));
+        buffer_.erase(0, n);
+        while (buffer_.size() < size && !ec) {
+            std::array<char, 4096> part{};
+            const auto k = socket_.read_some(asio::buffer(part), ec);
+            buffer_.append(part.data(), k);
+        }
+        head += buffer_.substr(0, size);
+        buffer_.erase(0, size);
+        return head;
+    }
+    /// Reads the head only and leaves the body.
+    std::string read_head()
+    {
+        boost::system::error_code ec;
+        asio::read_until(socket_, asio::dynamic_buffer(buffer_), "\r\n\r\n",
+                         ec);
+        return buffer_;
+    }
+    void write(const std::string& text)
+    {
+        boost::system::error_code ec;
+        asio::write(socket_, asio::buffer(text), ec);
+    }
+    /// Ends the connection with a reset.
+    void reset()
+    {
+        boost::system::error_code ec;
+        socket_.set_option(asio::socket_base::linger(true, 0), ec);
+        socket_.close(ec);
+    }
+    /// Waits until the peer has closed.
+    void wait_closed()
+    {
+        boost::system::error_code ec;
+        char                      byte = 0;
+        while (!ec)
+            socket_.read_some(asio::buffer(&byte, 1), ec);
+    }
+
+private:
+    tcp::socket socket_;
+    std::string buffer_;
+};
+
+/// Runs a script for each connection, on a thread of its own.
+class scripted_target
+{
+public:
+    using script = std::function<void(target_session&)>;
+
+    explicit scripted_target(script run)
+        : run_(std::move(run)),
+          acceptor_(io_, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+          thread_([this] { accept(); })
+    {
+    }
+    ~scripted_target()
+    {
+        stop_ = true;
+        boost::system::error_code ec;
+        tcp::socket               wake(io_);
+        wake.connect(acceptor_.local_endpoint(), ec);
+        thread_.join();
+        for (auto& it : sessions_)
+            it.join();
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    }
+    std::vector<std::string> requests()
+    {
+        std::lock_guard lock(mutex_);
+        return requests_;
+    }
+    void note(std::string request)
+    {
+        std::lock_guard lock(mutex_);
+        requests_.push_back(std::move(request));
+    }
+
+private:
+    void accept()
+    {
+        while (!stop_) {
+            boost::system::error_code ec;
+            tcp::socket               socket(io_);
+            acceptor_.accept(socket, ec);
+            if (ec || stop_)
+                return;
+            sessions_.emplace_back(
+                [this, it = std::make_shared<target_session>(
+                           std::move(socket))] { run_(*it); });
+        }
+    }
+
+    script                   run_;
+    asio::io_context         io_;
+    tcp::acceptor            acceptor_;
+    std::atomic<bool>        stop_{false};
+    std::mutex               mutex_;
+    std::vector<std::string> requests_;
+    std::vector<std::thread> sessions_;
+    std::thread              thread_;
+};
+
+/// Publishes one configuration and a list of targets.
+class fixed_reader final : public state_reader
+{
+public:
+    fixed_reader(asio::io_context& io, configuration config,
+                 std::vector<target> targets)
+        : io_(io), config_(std::move(config)), targets_(std::move(targets))
+    {
+    }
+
+    absl::StatusOr<configuration> read_configuration(milliseconds) override
+    {
+        return config_;
+    }
+    absl::StatusOr<state_page> read_targets(const std::string&,
+                                            milliseconds) override
+    {
+        state_page out;
+        for (const auto& it : targets_)
+            out.entries.emplace_back(it);
+        return out;
+    }
+    absl::StatusOr<state_changes> watch(std::uint64_t after, milliseconds wait,
+                                        milliseconds) override
+    {
+        fiber_sleep(io_, wait);
+        return state_changes{{}, after};
+    }
+
+private:
+    asio::io_context&   io_;
+    configuration       config_;
+    std::vector<target> targets_;
+};
+
+/// A gateway with the routes /once/, /again/, /stream/, /resume/ and /staged/
+/// of host "a.example" and the service "s".
+class gateway_fixture
+{
+public:
+    explicit gateway_fixture(std::vector<target> targets);
+    ~gateway_fixture() = default;
+
+    /// Sends raw bytes; reads until the gateway closes or the answer is whole.
+    std::string exchange(const std::string& text) const;
+    /// A request of the caller with key "k".
+    static std::string request(const std::string& path,
+                               const std::string& body  = "body",
+                               const std::string& extra = "");
+    std::uint16_t      port() const { return gateway_->port(); }
+    gateway&           daemon() { return *gateway_; }
+
+private:
+    platform::http_codec     codec_;
+    std::unique_ptr<gateway> gateway_;
+};
+
+inline target make_target(const std::string& id, const std::string& address,
+                          const std::string& service = "s")
+{
+    return {id, service, address, "d1", 8, false, 0};
+}
+
+/// A signed answer with the caller's attempt.
+inline std::string answer(const std::string& body,
+                          const std::string& status = "200 OK",
+                          const std::string& extra  = "")
+{
+    return "HTTP/1.1 " + status +
+           "\r\nArbutusgate-Attempt-Id: 9c41\r\n"
+           "Arbutusgate-Server-Signature: sig\r\n" +
+           extra + "Content-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+}
+
+/// Head of a signed event stream in chunks.
+inline std::string stream_head()
+{
+    return "HTTP/1.1 200 OK\r\nArbutusgate-Attempt-Id: 9c41\r\n"
+           "Arbutusgate-Server-Signature: sig\r\n"
+           "Content-Type: text/event-stream\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+inline std::string chunk(const std::string& text)
+{
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+    return size + text + "\r\n";
+}
+
+} // namespace arbutusgate::gateway::test
--- /dev/null
+++ b/tests/gateway_test.cpp
@@ -0,0 +1,267 @@
+#include "gateway_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <future>
+
+using namespace arbutusgate;
+using namespace arbutusgate::gateway;
+using namespace arbutusgate::gateway::test;
+
+namespace {
+
+bool has(const std::string& text, std::string_view part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+/// Answers each request with the text.
+scripted_target::script always(std::string text)
+{
+    return [text = std::move(text)](target_session& it) {
+        while (!it.read().empty())
+            it.write(text);
+    };
+}
+
+/// Resets each connection after a request.
+void reset_always(target_session& it)
+{
+    it.read();
+    it.reset();
+}
+
+} // namespace
+
+// Guards against an answer that is changed on its way, and against a request
+// that reaches its target with the caller's key.
+TEST_CASE("a call and its answer pass unchanged", "[gateway][sockets]")
+{
+    std::string     seen;
+    scripted_target t([&](target_session& it) {
+        seen = it.read();
+        it.write(answer("result", "200 OK", "X-Mine: 7\r\n"));
+    });
+    gateway_fixture g({make_target("i-1", t.address())});
+    const auto      out = g.exchange(g.request("/once/x?q=1", "payload"));
+    CHECK(has(out, "HTTP/1.1 200 OK"));
+    CHECK(has(out, "Arbutusgate-Server-Signature: sig"));
+    CHECK(has(out, "X-Mine: 7"));
+    CHECK(out.ends_with("\r\n\r\nresult"));
+    CHECK(has(seen, "POST /once/x?q=1 HTTP/1.1"));
+    CHECK(has(seen, "Arbutusgate-Tenant: acc"));
+    CHECK(has(seen, "Arbutusgate-Expect-Replica: i-1"));
+    CHECK_FALSE(has(seen, "Bearer"));
+    CHECK(seen.ends_with("payload"));
+}
+
+// Guards against requests that run although no configuration allows them.
+TEST_CASE("requests without route, key or id reach no target",
+          "[gateway][sockets]")
+{
+    scripted_target t(always(answer("x")));
+    gateway_fixture g({make_target("i-1", t.address())});
+    CHECK(has(g.exchange(g.request("/none/")), "HTTP/1.1 404"));
+    auto wrong = g.request("/once/");
+    wrong.replace(wrong.find("Bearer k"), 8, "Bearer z");
+    CHECK(has(g.exchange(wrong), "HTTP/1.1 401"));
+    auto without = g.request("/once/");
+    without.erase(without.find("Arbutusgate-Attempt"), 30);
+    CHECK(has(g.exchange(without), "HTTP/1.1 400"));
+    CHECK(has(g.exchange("nonsense\r\n\r\n"), "HTTP/1.1 400"));
+}
+
+// Guards against a non-idempotent request that runs twice, and against one
+// that may have run and is called not run.
+TEST_CASE("a lost answer is repeated only where the route allows it",
+          "[gateway][sockets]")
+{
+    std::atomic<int> runs{0};
+    scripted_target  bad([&](target_session& it) {
+        ++runs;
+        reset_always(it);
+    });
+    scripted_target  good(always(answer("fine")));
+    gateway_fixture  g({make_target("i-1", bad.address())});
+    CHECK(has(g.exchange(g.request("/once/")), "HTTP/1.1 502"));
+    CHECK(runs == 1);
+    gateway_fixture both({make_target("i-1", bad.address()),
+                          make_target("i-2", good.address())});
+    for (int n = 0; n < 4; ++n)
+        CHECK(both.exchange(both.request("/again/")).ends_with("fine"));
+}
+
+// Guards against a success that is not the target's whole answer.
+TEST_CASE("truncated, unsigned and encoded answers are failures",
+          "[gateway][sockets]")
+{
+    const auto whole = answer("0123456789");
+    auto       plain = whole;
+    plain.erase(plain.find("Arbutusgate-Server-Signature: sig\r\n"), 35);
+    for (const auto& text :
+         {whole.substr(0, whole.size() - 3), plain,
+          answer("x", "200 OK", "Content-Encoding: gzip\r\n"),
+          std::string("garbage\r\n\r\n")})
+    {
+        scripted_target t([&](target_session& it) {
+            it.read();
+            it.write(text);
+        });
+        gateway_fixture g({make_target("i-1", t.address())});
+        CHECK(has(g.exchange(g.request("/once/")), "HTTP/1.1 502"));
+    }
+}
+
+// Guards against a promise of "not run" that is held back or not given.
+TEST_CASE("a target's refusal is told with a time to come back",
+          "[gateway][sockets]")
+{
+    scripted_target t(always("HTTP/1.1 503 Full\r\n"
+                             "Arbutusgate-Not-Executed: 1\r\n"
+                             "Content-Length: 0\r\n\r\n"));
+    gateway_fixture g({make_target("i-1", t.address())});
+    const auto      out = g.exchange(g.request("/once/"));
+    CHECK(has(out, "HTTP/1.1 503"));
+    CHECK(has(out, "Retry-After: 0.25"));
+    CHECK_FALSE(has(out, "Arbutusgate-Server-Signature"));
+}
+
+// Guards against an answer to another request that is given to this one, and
+// against bytes after an answer that are taken for the next one.
+TEST_CASE("answers to other requests are dropped", "[gateway][sockets]")
+{
+    auto other = answer("other");
+    other.replace(other.find("9c41"), 4, "0000");
+    std::atomic<int> connections{0};
+    scripted_target  t([&](target_session& it) {
+        ++connections;
+        it.read();
+        it.write(other + answer("mine") + other);
+        it.wait_closed();
+    });
+    gateway_fixture  g({make_target("i-1", t.address())});
+    CHECK(g.exchange(g.request("/once/")).ends_with("mine"));
+    CHECK(g.exchange(g.request("/once/")).ends_with("mine"));
+    CHECK(connections == 2);
+}
+
+// Guards against an answer that is lost since the target did not read all of
+// the request.
+TEST_CASE("an answer before the end of a long body is delivered",
+          "[gateway][sockets]")
+{
+    scripted_target t([&](target_session& it) {
+        it.read_head();
+        it.write(answer("early"));
+        it.wait_closed();
+    });
+    gateway_fixture g({make_target("i-1", t.address())});
+    const auto      out =
+        g.exchange(g.request("/once/", std::string(3'000'000, 'x')));
+    CHECK(out.ends_with("early"));
+}
+
+// Guards against a cut stream that looks whole.
+TEST_CASE("a stream that breaks off does not end", "[gateway][sockets]")
+{
+    scripted_target t([&](target_session& it) {
+        it.read();
+        it.write(stream_head() + chunk("id: 1\ndata: a\n\nid: 2\nda"));
+        it.reset();
+    });
+    gateway_fixture g({make_target("i-1", t.address())});
+    const auto      out = g.exchange(g.request("/stream/"));
+    CHECK_FALSE(has(out, "\r\n0\r\n"));
+    CHECK_FALSE(has(out, "id: 2"));
+}
+
+// Guards against a resumed stream with a piece missing, doubled or torn.
+TEST_CASE("a stream is resumed after the last whole event",
+          "[gateway][sockets]")
+{
+    std::atomic<int> calls{0};
+    std::string      second;
+    const auto       script = [&](target_session& it) {
+        const auto request = it.read();
+        if (request.empty())
+            return;
+        if (++calls == 1) {
+            it.write(stream_head() + chunk("id: 1\ndata: a\n\nid: 2\nda"));
+            it.reset();
+            return;
+        }
+        second = request;
+        it.write(stream_head() + chunk("id: 2\ndata: b\n\n") +
+                       chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n");
+    };
+    scripted_target one(script);
+    scripted_target two(script);
+    gateway_fixture g(
+        {make_target("i-1", one.address()), make_target("i-2", two.address())});
+    const auto out = g.exchange(g.request("/resume/"));
+    CHECK(has(second, "Last-Event-Id: 1"));
+    CHECK(has(out, "id: 1\ndata: a\n\n"));
+    CHECK(has(out, "id: 2\ndata: b\n\n"));
+    CHECK(has(out, "id: 3\ndata: c\n\n"));
+    CHECK(out.find("id: 2") == out.rfind("id: 2"));
+    CHECK(out.ends_with("0\r\n\r\n"));
+}
+
+// Guards against a target that works on for a caller that has left.
+TEST_CASE("a caller's leaving ends the call at the target",
+          "[gateway][sockets]")
+{
+    std::promise<void> arrived;
+    std::promise<void> closed;
+    scripted_target    t([&](target_session& it) {
+        it.read();
+        arrived.set_value();
+        it.wait_closed();
+        closed.set_value();
+    });
+    gateway_fixture    g({make_target("i-1", t.address())});
+    {
+        asio::io_context io;
+        tcp::socket      caller(io);
+        caller.connect({asio::ip::address_v4::loopback(), g.port()});
+        asio::write(caller, asio::buffer(g.request("/stream/")));
+        arrived.get_future().wait();
+    }
+    closed.get_future().wait();
+}
+
+// Guards against pieces that are given inputs of others, or none.
+TEST_CASE("stages run in order and their results reach the request",
+          "[gateway][sockets]")
+{
+    std::string     final_request;
+    scripted_target stage([&](target_session& it) {
+        for (auto text = it.read(); !text.empty(); text = it.read()) {
+            if (has(text, "/stage-free")) {
+                it.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                continue;
+            }
+            const bool second = has(text, R"("stage":1)");
+            if (second) {
+                CHECK(has(text, R"("inputs":["h/0","h/1"])"));
+            }
+            else {
+                CHECK(has(text, R"("key":"kk")"));
+            }
+            it.write(answer(second ? R"({"items":[{"handle":"h/2"}]})"
+                                   : R"({"items":[{"handle":"h/0"},)"
+                                     R"({"handle":"h/1"}]})"));
+        }
+    });
+    scripted_target engine([&](target_session& it) {
+        final_request = it.read();
+        it.write(answer("done"));
+    });
+    gateway_fixture g({make_target("i-1", engine.address()),
+                       make_target("p-1", stage.address(), "p")});
+    const auto      out = g.exchange(
+             g.request("/staged/", "body",
+                       "Arbutusgate-Pieces: 2,1\r\nArbutusgate-Piece-Key: kk\r\n"));
+    CHECK(out.ends_with("done"));
+    CHECK(has(final_request, "Arbutusgate-Inputs: h/2\r\n"));
+}
