--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -372,6 +372,23 @@
     return absl::OkStatus();
 }
 
+void gateway::reload(const gateway_settings& settings)
+{
+    const auto& old = impl_->settings;
+    const bool  restart =
+        settings.listen != old.listen || settings.ready != old.ready ||
+        settings.peer != old.peer || settings.metrics != old.metrics ||
+        settings.store != old.store ||
+        settings.failure_domain != old.failure_domain;
+    log(log_level::info, "settings reloaded", {{"restart_needed", restart}});
+    impl_->thread.spawn([this, settings] {
+        impl_->settings.bounds = settings.bounds;
+        impl_->settings.seeds  = settings.seeds;
+        impl_->budget.set_limits(limits_of(settings.bounds));
+        impl_->peers->set_seeds(settings.seeds);
+    });
+}
+
 std::uint16_t gateway::port() const
 {
     return impl_->front->port();
--- a/src/gateway.hpp
+++ b/src/gateway.hpp
@@ -42,6 +42,9 @@
     /// the settings for port 0.
     std::uint16_t port() const;
     std::uint16_t ready_port() const;
+    /// Takes over bounds and seeds. Other changes wait for the next start and
+    /// are logged.
+    void reload(const gateway_settings& settings);
     /// Not ready any more; ends idle connections after those that send callers
     /// have noticed, and waits for open requests within the grace.
     void drain();
--- a/src/peer_mesh.hpp
+++ b/src/peer_mesh.hpp
@@ -57,6 +57,11 @@
     /// Tells the others that this daemon leaves, so that it owns nothing.
     void announce_leaving();
 
+    void set_seeds(std::vector<std::string> seeds)
+    {
+        table_.set_seeds(std::move(seeds));
+    }
+
     const peer_table& table() const { return table_; }
     peer_mesh_stats   stats() const { return stats_; }
 
--- a/src/peer_table.cpp
+++ b/src/peer_table.cpp
@@ -26,6 +26,12 @@
     : self_(std::move(self)), seeds_(std::move(seeds)), random_(seed),
       times_(times)
 {
+    set_seeds(std::move(seeds_));
+}
+
+void peer_table::set_seeds(std::vector<std::string> seeds)
+{
+    seeds_ = std::move(seeds);
     std::erase(seeds_, self_.address);
 }
 
--- a/src/peer_table.hpp
+++ b/src/peer_table.hpp
@@ -48,6 +48,7 @@
 
     const peer& self() const { return self_; }
     void        set_leaving() { self_.leaving = true; }
+    void        set_seeds(std::vector<std::string> seeds);
 
     /// A round begins. After a pause of this process the others are given the
     /// time that it missed.
--- a/src/retry_budget.hpp
+++ b/src/retry_budget.hpp
@@ -27,6 +27,7 @@
 public:
     explicit retry_budget(retry_limits limits) : limits_(limits) {}
 
+    void set_limits(retry_limits limits) { limits_ = limits; }
     /// Daemons that may send repeats, this one included; the slack is divided
     /// by it. Zero: not known yet, no slack is used.
     void set_daemons(std::uint32_t n) { daemons_ = n; }
--- a/tools/arbutusgate-gateway.cpp
+++ b/tools/arbutusgate-gateway.cpp
@@ -1,3 +1,4 @@
+#include "config_files.hpp"
 #include "gateway.hpp"
 #include "http_codec.hpp"
 #include "log.hpp"
@@ -11,17 +12,33 @@
 
 using namespace arbutusgate;
 
-/// Waits for the end or for changed settings.
-/// \return the signal.
-int wait_for_signal(const sigset_t& signals)
+/// Settings are read again this often, in case they changed without a signal.
+constexpr timespec reread_time{5, 0};
+
+/// Reads the settings again after SIGHUP and when their text has changed.
+void follow_settings(gateway::gateway& process, const std::string& path,
+                     const sigset_t& signals)
 {
-    int number = 0;
-    while (sigwait(&signals, &number) != 0) {
+    auto known = read_file(path);
+    for (;;) {
+        const int  number = sigtimedwait(&signals, nullptr, &reread_time);
+        const bool asked  = number == SIGHUP;
+        if (number > 0 && !asked)
+            return;
+        auto text = read_file(path);
+        if (!text.ok() || (!asked && known.ok() && *text == *known))
+            continue;
+        known               = text;
+        const auto settings = gateway::parse_gateway_settings(*text, path);
+        if (settings.ok())
+            process.reload(*settings);
+        else
+            log(log_level::error, "settings not usable; the old ones stay",
+                {{"error", std::string(settings.status().message())}});
     }
-    return number;
 }
 
-int run(const gateway::gateway_settings& settings)
+int run(const gateway::gateway_settings& settings, const std::string& path)
 {
     sigset_t signals;
     sigemptyset(&signals);
@@ -44,8 +61,7 @@
          {"node", settings.node},
          {"listen", settings.listen},
          {"store", settings.store}});
-    while (wait_for_signal(signals) == SIGHUP)
-        log(log_level::info, "reload asked for");
+    follow_settings(process, path, signals);
     process.drain();
     return exit_status::ok;
 }
@@ -60,9 +76,6 @@
                      path);
     if (const auto status = options.parse(argc, argv))
         return *status;
-    if (const char* given = std::getenv("ARBUTUSGATE_CONFIG");
-        path.empty() && given)
-        path = given;
     const auto settings = gateway::load_gateway_settings(path);
     if (!settings.ok()) {
         std::cerr << settings.status().message() << '\n';
@@ -73,7 +86,7 @@
         return exit_status::wrong_use;
     }
     std::signal(SIGPIPE, SIG_IGN);
-    const int code = run(*settings);
+    const int code = run(*settings, path);
     stop_log();
     return code;
 }
