Make large results near the target that keeps the prompt

Change: a first stage with large results prefers the domain of the target that rendezvous hashing gives the prompt.

--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -33,7 +33,6 @@
 constexpr milliseconds target_full_retry{250};
 /// A target's stream that is silent for longer is resumed elsewhere.
 constexpr milliseconds resume_silence{1200};
-constexpr std::size_t  plain_limit = 1024 * 1024; // bytes held of an answer
 /// Times of a target's first event and of a stage until they are learned.
 constexpr milliseconds model_reserve{200};
 constexpr milliseconds stage_reserve{300};
@@ -246,7 +245,19 @@
     return out;
 }
 
-stage_order forward_run::make_order(std::uint32_t stage) const
+/// The failure domain of the target that probably keeps the prompt's parts.
+std::string forward_run::home_domain()
+{
+    pick_hints hints;
+    hints.affinity = affinity();
+    if (hints.affinity == 0)
+        return "";
+    const auto* it = parts_.picker.pick(parts_.targets.usable(service_->name),
+                                        hints, daemon_now());
+    return it ? it->failure_domain : "";
+}
+
+stage_order forward_run::make_order(std::uint32_t stage)
 {
     const auto& step   = route_->stages[stage];
     const auto  count  = stage < call_.pieces.size() ? call_.pieces[stage] : 0;
@@ -260,8 +271,11 @@
     out.group.limit = first_event_by_ - rest;
     out.group.limit = std::min(out.group.limit, inputs_kept_until(stage));
     out.group.failure_domain = domain_of(step.after);
-    out.group.result_bytes   = step.result_bytes;
-    out.group.kind           = static_cast<std::uint32_t>(
+    // Large results are made near the target that keeps the prompt.
+    if (step.after.empty() && count * step.result_bytes >= large_result)
+        out.group.failure_domain = home_domain();
+    out.group.result_bytes = step.result_bytes;
+    out.group.kind         = static_cast<std::uint32_t>(
         XXH3_64bits_withSeed(route_->name.data(), route_->name.size(), stage));
     for (std::uint32_t n = 0; n < count; ++n) {
         stage_piece it;
--- a/src/forward_run.hpp
+++ b/src/forward_run.hpp
@@ -77,7 +77,8 @@
     std::optional<run_failure> admit();
     std::optional<run_failure> run_stages();
     bool                       submit_stages(run_failure& failure);
-    stage_order                make_order(std::uint32_t stage) const;
+    stage_order                make_order(std::uint32_t stage);
+    std::string                home_domain();
     std::vector<std::string>   inputs_of(std::uint32_t stage) const;
     std::vector<std::string>   final_inputs() const;
     std::string  domain_of(const std::vector<std::uint32_t>& stages) const;
@@ -130,7 +131,6 @@
     std::shared_ptr<fiber_signal>              changed_;
     std::string result_domain_; ///< Where most result bytes lie.
     bool        results_released_ = false;
-    bool        sent_             = false; ///< To any target.
 
     std::vector<std::string>   tried_;
     std::uint32_t              attempts_    = 0;
