Finish other daemons' orders before a stop

A draining daemon ended with other daemons' orders in its queue; most of the lines, however, were orders whose limit had passed without an answer. Ruled out: dead owners ('peer does not answer' stands at other times). Change: an order of another daemon counts as open work of a drain; an order without an answer at its limit is late and is not moved.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -85,6 +85,7 @@
     void          configured(const route_table& table);
     void          target_changed(const std::string& id, target_change what);
     void          serve(http_exchange& exchange);
+    void          serve_peer(http_exchange& exchange);
     void          serve_ready(http_exchange& exchange) const;
     void          serve_metrics(http_exchange& exchange) const;
     bool          ready() const;
@@ -262,6 +263,15 @@
     --open_requests;
 }
 
+// An order of another daemon counts as open work: this one must not end with
+// the order in its queue.
+void gateway::impl::serve_peer(http_exchange& exchange)
+{
+    ++open_requests;
+    peers->serve(exchange);
+    --open_requests;
+}
+
 bool gateway::impl::ready() const
 {
     return !draining && state->table() && state->targets_known();
@@ -325,7 +335,7 @@
         on);
     self->peer_port = std::make_unique<http_server>(
         self->listener(it.peer,
-                       [self](http_exchange& e) { self->peers->serve(e); }),
+                       [self](http_exchange& e) { self->serve_peer(e); }),
         on);
     self->metrics_port = std::make_unique<http_server>(
         self->listener(it.metrics,
@@ -394,6 +404,11 @@
     return impl_->front->port();
 }
 
+std::uint16_t gateway::peer_port() const
+{
+    return impl_->peer_port->port();
+}
+
 std::uint16_t gateway::ready_port() const
 {
     return impl_->readiness->port();
--- a/src/gateway.hpp
+++ b/src/gateway.hpp
@@ -38,9 +38,10 @@
 
     /// \return Unavailable when an address cannot be bound.
     absl::Status start();
-    /// Ports of callers and of readiness checks, after start; they differ from
-    /// the settings for port 0.
+    /// Ports of callers, other daemons and readiness checks, after start; they
+    /// differ from the settings for port 0.
     std::uint16_t port() const;
+    std::uint16_t peer_port() const;
     std::uint16_t ready_port() const;
     /// Takes over bounds and seeds. Other changes wait for the next start and
     /// are logged.
--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -216,13 +216,16 @@
         }
         if (it->withdrawn)
             break;
+        if (daemon_now() >= it->order.group.limit) {
+            finish(it, {order_state::late, {}, {}});
+            return;
+        }
         ++stats_.orders_moved;
         log(log_level::warning, "stage order moves to another owner",
             {{"request", it->order.pieces.front().attempt},
              {"service", it->order.service},
              {"owner", it->owner}});
-        if (daemon_now() < it->order.group.limit)
-            peer_silent(it->owner, true);
+        peer_silent(it->owner, true);
     }
     if (!it->withdrawn)
         make_here(it);
--- a/tests/gateway_fixture.cpp
+++ b/tests/gateway_fixture.cpp
@@ -88,12 +88,14 @@
            "\r\n\r\n" + body;
 }
 
-std::string gateway_fixture::exchange(const std::string& text) const
+std::string gateway_fixture::exchange(const std::string& text,
+                                      std::uint16_t      to) const
 {
     asio::io_context          io;
     tcp::socket               socket(io);
     boost::system::error_code ec;
-    socket.connect({asio::ip::address_v4::loopback(), port()}, ec);
+    socket.connect({asio::ip::address_v4::loopback(), to == 0 ? port() : to},
+                   ec);
     REQUIRE_FALSE(ec);
     asio::write(socket, asio::buffer(text), ec);
     std::string            out;
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -194,7 +194,7 @@
     ~gateway_fixture() = default;
 
     /// Sends raw bytes; reads until the gateway closes or the answer is whole.
-    std::string exchange(const std::string& text) const;
+    std::string exchange(const std::string& text, std::uint16_t port = 0) const;
     /// A request of the caller with key "k".
     static std::string request(const std::string& path,
                                const std::string& body  = "body",
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -1,4 +1,6 @@
+#include "daemon_clock.hpp"
 #include "gateway_fixture.hpp"
+#include "peer_codec.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -265,3 +267,41 @@
     CHECK(out.ends_with("done"));
     CHECK(has(final_request, "Arbutusgate-Inputs: h/2\r\n"));
 }
+
+// Guards against a daemon that stops with another daemon's order in its queue,
+// which would have the pieces made again elsewhere.
+TEST_CASE("a draining daemon finishes the orders of others",
+          "[gateway][sockets]")
+{
+    std::promise<void> arrived;
+    std::promise<void> drained;
+    auto               draining = drained.get_future().share();
+    scripted_target    stage([&](target_session& it) {
+        it.read();
+        arrived.set_value();
+        draining.wait();
+        it.write(answer(R"({"items":[{"handle":"h/0"}]})"));
+    });
+    gateway_fixture    g({make_target("p-1", stage.address(), "p")});
+    stage_order        order;
+    order.service     = "p";
+    order.group.goal  = daemon_now() + seconds{30};
+    order.group.limit = daemon_now() + seconds{30};
+    order.pieces.push_back({"9c41", 0, 0, milliseconds{0}, "kk", {}});
+    const auto body = encode(order, daemon_now());
+    auto       told = std::async(std::launch::async, [&] {
+        return g.exchange("POST /v1/orders HTTP/1.1\r\nHost: a\r\n"
+                                      "Connection: close\r\nContent-Length: " +
+                                    std::to_string(body.size()) + "\r\n\r\n" + body,
+                                g.daemon().peer_port());
+    });
+    arrived.get_future().wait();
+    auto ended = std::async(std::launch::async, [&] { g.daemon().drain(); });
+    drained.set_value();
+    ended.wait();
+    const auto reply = told.get();
+    const auto read  = decode_outcome(reply.substr(reply.find("\r\n\r\n") + 4));
+    REQUIRE(read);
+    CHECK(read->state == order_state::done);
+    CHECK(read->handles == std::vector<std::string>{"h/0"});
+}
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -1,4 +1,6 @@
+#include "gateway_fixture.hpp"
 #include "http_codec.hpp"
+#include "store_client.hpp"
 #include "store_codec.hpp"
 
 #include "absl/strings/escaping.h"
@@ -8,6 +10,7 @@
 using namespace arbutusgate;
 using namespace arbutusgate::gateway;
 using namespace arbutusgate::platform;
+using arbutusgate::test::run_on;
 
 namespace {
 
@@ -267,3 +270,55 @@
     CHECK_FALSE(codec.decode_stage_results("x", 1).ok());
     CHECK(codec.encode_release({"h1"}, at).body() == R"({"handles":["h1"]})");
 }
+
+// Guards against a store's refusal, lost history or lost answer that is taken
+// for another one, and against a connection that is used after a lost answer.
+TEST_CASE("the store's client reads, follows and reports", "[platform]")
+{
+    using namespace arbutusgate::gateway::test;
+    const auto reply = [](const std::string& status, const std::string& body) {
+        return "HTTP/1.1 " + status +
+               "\r\nContent-Length: " + std::to_string(body.size()) +
+               "\r\n\r\n" + body;
+    };
+    std::atomic<int> connections{0};
+    scripted_target  store([&](target_session& it) {
+        ++connections;
+        for (auto text = it.read(); !text.empty(); text = it.read()) {
+            const auto line = text.substr(0, text.find('\r'));
+            if (line == "GET /kv-key?key=op/config HTTP/1.1")
+                it.write(reply("200 OK", item("op/config", config_text)));
+            else if (line == "GET /kv-range?pathPrefix=servers/ HTTP/1.1")
+                it.write(reply("200 OK",
+                                R"({"items":[)" +
+                                    item("servers/i-1", target_text) +
+                                    R"(],"morePages":true,"currentRev":7})"));
+            else if (line == "GET /kv-range?pathPrefix=servers/&after="
+                              "servers/i-1 HTTP/1.1")
+                it.write(reply("503 Busy", ""));
+            else if (line == "GET /kv-watch?pathPrefix=&after=7&waitMs=300 "
+                              "HTTP/1.1")
+                it.write(reply("410 Gone", ""));
+            else
+                return;
+        }
+    });
+    io_thread        thread;
+    run_on(thread, [&] {
+        constexpr milliseconds limit{20'000};
+        store_client           it(thread.io(), store.address());
+        CHECK(it.read_configuration(limit)->version == 7);
+        const auto page = it.read_targets("", limit);
+        CHECK(page->entries.size() == 1);
+        CHECK(absl::IsResourceExhausted(
+            it.read_targets(page->next_page, limit).status()));
+        CHECK(
+            absl::IsOutOfRange(it.watch(7, milliseconds{300}, limit).status()));
+        CHECK(connections == 1);
+        CHECK(absl::IsUnavailable(
+            it.watch(8, milliseconds{300}, limit).status()));
+        CHECK(it.read_configuration(limit).ok());
+        CHECK(connections == 2);
+        return true;
+    });
+}
