--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -289,16 +289,50 @@
 
 void gateway::impl::serve_metrics(http_exchange& exchange) const
 {
-    const auto    calls = stages->stats();
+    const auto now   = daemon_now();
+    const auto calls = stages->stats();
+    const auto mesh  = peers->stats();
+    const auto table = state->table();
+    const auto n     = [](auto it) {
+        return static_cast<double>(it);
+    };
+    const auto age =
+        std::chrono::duration<double>(now - state->answered_at()).count();
     http_response out(http::status::ok, 11);
     out.set(http::field::content_type, "text/plain; version=0.0.4");
     out.body() = counters.text({
-        {"open_requests", "Requests being served.",
-         static_cast<double>(open_requests.load())},
-        {"stage_calls_total", "Calls to stage targets.",
-         static_cast<double>(calls.calls), true},
-        {"stage_pieces_total", "Pieces sent to stage targets.",
-         static_cast<double>(calls.pieces), true},
+        {"ready", "1: ready for callers.", ready() ? 1.0 : 0.0},
+        {"requests_running", "Requests and orders being served.",
+         n(open_requests.load())},
+        {"config_version", "Version in force; 0: none.",
+         table ? n(table->version()) : 0},
+        {"store_age_seconds", "Since the store last answered.", age},
+        {"targets", "Targets that are known.", n(targets.size())},
+        {"daemons_alive", "Daemons believed alive, this one included.",
+         n(peers->table().alive(now).size() + 1)},
+        {"target_connections_opened_total", "Connections to targets.",
+         n(connections->opened()), true},
+        {"target_connections_failed_total", "Connections that failed.",
+         n(connections->failed()), true},
+        {"target_connections_idle", "Idle connections to targets.",
+         n(connections->idle())},
+        {"stage_calls_total", "Calls to stage targets.", n(calls.calls), true},
+        {"stage_pieces_total", "Pieces in these calls.", n(calls.pieces), true},
+        {"stage_results_total", "Results of pieces.", n(calls.results), true},
+        {"stage_calls_refused_total", "Calls that targets refused.",
+         n(calls.refused_calls), true},
+        {"stage_calls_failed_total", "Calls without a usable answer.",
+         n(calls.failed_calls), true},
+        {"stage_calls_overdue_total", "Calls taken for lost.",
+         n(calls.overdue_calls), true},
+        {"stage_duplicates_total", "Results that were not needed.",
+         n(calls.duplicates), true},
+        {"orders_sent_total", "Stage orders to other daemons.",
+         n(mesh.orders_sent), true},
+        {"orders_served_total", "Stage orders of other daemons.",
+         n(mesh.orders_served), true},
+        {"orders_moved_total", "Stage orders whose owner failed.",
+         n(mesh.orders_moved), true},
     });
     exchange.respond(std::move(out));
 }
