Bound the control traffic of large fleets

Cause: each gossip message held all members, each 400 ms: by the sizes of the messages 400 KB/s for a daemon of 360, against 4 KB/s. Change: messages hold 12 entries, rounds are rarer and death slower in a fleet of more than 12 daemons, a silent owner is suspect for longer each time, and results tell the queues of their service.

--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -154,6 +154,8 @@
     for (const auto& handle : it.handles)
         out.add_handles(handle);
     out.set_retry_after_ms(static_cast<std::uint32_t>(it.retry_after.count()));
+    out.set_on_time_us(static_cast<std::uint64_t>(it.queue.on_time.count()));
+    out.set_all_us(static_cast<std::uint64_t>(it.queue.all.count()));
     return out.SerializeAsString();
 }
 
@@ -166,6 +168,9 @@
     out.state = decode(in.state());
     out.handles.assign(in.handles().begin(), in.handles().end());
     out.retry_after = milliseconds{in.retry_after_ms()};
+    out.queue.on_time =
+        microseconds{static_cast<std::int64_t>(in.on_time_us())};
+    out.queue.all = microseconds{static_cast<std::int64_t>(in.all_us())};
     return out;
 }
 
--- a/src/peer_codec.hpp
+++ b/src/peer_codec.hpp
@@ -25,6 +25,7 @@
     order_state              state = order_state::failed;
     std::vector<std::string> handles;
     milliseconds             retry_after{0};
+    stage_queue              queue; ///< At the owner, afterwards.
 };
 
 std::string                encode(const peer_gossip& it);
--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -19,7 +19,6 @@
 constexpr milliseconds gossip_limit{500};
 constexpr milliseconds release_limit{1000};
 constexpr milliseconds release_delay{25};
-constexpr milliseconds round_time{400};
 /// Owners that are tried for one order, before it is made here.
 constexpr int owner_tries = 2;
 /// Added to an order's limit for the way of its answer.
@@ -45,7 +44,7 @@
     spawn_fiber([this, alive = alive_] {
         while (*alive) {
             run_rounds();
-            fiber_sleep(io_, round_time);
+            fiber_sleep(io_, table_.interval());
         }
     });
     spawn_fiber([this, alive = alive_] {
@@ -217,7 +216,7 @@
         if (it->withdrawn)
             break;
         if (daemon_now() >= it->order.group.limit) {
-            finish(it, {order_state::late, {}, {}});
+            finish(it, {order_state::late, {}, {}, queues_[it->order.service]});
             return;
         }
         ++stats_.orders_moved;
@@ -258,7 +257,8 @@
     const auto state = it->local->state == order_state::waiting
                            ? order_state::late
                            : it->local->state;
-    finish(it, {state, it->local->handles, it->local->retry_after});
+    finish(it, {state, it->local->handles, it->local->retry_after,
+                desk_.queue(it->order.service)});
 }
 
 void peer_mesh::finish(const remote_ptr& it, stage_outcome outcome)
@@ -268,9 +268,10 @@
         release(it->order.service, outcome.handles);
         return;
     }
-    it->ticket->state       = outcome.state;
-    it->ticket->handles     = std::move(outcome.handles);
-    it->ticket->retry_after = outcome.retry_after;
+    queues_[it->order.service] = outcome.queue;
+    it->ticket->state          = outcome.state;
+    it->ticket->handles        = std::move(outcome.handles);
+    it->ticket->retry_after    = outcome.retry_after;
     it->ticket->changed->notify();
 }
 
@@ -368,6 +369,7 @@
     }
     ++stats_.orders_served;
     const auto limit   = order->group.limit;
+    const auto service = order->service;
     auto       changed = std::make_shared<fiber_signal>();
     bool       gone    = false;
     exchange.on_client_gone([&gone, changed] {
@@ -389,8 +391,9 @@
         return;
     }
     http_response out(http::status::ok, 11);
-    out.body() = encode(
-        stage_outcome{ticket->state, ticket->handles, ticket->retry_after});
+    out.body() =
+        encode(stage_outcome{ticket->state, ticket->handles,
+                             ticket->retry_after, desk_.queue(service)});
     exchange.respond(std::move(out));
 }
 
--- a/src/peer_table.cpp
+++ b/src/peer_table.cpp
@@ -37,15 +37,29 @@
 
 bool peer_table::living(const entry& it, time_point now) const
 {
-    return now - it.heard < times_.dead;
+    return now - it.heard < times_.dead + times_.dead_per_daemon *
+                                              static_cast<int>(beyond_small());
+}
+
+/// Daemons beyond those of a small fleet.
+std::size_t peer_table::beyond_small() const
+{
+    const auto n = peers_.size() + 1;
+    return n > times_.small_fleet ? n - times_.small_fleet : 0;
+}
+
+milliseconds peer_table::interval() const
+{
+    const auto n = std::max(peers_.size() + 1, times_.small_fleet);
+    return times_.interval * static_cast<int>(n) /
+           static_cast<int>(times_.small_fleet);
 }
 
 void peer_table::beat(time_point now)
 {
     ++self_.heartbeat;
     ++rounds_;
-    if (beaten_ != time_point{} &&
-        now - beaten_ > pause_rounds * times_.interval) {
+    if (beaten_ != time_point{} && now - beaten_ > pause_rounds * interval()) {
         for (auto& [address, it] : peers_)
             it.heard += now - beaten_;
     }
@@ -93,6 +107,7 @@
     if (it.incarnation > known.it.incarnation) {
         known.suspect_until = {};
         known.misses        = 0;
+        known.suspects      = 0;
     }
     known.it    = it;
     known.heard = now;
@@ -104,6 +119,7 @@
     if (it == peers_.end())
         return;
     it->second.misses        = 0;
+    it->second.suspects      = 0;
     it->second.suspect_until = {};
 }
 
@@ -115,18 +131,25 @@
         return false;
     if (++it->second.misses < misses_allowed && !certain)
         return false;
-    const bool already       = now < it->second.suspect_until;
-    it->second.suspect_until = now + times_.suspect;
+    const bool already = now < it->second.suspect_until;
+    const auto time =
+        std::min(times_.suspect * (1 << std::min(it->second.suspects, 6U)),
+                 times_.suspect_most);
+    it->second.suspect_until = now + time;
+    ++it->second.suspects;
     return !already;
 }
 
-std::vector<peer> peer_table::entries(time_point now) const
+std::vector<peer> peer_table::entries(time_point now)
 {
-    std::vector<peer> out{self_};
+    std::vector<peer> out;
     for (const auto& [address, it] : peers_) {
         if (living(it, now))
             out.push_back(it.it);
     }
+    std::shuffle(out.begin(), out.end(), random_);
+    out.resize(std::min(out.size(), times_.entries - 1));
+    out.insert(out.begin(), self_);
     return out;
 }
 
--- a/src/peer_table.hpp
+++ b/src/peer_table.hpp
@@ -25,17 +25,25 @@
 /// Times of a table.
 struct peer_times
 {
-    milliseconds interval{400}; ///< Between gossip rounds.
+    /// Between gossip rounds of a small fleet. In a larger one rounds are
+    /// rarer, so that each daemon's traffic stays the same.
+    milliseconds interval{400};
+    std::size_t  small_fleet = 12; ///< Daemons.
     /// Without a new heartbeat for this long a daemon counts as dead. News
     /// takes two or three rounds to reach all of nine.
     milliseconds dead{3000};
-    /// A daemon that did not answer is not asked to own anything so long.
+    /// Added for each daemon beyond a small fleet: a message holds a sample.
+    milliseconds dead_per_daemon{700};
+    /// A daemon that did not answer is not asked to own anything so long;
+    /// doubled each time up to the most.
     milliseconds suspect{2500};
+    milliseconds suspect_most{40'000};
     /// A daemon is forgotten after this time.
-    milliseconds forget{60'000};
+    milliseconds forget{600'000};
     /// Rounds between tries of a seed that is not known to be alive.
     std::uint32_t seed_rounds = 5;
-    std::size_t   fanout      = 3; ///< Random peers for each round.
+    std::size_t   fanout      = 3;  ///< Random peers for each round.
+    std::size_t   entries     = 12; ///< In one message.
 };
 
 /// Belongs to one thread; does no I/O and reads no clock. Views of two
@@ -64,8 +72,10 @@
     /// The peer did not answer. \return true when it is suspect from now on.
     bool silent(const std::string& address, bool certain, time_point now);
 
-    /// Entries that are sent to others: the own and all alive ones.
-    std::vector<peer> entries(time_point now) const;
+    /// Entries that are sent to others: the own one and a sample of the living.
+    std::vector<peer> entries(time_point now);
+    /// Time until the next round.
+    milliseconds interval() const;
     /// Addresses of living peers, without the own one.
     std::vector<std::string> alive(time_point now) const;
     /// Address of the daemon that owns the service; perhaps the own one.
@@ -80,10 +90,12 @@
         peer          it;
         time_point    heard{};
         time_point    suspect_until{};
-        std::uint32_t misses = 0; ///< In a row.
+        std::uint32_t misses   = 0; ///< In a row.
+        std::uint32_t suspects = 0; ///< In a row.
     };
 
-    bool living(const entry& it, time_point now) const;
+    std::size_t beyond_small() const;
+    bool        living(const entry& it, time_point now) const;
 
     peer                         self_;
     std::vector<std::string>     seeds_;
--- a/tests/gateway_peer_test.cpp
+++ b/tests/gateway_peer_test.cpp
@@ -44,7 +44,7 @@
 
     void round()
     {
-        ms += 400;
+        ms += static_cast<int>(all[0].interval().count());
         for (std::size_t n = 0; n < all.size(); ++n) {
             if (dead[n])
                 continue;
@@ -97,6 +97,31 @@
     CHECK(f.owners("s").size() == 1);
 }
 
+// Guards against control traffic that grows with the fleet, and against a fleet
+// that loses living daemons from sight since messages hold a sample.
+TEST_CASE("a fleet of 360 is known with bounded traffic", "[gateway]")
+{
+    fleet f(360);
+    for (int n = 0; n < 25; ++n)
+        f.round();
+    // A daemon's own round and the answers of others, in bytes a second.
+    peer_gossip message;
+    message.members = f.all[0].entries(at(f.ms));
+    CHECK(message.members.size() == 12);
+    const auto sends = f.all[0].targets({"s"}, at(f.ms)).size();
+    const auto bytes = encode(message).size();
+    CHECK(f.all[0].interval() == seconds{12});
+    CHECK(2 * 2 * sends * bytes / 12 < 4000);
+    std::size_t known = 0;
+    for (auto& it : f.all)
+        known += it.alive(at(f.ms)).size();
+    CHECK(known >= 360 * 359 * 98 / 100);
+    std::size_t most = 0;
+    for (const auto& [owner, n] : f.owners("s"))
+        most = std::max<std::size_t>(most, n);
+    CHECK(most >= 350);
+}
+
 // Guards against stages that wait for a dead owner.
 TEST_CASE("a silent owner is replaced by the same one everywhere", "[gateway]")
 {
@@ -186,9 +211,13 @@
     CHECK(got->group.failure_domain == "d1");
     CHECK(got->pieces[0].inputs == std::vector<std::string>{"h1", "h2"});
     const auto outcome = decode_outcome(
-        encode(stage_outcome{order_state::refused, {}, milliseconds{300}}));
+        encode(stage_outcome{order_state::refused,
+                             {},
+                             milliseconds{300},
+                             {milliseconds{7}, milliseconds{9}}}));
     CHECK(outcome->state == order_state::refused);
     CHECK(outcome->retry_after == milliseconds{300});
+    CHECK(outcome->queue.all == milliseconds{9});
     CHECK(decode_release(encode_release({"h"})) ==
           std::vector<std::string>{"h"});
     CHECK_FALSE(decode_order("\xff\xff", at(0)));
