Follow changes from the revision of the configuration's read

Ruled out: a lost or slow store (no line of the daemon's log says so), and an older version that replaced a newer one. Change: the read of the configuration gives its revision, and changes are followed from there.

--- a/src/state_follower.cpp
+++ b/src/state_follower.cpp
@@ -28,8 +28,8 @@
     return {call::watch, {}, "", revision_};
 }
 
-void state_follower::on_configuration(absl::StatusOr<configuration> it,
-                                      time_point                    now)
+void state_follower::on_configuration(absl::StatusOr<configuration_read> it,
+                                      time_point                         now)
 {
     if (!it.ok()) {
         // Nothing was published yet, or nothing that can be read.
@@ -39,11 +39,12 @@
         return;
     }
     succeeded(now);
-    apply_configuration(*std::move(it));
+    // What is read is no snapshot: changes since here are read again.
+    first_revision_ = it->revision;
+    apply_configuration(std::move(it->config));
     phase_ = phase::pages;
     page_.clear();
     listed_.clear();
-    first_revision_ = 0;
 }
 
 void state_follower::on_page(absl::StatusOr<state_page> it, time_point now)
@@ -53,9 +54,6 @@
         return;
     }
     succeeded(now);
-    // Pages are no snapshot: changes since the first one are read again.
-    if (page_.empty())
-        first_revision_ = it->revision;
     for (auto& entry : it->entries) {
         if (auto* found = std::get_if<target>(&entry))
             listed_.push_back(std::move(*found));
--- a/src/state_follower.hpp
+++ b/src/state_follower.hpp
@@ -67,7 +67,8 @@
                    target_directory& targets, time_point now);
 
     step next(time_point now);
-    void on_configuration(absl::StatusOr<configuration> it, time_point now);
+    void on_configuration(absl::StatusOr<configuration_read> it,
+                          time_point                         now);
     void on_page(absl::StatusOr<state_page> it, time_point now);
     void on_changes(absl::StatusOr<state_changes> it, time_point now);
 
--- a/src/state_reader.hpp
+++ b/src/state_reader.hpp
@@ -42,6 +42,13 @@
     std::string               next_page;    ///< Empty: the last page.
 };
 
+/// The configuration and when it was so.
+struct configuration_read
+{
+    configuration config;
+    std::uint64_t revision = 0; ///< Of the store at the answer.
+};
+
 /// Errors: OutOfRange when the history asked for is gone, ResourceExhausted
 /// when the store refuses, Unavailable when it does not answer in time.
 class state_reader
@@ -50,7 +57,7 @@
     virtual ~state_reader() = default;
 
     /// \return NotFound when nothing was published yet.
-    virtual absl::StatusOr<configuration>
+    virtual absl::StatusOr<configuration_read>
     read_configuration(milliseconds timeout) = 0;
     /// Targets in pages; the first one for an empty text.
     virtual absl::StatusOr<state_page> read_targets(const std::string& page,
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -160,9 +160,9 @@
     {
     }
 
-    absl::StatusOr<configuration> read_configuration(milliseconds) override
+    absl::StatusOr<configuration_read> read_configuration(milliseconds) override
     {
-        return config_;
+        return configuration_read{config_, 0};
     }
     absl::StatusOr<state_page> read_targets(const std::string&,
                                             milliseconds) override
--- a/tests/gateway_follower_test.cpp
+++ b/tests/gateway_follower_test.cpp
@@ -21,6 +21,11 @@
     return out;
 }
 
+configuration_read read_at(std::uint64_t version, std::uint64_t revision)
+{
+    return {make_config(version), revision};
+}
+
 target make_target(std::string id)
 {
     target out;
@@ -59,7 +64,7 @@
     /// Reads configuration and one page, to the point of watching.
     void synchronize(int ms, std::vector<state_change> entries)
     {
-        it.on_configuration(make_config(5), at(ms));
+        it.on_configuration(read_at(5, 90), at(ms));
         it.on_page(state_page{std::move(entries), 100, ""}, at(ms));
     }
 };
@@ -73,7 +78,7 @@
     fixture f;
     CHECK(f.it.next(at(0)).what == call::read_configuration);
     CHECK(f.it.table() == nullptr);
-    f.it.on_configuration(make_config(5), at(4));
+    f.it.on_configuration(read_at(5, 90), at(4));
     CHECK(f.it.table()->version() == 5);
     CHECK(f.it.next(at(4)).what == call::read_targets);
     f.it.on_page(state_page{{make_target("a")}, 100, "servers/a"}, at(8));
@@ -86,8 +91,22 @@
     CHECK(f.targets.size() == 2);
     const auto watch = f.it.next(at(12));
     CHECK(watch.what == call::watch);
-    // Pages are no snapshot: changes from the first page on are read again.
-    CHECK(watch.after == 100);
+    // What was read is no snapshot: changes since the first read are read
+    // again.
+    CHECK(watch.after == 90);
+}
+
+// Guards against a version that was written between the read of the
+// configuration and that of the first page, and is then never seen.
+TEST_CASE("a change during the first reads is not missed", "[gateway]")
+{
+    fixture f;
+    f.it.on_configuration(read_at(29, 90), at(0));
+    f.it.on_page(state_page{{make_target("a")}, 95, ""}, at(4));
+    REQUIRE(f.it.next(at(4)).after == 90);
+    f.it.on_changes(state_changes{{make_config(32), make_target("a")}, 95},
+                    at(8));
+    CHECK(f.it.table()->version() == 32);
 }
 
 // Guards against a configuration that goes back, also after lost history.
@@ -100,7 +119,7 @@
     CHECK(f.it.table()->version() == 9);
     f.it.on_changes(absl::OutOfRangeError("gone"), at(20));
     CHECK(f.it.next(at(1000)).what == call::read_configuration);
-    f.it.on_configuration(make_config(8), at(1010));
+    f.it.on_configuration(read_at(8, 90), at(1010));
     CHECK(f.it.table()->version() == 9);
 }
 
@@ -125,11 +144,11 @@
     fixture f;
     f.synchronize(0, {make_target("a"), make_target("b")});
     f.it.on_changes(absl::OutOfRangeError("gone"), at(1000));
-    f.it.on_configuration(make_config(5), at(1004));
+    f.it.on_configuration(read_at(5, 90), at(1004));
     f.it.on_page(state_page{{make_target("b")}, 300, ""}, at(1008));
     CHECK(f.targets.find("a") == nullptr);
     CHECK(f.log.back() == "a gone");
-    CHECK(f.it.next(at(2000)).after == 300);
+    CHECK(f.it.next(at(2000)).after == 90);
 }
 
 // Guards against a daemon that hammers a store that refuses it.
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -40,7 +40,7 @@
 std::string item(const std::string& key, const std::string& value)
 {
     return R"({"key":")" + key + R"(","value":")" + absl::Base64Escape(value) +
-           R"(","revision":412,"lease":0})";
+           R"(","revision":412,"lease":0,"currentRev":530})";
 }
 
 std::string replaced(std::string text, const std::string& from,
@@ -307,7 +307,8 @@
     run_on(thread, [&] {
         constexpr milliseconds limit{20'000};
         store_client           it(thread.io(), store.address());
-        CHECK(it.read_configuration(limit)->version == 7);
+        CHECK(it.read_configuration(limit)->config.version == 7);
+        CHECK(it.read_configuration(limit)->revision == 530);
         const auto page = it.read_targets("", limit);
         CHECK(page->entries.size() == 1);
         CHECK(absl::IsResourceExhausted(
