--- a/include/arbutusgate/config.hpp
+++ b/include/arbutusgate/config.hpp
@@ -81,9 +81,9 @@
 // Streams. Callers leave when nothing comes for the longest of: this time, so
 // many times the route's latency goal, so many times its gap goal (the users'
 // protocol).
-inline constexpr std::chrono::milliseconds stream_patience = 2s;
-inline constexpr int stream_patience_goals                 = 4;
-inline constexpr int stream_patience_gaps                  = 8;
+inline constexpr std::chrono::milliseconds stream_patience       = 2s;
+inline constexpr int                       stream_patience_goals = 4;
+inline constexpr int                       stream_patience_gaps  = 8;
 
 // Requests.
 inline constexpr std::size_t   request_body     = 1024 * 1024; // bytes
