End the fibers of a stage desk and a mesh before their owners; read-through fixes

Found by reading the change and by a test that crashed: - a stage call kept a pointer to its target's entry while it connected; the entry may be removed meanwhile (now a copy); - a connection that was given back could be closed when its former caller left during the answer (now forgotten first); - fibers of the desk and the mesh could run after their owners were destroyed, at the end of a process or a test (fiber_group waits for them); - a target's own error answer was replaced by a 502 of ours when the second target gave none (now delivered). Tests: 'a stage call outlives its target's entry' (crashed before), 'an error answer is delivered when no other target does better'.

--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -538,6 +538,12 @@
         exchange_.abort();
         return std::nullopt;
     }
+    if (error_answer_) {
+        // No other target had a better answer.
+        log_end("answered", error_answer_->result_int());
+        exchange_.respond(*std::move(error_answer_));
+        return std::nullopt;
+    }
     auto out = attempt_failure(last);
     if (may_have_run)
         out.result = execution::unknown;
@@ -615,6 +621,14 @@
     return read_answer(at, lease);
 }
 
+/// The connection may serve another request from here on, so that it must not
+/// be closed when this caller leaves.
+void forward_run::give_back(connection_lease lease)
+{
+    current_ = nullptr;
+    parts_.connections.give_back(std::move(lease), head_.idle_time);
+}
+
 // An answer to another request may stand before the answer to this one.
 bool forward_run::skip_foreign(connection_lease& lease)
 {
@@ -664,7 +678,7 @@
         lease->read_all(left(), ec);
         finish_call(at, how);
         if (!ec)
-            parts_.connections.give_back(std::move(lease), head_.idle_time);
+            give_back(std::move(lease));
         return attempt_result::not_run;
     }
     const bool good = head_.status >= 200 && head_.status < 300;
@@ -702,11 +716,15 @@
              {"error", ec.message()}});
         return attempt_result::failed;
     }
-    parts_.connections.give_back(std::move(lease), head_.idle_time);
+    give_back(std::move(lease));
     if (server_error && route_->repeatable() &&
         attempts_ + 1 < route_->max_attempts && !time_over() &&
         parts_.budget.left(service_->name, daemon_now()) >= 1)
+    {
+        head.body()   = std::move(body);
+        error_answer_ = std::move(head);
         return attempt_result::failed;
+    }
     head.body() = std::move(body);
     log_end("answered", head_.status);
     exchange_.respond(std::move(head));
@@ -722,7 +740,7 @@
     if (whole) {
         exchange_.end_stream();
         log_end("answered", head_.status);
-        parts_.connections.give_back(std::move(lease), head_.idle_time);
+        give_back(std::move(lease));
         return attempt_result::answered;
     }
     log(log_level::warning, "stream ends early",
--- a/src/forward_run.hpp
+++ b/src/forward_run.hpp
@@ -100,6 +100,7 @@
     void         finish_call(const target& at, call_outcome how);
     call_outcome refusal_kind() const;
     bool         skip_foreign(connection_lease& lease);
+    void         give_back(connection_lease lease);
 
     void          refuse(const run_failure& it);
     void          release_results();
@@ -141,7 +142,8 @@
     bool                       began_   = false; ///< The stream's head is out.
     bool                       had_connect_failure_ = false;
     std::optional<std::string> last_event_;
-    std::uint32_t              events_ = 0;
+    std::optional<http_response> error_answer_; ///< Of an earlier attempt.
+    std::uint32_t                events_ = 0;
 };
 
 } // namespace gateway
--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -37,30 +37,23 @@
 peer_mesh::peer_mesh(boost::asio::io_context& io, peer_table table,
                      stage_desk&                               desk,
                      std::function<std::vector<std::string>()> services)
-    : io_(io), table_(std::move(table)), desk_(desk),
-      services_(std::move(services)), pool_(io),
-      alive_(std::make_shared<bool>(true)), next_id_(remote_ids)
+    : table_(std::move(table)), desk_(desk), services_(std::move(services)),
+      pool_(io), next_id_(remote_ids)
 {
-    spawn_fiber([this, alive = alive_] {
-        while (*alive) {
+    fibers_.spawn([this] {
+        while (!fibers_.stopping()) {
             run_rounds();
-            fiber_sleep(io_, table_.interval());
+            fibers_.sleep_until(daemon_now() + table_.interval());
         }
     });
-    spawn_fiber([this, alive = alive_] {
-        while (*alive) {
-            fiber_sleep(io_, release_delay);
-            if (*alive)
-                flush_releases();
+    fibers_.spawn([this] {
+        while (!fibers_.stopping()) {
+            fibers_.sleep_until(daemon_now() + release_delay);
+            flush_releases();
         }
     });
 }
 
-peer_mesh::~peer_mesh()
-{
-    *alive_ = false;
-}
-
 // Membership -----------------------------------------------------------------
 
 void peer_mesh::run_rounds()
@@ -74,10 +67,7 @@
 void peer_mesh::round()
 {
     for (const auto& it : table_.targets(services_(), daemon_now())) {
-        spawn_fiber([this, alive = alive_, it] {
-            if (*alive)
-                gossip_with(it);
-        });
+        fibers_.spawn([this, it] { gossip_with(it); });
     }
 }
 
@@ -86,20 +76,14 @@
     table_.set_leaving();
     table_.beat(daemon_now());
     for (const auto& it : table_.alive(daemon_now())) {
-        spawn_fiber([this, alive = alive_, it] {
-            if (*alive)
-                gossip_with(it);
-        });
+        fibers_.spawn([this, it] { gossip_with(it); });
     }
 }
 
 void peer_mesh::gossip_with(const std::string& address)
 {
-    const auto alive = alive_;
     const auto body =
         call(address, gossip_path, encode(own_gossip()), gossip_limit);
-    if (!*alive)
-        return;
     const auto answer = body ? decode_gossip(*body) : std::nullopt;
     if (!answer) {
         peer_silent(address, false);
@@ -161,7 +145,8 @@
     }
     if (in_use)
         *in_use = client.get();
-    http_request request(http::verb::post, path, 11);
+    std::optional<fiber_group::use> use(std::in_place, fibers_, *client);
+    http_request                    request(http::verb::post, path, 11);
     request.set(http::field::host, address);
     request.body() = std::move(body);
     request.prepare_payload();
@@ -171,6 +156,7 @@
         out = client->read_all(left_until(until), ec);
     if (in_use)
         *in_use = nullptr;
+    use.reset();
     if (ec || client->head().result() != http::status::ok)
         return std::nullopt;
     pool_.put(address, std::move(client));
@@ -192,23 +178,18 @@
     it->ticket->id      = next_id_++;
     remote_.emplace(it->ticket->id, it);
     ++stats_.orders_sent;
-    spawn_fiber([this, alive = alive_, it] {
-        if (*alive)
-            run_remote(it);
-    });
+    fibers_.spawn([this, it] { run_remote(it); });
     return it->ticket;
 }
 
 void peer_mesh::run_remote(const remote_ptr& it)
 {
-    const auto alive = alive_;
-    for (int n = 0; n < owner_tries && !it->withdrawn; ++n) {
+    for (int n = 0; n < owner_tries && !it->withdrawn && !fibers_.stopping();
+         ++n) {
         it->owner = table_.owner_of(it->order.service, daemon_now());
         if (it->owner == table_.self().address)
             break;
         auto outcome = ask_owner(it);
-        if (!*alive)
-            return;
         if (outcome) {
             finish(it, *std::move(outcome));
             return;
@@ -226,7 +207,9 @@
              {"owner", it->owner}});
         peer_silent(it->owner, true);
     }
-    if (!it->withdrawn)
+    if (fibers_.stopping())
+        finish(it, {});
+    else if (!it->withdrawn)
         make_here(it);
     else
         remote_.erase(it->ticket->id);
@@ -243,15 +226,12 @@
 
 void peer_mesh::make_here(const remote_ptr& it)
 {
-    const auto alive   = alive_;
-    auto       changed = std::make_shared<fiber_signal>();
-    it->owner          = table_.self().address;
-    it->local          = desk_.submit(it->order, changed);
+    auto changed = std::make_shared<fiber_signal>();
+    it->owner    = table_.self().address;
+    it->local    = desk_.submit(it->order, changed);
     changed->wait_until(it->order.group.limit + answer_margin, [&] {
         return it->withdrawn || it->local->state != order_state::waiting;
     });
-    if (!*alive)
-        return;
     if (it->local->state == order_state::waiting)
         desk_.withdraw(it->local);
     const auto state = it->local->state == order_state::waiting
@@ -307,13 +287,10 @@
 void peer_mesh::flush_releases()
 {
     for (auto& [owner, handles] : std::exchange(releases_, {})) {
-        spawn_fiber([this, alive = alive_, owner = owner,
-                     handles = std::move(handles)] {
-            if (!*alive)
-                return;
+        fibers_.spawn([this, owner = owner, handles = std::move(handles)] {
             const auto done = call(owner, release_path, encode_release(handles),
                                    release_limit);
-            if (*alive && !done)
+            if (!done)
                 desk_.release("", handles);
         });
     }
--- a/src/peer_mesh.hpp
+++ b/src/peer_mesh.hpp
@@ -6,7 +6,7 @@
 #include "peer_table.hpp"
 #include "stage_service.hpp"
 
-#include "fiber_signal.hpp"
+#include "fiber_group.hpp"
 
 #include <functional>
 #include <map>
@@ -40,7 +40,7 @@
     /// \param services names the stage services in force.
     peer_mesh(boost::asio::io_context& io, peer_table table, stage_desk& desk,
               std::function<std::vector<std::string>()> services);
-    ~peer_mesh() override;
+    ~peer_mesh() override = default;
 
     peer_mesh(const peer_mesh&)            = delete;
     peer_mesh& operator=(const peer_mesh&) = delete;
@@ -96,17 +96,16 @@
     void        take_gossip(const peer_gossip& it);
     void        serve_order(http_exchange& exchange);
 
-    boost::asio::io_context&                  io_;
     peer_table                                table_;
     stage_desk&                               desk_;
     std::function<std::vector<std::string>()> services_;
     connection_pool                           pool_;
-    std::shared_ptr<bool>                     alive_;
     std::map<std::uint64_t, remote_ptr>       remote_; ///< By ticket id.
     std::map<std::string, stage_queue>        queues_; ///< Of other owners.
     std::map<std::string, std::vector<std::string>> releases_; ///< By owner.
     std::uint64_t                                   next_id_;
     peer_mesh_stats                                 stats_;
+    fiber_group                                     fibers_;
 };
 
 } // namespace arbutusgate::gateway
--- a/src/stage_desk.cpp
+++ b/src/stage_desk.cpp
@@ -53,28 +53,17 @@
     return "failed";
 }
 
-stage_desk::stage_desk(stage_desk_init init)
-    : init_(init), alive_(std::make_shared<bool>(true))
+stage_desk::stage_desk(stage_desk_init init) : init_(init)
 {
-    spawn_fiber([this, alive = alive_] {
-        while (*alive)
-            tick();
-    });
-    spawn_fiber([this, alive = alive_] {
-        while (*alive) {
-            fiber_sleep(init_.io, release_delay);
-            if (*alive)
-                flush_releases();
+    fibers_.spawn([this] { tend(); });
+    fibers_.spawn([this] {
+        while (!fibers_.stopping()) {
+            fibers_.sleep_until(daemon_now() + release_delay);
+            flush_releases();
         }
     });
 }
 
-stage_desk::~stage_desk()
-{
-    *alive_ = false;
-    work_.notify();
-}
-
 stage_desk::pool* stage_desk::find_pool(const std::string& service)
 {
     const auto  table = init_.state.table();
@@ -121,7 +110,7 @@
     entry.ticket = ticket;
     it->groups.emplace(ticket->id, std::move(entry));
     pump(service, *it);
-    work_.notify();
+    fibers_.wake();
     return ticket;
 }
 
@@ -139,9 +128,8 @@
     while (auto call = it.batcher.next(init_.targets.usable(service), now)) {
         ++stats_.calls;
         stats_.pieces += call->pieces.size();
-        spawn_fiber([this, alive = alive_, service, call = *std::move(call)] {
-            if (*alive)
-                run_call(service, call);
+        fibers_.spawn([this, service, call = *std::move(call)] {
+            run_call(service, call);
         });
     }
 }
@@ -164,18 +152,20 @@
 std::vector<piece_result> stage_desk::exchange(const stage_call& call, pool& it,
                                                bool& target_failed)
 {
-    const auto* at     = init_.targets.find(call.target);
+    const auto* found  = init_.targets.find(call.target);
     auto        pieces = encode(call, it);
-    if (!at || pieces.empty())
+    if (!found || pieces.empty())
         return {};
+    const auto at = *found; // The entry may go while this fiber waits.
     boost::system::error_code ec;
     auto                      lease =
-        init_.connections.open(*at, stage_connections, connect_limit, ec);
+        init_.connections.open(at, stage_connections, connect_limit, ec);
     target_failed = true;
     if (!lease)
         return {};
-    const auto until = daemon_now() + call_limit;
-    ec = lease->send(init_.codec.encode_stage_call(pieces, *at), call_limit);
+    const fiber_group::use use(fibers_, *lease);
+    const auto             until = daemon_now() + call_limit;
+    ec = lease->send(init_.codec.encode_stage_call(pieces, at), call_limit);
     if (ec)
         return {};
     const auto head = init_.codec.decode_answer(lease->head());
@@ -296,11 +286,22 @@
     ticket.changed->notify();
 }
 
-void stage_desk::tick()
+void stage_desk::tend()
+{
+    while (!fibers_.stopping()) {
+        bool       busy = false;
+        const auto wake = tick(busy);
+        fibers_.sleep_until(wake, [this, busy, n = next_group_] {
+            return !busy && next_group_ != n;
+        });
+    }
+}
+
+/// \return when there may be something to do without a new order.
+time_point stage_desk::tick(bool& busy)
 {
-    auto       wake = daemon_now() + seconds{1};
     const auto now  = daemon_now();
-    bool       busy = false;
+    auto       wake = now + seconds{1};
     for (auto& [service, it] : pools_) {
         if (it->groups.empty() && it->batcher.state(1, now).calls == 0)
             continue;
@@ -317,10 +318,7 @@
     }
     if (!busy)
         wake = now + std::chrono::minutes{1};
-    wake = std::max(wake, now + milliseconds{10});
-    work_.wait_until(wake, [this, busy, n = next_group_] {
-        return !*alive_ || (!busy && next_group_ != n);
-    });
+    return std::max(wake, now + milliseconds{10});
 }
 
 void stage_desk::release(const std::string&,
@@ -351,15 +349,13 @@
                                     : init_.targets.find(id);
         if (!at)
             continue;
-        spawn_fiber([this, alive = alive_, to = *at,
-                     handles = std::move(handles)] {
-            if (!*alive)
-                return;
+        fibers_.spawn([this, to = *at, handles = std::move(handles)] {
             boost::system::error_code ec;
             auto lease = init_.connections.open(to, stage_connections,
                                                 connect_limit, ec);
             if (!lease)
                 return;
+            const fiber_group::use use(fibers_, *lease);
             if (lease->send(init_.codec.encode_release(handles, to),
                             release_limit))
                 return;
--- a/src/stage_desk.hpp
+++ b/src/stage_desk.hpp
@@ -6,7 +6,7 @@
 #include "stage_service.hpp"
 #include "wire_codec.hpp"
 
-#include "fiber_signal.hpp"
+#include "fiber_group.hpp"
 
 #include <boost/asio/io_context.hpp>
 
@@ -50,7 +50,7 @@
 {
 public:
     explicit stage_desk(stage_desk_init init);
-    ~stage_desk() override;
+    ~stage_desk() override = default;
 
     stage_desk(const stage_desk&)            = delete;
     stage_desk& operator=(const stage_desk&) = delete;
@@ -107,18 +107,18 @@
                                const batched_piece& piece,
                                const piece_result&  result);
     void          end(pool& it, std::uint64_t group, order_state how);
-    void          tick();
+    void          tend();
+    time_point    tick(bool& busy);
     void          flush_releases();
 
     stage_desk_init                                        init_;
-    std::shared_ptr<bool>                                  alive_;
     std::unordered_map<std::string, std::unique_ptr<pool>> pools_;
     std::unordered_map<std::string, made_result>           made_;
     /// Handles to give up, by address.
     std::unordered_map<std::string, std::vector<std::string>> releases_;
-    fiber_signal                                              work_;
     std::uint64_t                                             next_group_ = 1;
     stage_desk_stats                                          stats_;
+    fiber_group                                               fibers_;
 };
 
 } // namespace arbutusgate::gateway
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -1,6 +1,9 @@
 #include "daemon_clock.hpp"
 #include "gateway_fixture.hpp"
 #include "peer_codec.hpp"
+#include "stage_desk.hpp"
+#include "state_follower.hpp"
+#include "target_connections.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -9,6 +12,7 @@
 using namespace arbutusgate;
 using namespace arbutusgate::gateway;
 using namespace arbutusgate::gateway::test;
+using arbutusgate::test::run_on;
 
 namespace {
 
@@ -93,6 +97,70 @@
         CHECK(both.exchange(both.request("/again/")).ends_with("fine"));
 }
 
+// Guards against a target's own answer that is replaced by a failure of ours.
+TEST_CASE("an error answer is delivered when no other target does better",
+          "[gateway][sockets]")
+{
+    scripted_target one(always(answer("sorry", "500 Error")));
+    scripted_target two(reset_always);
+    gateway_fixture g(
+        {make_target("i-1", one.address()), make_target("i-2", two.address())});
+    // Whichever is tried first; a reset leaves no answer to deliver.
+    bool delivered = false;
+    for (int n = 0; n < 20 && !delivered; ++n) {
+        const auto out = g.exchange(g.request("/again/"));
+        delivered      = has(out, "HTTP/1.1 500") && out.ends_with("sorry") &&
+                    has(out, "Arbutusgate-Server-Signature: sig");
+        CHECK((delivered || has(out, "HTTP/1.1 502") ||
+               has(out, "HTTP/1.1 503")));
+    }
+    CHECK(delivered);
+}
+
+// Guards against a stage call for a target whose entry goes while the call is
+// connected, and against one that is made for a target that is gone.
+TEST_CASE("a stage call outlives its target's entry", "[gateway][sockets]")
+{
+    std::promise<void> arrived;
+    scripted_target    stage([&](target_session& it) {
+        it.read();
+        arrived.set_value();
+        it.write(answer(R"({"items":[{"handle":"h/0"}]})"));
+        it.read();
+    });
+    io_thread          thread;
+    run_on(thread, [&] {
+        target_directory targets{milliseconds{0}};
+        state_follower   state({}, {}, targets, daemon_now());
+        configuration    config;
+        service          p{"p", "", 100, stage_limits{}, {}};
+        p.stage->batch       = 4;
+        p.stage->result_kept = milliseconds{1000};
+        config.services      = {p};
+        state.on_configuration(configuration_read{config, 1}, daemon_now());
+        targets.put(make_target("p-1", stage.address(), "p"));
+        const platform::http_codec codec;
+        target_connections         connections(thread.io());
+        stage_desk  desk({thread.io(), codec, state, targets, connections});
+        auto        changed = std::make_shared<fiber_signal>();
+        stage_order order;
+        order.service     = "p";
+        order.group.count = 1;
+        order.group.goal = order.group.limit = daemon_now() + seconds{30};
+        order.pieces.push_back({"9c41", 0, 0, milliseconds{0}, "kk", {}});
+        const auto ticket = desk.submit(order, changed);
+        // The call's fiber connects; the entry goes meanwhile.
+        fiber_sleep(thread.io(), milliseconds{0});
+        targets.remove("p-1", daemon_now());
+        changed->wait_until(daemon_now() + seconds{30}, [&] {
+            return ticket->state != order_state::waiting;
+        });
+        CHECK(ticket->state == order_state::done);
+        return true;
+    });
+    arrived.get_future().wait();
+}
+
 // Guards against a success that is not the target's whole answer.
 TEST_CASE("truncated, unsigned and encoded answers are failures",
           "[gateway][sockets]")
