--- a/src/stage_batcher.cpp
+++ b/src/stage_batcher.cpp
@@ -16,8 +16,6 @@
 constexpr double       learn_gain = 0.1;
 /// A target whose calls take longer than this gets work last.
 constexpr double slow_pace = 1.8;
-/// Pieces of a group that a call could not finish anyway start this long
-/// before the last moment.
 /// A group yields to groups of the next more urgent rank whose goal is up to
 /// this much later.
 constexpr milliseconds rank_step{600};
--- a/src/stage_batcher.hpp
+++ b/src/stage_batcher.hpp
@@ -87,7 +87,7 @@
 
     /// A call ended.
     /// \param outcomes of each piece, in the call's order.
-    /// \param how as target_picker's outcome: whether the target is to blame.
+    /// \param target_failed the target gave no usable answer.
     void finish(std::uint64_t call, const std::vector<piece_outcome>& outcomes,
                 bool target_failed, time_point now);
     /// A call takes much longer than expected: its pieces wait again.
