--- /dev/null
+++ b/tests/gateway_settings_test.cpp
@@ -0,0 +1,70 @@
+#include "gateway_settings.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace arbutusgate;
+using namespace arbutusgate::gateway;
+
+namespace {
+
+constexpr const char* text = R"(node: front-gp-a-1
+failure_domain: gp-a
+listen: 10.1.0.41:8625
+ready: 10.1.0.41:8621
+peer: 10.1.0.41:8628
+metrics: 10.1.0.41:9464
+store: 10.200.1.7:8624
+seeds: ["10.1.0.41:8628","10.2.0.25:8628"]
+ready_path: /readiness
+max_descriptors: 4100
+bounds:
+  drain_grace_s: 7.5
+  config_in_force_ms: 2000
+  target_drain_ms: 2000
+  retry_ratio: 0.2
+  retry_window_s: 10
+  retry_slack: 58
+)";
+
+std::string replaced(const std::string& from, const std::string& to)
+{
+    std::string out = text;
+    const auto  n   = out.find(from);
+    REQUIRE(n != std::string::npos);
+    return out.replace(n, from.size(), to);
+}
+
+} // namespace
+
+// Guards against a daemon that does not start with what the platform's template
+// renders, such as a bound with a fraction or an empty list of seeds.
+TEST_CASE("the gateway's settings are read with their units", "[gateway]")
+{
+    const auto it = parse_gateway_settings(text, "s.yaml");
+    REQUIRE(it.ok());
+    CHECK(it->bounds.drain_grace == milliseconds{7500});
+    CHECK(it->bounds.retry_window == milliseconds{10'000});
+    CHECK(it->bounds.retry_slack == 58);
+    CHECK(it->seeds.size() == 2);
+    CHECK(it->ready_path == "/readiness");
+    const auto none = parse_gateway_settings(
+        replaced(R"(["10.1.0.41:8628","10.2.0.25:8628"])", "[]"), "s.yaml");
+    CHECK(none->seeds.empty());
+}
+
+// Guards against wrong settings that are taken for defaults.
+TEST_CASE("wrong settings of the gateway are refused by line", "[gateway]")
+{
+    const auto message = [](const std::string& it) {
+        return std::string(
+            parse_gateway_settings(it, "s.yaml").status().message());
+    };
+    CHECK(message(replaced("node:", "nodes:")).find("s.yaml:1:") !=
+          std::string::npos);
+    CHECK(message(replaced("10.1.0.41:8625", "host:8625")).find("listen") !=
+          std::string::npos);
+    CHECK(message(replaced("drain_grace_s: 7.5", "drain_grace_s: -1"))
+              .find("drain_grace_s") != std::string::npos);
+    CHECK(message(replaced("10.1.0.41:8621", "10.1.0.41:8625"))
+              .find("listening address") != std::string::npos);
+}
