Close a server's acceptor before stop() returns

Cause: a unit test failed once beside busy processes: a server that was stopped before its first accept was still connected to. stop() waited for the accept loop only; the acceptor was closed by a handler that could run later. Ruled out: the load tool, whose outcome 'lost' was right for a connection that was accepted and then closed. Change: the accept loop closes the acceptor at its end.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -368,6 +368,9 @@
         else
             serve(self, thread, std::move(socket));
     }
+    // Else a caller of stop() could still be connected to afterwards.
+    error_code ec;
+    acceptor.close(ec);
     std::lock_guard lock(mutex);
     accept_running = false;
     changed.notify_all();
--- a/tests/load_test.cpp
+++ b/tests/load_test.cpp
@@ -194,6 +194,17 @@
     CHECK(call_daemons({{}, {}, {}}, false).outcome == load_outcome::refused);
 }
 
+// Guards against a server that still takes connections after stop() when it is
+// stopped before its first accept.
+TEST_CASE("a server that was stopped at once takes no connection")
+{
+    for (int n = 0; n < 300; ++n) {
+        const auto out = call_daemons({{}}, false);
+        INFO("round " << n);
+        REQUIRE(out.outcome == load_outcome::refused);
+    }
+}
+
 // Guards against violations that only the text of a lost try causes.
 TEST_CASE("a stream is checked without the text of a lost try")
 {
