Copy only the sampled peers for a message

Cause: entries() copied all living peers, 359 in a fleet of 360, to send 11. Change: the sample is drawn from pointers; the same draws give the same sample.

--- a/src/peer_table.cpp
+++ b/src/peer_table.cpp
@@ -142,14 +142,16 @@
 
 std::vector<peer> peer_table::entries(time_point now)
 {
-    std::vector<peer> out;
+    std::vector<const peer*> others;
     for (const auto& [address, it] : peers_) {
         if (living(it, now))
-            out.push_back(it.it);
+            others.push_back(&it.it);
     }
-    std::shuffle(out.begin(), out.end(), random_);
-    out.resize(std::min(out.size(), times_.entries - 1));
-    out.insert(out.begin(), self_);
+    std::shuffle(others.begin(), others.end(), random_);
+    others.resize(std::min(others.size(), times_.entries - 1));
+    std::vector<peer> out{self_};
+    for (const auto* it : others)
+        out.push_back(*it);
     return out;
 }
 
