Keep one computation of the time that is left; drop an unused function

Four places had the same time until a limit, at least 1 ms; target_picker's exclusions() had no caller. Behaviour is the same; the gateway's and the platform's tests pass.

--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -9,6 +9,7 @@
 #include "state_follower.hpp"
 #include "target_directory.hpp"
 #include "time_estimates.hpp"
+#include "time_left.hpp"
 
 #include "arbutusgate/config.hpp"
 
@@ -93,8 +94,7 @@
 
 milliseconds forward_run::left() const
 {
-    return std::max(milliseconds{1}, std::chrono::duration_cast<milliseconds>(
-                                         until_ - daemon_now()));
+    return left_until(until_);
 }
 
 bool forward_run::time_over() const
--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -4,6 +4,7 @@
 #include "io_thread.hpp"
 #include "log.hpp"
 #include "stage_desk.hpp"
+#include "time_left.hpp"
 
 #include <algorithm>
 
@@ -26,12 +27,6 @@
 /// Ids of tickets of other owners; the desk's are below.
 constexpr std::uint64_t remote_ids = 1ULL << 62;
 
-milliseconds left_until(time_point until)
-{
-    return std::max(milliseconds{1}, std::chrono::duration_cast<milliseconds>(
-                                         until - daemon_now()));
-}
-
 } // namespace
 
 peer_mesh::peer_mesh(boost::asio::io_context& io, peer_table table,
--- a/src/stage_desk.cpp
+++ b/src/stage_desk.cpp
@@ -5,6 +5,7 @@
 #include "state_follower.hpp"
 #include "target_connections.hpp"
 #include "target_directory.hpp"
+#include "time_left.hpp"
 
 #include <algorithm>
 
@@ -21,12 +22,6 @@
 constexpr std::uint32_t piece_failures    = 4; // of one order
 constexpr std::uint32_t stage_connections = 8; // to one target
 
-milliseconds left_until(time_point until, time_point now)
-{
-    return std::max(milliseconds{1},
-                    std::chrono::duration_cast<milliseconds>(until - now));
-}
-
 std::string_view address_of(std::string_view handle)
 {
     return handle.substr(0, handle.find('/'));
@@ -169,7 +164,7 @@
     if (ec)
         return {};
     const auto head = init_.codec.decode_answer(lease->head());
-    const auto body = lease->read_all(left_until(until, daemon_now()), ec);
+    const auto body = lease->read_all(left_until(until), ec);
     if (ec)
         return {};
     init_.connections.give_back(std::move(lease), head.idle_time);
--- a/src/target_picker.cpp
+++ b/src/target_picker.cpp
@@ -248,10 +248,4 @@
     return it != states_.end() && now < it->second.excluded_until;
 }
 
-std::uint32_t target_picker::exclusions(const std::string& id) const
-{
-    const auto it = states_.find(id);
-    return it == states_.end() ? 0 : it->second.strikes;
-}
-
 } // namespace arbutusgate::gateway
--- a/src/target_picker.hpp
+++ b/src/target_picker.hpp
@@ -84,8 +84,6 @@
 
     std::uint32_t in_flight(const std::string& id) const;
     bool          excluded(const std::string& id, time_point now) const;
-    /// Why the target is excluded, for logs.
-    std::uint32_t exclusions(const std::string& id) const;
 
 private:
     struct open_call
