Log when the first event went out, and its goal

Cause: the log could not tell by how much late streams were late. Change: request ended has first_event_ms and goal_ms.

--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -778,6 +778,8 @@
         if (!began_) {
             began_         = true;
             const auto now = daemon_now();
+            first_event_ =
+                std::chrono::duration_cast<milliseconds>(now - arrived_);
             if (now <= arrived_ + route_->latency_goal)
                 parts_.times.add(service_->name, now - called_);
             exchange_.begin_stream(parts_.codec.relay_head(from.head()));
@@ -836,6 +838,8 @@
          {"outcome", outcome},
          {"status", status},
          {"took_ms", took.count()},
+         {"first_event_ms", first_event_ ? first_event_->count() : -1},
+         {"goal_ms", route_ ? route_->latency_goal.count() : 0},
          {"attempts", attempts_},
          {"events", events_},
          {"config", table_ ? table_->version() : 0}});
--- a/src/forward_run.hpp
+++ b/src/forward_run.hpp
@@ -144,6 +144,7 @@
     std::optional<std::string> last_event_;
     std::optional<http_response> error_answer_; ///< Of an earlier attempt.
     std::uint32_t                events_ = 0;
+    std::optional<milliseconds>  first_event_; ///< Since the call arrived.
 };
 
 } // namespace gateway
