Let daemons that start together find each other at once

Ruled out: targets still busy with old calls; refusals began 200 ms after the first daemon was up, with one to three pieces a call. Change: a started daemon asks every seed that it has not met each 100 ms, greets daemons that it hears of, and sends no order before it has met others and no new ones for 60 ms, 400 ms at most.

--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -41,6 +41,7 @@
             fibers_.sleep_until(daemon_now() + table_.interval());
         }
     });
+    fibers_.spawn([this] { join(); });
     fibers_.spawn([this] {
         while (!fibers_.stopping()) {
             fibers_.sleep_until(daemon_now() + release_delay);
@@ -66,6 +67,16 @@
     }
 }
 
+void peer_mesh::join()
+{
+    constexpr milliseconds interval = peer_times{}.join_interval;
+    while (!fibers_.stopping() && table_.joining(daemon_now())) {
+        for (const auto& it : table_.unmet_seeds(daemon_now()))
+            fibers_.spawn([this, it] { gossip_with(it); });
+        fibers_.sleep_until(daemon_now() + interval);
+    }
+}
+
 void peer_mesh::announce_leaving()
 {
     table_.set_leaving();
@@ -104,8 +115,8 @@
 {
     const auto now    = daemon_now();
     const auto before = table_.alive(now).size();
-    for (const auto& member : it.members)
-        table_.merge(member, now);
+    for (auto& address : table_.learn(it.members, now))
+        fibers_.spawn([this, address] { gossip_with(address); });
     for (const auto& [service, wait] : it.queues)
         queues_[service] = wait;
     const auto after = table_.alive(now).size();
@@ -163,8 +174,9 @@
 std::shared_ptr<stage_ticket>
 peer_mesh::submit(stage_order order, std::shared_ptr<fiber_signal> changed)
 {
-    const auto owner = table_.owner_of(order.service, daemon_now());
-    if (owner == table_.self().address)
+    const auto now   = daemon_now();
+    const auto owner = table_.owner_of(order.service, now);
+    if (owner == table_.self().address && table_.settled(now))
         return desk_.submit(std::move(order), std::move(changed));
     auto it             = std::make_shared<remote_order>();
     it->order           = std::move(order);
@@ -177,8 +189,19 @@
     return it->ticket;
 }
 
+/// A daemon that knows only some of the others would own too much: each call
+/// to a target takes long, however few pieces it holds.
+void peer_mesh::wait_until_settled(const remote_order& it)
+{
+    constexpr milliseconds check{20};
+    while (!it.withdrawn && !fibers_.stopping() &&
+           !table_.settled(daemon_now()))
+        fibers_.sleep_until(daemon_now() + check);
+}
+
 void peer_mesh::run_remote(const remote_ptr& it)
 {
+    wait_until_settled(*it);
     for (int n = 0; n < owner_tries && !it->withdrawn && !fibers_.stopping();
          ++n) {
         it->owner = table_.owner_of(it->order.service, daemon_now());
--- a/src/peer_mesh.hpp
+++ b/src/peer_mesh.hpp
@@ -79,8 +79,11 @@
 
     void run_rounds();
     void round();
+    /// Asks the seeds until all were met, for the first seconds.
+    void join();
     void gossip_with(const std::string& address);
     void flush_releases();
+    void wait_until_settled(const remote_order& it);
     void run_remote(const remote_ptr& it);
     /// \return nothing when the owner gave no answer.
     std::optional<stage_outcome> ask_owner(const remote_ptr& it);
--- a/src/peer_table.cpp
+++ b/src/peer_table.cpp
@@ -59,6 +59,8 @@
 {
     ++self_.heartbeat;
     ++rounds_;
+    if (started_ == time_point{})
+        started_ = now;
     if (beaten_ != time_point{} && now - beaten_ > pause_rounds * interval()) {
         for (auto& [address, it] : peers_)
             it.heard += now - beaten_;
@@ -89,28 +91,68 @@
     return out;
 }
 
-void peer_table::merge(const peer& it, time_point now)
+bool peer_table::joining(time_point now) const
+{
+    return now - started_ < times_.join_time;
+}
+
+std::vector<std::string> peer_table::unmet_seeds(time_point now) const
+{
+    std::vector<std::string> out;
+    for (const auto& it : seeds_) {
+        const auto known = peers_.find(it);
+        if (known == peers_.end() || !living(known->second, now))
+            out.push_back(it);
+    }
+    return out;
+}
+
+bool peer_table::settled(time_point now) const
+{
+    if (now - started_ >= times_.join_wait)
+        return true;
+    return !peers_.empty() && now - met_ >= times_.join_quiet;
+}
+
+std::vector<std::string> peer_table::learn(const std::vector<peer>& members,
+                                           time_point               now)
+{
+    std::vector<std::string> out;
+    for (std::size_t n = 0; n < members.size(); ++n) {
+        const bool by_others = n > 0;
+        if (merge(members[n], now) && by_others)
+            out.push_back(members[n].address);
+    }
+    if (beyond_small() > 0)
+        out.resize(std::min(out.size(), times_.fanout));
+    return out;
+}
+
+bool peer_table::merge(const peer& it, time_point now)
 {
     if (it.address == self_.address) {
         // An earlier process of this address is still remembered; a later one
         // there can only mean that this clock went back.
         if (it.incarnation > self_.incarnation)
             self_.incarnation = it.incarnation + 1;
-        return;
+        return false;
     }
     auto&      known = peers_[it.address];
     const bool newer = it.incarnation > known.it.incarnation ||
                        (it.incarnation == known.it.incarnation &&
                         it.heartbeat > known.it.heartbeat);
     if (!newer)
-        return;
-    if (it.incarnation > known.it.incarnation) {
+        return false;
+    const bool started = it.incarnation > known.it.incarnation;
+    if (started) {
         known.suspect_until = {};
         known.misses        = 0;
         known.suspects      = 0;
+        met_                = now;
     }
     known.it    = it;
     known.heard = now;
+    return started;
 }
 
 void peer_table::answered(const std::string& address)
--- a/src/peer_table.hpp
+++ b/src/peer_table.hpp
@@ -44,6 +44,15 @@
     std::uint32_t seed_rounds = 5;
     std::size_t   fanout      = 3;  ///< Random peers for each round.
     std::size_t   entries     = 12; ///< In one message.
+    /// A daemon that has started asks the seeds that it has not met this often,
+    /// for so long: others may start a little later.
+    milliseconds join_interval{100};
+    milliseconds join_time{3000};
+    /// Until it has met others, and no new ones for the quiet time, it takes
+    /// no daemon for the owner of a service. Daemons start within half a
+    /// second of each other and answer within milliseconds.
+    milliseconds join_wait{400};
+    milliseconds join_quiet{60};
 };
 
 /// Belongs to one thread; does no I/O and reads no clock. Views of two
@@ -65,8 +74,21 @@
     /// \param services whose owners are to be watched.
     std::vector<std::string> targets(const std::vector<std::string>& services,
                                      time_point                      now);
+    /// Seeds to be asked now by a daemon that has started lately.
+    std::vector<std::string> unmet_seeds(time_point now) const;
+    bool                     joining(time_point now) const;
+    /// The view of the others is good enough to tell owners.
+    bool settled(time_point now) const;
+
     /// What a peer said of itself or of another one.
-    void merge(const peer& it, time_point now);
+    /// \return true when it is a process that was not known before.
+    bool merge(const peer& it, time_point now);
+    /// Merges a message.
+    /// \param members the sender first.
+    /// \return new daemons that do not know this one yet; all of a small fleet,
+    /// some of a larger one.
+    std::vector<std::string> learn(const std::vector<peer>& members,
+                                   time_point               now);
     /// The peer answered.
     void answered(const std::string& address);
     /// The peer did not answer. \return true when it is suspect from now on.
@@ -102,7 +124,9 @@
     std::mt19937_64              random_;
     peer_times                   times_;
     std::map<std::string, entry> peers_;
+    time_point                   started_{}; ///< First round.
     time_point                   beaten_{};
+    time_point                   met_{}; ///< Latest new daemon.
     std::uint64_t                rounds_ = 0;
 };
 
--- a/tests/gateway_peer_test.cpp
+++ b/tests/gateway_peer_test.cpp
@@ -63,11 +63,14 @@
             all[from].silent(to, false, at(ms));
             return;
         }
-        for (const auto& it : all[from].entries(at(ms)))
-            all[n].merge(it, at(ms));
-        for (const auto& it : all[n].entries(at(ms)))
-            all[from].merge(it, at(ms));
+        const auto sent = all[from].entries(at(ms));
+        auto       met  = all[n].learn(sent, at(ms));
+        const auto news = all[from].learn(all[n].entries(at(ms)), at(ms));
         all[from].answered(to);
+        for (const auto& it : met)
+            exchange(n, it);
+        for (const auto& it : news)
+            exchange(from, it);
     }
 
     std::map<std::string, int> owners(const std::string& service)
@@ -96,6 +99,50 @@
     CHECK(f.owners("s").size() == 1);
 }
 
+// Guards against stage targets that are filled with calls of one piece after a
+// restart of all daemons, when each takes itself for the owner: rounds alone
+// take more than a second to agree.
+TEST_CASE("daemons that start together soon agree on an owner", "[gateway]")
+{
+    constexpr int step      = 20;
+    constexpr int last_hand = 500; // ms; the latest start
+    fleet         f(9);
+    const auto    start = [](std::size_t n) {
+        return static_cast<int>(n * 137 % 9) * last_hand / 8;
+    };
+    for (f.ms = step; f.ms <= last_hand + 200; f.ms += step) {
+        for (std::size_t n = 0; n < f.all.size(); ++n) {
+            f.dead[n] = f.ms < start(n);
+            if (f.dead[n] || (f.ms - start(n)) / step % 5 != 0)
+                continue;
+            if (f.ms - start(n) < step)
+                f.all[n].beat(at(f.ms));
+            for (const auto& to : f.all[n].unmet_seeds(at(f.ms)))
+                f.exchange(n, to);
+        }
+    }
+    for (auto& it : f.all) {
+        CHECK(it.alive(at(f.ms)).size() == 8);
+        CHECK(it.settled(at(f.ms)));
+    }
+    CHECK(f.owners("s").size() == 1);
+}
+
+// Guards against orders that a daemon makes alone before it has met others.
+TEST_CASE("a daemon that has just started names no owner", "[gateway]")
+{
+    peer_table it(make_peer(0), {address(1)}, 1);
+    it.beat(at(1000));
+    CHECK_FALSE(it.settled(at(1100)));
+    CHECK(it.learn({make_peer(1), make_peer(2)}, at(1110)) ==
+          std::vector<std::string>{address(2)});
+    CHECK_FALSE(it.settled(at(1120)));
+    CHECK(it.settled(at(1180)));
+    peer_table alone(make_peer(0), {address(1)}, 1);
+    alone.beat(at(1000));
+    CHECK(alone.settled(at(1400)));
+}
+
 // Guards against control traffic that grows with the fleet, and against a fleet
 // that loses living daemons from sight since messages hold a sample.
 TEST_CASE("a fleet of 360 is known with bounded traffic", "[gateway]")
