Give a target with an overdue call work again after its pause

Cause: a stage call without an answer kept its target's place until its limit of 4 s, although its pieces were made elsewhere after about 0.8 s. Change: an overdue call frees its target's place, after the pause of a failure. Its late answer is still used.

--- a/src/stage_batcher.cpp
+++ b/src/stage_batcher.cpp
@@ -307,6 +307,15 @@
     piece_times_[*kind] = known;
 }
 
+/// Without work for a time, longer with each failure.
+void stage_batcher::pause_failed(target_state& it, time_point now)
+{
+    const auto time = std::min(failed_pause * (1 << std::min(it.failures, 6U)),
+                               failed_pause_most);
+    it.paused_until = std::max(it.paused_until, now + time);
+    ++it.failures;
+}
+
 void stage_batcher::finish(std::uint64_t                     call,
                            const std::vector<piece_outcome>& outcomes,
                            bool target_failed, time_point now)
@@ -316,14 +325,13 @@
         return;
     const auto& ended = it->second;
     auto&       at    = targets_[ended.call.target];
-    at.calls -= std::min(at.calls, 1U);
-    if (target_failed) {
-        at.paused_until =
-            now + std::min(failed_pause * (1 << std::min(at.failures, 6U)),
-                           failed_pause_most);
-        ++at.failures;
+    // An overdue call has freed its place and paused the target before.
+    if (!ended.overdue)
+        at.calls -= std::min(at.calls, 1U);
+    if (target_failed && !ended.overdue) {
+        pause_failed(at, now);
     }
-    else {
+    else if (!target_failed) {
         at.failures = 0;
         learn(ended.call, now - ended.since);
     }
@@ -358,10 +366,9 @@
         it.overdue = true;
         out.push_back(id);
         auto& at = targets_[it.call.target];
-        at.paused_until =
-            now + std::min(failed_pause * (1 << std::min(at.failures, 6U)),
-                           failed_pause_most);
-        ++at.failures;
+        pause_failed(at, now);
+        // Its answer may be lost, and the target idle.
+        at.calls -= std::min(at.calls, 1U);
         for (const auto& piece : it.call.pieces) {
             const auto group = groups_.find(piece.group);
             if (group == groups_.end())
--- a/src/stage_batcher.hpp
+++ b/src/stage_batcher.hpp
@@ -154,6 +154,7 @@
     bool          may_go_to(const waiting_group& group, const target& at,
                             time_point now) const;
     std::uint64_t room_left(target_state& it, time_point now) const;
+    static void   pause_failed(target_state& it, time_point now);
     static void   give_back(target_state& it, std::uint64_t bytes);
 
     stage_limits                                     limits_;
--- a/tests/gateway_batcher_test.cpp
+++ b/tests/gateway_batcher_test.cpp
@@ -253,6 +253,27 @@
     CHECK(f.it.state(2, at(900)).waiting == 0);
 }
 
+// Guards against a target that stays idle for seconds, since an answer of its
+// was lost on the way and its call is still open here.
+TEST_CASE("a target with an overdue call gets work after a pause", "[gateway]")
+{
+    fixture f;
+    f.it.add(make_group(1, 5, 9000, 9000), at(0));
+    const auto call = f.it.next(f.one, at(0));
+    REQUIRE(call);
+    REQUIRE(f.it.overdue(at(801)).size() == 1);
+    CHECK_FALSE(f.it.next(f.one, at(1000)));
+    const auto again = f.it.next(f.one, at(1002));
+    REQUIRE(again);
+    CHECK(again->pieces.size() == 5);
+    // The end of the first call frees no second place.
+    f.it.add(make_group(2, 5, 9000, 9000), at(1010));
+    f.finish(*call, 1010, piece_outcome::retry, true);
+    CHECK_FALSE(f.it.next(f.one, at(1100)));
+    f.finish(*again, 1200);
+    CHECK(f.it.next(f.one, at(1200)));
+}
+
 // Guards against a failing target that gets call after call.
 TEST_CASE("a failing target pauses, longer each time", "[gateway]")
 {
