Keep orders near their inputs in a saturated stage service

Cause: an order goes to a target in any failure domain once it has waited 120 ms. Change: orders on time near the target go first, then others on time that would be late after the next calls of their own domain, then late ones.

--- a/src/stage_batcher.cpp
+++ b/src/stage_batcher.cpp
@@ -167,7 +167,7 @@
     return {late ? 1 : 0, by.time_since_epoch().count(), it.id};
 }
 
-std::vector<std::uint64_t> stage_batcher::order(time_point now) const
+std::vector<stage_batcher::turn> stage_batcher::order(time_point now) const
 {
     const auto        call = next_call_time();
     std::vector<turn> turns;
@@ -176,10 +176,7 @@
             turns.push_back(turn_of(group.it, group.pieces.size(), call, now));
     }
     std::sort(turns.begin(), turns.end());
-    std::vector<std::uint64_t> out;
-    for (const auto& it : turns)
-        out.push_back(it.id);
-    return out;
+    return turns;
 }
 
 std::uint64_t stage_batcher::room_left(target_state& it, time_point now) const
@@ -218,14 +215,24 @@
     return list;
 }
 
-/// Inputs from another failure domain are read only after a short wait for a
-/// target that is nearer to them.
-bool stage_batcher::may_go_to(const waiting_group& group, const target& at,
-                              time_point now) const
+bool stage_batcher::near(const waiting_group& group, const target& at)
 {
     return group.it.failure_domain.empty() ||
-           group.it.failure_domain == at.failure_domain ||
-           now - group.since >= domain_wait;
+           group.it.failure_domain == at.failure_domain;
+}
+
+/// Inputs from another failure domain are read only after a short wait for a
+/// target near them, and while there are such targets only when the group would
+/// be late after their next calls. In a saturated service every group waits
+/// long, and would else be made anywhere.
+bool stage_batcher::may_go_far(const waiting_group& group, const turn& at,
+                               microseconds call, time_point now) const
+{
+    if (now - group.since < domain_wait)
+        return false;
+    const bool urgent = now + 2 * call > group.it.goal;
+    return at.late == 1 || urgent ||
+           !domains_.contains(group.it.failure_domain);
 }
 
 void stage_batcher::take(stage_call& call, waiting_group& group,
@@ -249,15 +256,26 @@
     }
 }
 
+/// Groups on time go first; among them, and then among the others, those with
+/// inputs near the target.
 void stage_batcher::fill(stage_call& call, const target& at, time_point now)
 {
-    auto room = room_left(targets_[at.id], now);
-    for (const auto id : order(now)) {
-        auto& group = groups_.at(id);
-        if (may_go_to(group, at, now))
-            take(call, group, at, room, now);
-        if (call.pieces.size() >= limits_.batch)
-            return;
+    auto       room  = room_left(targets_[at.id], now);
+    const auto turns = order(now);
+    const auto time  = next_call_time();
+    call.room        = room;
+    for (const int late : {0, 1}) {
+        for (const bool nearby : {true, false}) {
+            for (const auto& it : turns) {
+                auto& group = groups_.at(it.id);
+                if (it.late != late || near(group, at) != nearby ||
+                    (!nearby && !may_go_far(group, it, time, now)))
+                    continue;
+                take(call, group, at, room, now);
+                if (call.pieces.size() >= limits_.batch)
+                    return;
+            }
+        }
     }
 }
 
@@ -266,6 +284,9 @@
 {
     if (waiting_ == 0)
         return std::nullopt;
+    domains_.clear();
+    for (const auto* it : targets)
+        domains_.insert(it->failure_domain);
     for (const auto* at : free_targets(targets, now)) {
         stage_call call;
         call.target = at->id;
--- a/src/stage_batcher.hpp
+++ b/src/stage_batcher.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -42,6 +43,7 @@
     std::uint64_t              id = 0;
     std::string                target;
     std::vector<batched_piece> pieces;
+    std::uint64_t              room = 0;    ///< Bytes, before its results.
     microseconds               expected{0}; ///< Duration.
 };
 
@@ -145,14 +147,15 @@
     /// \param call duration of the next calls.
     turn turn_of(const piece_group& it, std::size_t pieces, microseconds call,
                  time_point now) const;
-    std::vector<std::uint64_t> order(time_point now) const;
+    std::vector<turn> order(time_point now) const;
     std::vector<const target*>
     free_targets(const std::vector<const target*>& targets, time_point now);
     void          fill(stage_call& call, const target& at, time_point now);
     void          take(stage_call& call, waiting_group& group, const target& at,
                        std::uint64_t& room, time_point now);
-    bool          may_go_to(const waiting_group& group, const target& at,
-                            time_point now) const;
+    static bool   near(const waiting_group& group, const target& at);
+    bool          may_go_far(const waiting_group& group, const turn& at,
+                             microseconds call, time_point now) const;
     std::uint64_t room_left(target_state& it, time_point now) const;
     static void   pause_failed(target_state& it, time_point now);
     static void   give_back(target_state& it, std::uint64_t bytes);
@@ -165,6 +168,7 @@
     /// Learned time of a piece by kind, in microseconds.
     std::unordered_map<std::uint32_t, double> piece_times_;
     std::size_t                               waiting_ = 0;
+    std::set<std::string> domains_; ///< Of the targets of the latest call.
 };
 
 } // namespace arbutusgate::gateway
--- a/src/stage_desk.cpp
+++ b/src/stage_desk.cpp
@@ -203,6 +203,7 @@
          {"pieces", call.pieces.size()},
          {"took_ms", took},
          {"expected_ms", call.expected.count() / 1000},
+         {"room_kb", call.room / 1000},
          {"waiting", it.batcher.state(1, now).waiting},
          {"failed", target_failed}});
     pump(service, it);
--- a/tests/gateway_batcher_test.cpp
+++ b/tests/gateway_batcher_test.cpp
@@ -305,6 +305,27 @@
     CHECK(f.it.next(f.one, at(321))->target == "a");
 }
 
+// Guards against results that cross failure domains in a saturated service,
+// where every order waits longer than the short wait for a near target, and
+// against calls that are full of orders from elsewhere.
+TEST_CASE("orders stay near their inputs in a saturated service", "[gateway]")
+{
+    fixture f;
+    auto    far        = make_group(1, 10, 5000, 9000);
+    far.failure_domain = "d2";
+    f.it.add(far, at(0));
+    auto own           = make_group(2, 4, 6000, 9000);
+    own.failure_domain = "d1";
+    f.it.add(own, at(0));
+    auto urgent           = make_group(3, 3, 700, 9000);
+    urgent.failure_domain = "d2";
+    f.it.add(urgent, at(0));
+    const auto call = f.it.next(f.two, at(300));
+    REQUIRE(call);
+    CHECK(call->target == "a");
+    CHECK(groups_of(*call) == std::set<std::uint64_t>{2, 3});
+}
+
 // Guards against orders that hold the queue after their callers have left.
 TEST_CASE("cancelled and expired groups leave the queue", "[gateway]")
 {
