Learn the times of pieces from mixed calls

Cause: a call that held pieces of several kinds taught nothing, and in a burst nearly every call does. Change: each kind is corrected by its part of the call's work. A piece keeps its kind, so that calls with cancelled groups teach as well.

--- a/src/stage_batcher.cpp
+++ b/src/stage_batcher.cpp
@@ -14,6 +14,8 @@
 constexpr milliseconds failed_pause{200}; // doubled with each failure
 constexpr milliseconds failed_pause_most{2000};
 constexpr double       learn_gain = 0.1;
+/// Learned times of pieces stay within this factor of the listed time.
+constexpr double piece_time_range = 8;
 /// A target whose calls take longer than this gets work last.
 constexpr double slow_pace = 1.8;
 /// A group yields to groups of the next more urgent rank whose goal is up to
@@ -40,11 +42,8 @@
 stage_batcher::call_time(const std::vector<batched_piece>& pieces) const
 {
     auto out = limits_.call_time;
-    for (const auto& it : pieces) {
-        const auto group = groups_.find(it.group);
-        out += group == groups_.end() ? limits_.piece_time
-                                      : piece_time(group->second.it.kind);
-    }
+    for (const auto& it : pieces)
+        out += piece_time(it.kind);
     return out;
 }
 
@@ -247,7 +246,8 @@
     while (!group.pieces.empty() && call.pieces.size() < limits_.batch &&
            bytes <= room)
     {
-        call.pieces.push_back({group.it.id, group.pieces.back(), bytes});
+        call.pieces.push_back(
+            {group.it.id, group.pieces.back(), group.it.kind, bytes});
         group.pieces.pop_back();
         room -= bytes;
         state.room_used += bytes;
@@ -309,23 +309,28 @@
         static_cast<double>(took.count()) /
         static_cast<double>(std::max<std::int64_t>(1, call.expected.count()));
     at.pace += 2 * learn_gain * (ratio - at.pace);
-    // Kinds are told apart only in calls that hold one of them.
-    std::optional<std::uint32_t> kind;
-    for (const auto& it : call.pieces) {
-        const auto group = groups_.find(it.group);
-        if (group == groups_.end() || (kind && *kind != group->second.it.kind))
-            return;
-        kind = group->second.it.kind;
-    }
-    if (!kind || ratio > slow_pace)
+    if (ratio > slow_pace)
         return;
-    const auto sample =
-        static_cast<double>((took - limits_.call_time).count()) /
-        static_cast<double>(call.pieces.size());
-    const auto least = static_cast<double>(limits_.piece_time.count()) / 8;
-    auto       known = static_cast<double>(piece_time(*kind).count());
-    known += learn_gain * (std::max(sample, least) - known);
-    piece_times_[*kind] = known;
+    // The kinds of a mixed call are corrected by their parts of its work.
+    std::map<std::uint32_t, std::size_t> kinds;
+    for (const auto& it : call.pieces)
+        ++kinds[it.kind];
+    microseconds work{0};
+    for (const auto& [kind, n] : kinds)
+        work += piece_time(kind) * n;
+    if (work <= microseconds{0})
+        return;
+    const auto all = static_cast<double>(work.count());
+    const auto factor =
+        static_cast<double>((took - limits_.call_time).count()) / all;
+    const auto listed = static_cast<double>(limits_.piece_time.count());
+    for (const auto& [kind, n] : kinds) {
+        const auto known   = static_cast<double>(piece_time(kind).count());
+        const auto part    = known * static_cast<double>(n) / all;
+        const auto next    = known + learn_gain * part * known * (factor - 1);
+        piece_times_[kind] = std::clamp(next, listed / piece_time_range,
+                                        listed * piece_time_range);
+    }
 }
 
 /// Without work for a time, longer with each failure.
--- a/src/stage_batcher.hpp
+++ b/src/stage_batcher.hpp
@@ -34,6 +34,7 @@
 {
     std::uint64_t group        = 0;
     std::uint32_t piece        = 0;
+    std::uint32_t kind         = 0; ///< As of the group.
     std::uint64_t result_bytes = 0;
 };
 
--- a/tests/gateway_batcher_test.cpp
+++ b/tests/gateway_batcher_test.cpp
@@ -326,6 +326,38 @@
     CHECK(groups_of(*call) == std::set<std::uint64_t>{2, 3});
 }
 
+// Guards against expected times that stay wrong where calls hold pieces of
+// several kinds, and so orders that are taken for late.
+TEST_CASE("times of pieces are learned from mixed calls", "[gateway]")
+{
+    fixture       f;
+    std::uint64_t id = 0;
+    int           ms = 0;
+    // Pieces of kind 1 take 4 ms, those of kind 2 as long as listed, 10 ms.
+    for (int round = 0; round < 300; ++round) {
+        for (const std::uint32_t kind : {1, 2}) {
+            auto it = make_group(++id, kind == 1 ? 1 + round % 4 : 3,
+                                 ms + 60'000, ms + 90'000);
+            it.kind = kind;
+            f.it.add(it, at(ms));
+        }
+        const auto call = f.it.next(f.one, at(ms));
+        REQUIRE(call);
+        int took = 150;
+        for (const auto& piece : call->pieces)
+            took += piece.kind == 1 ? 4 : 10;
+        ms += took;
+        f.finish(*call, ms);
+        f.it.released("a", 0);
+    }
+    auto quick = make_group(++id, 10, ms + 60'000, ms + 90'000);
+    quick.kind = 1;
+    f.it.add(quick, at(ms));
+    const auto call = f.it.next(f.one, at(ms));
+    CHECK(call->expected < milliseconds{220});
+    CHECK(call->expected > milliseconds{180});
+}
+
 // Guards against orders that hold the queue after their callers have left.
 TEST_CASE("cancelled and expired groups leave the queue", "[gateway]")
 {
