Let calls that are too small for the load wait for more pieces

Such a call takes 150 ms like a full one, and the pieces that came next waited for another target. Ruled out: room (1 MB of 1.7 MB was free) and domains (the queue was empty). Change: a call that holds fewer pieces than the load needs (by the arrivals of the last second) waits until it does, or as long as it takes on average until another target is free. At little load nothing waits.

--- a/src/stage_batcher.cpp
+++ b/src/stage_batcher.cpp
@@ -115,6 +115,7 @@
     for (auto n = it.count; n > 0; --n)
         group.pieces.push_back(n - 1);
     waiting_ += it.count;
+    arrivals_.add(it.count, now);
     groups_.emplace(it.id, std::move(group));
 }
 
@@ -279,15 +280,59 @@
     }
 }
 
+/// Pieces that each call must hold at least, so that the targets keep up with
+/// what arrives: calls take long, however few pieces they hold.
+std::size_t stage_batcher::least_fill(std::size_t targets, time_point now) const
+{
+    using fseconds     = std::chrono::duration<double>;
+    const auto rate    = arrivals_.per_second(now);
+    const auto servers = static_cast<double>(targets * limits_.slots);
+    const auto busy    = rate * fseconds(limits_.piece_time).count() / servers;
+    if (busy >= 1)
+        return limits_.batch;
+    const auto fill =
+        rate * fseconds(limits_.call_time).count() / servers / (1 - busy);
+    return std::min<std::size_t>(limits_.batch, static_cast<std::size_t>(fill));
+}
+
+/// A call that is too small for the load waits for more pieces, but not longer
+/// than until the next target is free on average.
+bool stage_batcher::hold(const target& at, std::size_t targets, time_point now)
+{
+    const auto  time = next_call_time();
+    const auto  room = room_left(targets_[at.id], now);
+    std::size_t n    = 0;
+    time_point  oldest{time_point::max()};
+    for (const auto& it : order(now)) {
+        const auto& group = groups_.at(it.id);
+        if (!near(group, at) && !may_go_far(group, it, time, now))
+            continue;
+        const auto bytes = std::max<std::uint64_t>(1, group.it.result_bytes);
+        n += std::min<std::size_t>(group.pieces.size(), room / bytes);
+        oldest = std::min(oldest, group.since);
+    }
+    if (n == 0 || n >= least_fill(targets, now))
+        return false;
+    const auto until =
+        oldest + time / static_cast<int>(targets * limits_.slots);
+    if (now >= until)
+        return false;
+    held_until_ = std::min(held_until_, until);
+    return true;
+}
+
 std::optional<stage_call>
 stage_batcher::next(const std::vector<const target*>& targets, time_point now)
 {
+    held_until_ = time_point::max();
     if (waiting_ == 0)
         return std::nullopt;
     domains_.clear();
     for (const auto* it : targets)
         domains_.insert(it->failure_domain);
     for (const auto* at : free_targets(targets, now)) {
+        if (hold(*at, targets.size(), now))
+            continue;
         stage_call call;
         call.target = at->id;
         fill(call, *at, now);
@@ -421,7 +466,7 @@
             if (it.paused_until > now)
                 out = std::min(out, it.paused_until);
         }
-        out = std::min(out, now + milliseconds{50});
+        out = std::min({out, held_until_, now + milliseconds{50}});
     }
     return out;
 }
--- a/src/stage_batcher.hpp
+++ b/src/stage_batcher.hpp
@@ -2,6 +2,7 @@
 /// which target.
 #pragma once
 
+#include "arrival_rate.hpp"
 #include "gateway_types.hpp"
 
 #include <cstdint>
@@ -157,6 +158,8 @@
     static bool   near(const waiting_group& group, const target& at);
     bool          may_go_far(const waiting_group& group, const turn& at,
                              microseconds call, time_point now) const;
+    std::size_t   least_fill(std::size_t targets, time_point now) const;
+    bool          hold(const target& at, std::size_t targets, time_point now);
     std::uint64_t room_left(target_state& it, time_point now) const;
     static void   pause_failed(target_state& it, time_point now);
     static void   give_back(target_state& it, std::uint64_t bytes);
@@ -170,6 +173,8 @@
     std::unordered_map<std::uint32_t, double> piece_times_;
     std::size_t                               waiting_ = 0;
     std::set<std::string> domains_; ///< Of the targets of the latest call.
+    arrival_rate          arrivals_;
+    time_point            held_until_{time_point::max()}; ///< Of a held call.
 };
 
 } // namespace arbutusgate::gateway
--- a/src/stage_desk.cpp
+++ b/src/stage_desk.cpp
@@ -127,6 +127,10 @@
             run_call(service, call);
         });
     }
+    if (it.batcher.wake_at(now) < wake_at_) {
+        rearm_ = true;
+        fibers_.wake();
+    }
 }
 
 std::vector<stage_piece> stage_desk::encode(const stage_call& call,
@@ -285,23 +289,21 @@
 void stage_desk::tend()
 {
     while (!fibers_.stopping()) {
-        bool       busy = false;
-        const auto wake = tick(busy);
-        fibers_.sleep_until(wake, [this, busy, n = next_group_] {
-            return !busy && next_group_ != n;
-        });
+        wake_at_ = tick();
+        rearm_   = false;
+        fibers_.sleep_until(wake_at_, [this] { return rearm_; });
+        wake_at_ = {};
     }
 }
 
 /// \return when there may be something to do without a new order.
-time_point stage_desk::tick(bool& busy)
+time_point stage_desk::tick()
 {
     const auto now  = daemon_now();
-    auto       wake = now + seconds{1};
+    auto       wake = now + std::chrono::minutes{1};
     for (auto& [service, it] : pools_) {
         if (it->groups.empty() && it->batcher.state(1, now).calls == 0)
             continue;
-        busy = true;
         for (const auto id : it->batcher.expire(now))
             end(*it, id, order_state::late);
         for (const auto id : it->batcher.overdue(now)) {
@@ -312,8 +314,6 @@
         pump(service, *it);
         wake = std::min(wake, it->batcher.wake_at(now));
     }
-    if (!busy)
-        wake = now + std::chrono::minutes{1};
     return std::max(wake, now + milliseconds{10});
 }
 
--- a/src/stage_desk.hpp
+++ b/src/stage_desk.hpp
@@ -108,7 +108,7 @@
                                const piece_result&  result);
     void          end(pool& it, std::uint64_t group, order_state how);
     void          tend();
-    time_point    tick(bool& busy);
+    time_point    tick();
     void          flush_releases();
 
     stage_desk_init                                        init_;
@@ -118,7 +118,9 @@
     std::unordered_map<std::string, std::vector<std::string>> releases_;
     std::uint64_t                                             next_group_ = 1;
     stage_desk_stats                                          stats_;
-    fiber_group                                               fibers_;
+    time_point  wake_at_{};     ///< Of the fiber that tends the queues.
+    bool        rearm_ = false; ///< It has something to do before.
+    fiber_group fibers_;
 };
 
 } // namespace arbutusgate::gateway
