Give up results within 15 ms

Cause: results that were read stayed 28 ms on average, 55 ms at most, in two lists that were flushed every 25 and 30 ms, and the room for results bounds the first two stages in a burst. Both timers also ran while there was nothing. Change: the first result of a list starts its timer, 5 ms at the caller's daemon and 10 ms at the owner.

--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -19,7 +19,8 @@
 constexpr milliseconds connect_limit{300};
 constexpr milliseconds gossip_limit{500};
 constexpr milliseconds release_limit{1000};
-constexpr milliseconds release_delay{25};
+/// Results that are given up wait this long for others of the same owner.
+constexpr milliseconds release_delay{5};
 /// Owners that are tried for one order, before it is made here.
 constexpr int owner_tries = 2;
 /// Added to an order's limit for the way of its answer.
@@ -42,12 +43,6 @@
         }
     });
     fibers_.spawn([this] { join(); });
-    fibers_.spawn([this] {
-        while (!fibers_.stopping()) {
-            fibers_.sleep_until(daemon_now() + release_delay);
-            flush_releases();
-        }
-    });
 }
 
 // Membership -----------------------------------------------------------------
@@ -298,8 +293,15 @@
         desk_.release(service, handles);
         return;
     }
-    auto& list = releases_[owner];
+    const bool flushing = !releases_.empty();
+    auto&      list     = releases_[owner];
     list.insert(list.end(), handles.begin(), handles.end());
+    if (flushing)
+        return;
+    fibers_.spawn([this] {
+        fibers_.sleep_until(daemon_now() + release_delay);
+        flush_releases();
+    });
 }
 
 void peer_mesh::flush_releases()
--- a/src/stage_desk.cpp
+++ b/src/stage_desk.cpp
@@ -18,7 +18,7 @@
 constexpr milliseconds connect_limit{400};
 constexpr milliseconds release_limit{1000};
 /// Results that are given up wait this long for others of the same target.
-constexpr milliseconds  release_delay{30};
+constexpr milliseconds  release_delay{10};
 constexpr std::uint32_t piece_failures    = 4; // of one order
 constexpr std::uint32_t stage_connections = 8; // to one target
 
@@ -51,12 +51,6 @@
 stage_desk::stage_desk(stage_desk_init init) : init_(init)
 {
     fibers_.spawn([this] { tend(); });
-    fibers_.spawn([this] {
-        while (!fibers_.stopping()) {
-            fibers_.sleep_until(daemon_now() + release_delay);
-            flush_releases();
-        }
-    });
 }
 
 stage_desk::pool* stage_desk::find_pool(const std::string& service)
@@ -320,10 +314,17 @@
 void stage_desk::release(const std::string&,
                          const std::vector<std::string>& handles)
 {
+    const bool flushing = !releases_.empty();
     for (const auto& it : handles) {
         if (!it.empty())
             releases_[std::string(address_of(it))].push_back(it);
     }
+    if (flushing || releases_.empty())
+        return;
+    fibers_.spawn([this] {
+        fibers_.sleep_until(daemon_now() + release_delay);
+        flush_releases();
+    });
 }
 
 void stage_desk::flush_releases()
