Ask an owner with orders that says nothing for 250 ms

Change: while a daemon has open orders, it asks an owner that has said nothing for 250 ms; no answer within 250 ms moves the orders.

--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -19,6 +19,10 @@
 constexpr milliseconds connect_limit{300};
 constexpr milliseconds gossip_limit{500};
 constexpr milliseconds release_limit{1000};
+/// Between looks at owners with orders, and for the answer of one that was
+/// quiet: a slow daemon answers within some 50 ms.
+constexpr milliseconds watch_interval{100};
+constexpr milliseconds probe_limit{250};
 /// Results that are given up wait this long for others of the same owner.
 constexpr milliseconds release_delay{5};
 /// Owners that are tried for one order, before it is made here.
@@ -90,8 +94,36 @@
         peer_silent(address, false);
         return;
     }
-    table_.answered(address);
     take_gossip(*answer);
+    table_.answered(address, daemon_now());
+}
+
+/// Finds owners that died with orders: their connections may stay silent.
+void peer_mesh::watch_owners()
+{
+    while (!fibers_.stopping() && !remote_.empty()) {
+        const auto now = daemon_now();
+        for (const auto& [id, it] : remote_) {
+            if (it->asked_at == time_point{} || probed_.contains(it->owner) ||
+                !table_.quiet(it->owner, it->asked_at, now))
+                continue;
+            probed_.insert(it->owner);
+            fibers_.spawn([this, owner = it->owner] { probe(owner); });
+        }
+        fibers_.sleep_until(now + watch_interval);
+    }
+    watching_ = false;
+}
+
+void peer_mesh::probe(const std::string& address)
+{
+    const auto body =
+        call(address, gossip_path, encode(own_gossip()), probe_limit);
+    probed_.erase(address);
+    if (body)
+        table_.answered(address, daemon_now());
+    else
+        peer_silent(address, true);
 }
 
 peer_gossip peer_mesh::own_gossip()
@@ -180,6 +212,8 @@
     it->ticket->id      = next_id_++;
     remote_.emplace(it->ticket->id, it);
     ++stats_.orders_sent;
+    if (!std::exchange(watching_, true))
+        fibers_.spawn([this] { watch_owners(); });
     fibers_.spawn([this, it] { run_remote(it); });
     return it->ticket;
 }
@@ -231,9 +265,13 @@
 std::optional<stage_outcome> peer_mesh::ask_owner(const remote_ptr& it)
 {
     const auto now = daemon_now();
+    it->asked_at   = now;
     const auto body =
         call(it->owner, order_path, encode(it->order, now),
              left_until(it->order.group.limit) + answer_margin, &it->client);
+    it->asked_at = {};
+    if (body)
+        table_.answered(it->owner, daemon_now());
     return body ? decode_outcome(*body) : std::nullopt;
 }
 
@@ -338,6 +376,8 @@
     if (path == gossip_path) {
         if (const auto it = decode_gossip(body)) {
             take_gossip(*it);
+            if (!it->members.empty())
+                table_.answered(it->members.front().address, daemon_now());
             out.body() = encode(own_gossip());
             exchange.respond(std::move(out));
             return;
--- a/src/peer_mesh.hpp
+++ b/src/peer_mesh.hpp
@@ -73,6 +73,7 @@
         std::shared_ptr<stage_ticket> local; ///< When made here after all.
         http_client*                  client = nullptr;
         std::string                   owner;
+        time_point                    asked_at{}; ///< Open since; or none.
         bool                          withdrawn = false;
     };
     using remote_ptr = std::shared_ptr<remote_order>;
@@ -82,6 +83,8 @@
     /// Asks the seeds until all were met, for the first seconds.
     void join();
     void gossip_with(const std::string& address);
+    void watch_owners();
+    void probe(const std::string& address);
     void flush_releases();
     void wait_until_settled(const remote_order& it);
     void run_remote(const remote_ptr& it);
@@ -106,9 +109,11 @@
     std::map<std::uint64_t, remote_ptr>       remote_; ///< By ticket id.
     std::map<std::string, stage_queue>        queues_; ///< Of other owners.
     std::map<std::string, std::vector<std::string>> releases_; ///< By owner.
-    std::uint64_t                                   next_id_;
-    peer_mesh_stats                                 stats_;
-    fiber_group                                     fibers_;
+    std::set<std::string>                           probed_;   ///< Asked now.
+    bool            watching_ = false; ///< The owners of orders.
+    std::uint64_t   next_id_;
+    peer_mesh_stats stats_;
+    fiber_group     fibers_;
 };
 
 } // namespace arbutusgate::gateway
--- a/src/peer_table.cpp
+++ b/src/peer_table.cpp
@@ -155,11 +155,21 @@
     return started;
 }
 
-void peer_table::answered(const std::string& address)
+bool peer_table::quiet(const std::string& address, time_point since,
+                       time_point now) const
+{
+    const auto it = peers_.find(address);
+    const auto last =
+        it == peers_.end() ? since : std::max(since, it->second.answered);
+    return now - last >= times_.owner_silence;
+}
+
+void peer_table::answered(const std::string& address, time_point now)
 {
     const auto it = peers_.find(address);
     if (it == peers_.end())
         return;
+    it->second.answered      = now;
     it->second.misses        = 0;
     it->second.suspects      = 0;
     it->second.suspect_until = {};
--- a/src/peer_table.hpp
+++ b/src/peer_table.hpp
@@ -38,6 +38,9 @@
     /// doubled each time up to the most.
     milliseconds suspect{2500};
     milliseconds suspect_most{40'000};
+    /// An owner that has orders and says nothing for this long is asked; work
+    /// that waits for a dead one is late after a few calls of 200 to 300 ms.
+    milliseconds owner_silence{250};
     /// A daemon is forgotten after this time.
     milliseconds forget{600'000};
     /// Rounds between tries of a seed that is not known to be alive.
@@ -89,8 +92,12 @@
     /// some of a larger one.
     std::vector<std::string> learn(const std::vector<peer>& members,
                                    time_point               now);
-    /// The peer answered.
-    void answered(const std::string& address);
+    /// The peer answered, or sent a message itself.
+    void answered(const std::string& address, time_point now);
+    /// The peer said nothing since the time, for so long that it must be asked
+    /// whether it is there.
+    bool quiet(const std::string& address, time_point since,
+               time_point now) const;
     /// The peer did not answer. \return true when it is suspect from now on.
     bool silent(const std::string& address, bool certain, time_point now);
 
@@ -111,6 +118,7 @@
     {
         peer          it;
         time_point    heard{};
+        time_point    answered{};
         time_point    suspect_until{};
         std::uint32_t misses   = 0; ///< In a row.
         std::uint32_t suspects = 0; ///< In a row.
--- a/tests/gateway_peer_test.cpp
+++ b/tests/gateway_peer_test.cpp
@@ -66,7 +66,7 @@
         const auto sent = all[from].entries(at(ms));
         auto       met  = all[n].learn(sent, at(ms));
         const auto news = all[from].learn(all[n].entries(at(ms)), at(ms));
-        all[from].answered(to);
+        all[from].answered(to, at(ms));
         for (const auto& it : met)
             exchange(n, it);
         for (const auto& it : news)
@@ -212,6 +212,20 @@
     CHECK(it.alive(at(f.ms + 10'000)).size() == 4);
 }
 
+// Guards against orders that wait a second for an owner whose machine lost its
+// power: its connections stay open and silent.
+TEST_CASE("an owner with orders that says nothing is asked", "[gateway]")
+{
+    peer_table it(make_peer(0), {}, 1);
+    it.merge(make_peer(1), at(0));
+    it.answered(address(1), at(100));
+    CHECK_FALSE(it.quiet(address(1), at(300), at(540)));
+    CHECK(it.quiet(address(1), at(300), at(550)));
+    it.answered(address(1), at(560));
+    CHECK_FALSE(it.quiet(address(1), at(300), at(800)));
+    CHECK(it.quiet(address(1), at(300), at(810)));
+}
+
 // Guards against a dead process of an address that hides the new one there.
 TEST_CASE("a restarted daemon is known at once", "[gateway]")
 {
