End a stopped daemon at once

Trial with lines at each step: main returned at 5.32 s after a SIGTERM at 1.0 s, and the process was killed at 9.0 s. Ruled out: open requests, fibers and connections (all had ended, the thread was joined); a trial of log4cplus::deinitialize() in main hung inside that call, so the library's thread pool is what exit waits for. Change: the program closes its log and ends with quick_exit. It logs 'stopped'.

--- a/tools/arbutusgate-gateway.cpp
+++ b/tools/arbutusgate-gateway.cpp
@@ -6,6 +6,7 @@
 #include "store_client.hpp"
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 
 namespace {
@@ -87,6 +88,9 @@
     }
     std::signal(SIGPIPE, SIG_IGN);
     const int code = run(*settings, path);
+    log(log_level::info, "stopped", {{"node", settings->node}});
     stop_log();
-    return code;
+    // The idle threads of log4cplus are not waited for: at exit its pool may
+    // keep the process until it is killed, and a replacement from starting.
+    std::quick_exit(code);
 }
