Take the published state from a peer while the store does not answer

Ruled out: reading the store with other limits; it was down for 8 s. Change: while the store does not answer, a daemon asks two living peers for the configuration document and the targets of a newer revision, and goes on from that revision when the store is back. An answer of the store that was asked for before is dropped. Nothing is written anywhere; peers hand on what was published.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -31,6 +31,8 @@
 /// Kept of the grace for the process's own end.
 constexpr milliseconds exit_margin{300};
 constexpr milliseconds drain_poll{20};
+/// Between questions to other daemons while the store does not answer.
+constexpr milliseconds peer_state_pace{300};
 
 std::string_view to_string(target_change it)
 {
@@ -81,6 +83,7 @@
 
     void          start_on_thread();
     void          follow();
+    void          follow_peers();
     follow_events events();
     void          configured(const route_table& table);
     void          target_changed(const std::string& id, target_change what);
@@ -125,6 +128,7 @@
     std::atomic<bool>          stopping{false};
     std::atomic<std::uint32_t> open_requests{0};
     std::promise<void>         follower_ended;
+    std::promise<void>         peer_follower_ended;
 };
 
 gateway::impl::impl(gateway_init it)
@@ -191,19 +195,53 @@
     peers  = std::make_unique<peer_mesh>(io, own_peers(), *stages,
                                         [this] { return stage_services(); });
     reader = make_reader(io);
-    parts  = std::make_unique<gateway_parts>(gateway_parts{
+    peers->set_state([this] { return state->copy(); });
+    parts = std::make_unique<gateway_parts>(gateway_parts{
         codec, *state, targets, picker, *connections, *peers, budget, times,
         counters, random, settings.failure_domain});
     spawn_fiber([this] {
         follow();
         follower_ended.set_value();
     });
+    spawn_fiber([this] {
+        follow_peers();
+        peer_follower_ended.set_value();
+    });
+}
+
+/// Learns from other daemons while the store does not answer this one, such as
+/// after a start during an outage.
+void gateway::impl::follow_peers()
+{
+    while (!stopping) {
+        fiber_sleep(thread.io(), peer_state_pace);
+        if (stopping || !state->source_failing())
+            continue;
+        auto found = peers->ask_state(state->revision());
+        if (!found)
+            continue;
+        auto config = reader->parse_configuration(found->document);
+        if (!config.ok()) {
+            log(log_level::warning, "configuration of a peer not usable",
+                {{"error", config.status().ToString()}});
+            continue;
+        }
+        const auto revision = found->revision;
+        if (!state->adopt(*std::move(found), *std::move(config), daemon_now()))
+            continue;
+        peers->set_ready(ready());
+        log(log_level::info, "published state taken from a peer",
+            {{"revision", revision},
+             {"version", state->table()->version()},
+             {"targets", targets.size()}});
+    }
 }
 
 void gateway::impl::follow()
 {
     const auto times = follow_times{};
     while (!stopping) {
+        peers->set_ready(ready());
         const auto step = state->next(daemon_now());
         switch (step.what) {
         case state_follower::call::sleep:
@@ -234,6 +272,7 @@
     peer self;
     self.address        = settings.peer;
     self.failure_domain = settings.failure_domain;
+    self.refuses_orders = true; // Until it is ready.
     self.incarnation    = static_cast<std::uint64_t>(
         std::chrono::duration_cast<microseconds>(
             std::chrono::system_clock::now().time_since_epoch())
@@ -380,8 +419,10 @@
 gateway::~gateway()
 {
     impl_->stopping = true;
-    if (impl_->started)
+    if (impl_->started) {
         impl_->follower_ended.get_future().wait();
+        impl_->peer_follower_ended.get_future().wait();
+    }
     impl_->front->stop();
     impl_->readiness->stop();
     impl_->peer_port->stop();
--- a/src/gateway_types.hpp
+++ b/src/gateway_types.hpp
@@ -114,6 +114,7 @@
     std::vector<account> accounts;
     bool                 has_accounts = false; ///< Calls need a key.
     caller_limits        limits;
+    std::string          document; ///< As published; opaque here.
 };
 
 /// One process of a target, as published.
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -16,7 +16,7 @@
 peer decode(const pb::GatewayMember& it)
 {
     return {it.address(), it.incarnation(), it.heartbeat(), it.failure_domain(),
-            it.leaving()};
+            it.refuses_orders()};
 }
 
 void encode(const peer& it, pb::GatewayMember& out)
@@ -25,7 +25,7 @@
     out.set_incarnation(it.incarnation);
     out.set_heartbeat(it.heartbeat);
     out.set_failure_domain(it.failure_domain);
-    out.set_leaving(it.leaving);
+    out.set_refuses_orders(it.refuses_orders);
 }
 
 /// Pieces of one stage of one call; a message with more is not ours.
@@ -97,6 +97,52 @@
     return out;
 }
 
+std::string encode(const state_copy& it)
+{
+    pb::GatewayState out;
+    out.set_revision(it.revision);
+    out.set_configuration(it.document);
+    for (const auto& at : it.targets) {
+        auto& entry = *out.add_targets();
+        entry.set_id(at.id);
+        entry.set_service(at.service);
+        entry.set_address(at.address);
+        entry.set_failure_domain(at.failure_domain);
+        entry.set_slots(at.slots);
+        entry.set_leaving(at.leaving);
+        entry.set_started_at(at.started_at);
+    }
+    return out.SerializeAsString();
+}
+
+std::optional<state_copy> decode_state(const std::string& bytes)
+{
+    pb::GatewayState in;
+    if (!in.ParseFromString(bytes))
+        return std::nullopt;
+    state_copy out{in.revision(), in.configuration(), {}};
+    for (const auto& it : in.targets())
+        out.targets.push_back({it.id(), it.service(), it.address(),
+                               it.failure_domain(), it.slots(), it.leaving(),
+                               it.started_at()});
+    return out;
+}
+
+std::string encode_state_query(std::uint64_t revision)
+{
+    pb::GatewayStateQuery out;
+    out.set_revision(revision);
+    return out.SerializeAsString();
+}
+
+std::optional<std::uint64_t> decode_state_query(const std::string& bytes)
+{
+    pb::GatewayStateQuery in;
+    if (!in.ParseFromString(bytes))
+        return std::nullopt;
+    return in.revision();
+}
+
 std::string encode(const stage_order& it, time_point now)
 {
     pb::StageOrder out;
--- a/src/peer_codec.hpp
+++ b/src/peer_codec.hpp
@@ -3,6 +3,7 @@
 
 #include "peer_table.hpp"
 #include "stage_service.hpp"
+#include "state_reader.hpp"
 
 #include <map>
 #include <optional>
@@ -32,6 +33,12 @@
 std::optional<peer_gossip> decode_gossip(const std::string& bytes);
 
 /// \param now of the sender: times are sent as what is left.
+std::string               encode(const state_copy& it);
+std::optional<state_copy> decode_state(const std::string& bytes);
+/// \param revision what the asking daemon knows itself.
+std::string                  encode_state_query(std::uint64_t revision);
+std::optional<std::uint64_t> decode_state_query(const std::string& bytes);
+
 std::string encode(const stage_order& it, time_point now);
 /// \param now of the receiver.
 std::optional<stage_order> decode_order(const std::string& bytes,
--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -15,10 +15,15 @@
 constexpr const char* gossip_path  = "/v1/gossip";
 constexpr const char* order_path   = "/v1/orders";
 constexpr const char* release_path = "/v1/releases";
+constexpr const char* state_path   = "/v1/state";
 
 constexpr milliseconds connect_limit{300};
 constexpr milliseconds gossip_limit{500};
 constexpr milliseconds release_limit{1000};
+constexpr milliseconds state_limit{500};
+/// Daemons that are asked for the published state at a time: one may be cut
+/// off from the store as well.
+constexpr std::size_t state_askings = 2;
 /// Between looks at owners with orders, and for the answer of one that was
 /// quiet: a slow daemon answers within some 50 ms.
 constexpr milliseconds watch_interval{100};
@@ -78,7 +83,20 @@
 
 void peer_mesh::announce_leaving()
 {
-    table_.set_leaving();
+    leaving_ = true;
+    table_.set_refuses_orders(true);
+    tell_all();
+}
+
+void peer_mesh::set_ready(bool ready)
+{
+    if (table_.set_refuses_orders(leaving_ || !ready))
+        tell_all();
+}
+
+/// The others learn of a change of this daemon before their next rounds.
+void peer_mesh::tell_all()
+{
     table_.beat(daemon_now());
     for (const auto& it : table_.alive(daemon_now())) {
         fibers_.spawn([this, it] { gossip_with(it); });
@@ -373,6 +391,10 @@
         serve_order(exchange);
         return;
     }
+    if (path == state_path) {
+        serve_state(exchange);
+        return;
+    }
     if (path == gossip_path) {
         if (const auto it = decode_gossip(body)) {
             take_gossip(*it);
@@ -396,6 +418,31 @@
     exchange.respond(std::move(out));
 }
 
+std::optional<state_copy> peer_mesh::ask_state(std::uint64_t revision)
+{
+    for (const auto& it : table_.some_alive(state_askings, daemon_now())) {
+        const auto body =
+            call(it, state_path, encode_state_query(revision), state_limit);
+        auto found = body ? decode_state(*body) : std::nullopt;
+        if (found && found->revision > revision)
+            return found;
+    }
+    return std::nullopt;
+}
+
+void peer_mesh::serve_state(http_exchange& exchange)
+{
+    const auto    asked = decode_state_query(exchange.request().body());
+    const auto    known = copy_state_ ? copy_state_() : std::nullopt;
+    http_response out(http::status::ok, 11);
+    if (!asked)
+        out.result(http::status::bad_request);
+    else
+        out.body() =
+            encode(known && known->revision > *asked ? *known : state_copy{});
+    exchange.respond(std::move(out));
+}
+
 void peer_mesh::serve_order(http_exchange& exchange)
 {
     auto order = decode_order(exchange.request().body(), daemon_now());
--- a/src/peer_mesh.hpp
+++ b/src/peer_mesh.hpp
@@ -52,10 +52,23 @@
                         const std::vector<std::string>& handles) override;
     stage_queue queue(const std::string& service) const override;
 
+    /// Asks a living daemon for what it knows of the published state.
+    /// \param revision what is known here.
+    /// \return nothing when none answers or none knows more.
+    std::optional<state_copy> ask_state(std::uint64_t revision);
+    /// \param copy gives what this daemon knows, to others that ask.
+    void set_state(std::function<std::optional<state_copy>()> copy)
+    {
+        copy_state_ = std::move(copy);
+    }
+
     /// Serves a message of another daemon.
     void serve(http_exchange& exchange);
     /// Tells the others that this daemon leaves, so that it owns nothing.
     void announce_leaving();
+    /// This daemon knows the configuration and the targets, or does not; only
+    /// a ready one owns services.
+    void set_ready(bool ready);
 
     void set_seeds(std::vector<std::string> seeds)
     {
@@ -80,6 +93,7 @@
 
     void run_rounds();
     void round();
+    void tell_all();
     /// Asks the seeds until all were met, for the first seconds.
     void join();
     void gossip_with(const std::string& address);
@@ -101,18 +115,21 @@
     peer_gossip own_gossip();
     void        take_gossip(const peer_gossip& it);
     void        serve_order(http_exchange& exchange);
-
-    peer_table                                table_;
-    stage_desk&                               desk_;
-    std::function<std::vector<std::string>()> services_;
-    connection_pool                           pool_;
-    std::map<std::uint64_t, remote_ptr>       remote_; ///< By ticket id.
-    std::map<std::string, stage_queue>        queues_; ///< Of other owners.
+    void        serve_state(http_exchange& exchange);
+
+    peer_table                                 table_;
+    stage_desk&                                desk_;
+    std::function<std::vector<std::string>()>  services_;
+    std::function<std::optional<state_copy>()> copy_state_;
+    connection_pool                            pool_;
+    std::map<std::uint64_t, remote_ptr>        remote_; ///< By ticket id.
+    std::map<std::string, stage_queue>         queues_; ///< Of other owners.
     std::map<std::string, std::vector<std::string>> releases_; ///< By owner.
     std::set<std::string>                           probed_;   ///< Asked now.
     bool            watching_ = false; ///< The owners of orders.
     std::uint64_t   next_id_;
     peer_mesh_stats stats_;
+    bool            leaving_ = false;
     fiber_group     fibers_;
 };
 
--- a/src/peer_table.cpp
+++ b/src/peer_table.cpp
@@ -74,11 +74,7 @@
 std::vector<std::string>
 peer_table::targets(const std::vector<std::string>& services, time_point now)
 {
-    auto                     others = alive(now);
-    std::vector<std::string> out;
-    std::shuffle(others.begin(), others.end(), random_);
-    others.resize(std::min(others.size(), times_.fanout));
-    out = std::move(others);
+    auto out = some_alive(times_.fanout, now);
     for (const auto& it : services) {
         const auto owner = owner_of(it, now);
         if (owner != self_.address)
@@ -217,12 +213,21 @@
     return out;
 }
 
+std::vector<std::string> peer_table::some_alive(std::size_t most,
+                                                time_point  now)
+{
+    auto out = alive(now);
+    std::shuffle(out.begin(), out.end(), random_);
+    out.resize(std::min(out.size(), most));
+    return out;
+}
+
 std::string peer_table::owner_of(std::string_view service, time_point now) const
 {
-    const std::string* best = self_.leaving ? nullptr : &self_.address;
+    const std::string* best = self_.refuses_orders ? nullptr : &self_.address;
     std::uint64_t      most = best ? weight(service, self_.address) : 0;
     for (const auto& [address, it] : peers_) {
-        if (!living(it, now) || it.it.leaving || now < it.suspect_until)
+        if (!living(it, now) || it.it.refuses_orders || now < it.suspect_until)
             continue;
         const auto its = weight(service, address);
         if (!best || its > most) {
--- a/src/peer_table.hpp
+++ b/src/peer_table.hpp
@@ -8,6 +8,7 @@
 #include <random>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace arbutusgate::gateway {
@@ -19,7 +20,8 @@
     std::uint64_t incarnation = 0; ///< Larger: started later.
     std::uint64_t heartbeat   = 0;
     std::string   failure_domain;
-    bool          leaving = false;
+    /// It leaves, or does not know the configuration and the targets.
+    bool refuses_orders = false;
 };
 
 /// Times of a table.
@@ -67,8 +69,12 @@
                peer_times times = {});
 
     const peer& self() const { return self_; }
-    void        set_leaving() { self_.leaving = true; }
-    void        set_seeds(std::vector<std::string> seeds);
+    /// \return true when this changed.
+    bool set_refuses_orders(bool it)
+    {
+        return std::exchange(self_.refuses_orders, it) != it;
+    }
+    void set_seeds(std::vector<std::string> seeds);
 
     /// A round begins. After a pause of this process the others are given the
     /// time that it missed.
@@ -107,6 +113,8 @@
     milliseconds interval() const;
     /// Addresses of living peers, without the own one.
     std::vector<std::string> alive(time_point now) const;
+    /// Some of these, at random.
+    std::vector<std::string> some_alive(std::size_t most, time_point now);
     /// Address of the daemon that owns the service; perhaps the own one.
     std::string owner_of(std::string_view service, time_point now) const;
     /// Daemons that were alive lately, this one included. Zero: nobody was
--- a/src/state_follower.cpp
+++ b/src/state_follower.cpp
@@ -1,6 +1,7 @@
 #include "state_follower.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace arbutusgate::gateway {
 
@@ -16,6 +17,7 @@
     report(targets_.expire(now));
     if (now < not_before_)
         return {call::sleep, not_before_, "", 0};
+    superseded_ = false;
     switch (phase_) {
     case phase::configuration:
         return {call::read_configuration, {}, "", 0};
@@ -39,6 +41,8 @@
         return;
     }
     succeeded(now);
+    if (superseded_)
+        return;
     // What is read is no snapshot: changes since here are read again.
     first_revision_ = it->revision;
     apply_configuration(std::move(it->config));
@@ -54,6 +58,8 @@
         return;
     }
     succeeded(now);
+    if (superseded_)
+        return;
     for (auto& entry : it->entries) {
         if (auto* found = std::get_if<target>(&entry))
             listed_.push_back(std::move(*found));
@@ -65,16 +71,40 @@
 
 void state_follower::finish_pages(time_point now)
 {
-    for (const auto& it : listed_) {
+    replace_targets(std::exchange(listed_, {}), now);
+    revision_ = first_revision_;
+    phase_    = phase::watch;
+}
+
+void state_follower::replace_targets(std::vector<target> list, time_point now)
+{
+    for (const auto& it : list) {
         if (events_.target_changed && !targets_.find(it.id))
             events_.target_changed(it.id, it.leaving ? target_change::leaving
                                                      : target_change::joined);
     }
-    report(targets_.replace_all(std::move(listed_), now));
-    listed_.clear();
-    revision_      = first_revision_;
+    report(targets_.replace_all(std::move(list), now));
     targets_known_ = true;
-    phase_         = phase::watch;
+}
+
+std::optional<state_copy> state_follower::copy() const
+{
+    if (!table_ || !targets_known_)
+        return std::nullopt;
+    return state_copy{revision_, table_->config().document,
+                      targets_.published()};
+}
+
+bool state_follower::adopt(state_copy it, configuration config, time_point now)
+{
+    if (it.revision <= revision())
+        return false;
+    apply_configuration(std::move(config));
+    replace_targets(std::move(it.targets), now);
+    revision_   = it.revision;
+    phase_      = phase::watch;
+    superseded_ = true;
+    return true;
 }
 
 void state_follower::on_changes(absl::StatusOr<state_changes> it,
@@ -90,6 +120,8 @@
         return;
     }
     succeeded(now);
+    if (superseded_)
+        return;
     for (auto& change : it->changes)
         apply(std::move(change), now);
     revision_ = std::max(revision_, it->revision);
--- a/src/state_follower.hpp
+++ b/src/state_follower.hpp
@@ -72,6 +72,17 @@
     void on_page(absl::StatusOr<state_page> it, time_point now);
     void on_changes(absl::StatusOr<state_changes> it, time_point now);
 
+    /// The source does not answer, so that other daemons may know more.
+    bool source_failing() const { return backoff_ > milliseconds{0}; }
+    /// What is known, for other daemons; none before all was read once.
+    std::optional<state_copy> copy() const;
+    /// Takes what another daemon knows, if it is newer.
+    /// \param config its document, read.
+    /// \return false when nothing was taken.
+    bool adopt(state_copy it, configuration config, time_point now);
+    /// Revision of what is known; 0: nothing.
+    std::uint64_t revision() const { return targets_known_ ? revision_ : 0; }
+
     /// The configuration in force; null until one was read.
     std::shared_ptr<const route_table> table() const { return table_; }
     /// All targets were read once.
@@ -94,6 +105,7 @@
     void failed(const absl::Status& why, time_point now);
     void resynchronize();
     void finish_pages(time_point now);
+    void replace_targets(std::vector<target> list, time_point now);
     void report(const std::vector<std::string>& gone);
 
     follow_times                       times_;
@@ -110,6 +122,7 @@
     milliseconds                       backoff_{0};
     bool                               targets_known_ = false;
     bool                               away_          = false;
+    bool superseded_ = false; ///< The call that runs asks for older state.
 };
 
 } // namespace arbutusgate::gateway
--- a/src/state_reader.hpp
+++ b/src/state_reader.hpp
@@ -49,6 +49,14 @@
     std::uint64_t revision = 0; ///< Of the store at the answer.
 };
 
+/// All that is known of the published state as of a revision.
+struct state_copy
+{
+    std::uint64_t       revision = 0;
+    std::string         document; ///< Of the configuration, as published.
+    std::vector<target> targets;
+};
+
 /// Errors: OutOfRange when the history asked for is gone, ResourceExhausted
 /// when the store refuses, Unavailable when it does not answer in time.
 class state_reader
@@ -66,6 +74,10 @@
     /// \param wait without a change the answer comes after this time.
     virtual absl::StatusOr<state_changes>
     watch(std::uint64_t after, milliseconds wait, milliseconds timeout) = 0;
+    /// Reads a configuration that another daemon has passed on.
+    /// \return InvalidArgument with the first wrong field.
+    virtual absl::StatusOr<configuration>
+    parse_configuration(const std::string& document) const = 0;
 };
 
 } // namespace arbutusgate::gateway
--- a/src/target_directory.cpp
+++ b/src/target_directory.cpp
@@ -95,6 +95,16 @@
     return nullptr;
 }
 
+std::vector<target> target_directory::published() const
+{
+    std::vector<target> out;
+    for (const auto& [id, it] : targets_) {
+        if (!it.lapsed)
+            out.push_back(it.it);
+    }
+    return out;
+}
+
 const std::vector<const target*>&
 target_directory::usable(std::string_view service) const
 {
--- a/src/target_directory.hpp
+++ b/src/target_directory.hpp
@@ -58,6 +58,8 @@
     /// Targets of the service that may get new work.
     const std::vector<const target*>& usable(std::string_view service) const;
     std::size_t                       size() const { return targets_.size(); }
+    /// All targets whose entries stand.
+    std::vector<target> published() const;
 
 private:
     struct entry
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -178,6 +178,11 @@
         fiber_sleep(io_, wait);
         return state_changes{{}, after};
     }
+    absl::StatusOr<configuration>
+    parse_configuration(const std::string&) const override
+    {
+        return config_;
+    }
 
 private:
     asio::io_context&   io_;
--- a/tests/gateway_follower_test.cpp
+++ b/tests/gateway_follower_test.cpp
@@ -196,3 +196,41 @@
     CHECK(f.targets.usable("s").size() == 1);
     CHECK(std::count(f.log.begin(), f.log.end(), "rejected") == 1);
 }
+
+// Guards against a daemon that starts while the store is down and refuses all
+// callers, although others know the configuration; and against older state
+// that replaces newer.
+TEST_CASE("a daemon takes newer state from another one", "[gateway]")
+{
+    fixture f;
+    CHECK_FALSE(f.it.copy());
+    f.it.on_configuration(absl::UnavailableError("down"), at(10));
+    CHECK(f.it.source_failing());
+    state_copy copy{50, "text", {make_target("a"), make_target("b")}};
+    REQUIRE(f.it.adopt(copy, make_config(7), at(20)));
+    CHECK(f.it.table()->version() == 7);
+    CHECK(f.it.targets_known());
+    CHECK(f.targets.usable("s").size() == 2);
+    CHECK(f.it.copy()->revision == 50);
+    CHECK_FALSE(f.it.adopt(copy, make_config(8), at(30)));
+    CHECK(f.it.table()->version() == 7);
+    // The store is asked for what came after.
+    const auto step = f.it.next(at(1000));
+    CHECK(step.what == call::watch);
+    CHECK(step.after == 50);
+}
+
+// Guards against an answer of the store that was asked for before newer state
+// came from another daemon.
+TEST_CASE("an answer that is older than adopted state is dropped", "[gateway]")
+{
+    fixture f;
+    f.synchronize(0, {make_target("a")});
+    CHECK(f.it.next(at(1000)).what == call::watch);
+    auto leaving    = make_target("a");
+    leaving.leaving = true;
+    REQUIRE(f.it.adopt({200, "", {leaving}}, make_config(6), at(1010)));
+    f.it.on_changes(state_changes{{make_target("a")}, 120}, at(1020));
+    CHECK(f.targets.find("a")->leaving);
+    CHECK(f.it.next(at(2000)).after == 200);
+}
--- a/tests/gateway_peer_test.cpp
+++ b/tests/gateway_peer_test.cpp
@@ -193,13 +193,29 @@
     const auto owner = f.owners("s").begin()->first;
     for (auto& it : f.all) {
         if (it.self().address == owner)
-            it.set_leaving();
+            it.set_refuses_orders(true);
     }
     f.round();
     f.round();
     CHECK(f.owners("s").count(owner) == 0);
 }
 
+// Guards against orders for a daemon that has started and does not know the
+// configuration: it refuses them all.
+TEST_CASE("a daemon without configuration owns nothing", "[gateway]")
+{
+    fleet f(3);
+    for (auto& it : f.all)
+        it.set_refuses_orders(true);
+    for (int n = 0; n < 5; ++n)
+        f.round();
+    CHECK(f.all[1].set_refuses_orders(false));
+    CHECK_FALSE(f.all[1].set_refuses_orders(false));
+    f.round();
+    f.round();
+    CHECK(f.owners("s") == std::map<std::string, int>{{address(1), 3}});
+}
+
 // Guards against a daemon that takes all others for dead after its own pause
 // and batches alone.
 TEST_CASE("a pause of this process ages nobody", "[gateway]")
@@ -247,13 +263,13 @@
 TEST_CASE("messages between daemons survive encoding", "[gateway]")
 {
     peer_gossip gossip;
-    gossip.members            = {make_peer(1), make_peer(2)};
-    gossip.members[1].leaving = true;
-    gossip.queues["s"]        = {milliseconds{40}, milliseconds{900}};
-    const auto read           = decode_gossip(encode(gossip));
+    gossip.members                   = {make_peer(1), make_peer(2)};
+    gossip.members[1].refuses_orders = true;
+    gossip.queues["s"]               = {milliseconds{40}, milliseconds{900}};
+    const auto read                  = decode_gossip(encode(gossip));
     REQUIRE(read);
     CHECK(read->members[1].address == address(2));
-    CHECK(read->members[1].leaving);
+    CHECK(read->members[1].refuses_orders);
     CHECK(read->queues.at("s").all == milliseconds{900});
     stage_order order;
     order.service              = "s";
@@ -284,6 +300,18 @@
     CHECK(outcome->queue.all == milliseconds{9});
     CHECK(decode_release(encode_release({"h"})) ==
           std::vector<std::string>{"h"});
+    const state_copy state{
+        77, "text", {{"i-1", "s", "10.0.0.9:80", "d1", 6, true, 12}}};
+    const auto copy = decode_state(encode(state));
+    REQUIRE(copy);
+    CHECK(copy->revision == 77);
+    CHECK(copy->document == "text");
+    REQUIRE(copy->targets.size() == 1);
+    CHECK(copy->targets[0].address == "10.0.0.9:80");
+    CHECK(copy->targets[0].leaving);
+    CHECK(copy->targets[0].started_at == 12);
+    CHECK(decode_state_query(encode_state_query(5)) == 5U);
+    CHECK_FALSE(decode_state("\xff\xff"));
     CHECK_FALSE(decode_order("\xff\xff", at(0)));
     CHECK_FALSE(decode_gossip("\xff\xff"));
 }
