Keep prompts at their own target at up to 0.3 more load

Cause: a prompt left the target that keeps its shared parts when another one had 0.15 less load, which is 6,000 unread tokens: one more prompt in its queue. The shared parts of a long prompt alone are 6,300 tokens.

--- a/src/target_picker.hpp
+++ b/src/target_picker.hpp
@@ -51,7 +51,7 @@
     double tokens_per_score = 40'000;
     /// A target that is preferred for its cache is left for another one when
     /// its score exceeds the least by this much.
-    double affinity_slack = 0.15;
+    double affinity_slack = 0.3;
     /// Broken answers in a row, or half of recent ones, that exclude.
     std::uint32_t broken_limit = 2;
     double        error_excess = 0.3; ///< Over the service's usual share.
