Pace the store's calls by the stated bounds; bound callers' connections

Cause: the settings config_in_force_ms, target_drain_ms and max_descriptors were checked and decided nothing. A deployment with a bound of 1 s would have had changes in force after 1.5 s with one call lost, one with 3 s paid for calls that it does not need. Change: pace, wait, timeout and retries of the follower are parts of the shorter bound (at 2 s: 600, 300, 900 and 150 ms as before); half of the descriptors that files do not need are for callers.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -14,6 +14,7 @@
 #include "target_directory.hpp"
 #include "time_estimates.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <future>
@@ -70,6 +71,16 @@
     return (static_cast<std::uint64_t>(device()) << 32) | device();
 }
 
+/// Half of the descriptors that files do not need: each request takes one more
+/// for its target, and orders take one each.
+std::uint32_t caller_connections(std::uint32_t descriptors)
+{
+    constexpr std::uint32_t for_files = 200; // kept free by the platform
+    constexpr std::uint32_t least     = 16;
+    return descriptors > for_files + 2 * least ? (descriptors - for_files) / 2
+                                               : least;
+}
+
 retry_limits limits_of(const gateway_bounds& it)
 {
     return {it.retry_ratio, it.retry_slack, it.retry_window};
@@ -83,6 +94,7 @@
 
     void          start_on_thread();
     void          follow();
+    follow_times  follow_pace() const;
     void          follow_peers();
     follow_events events();
     void          configured(const route_table& table);
@@ -187,7 +199,7 @@
 void gateway::impl::start_on_thread()
 {
     auto& io = thread.io();
-    state = std::make_unique<state_follower>(follow_times{}, events(), targets,
+    state = std::make_unique<state_follower>(follow_pace(), events(), targets,
                                              daemon_now());
     connections = std::make_unique<target_connections>(io);
     stages      = std::make_unique<stage_desk>(
@@ -237,10 +249,17 @@
     }
 }
 
+follow_times gateway::impl::follow_pace() const
+{
+    return follow_times_for(std::min(settings.bounds.config_in_force,
+                                     settings.bounds.target_drain));
+}
+
 void gateway::impl::follow()
 {
-    const auto times = follow_times{};
     while (!stopping) {
+        const auto times = follow_pace();
+        state->set_times(times);
         peers->set_ready(ready());
         const auto step = state->next(daemon_now());
         switch (step.what) {
@@ -399,12 +418,13 @@
     auto*                   self = impl_.get();
     std::vector<io_thread*> on{&self->thread};
     const auto&             it = self->settings;
-    self->front                = std::make_unique<http_server>(
-        self->listener(it.listen, [self](http_exchange& e) { self->serve(e); }),
-        on);
-    self->readiness = std::make_unique<http_server>(
+    auto                    front =
+        self->listener(it.listen, [self](http_exchange& e) { self->serve(e); });
+    front.max_connections = caller_connections(it.max_descriptors);
+    self->front           = std::make_unique<http_server>(std::move(front), on);
+    self->readiness       = std::make_unique<http_server>(
         self->listener(it.ready,
-                       [self](http_exchange& e) { self->serve_ready(e); }),
+                             [self](http_exchange& e) { self->serve_ready(e); }),
         on);
     self->peer_port = std::make_unique<http_server>(
         self->listener(it.peer,
--- a/src/state_follower.cpp
+++ b/src/state_follower.cpp
@@ -5,6 +5,31 @@
 
 namespace arbutusgate::gateway {
 
+namespace {
+
+// Parts of the bound; its last fifth is left for the calls themselves.
+constexpr double pace_part    = 0.3;
+constexpr double timeout_part = 0.45;
+constexpr double retry_part   = 0.075;
+
+milliseconds part_of(milliseconds bound, double part)
+{
+    return std::chrono::duration_cast<milliseconds>(bound * part);
+}
+
+} // namespace
+
+follow_times follow_times_for(milliseconds bound)
+{
+    follow_times out;
+    out.pace        = part_of(bound, pace_part);
+    out.wait        = out.pace / 2;
+    out.timeout     = part_of(bound, timeout_part);
+    out.retry_least = part_of(bound, retry_part);
+    out.retry_most  = out.pace;
+    return out;
+}
+
 state_follower::state_follower(follow_times times, follow_events events,
                                target_directory& targets, time_point now)
     : times_(times), events_(std::move(events)), targets_(targets),
--- a/src/state_follower.hpp
+++ b/src/state_follower.hpp
@@ -31,6 +31,11 @@
     milliseconds outage{1500};
 };
 
+/// Times with which a change is in force within the bound although one call
+/// is lost: two paces, or a pace, a timeout and the call after it.
+/// \param bound the shortest time in which a change must be in force.
+follow_times follow_times_for(milliseconds bound);
+
 /// What the follower believes changed; for logs and for the owners of
 /// per-target state.
 struct follow_events
@@ -66,6 +71,8 @@
     state_follower(follow_times times, follow_events events,
                    target_directory& targets, time_point now);
 
+    void set_times(const follow_times& times) { times_ = times; }
+
     step next(time_point now);
     void on_configuration(absl::StatusOr<configuration_read> it,
                           time_point                         now);
--- a/tests/gateway_follower_test.cpp
+++ b/tests/gateway_follower_test.cpp
@@ -234,3 +234,16 @@
     CHECK(f.targets.find("a")->leaving);
     CHECK(f.it.next(at(2000)).after == 200);
 }
+
+// Guards against changes that come into force late where operators state a
+// shorter bound, and against needless calls where it is longer.
+TEST_CASE("the pace follows the stated bound", "[gateway]")
+{
+    for (const int bound : {1000, 2000, 3000, 17'000}) {
+        const auto it = follow_times_for(milliseconds{bound});
+        // A change just after a call, whose successor is lost.
+        CHECK(it.pace + it.timeout + it.retry_least + it.wait <
+              milliseconds{bound});
+        CHECK(it.pace >= milliseconds{bound / 4});
+    }
+}
