Print the way of one request from log files

Cause: to follow a request an engineer had to grep the logs of all daemons and to look up by hand which configuration, peers and store state each had. Each log line names its daemon.

--- a/src/cli.cpp
+++ b/src/cli.cpp
@@ -3,6 +3,7 @@
 #include "cli_admin.hpp"
 #include "cli_config.hpp"
 #include "cli_table.hpp"
+#include "cli_trace.hpp"
 #include "text.hpp"
 
 #include <boost/json/parse.hpp>
@@ -112,6 +113,8 @@
         return run_admin(options, verb::get, "/admin/status", out, err);
     if (options.command == "drain")
         return run_admin(options, verb::post, "/admin/drain", out, err);
+    if (options.operands.size() > 1)
+        return run_trace(options, out, err);
     const auto& id = options.operands.at(0);
     if (!is_request_id(id))
         return wrong_use("REQUEST_ID consists of letters, digits, - and _",
--- a/src/cli_options.cpp
+++ b/src/cli_options.cpp
@@ -18,8 +18,9 @@
 {
     std::string_view name;
     std::size_t      operands;
-    bool             admin; ///< Needs --admin.
-    bool             site;  ///< Needs --site.
+    bool             admin;         ///< Needs --admin.
+    bool             site;          ///< Needs --site.
+    bool             files = false; ///< Takes files in place of --admin.
 };
 
 constexpr std::array<command_rule, 6> rules = {{
@@ -27,7 +28,7 @@
     {"render", 1, false, true},
     {"diff", 2, false, false},
     {"status", 0, true, false},
-    {"explain", 1, true, false},
+    {"explain", 1, true, false, true},
     {"drain", 0, true, false},
 }};
 
@@ -120,6 +121,10 @@
         return wrong_use(concat("unknown command ", quote_text(it.command),
                                 hint(it.command, names)));
     }
+    const bool has_files =
+        rule->files && it.admin.empty() && it.operands.size() > rule->operands;
+    if (has_files)
+        return absl::OkStatus();
     if (it.operands.size() != rule->operands)
         return wrong_use(concat(it.command, " takes ", rule->operands,
                                 " operands, not ", it.operands.size()));
@@ -146,6 +151,9 @@
   explain REQUEST_ID   what the daemon did for a request, and why
   drain                take no new requests, finish the running ones, exit
 
+Commands on log files, plain or gzip, of any number of daemons:
+  explain REQUEST_ID FILE...   the way of a request in the order of time
+
 Options:
   --site NAME          site to render, or the only one to compare
   --admin IP:PORT      admin address of a daemon
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
+#include <boost/json/value.hpp>
 #include <log4cplus/asyncappender.h>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
@@ -15,6 +16,7 @@
 
 #include <atomic>
 #include <memory>
+#include <string>
 
 namespace arbutusgate {
 
@@ -30,6 +32,15 @@
 class json_layout final : public log4cplus::Layout
 {
 public:
+    explicit json_layout(const std::string& node)
+        : node_(node.empty()
+                    ? ""
+                    : "\"node\":" +
+                          boost::json::serialize(boost::json::value(node)) +
+                          ",")
+    {
+    }
+
     // NOLINTNEXTLINE(readability-identifier-naming): name of the base class
     void
     formatAndAppend(log4cplus::tostream&                        output,
@@ -39,9 +50,12 @@
                << log4cplus::helpers::getFormattedTime(
                       "%Y-%m-%dT%H:%M:%S.%qZ", event.getTimestamp(), true)
                << R"(","level":")" << llmCache.toString(event.getLogLevel())
-               << "\"," << std::string_view(event.getMessage()).substr(1)
-               << "\n";
+               << "\"," << node_
+               << std::string_view(event.getMessage()).substr(1) << "\n";
     }
+
+private:
+    std::string node_; ///< Member of each line, with its comma.
 };
 
 log4cplus::LogLevel native(log_level it)
@@ -77,26 +91,27 @@
     return false;
 }
 
-log4cplus::SharedAppenderPtr queued_error()
+log4cplus::SharedAppenderPtr queued_error(const std::string& node)
 {
     log4cplus::SharedAppenderPtr console(
         new log4cplus::ConsoleAppender(true, true));
-    console->setLayout(std::make_unique<json_layout>());
+    console->setLayout(std::make_unique<json_layout>(node));
     return log4cplus::SharedAppenderPtr(
         new log4cplus::AsyncAppender(console, queue_length));
 }
 
-log4cplus::SharedAppenderPtr bounded_output()
+log4cplus::SharedAppenderPtr bounded_output(const std::string& node)
 {
     log4cplus::SharedAppenderPtr out(
         new bounded_appender(STDOUT_FILENO, bounded_lines, bounded_bytes));
-    out->setLayout(std::make_unique<json_layout>());
+    out->setLayout(std::make_unique<json_layout>(node));
     return out;
 }
 
 } // namespace
 
-bool start_log(std::string_view level, log_output output)
+bool start_log(std::string_view level, log_output output,
+               const std::string& node)
 {
     if (level == "off")
         return true;
@@ -106,8 +121,8 @@
     log4cplus::initialize();
     auto root = log4cplus::Logger::getRoot();
     root.removeAllAppenders(); // Such as the command line's, in tests.
-    root.addAppender(output == log_output::queued_error ? queued_error()
-                                                        : bounded_output());
+    root.addAppender(output == log_output::queued_error ? queued_error(node)
+                                                        : bounded_output(node));
     root.setLogLevel(native(lowest));
     running = true;
     return true;
--- a/src/log.hpp
+++ b/src/log.hpp
@@ -4,6 +4,7 @@
 #include <boost/json/value_ref.hpp>
 
 #include <initializer_list>
+#include <string>
 #include <string_view>
 #include <utility>
 
@@ -37,9 +38,12 @@
 /// Starts logging.
 /// \param level "trace", "debug", "info", "warn", "error", or "off", with
 ///              which nothing is written.
+/// \param node named in each line, so that logs of many processes can be
+///             mixed; empty: no name.
 /// \return false when the level is none of them.
-bool start_log(std::string_view level,
-               log_output       output = log_output::queued_error);
+bool start_log(std::string_view   level,
+               log_output         output = log_output::queued_error,
+               const std::string& node   = "");
 /// Writes out what is queued and stops.
 void stop_log();
 
--- a/tools/arbutusgate-gateway.cpp
+++ b/tools/arbutusgate-gateway.cpp
@@ -59,7 +59,6 @@
     }
     log(log_level::info, "started",
         {{"version", ARBUTUSGATE_VERSION},
-         {"node", settings.node},
          {"listen", settings.listen},
          {"store", settings.store}});
     follow_settings(process, path, signals);
@@ -82,13 +81,14 @@
         std::cerr << settings.status().message() << '\n';
         return exit_status::wrong_use;
     }
-    if (!start_log(settings->log_level, log_output::bounded_output)) {
+    if (!start_log(settings->log_level, log_output::bounded_output,
+                   settings->node)) {
         std::cerr << "unknown log level: " << settings->log_level << '\n';
         return exit_status::wrong_use;
     }
     std::signal(SIGPIPE, SIG_IGN);
     const int code = run(*settings, path);
-    log(log_level::info, "stopped", {{"node", settings->node}});
+    log(log_level::info, "stopped");
     stop_log();
     // The idle threads of log4cplus are not waited for: at exit its pool may
     // keep the process until it is killed, and a replacement from starting.
