--- a/src/state_follower.cpp
+++ b/src/state_follower.cpp
@@ -103,12 +103,18 @@
 
 void state_follower::replace_targets(std::vector<target> list, time_point now)
 {
+    std::vector<std::pair<std::string, target_change>> news;
     for (const auto& it : list) {
-        if (events_.target_changed && !targets_.find(it.id))
-            events_.target_changed(it.id, it.leaving ? target_change::leaving
-                                                     : target_change::joined);
+        if (!targets_.find(it.id))
+            news.emplace_back(it.id, it.leaving ? target_change::leaving
+                                                : target_change::joined);
     }
-    report(targets_.replace_all(std::move(list), now));
+    const auto gone = targets_.replace_all(std::move(list), now);
+    for (const auto& [id, change] : news) {
+        if (events_.target_changed)
+            events_.target_changed(id, change);
+    }
+    report(gone);
     targets_known_ = true;
 }
 
