Keep a restart of a large fleet light

Daemons whose calls the store limited (429) asked the first ready ones for whole copies of 999 targets, and kept them from serving. Besides, all greeted all, asked the seeds again while a question was open, and told all when they were ready: 200 connections instead of 56. Change: copies are asked for only when the store does not answer at all, for 800 ms, and are given every 30 ms at most. A larger fleet is not greeted, seeds are asked after 100, 200, 400 ms and so on, and a daemon that starts is known to others only once it is ready.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -227,7 +227,7 @@
 {
     while (!stopping) {
         fiber_sleep(thread.io(), peer_state_pace);
-        if (stopping || !state->source_failing())
+        if (stopping || !state->source_failing(daemon_now()))
             continue;
         auto found = peers->ask_state(state->revision());
         if (!found)
--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -21,6 +21,7 @@
 constexpr milliseconds gossip_limit{500};
 constexpr milliseconds release_limit{1000};
 constexpr milliseconds state_limit{500};
+constexpr milliseconds state_spacing{30};
 /// Daemons that are asked for the published state at a time: one may be cut
 /// off from the store as well.
 constexpr std::size_t state_askings = 2;
@@ -73,11 +74,19 @@
 
 void peer_mesh::join()
 {
-    constexpr milliseconds interval = peer_times{}.join_interval;
+    auto interval = peer_times{}.join_interval;
     while (!fibers_.stopping() && table_.joining(daemon_now())) {
-        for (const auto& it : table_.unmet_seeds(daemon_now()))
-            fibers_.spawn([this, it] { gossip_with(it); });
+        for (const auto& it : table_.unmet_seeds(daemon_now())) {
+            // A seed of a large fleet is asked by all at once.
+            if (!probed_.insert(it).second)
+                continue;
+            fibers_.spawn([this, it] {
+                gossip_with(it);
+                probed_.erase(it);
+            });
+        }
         fibers_.sleep_until(daemon_now() + interval);
+        interval *= 2;
     }
 }
 
@@ -85,20 +94,20 @@
 {
     leaving_ = true;
     table_.set_refuses_orders(true);
-    tell_all();
+    tell_others();
 }
 
 void peer_mesh::set_ready(bool ready)
 {
     if (table_.set_refuses_orders(leaving_ || !ready))
-        tell_all();
+        tell_others();
 }
 
 /// The others learn of a change of this daemon before their next rounds.
-void peer_mesh::tell_all()
+void peer_mesh::tell_others()
 {
     table_.beat(daemon_now());
-    for (const auto& it : table_.alive(daemon_now())) {
+    for (const auto& it : table_.to_tell(services_(), daemon_now())) {
         fibers_.spawn([this, it] { gossip_with(it); });
     }
 }
@@ -432,8 +441,15 @@
 
 void peer_mesh::serve_state(http_exchange& exchange)
 {
-    const auto    asked = decode_state_query(exchange.request().body());
-    const auto    known = copy_state_ ? copy_state_() : std::nullopt;
+    const auto asked = decode_state_query(exchange.request().body());
+    const auto now   = daemon_now();
+    // A copy of a large deployment takes milliseconds, and many may ask.
+    const bool                spare = now - state_served_ >= state_spacing;
+    std::optional<state_copy> known;
+    if (asked && spare && copy_state_) {
+        known         = copy_state_();
+        state_served_ = now;
+    }
     http_response out(http::status::ok, 11);
     if (!asked)
         out.result(http::status::bad_request);
--- a/src/peer_mesh.hpp
+++ b/src/peer_mesh.hpp
@@ -93,7 +93,7 @@
 
     void run_rounds();
     void round();
-    void tell_all();
+    void tell_others();
     /// Asks the seeds until all were met, for the first seconds.
     void join();
     void gossip_with(const std::string& address);
@@ -130,6 +130,7 @@
     std::uint64_t   next_id_;
     peer_mesh_stats stats_;
     bool            leaving_ = false;
+    time_point      state_served_{}; ///< Latest copy of the published state.
     fiber_group     fibers_;
 };
 
--- a/src/peer_table.cpp
+++ b/src/peer_table.cpp
@@ -41,6 +41,17 @@
                                               static_cast<int>(beyond_small());
 }
 
+std::vector<std::string>
+peer_table::to_tell(const std::vector<std::string>& services, time_point now)
+{
+    if (beyond_small() > 0)
+        return targets(services, now);
+    auto out = alive(now);
+    for (const auto& it : unmet_seeds(now))
+        out.push_back(it);
+    return out;
+}
+
 /// Daemons beyond those of a small fleet.
 std::size_t peer_table::beyond_small() const
 {
@@ -50,6 +61,9 @@
 
 milliseconds peer_table::interval() const
 {
+    // Others learn soon of a daemon that has started, and that it is ready.
+    if (joining(beaten_))
+        return times_.interval;
     const auto n = std::max(peers_.size() + 1, times_.small_fleet);
     return times_.interval * static_cast<int>(n) /
            static_cast<int>(times_.small_fleet);
@@ -119,8 +133,9 @@
         if (merge(members[n], now) && by_others)
             out.push_back(members[n].address);
     }
+    // In a larger fleet all would greet all; rounds spread the news there.
     if (beyond_small() > 0)
-        out.resize(std::min(out.size(), times_.fanout));
+        out.clear();
     return out;
 }
 
@@ -133,6 +148,10 @@
             self_.incarnation = it.incarnation + 1;
         return false;
     }
+    // One that starts is of no use yet; of a large fleet that starts together,
+    // word that it refuses orders would outlive its start.
+    if (it.refuses_orders && !peers_.contains(it.address))
+        return false;
     auto&      known = peers_[it.address];
     const bool newer = it.incarnation > known.it.incarnation ||
                        (it.incarnation == known.it.incarnation &&
--- a/src/peer_table.hpp
+++ b/src/peer_table.hpp
@@ -49,8 +49,9 @@
     std::uint32_t seed_rounds = 5;
     std::size_t   fanout      = 3;  ///< Random peers for each round.
     std::size_t   entries     = 12; ///< In one message.
-    /// A daemon that has started asks the seeds that it has not met this often,
-    /// for so long: others may start a little later.
+    /// A daemon that has started asks the seeds that it has not met after this
+    /// time, then after twice as long each time, and for so long in all: others
+    /// may start a little later.
     milliseconds join_interval{100};
     milliseconds join_time{3000};
     /// Until it has met others, and no new ones for the quiet time, it takes
@@ -89,13 +90,18 @@
     /// The view of the others is good enough to tell owners.
     bool settled(time_point now) const;
 
+    /// Addresses for a message of a change of this daemon: all of a small
+    /// fleet, a round of a larger one.
+    std::vector<std::string> to_tell(const std::vector<std::string>& services,
+                                     time_point                      now);
+
     /// What a peer said of itself or of another one.
     /// \return true when it is a process that was not known before.
     bool merge(const peer& it, time_point now);
     /// Merges a message.
     /// \param members the sender first.
-    /// \return new daemons that do not know this one yet; all of a small fleet,
-    /// some of a larger one.
+    /// \return new daemons that do not know this one yet, to be greeted; none
+    /// of a larger fleet.
     std::vector<std::string> learn(const std::vector<peer>& members,
                                    time_point               now);
     /// The peer answered, or sent a message itself.
--- a/src/state_follower.cpp
+++ b/src/state_follower.cpp
@@ -213,6 +213,7 @@
         if (events_.source_lost)
             events_.source_lost(why.ToString());
     }
+    unanswered_ = absl::IsUnavailable(why);
     backoff_ = std::clamp(2 * backoff_, times_.retry_least, times_.retry_most);
     not_before_ = now + backoff_;
 }
--- a/src/state_follower.hpp
+++ b/src/state_follower.hpp
@@ -29,6 +29,9 @@
     /// A source that answered nothing for this long was away: entries may
     /// have lapsed meanwhile.
     milliseconds outage{1500};
+    /// Without an answer for this long other daemons are asked. After a restart
+    /// of all, a store that refuses some of the calls answers sooner.
+    milliseconds ask_others{800};
 };
 
 /// Times with which a change is in force within the bound although one call
@@ -79,8 +82,13 @@
     void on_page(absl::StatusOr<state_page> it, time_point now);
     void on_changes(absl::StatusOr<state_changes> it, time_point now);
 
-    /// The source does not answer, so that other daemons may know more.
-    bool source_failing() const { return backoff_ > milliseconds{0}; }
+    /// The source does not answer, so that other daemons may know more. One
+    /// that refuses calls is only busy.
+    bool source_failing(time_point now) const
+    {
+        return unanswered_ && backoff_ > milliseconds{0} &&
+               now - answered_ >= times_.ask_others;
+    }
     /// What is known, for other daemons; none before all was read once.
     std::optional<state_copy> copy() const;
     /// Takes what another daemon knows, if it is newer.
@@ -129,6 +137,7 @@
     milliseconds                       backoff_{0};
     bool                               targets_known_ = false;
     bool                               away_          = false;
+    bool unanswered_ = false; ///< The latest failure was no refusal.
     bool superseded_ = false; ///< The call that runs asks for older state.
 };
 
