--- a/src/peer_table.cpp
+++ b/src/peer_table.cpp
@@ -148,8 +148,8 @@
             self_.incarnation = it.incarnation + 1;
         return false;
     }
-    // One that starts is of no use yet; of a large fleet that starts together,
-    // word that it refuses orders would outlive its start.
+    // A daemon that starts is not an owner yet. In a large fleet its entry
+    // would still be passed on when it is ready.
     if (it.refuses_orders && !peers_.contains(it.address))
         return false;
     auto&      known = peers_[it.address];
--- a/src/stage_batcher.cpp
+++ b/src/stage_batcher.cpp
@@ -224,7 +224,7 @@
 /// Inputs from another failure domain are read only after a short wait for a
 /// target near them, and while there are such targets only when the group would
 /// be late after their next calls. In a saturated service every group waits
-/// long, and would else be made anywhere.
+/// longer than that.
 bool stage_batcher::may_go_far(const waiting_group& group, const turn& at,
                                microseconds call, time_point now) const
 {
@@ -296,7 +296,7 @@
 }
 
 /// A call that is too small for the load waits for more pieces, but not longer
-/// than until the next target is free on average.
+/// than it takes on average until another target is free.
 bool stage_batcher::hold(const target& at, std::size_t targets, time_point now)
 {
     const auto  time = next_call_time();
--- a/src/stage_desk.cpp
+++ b/src/stage_desk.cpp
@@ -50,7 +50,7 @@
 
 stage_desk::stage_desk(stage_desk_init init) : init_(init)
 {
-    fibers_.spawn([this] { tend(); });
+    fibers_.spawn([this] { run_timers(); });
 }
 
 stage_desk::pool* stage_desk::find_pool(const std::string& service)
@@ -281,10 +281,10 @@
     ticket.changed->notify();
 }
 
-void stage_desk::tend()
+void stage_desk::run_timers()
 {
     while (!fibers_.stopping()) {
-        wake_at_ = tick();
+        wake_at_ = check_queues();
         rearm_   = false;
         fibers_.sleep_until(wake_at_, [this] { return rearm_; });
         wake_at_ = {};
@@ -292,7 +292,7 @@
 }
 
 /// \return when there may be something to do without a new order.
-time_point stage_desk::tick()
+time_point stage_desk::check_queues()
 {
     const auto now  = daemon_now();
     auto       wake = now + std::chrono::minutes{1};
--- a/src/stage_desk.hpp
+++ b/src/stage_desk.hpp
@@ -107,8 +107,8 @@
                                const batched_piece& piece,
                                const piece_result&  result);
     void          end(pool& it, std::uint64_t group, order_state how);
-    void          tend();
-    time_point    tick();
+    void          run_timers();
+    time_point    check_queues();
     void          flush_releases();
 
     stage_desk_init                                        init_;
@@ -118,7 +118,7 @@
     std::unordered_map<std::string, std::vector<std::string>> releases_;
     std::uint64_t                                             next_group_ = 1;
     stage_desk_stats                                          stats_;
-    time_point  wake_at_{};     ///< Of the fiber that tends the queues.
+    time_point  wake_at_{};     ///< Of the timers of the queues.
     bool        rearm_ = false; ///< It has something to do before.
     fiber_group fibers_;
 };
