Rename the reader of logs; its name was taken

Cause: request_trace was also a class of explain_ring.hpp, so that the linker kept one destructor of two. The class and its files are log_trace now. The test names its files by process, so that two runs at once do not share them.

--- a/src/cli_trace.cpp
+++ b/src/cli_trace.cpp
@@ -1,7 +1,7 @@
 #include "cli_trace.hpp"
 
 #include "cli_options.hpp"
-#include "request_trace.hpp"
+#include "log_trace.hpp"
 #include "text.hpp"
 
 #include "absl/status/status.h"
@@ -27,7 +27,7 @@
 };
 
 /// Adds all lines of a file.
-absl::Status read_log(const std::string& path, request_trace& out)
+absl::Status read_log(const std::string& path, log_trace& out)
 {
     const std::unique_ptr<gzFile_s, close_file> file(
         gzopen(path.c_str(), "rb"));
@@ -53,7 +53,7 @@
     return absl::OkStatus();
 }
 
-void print(const trace_line& it, std::ostream& out)
+void print(const log_trace_line& it, std::ostream& out)
 {
     out << it.time << ' ' << (it.node.empty() ? "-" : it.node);
     for (const auto& [name, value] : it.fields) {
@@ -74,7 +74,7 @@
 cli_exit run_trace(const cli_options& options, std::ostream& out,
                    std::ostream& err)
 {
-    request_trace trace(options.operands.front());
+    log_trace trace(options.operands.front());
     for (std::size_t n = 1; n < options.operands.size(); ++n) {
         if (const auto ec = read_log(options.operands[n], trace); !ec.ok()) {
             err << "arbutusgate: " << ec.message() << '\n';
--- a/src/request_trace.cpp
+++ b/src/log_trace.cpp
@@ -1,4 +1,4 @@
-#include "request_trace.hpp"
+#include "log_trace.hpp"
 
 #include <boost/json/parse.hpp>
 
@@ -27,7 +27,7 @@
     return it && it->is_string() ? std::string(it->as_string()) : std::string();
 }
 
-bool before(const trace_line& a, const trace_line& b)
+bool before(const log_trace_line& a, const log_trace_line& b)
 {
     return a.time < b.time;
 }
@@ -40,7 +40,7 @@
 
 } // namespace
 
-bool request_trace::add(std::string_view line)
+bool log_trace::add(std::string_view line)
 {
     const auto start = line.find('{');
     if (start == std::string_view::npos)
@@ -53,7 +53,8 @@
     const auto message = text_of(fields, "message");
     if (message.empty())
         return false;
-    trace_line out{text_of(fields, "time"), text_of(fields, "node"), fields};
+    log_trace_line out{text_of(fields, "time"), text_of(fields, "node"),
+                       fields};
     if (text_of(fields, "request") == request_)
         own_.push_back(std::move(out));
     else if (message == target_message ||
@@ -63,7 +64,7 @@
     return true;
 }
 
-std::vector<trace_line> request_trace::lines() const
+std::vector<log_trace_line> log_trace::lines() const
 {
     if (own_.empty())
         return {};
@@ -80,7 +81,7 @@
         targets.insert(text_of(it.fields, "target"));
     }
     // The latest state of each daemon and kind before the request.
-    std::map<std::pair<std::string, std::string>, trace_line> latest;
+    std::map<std::pair<std::string, std::string>, log_trace_line> latest;
     for (const auto& it : beliefs) {
         if (!nodes.contains(it.node) || it.time > last)
             continue;
--- a/src/request_trace.hpp
+++ b/src/log_trace.hpp
@@ -10,7 +10,7 @@
 namespace arbutusgate {
 
 /// One line of a daemon's log.
-struct trace_line
+struct log_trace_line
 {
     std::string         time; ///< ISO 8601, as written.
     std::string         node; ///< Daemon; empty in lines without it.
@@ -19,12 +19,10 @@
 
 /// Picks the lines about one request out of logs, and those that tell what its
 /// daemons believed at that time.
-class request_trace
+class log_trace
 {
 public:
-    explicit request_trace(std::string request) : request_(std::move(request))
-    {
-    }
+    explicit log_trace(std::string request) : request_(std::move(request)) {}
 
     /// Takes the next line of any log; text before the JSON object is skipped.
     /// \return false when the line holds no log line.
@@ -34,12 +32,12 @@
     /// latest configuration and states of the store and the peers before its
     /// first line, later ones up to its last, changes of the targets it was
     /// sent to, and all of its own lines.
-    std::vector<trace_line> lines() const;
+    std::vector<log_trace_line> lines() const;
 
 private:
-    std::string             request_;
-    std::vector<trace_line> own_;
-    std::vector<trace_line> beliefs_; ///< Of all daemons.
+    std::string                 request_;
+    std::vector<log_trace_line> own_;
+    std::vector<log_trace_line> beliefs_; ///< Of all daemons.
 };
 
 } // namespace arbutusgate
--- a/tests/request_trace_test.cpp
+++ b/tests/log_trace_test.cpp
@@ -1,6 +1,7 @@
 #include "cli_run.hpp"
-#include "request_trace.hpp"
+#include "log_trace.hpp"
 
+#include <unistd.h>
 #include <zlib.h>
 
 #include <filesystem>
@@ -24,7 +25,7 @@
     "not a log line",
 };
 
-std::vector<std::string> messages(const request_trace& it)
+std::vector<std::string> messages(const log_trace& it)
 {
     std::vector<std::string> out;
     for (const auto& line : it.lines())
@@ -39,22 +40,23 @@
 // other requests, daemons and targets.
 TEST_CASE("a trace holds a request and its daemon's beliefs", "[trace]")
 {
-    request_trace it("r1");
+    log_trace it("r1");
     for (const auto& line : mixed_log)
         it.add(line);
     CHECK(messages(it) == std::vector<std::string>{
                               "T02 configuration in force", "T03 request sent",
                               "T04 target changed", "T05 request ended"});
     CHECK_FALSE(it.add("not a log line"));
-    CHECK(request_trace("r9").lines().empty());
+    CHECK(log_trace("r9").lines().empty());
 }
 
 // Guards against compressed logs that read as empty.
 TEST_CASE("explain reads plain and compressed logs", "[trace]")
 {
     const auto dir   = std::filesystem::temp_directory_path();
-    const auto plain = (dir / "arbutusgate-trace-test.log").string();
-    const auto gzip  = (dir / "arbutusgate-trace-test.log.gz").string();
+    const auto name  = "arbutusgate-trace-" + std::to_string(getpid());
+    const auto plain = (dir / (name + ".log")).string();
+    const auto gzip  = (dir / (name + ".log.gz")).string();
     {
         std::ofstream out(plain);
         out << mixed_log[0] << '\n' << mixed_log[1];
