--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -270,9 +270,14 @@
     out.group.limit = first_event_by_ - rest;
     out.group.limit = std::min(out.group.limit, inputs_kept_until(stage));
     out.group.failure_domain = domain_of(step.after);
+    for (const auto it : step.after)
+        out.near_bytes +=
+            tickets_[it]->handles.size() * route_->stages[it].result_bytes;
     // Large results are made near the target that keeps the prompt.
-    if (step.after.empty() && count * step.result_bytes >= large_result)
+    if (step.after.empty() && count * step.result_bytes >= large_result) {
         out.group.failure_domain = home_domain();
+        out.near_bytes           = count * step.result_bytes;
+    }
     out.group.result_bytes = step.result_bytes;
     out.group.kind         = static_cast<std::uint32_t>(
         XXH3_64bits_withSeed(route_->name.data(), route_->name.size(), stage));
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -9,6 +9,7 @@
 #include "problem.hpp"
 #include "retry_budget.hpp"
 #include "stage_desk.hpp"
+#include "stage_shards.hpp"
 #include "state_follower.hpp"
 #include "state_reader.hpp"
 #include "target_directory.hpp"
@@ -32,6 +33,7 @@
 /// Kept of the grace for the process's own end.
 constexpr milliseconds exit_margin{300};
 constexpr milliseconds drain_poll{20};
+constexpr double       thousandths = 1000; // of a core, as peers tell them
 /// Between questions to other daemons while the store does not answer.
 constexpr milliseconds peer_state_pace{300};
 
@@ -105,9 +107,9 @@
     void          serve_metrics(http_exchange& exchange) const;
     bool          ready() const;
     peer_table    own_peers() const;
-    std::vector<std::string> stage_services() const;
-    http_server_init         listener(std::string                         address,
-                                      std::function<void(http_exchange&)> handler);
+    const std::vector<stage_shard>& stage_shards();
+    http_server_init                listener(std::string                         address,
+                                             std::function<void(http_exchange&)> handler);
 
     gateway_settings  settings;
     const wire_codec& codec;
@@ -129,6 +131,9 @@
     std::unique_ptr<peer_mesh>          peers;
     std::unique_ptr<state_reader>       reader;
     std::unique_ptr<gateway_parts>      parts;
+    std::vector<stage_shard>            shards; ///< Of what is named next.
+    std::uint64_t                       shards_version    = 0;
+    std::uint64_t                       shards_generation = 0;
 
     std::unique_ptr<http_server> front;
     std::unique_ptr<http_server> readiness;
@@ -204,8 +209,9 @@
     connections = std::make_unique<target_connections>(io);
     stages      = std::make_unique<stage_desk>(
         stage_desk_init{io, codec, *state, targets, *connections});
-    peers  = std::make_unique<peer_mesh>(io, own_peers(), *stages,
-                                        [this] { return stage_services(); });
+    peers = std::make_unique<peer_mesh>(
+        io, own_peers(), *stages,
+        targets, [this]() -> const auto& { return stage_shards(); });
     reader = make_reader(io);
     peers->set_state([this] { return state->copy(); });
     parts = std::make_unique<gateway_parts>(gateway_parts{
@@ -292,23 +298,32 @@
     self.address        = settings.peer;
     self.failure_domain = settings.failure_domain;
     self.refuses_orders = true; // Until it is ready.
-    self.incarnation    = static_cast<std::uint64_t>(
+    self.capacity       = static_cast<std::uint32_t>(
+        thousandths * settings.processor_share + 0.5);
+    self.incarnation = static_cast<std::uint64_t>(
         std::chrono::duration_cast<microseconds>(
             std::chrono::system_clock::now().time_since_epoch())
             .count());
     return peer_table(std::move(self), settings.seeds, random_seed());
 }
 
-std::vector<std::string> gateway::impl::stage_services() const
+/// The shards of all stage services in force.
+const std::vector<stage_shard>& gateway::impl::stage_shards()
 {
-    std::vector<std::string> out;
-    if (const auto table = state->table()) {
-        for (const auto& it : table->config().services) {
-            if (it.stage)
-                out.push_back(it.name);
-        }
+    const auto table = state->table();
+    if (!table || (table->version() == shards_version &&
+                   targets.generation() == shards_generation))
+        return shards;
+    shards_version    = table->version();
+    shards_generation = targets.generation();
+    shards.clear();
+    for (const auto& it : table->config().services) {
+        if (!it.stage)
+            continue;
+        auto list = split_service(it.name, targets.usable(it.name));
+        shards.insert(shards.end(), list.begin(), list.end());
     }
-    return out;
+    return shards;
 }
 
 void gateway::impl::serve(http_exchange& exchange)
--- a/src/gateway_settings.cpp
+++ b/src/gateway_settings.cpp
@@ -11,6 +11,7 @@
 constexpr milliseconds  longest_bound    = std::chrono::hours{1};
 constexpr std::uint32_t most_descriptors = 1'000'000;
 constexpr double        most_repeats     = 1e6;
+constexpr double        most_cores       = 1024;
 
 const choice_value<std::string> level_codec{{{"trace", "trace"},
                                              {"debug", "debug"},
@@ -78,6 +79,8 @@
         field<it>("max_descriptors", &it::max_descriptors,
                   number_value<std::uint32_t>{64, most_descriptors},
                   presence::defaulted),
+        field<it>("processor_share", &it::processor_share,
+                  number_value<double>{0.001, most_cores}, presence::defaulted),
         field<it>("log_level", &it::log_level, level_codec,
                   presence::defaulted),
         section("bounds", &it::bounds, bounds_schema()),
--- a/src/gateway_settings.hpp
+++ b/src/gateway_settings.hpp
@@ -35,6 +35,7 @@
     std::vector<std::string> seeds;   ///< Peers that may be known at start.
     std::string              ready_path      = "/readyz";
     std::uint32_t            max_descriptors = 1024;
+    double                   processor_share = 1; ///< Of a core.
     std::string              log_level       = "info";
     gateway_bounds           bounds;
 };
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -15,8 +15,8 @@
 
 peer decode(const pb::GatewayMember& it)
 {
-    return {it.address(), it.incarnation(), it.heartbeat(), it.failure_domain(),
-            it.refuses_orders()};
+    return {it.address(),        it.incarnation(),    it.heartbeat(),
+            it.failure_domain(), it.refuses_orders(), it.capacity()};
 }
 
 void encode(const peer& it, pb::GatewayMember& out)
@@ -26,6 +26,21 @@
     out.set_heartbeat(it.heartbeat);
     out.set_failure_domain(it.failure_domain);
     out.set_refuses_orders(it.refuses_orders);
+    out.set_capacity(it.capacity);
+}
+
+void encode(const std::string& shard, const stage_queue& it,
+            pb::StageQueue& out)
+{
+    out.set_shard(shard);
+    out.set_on_time_us(static_cast<std::uint64_t>(it.on_time.count()));
+    out.set_all_us(static_cast<std::uint64_t>(it.all.count()));
+}
+
+stage_queue decode(const pb::StageQueue& it)
+{
+    return {microseconds{static_cast<std::int64_t>(it.on_time_us())},
+            microseconds{static_cast<std::int64_t>(it.all_us())}};
 }
 
 /// Pieces of one stage of one call; a message with more is not ours.
@@ -73,12 +88,11 @@
     pb::GatewayGossip out;
     for (const auto& member : it.members)
         encode(member, *out.add_members());
-    for (const auto& [service, wait] : it.queues) {
-        auto& queue = *out.add_queues();
-        queue.set_service(service);
-        queue.set_on_time_us(static_cast<std::uint64_t>(wait.on_time.count()));
-        queue.set_all_us(static_cast<std::uint64_t>(wait.all.count()));
-    }
+    for (const auto& [shard, wait] : it.queues)
+        encode(shard, wait, *out.add_queues());
+    for (const auto& member : it.candidates)
+        encode(member, *out.add_candidates());
+    out.set_queues_only(it.queues_only);
     return out.SerializeAsString();
 }
 
@@ -91,9 +105,10 @@
     for (const auto& it : in.members())
         out.members.push_back(decode(it));
     for (const auto& it : in.queues())
-        out.queues[it.service()] = {
-            microseconds{static_cast<std::int64_t>(it.on_time_us())},
-            microseconds{static_cast<std::int64_t>(it.all_us())}};
+        out.queues[it.shard()] = decode(it);
+    for (const auto& it : in.candidates())
+        out.candidates.push_back(decode(it));
+    out.queues_only = in.queues_only();
     return out;
 }
 
@@ -147,6 +162,7 @@
 {
     pb::StageOrder out;
     out.set_service(it.service);
+    out.set_shard(it.shard);
     out.set_rank(it.group.rank);
     out.set_goal_ms(left(it.group.goal, now).count());
     out.set_limit_ms(left(it.group.limit, now).count());
@@ -171,6 +187,7 @@
         return std::nullopt;
     stage_order out;
     out.service              = in.service();
+    out.shard                = in.shard();
     out.group.rank           = in.rank();
     out.group.goal           = now + milliseconds{in.goal_ms()};
     out.group.limit          = now + milliseconds{in.limit_ms()};
@@ -187,7 +204,7 @@
     return out;
 }
 
-std::string encode(const stage_outcome& it)
+std::string encode(const stage_outcome& it, time_point now)
 {
     pb::StageResult out;
     out.set_state(encode(it.state));
@@ -196,10 +213,17 @@
     out.set_retry_after_ms(static_cast<std::uint32_t>(it.retry_after.count()));
     out.set_on_time_us(static_cast<std::uint64_t>(it.queue.on_time.count()));
     out.set_all_us(static_cast<std::uint64_t>(it.queue.all.count()));
+    for (const auto& [shard, told] : it.others) {
+        auto& queue = *out.add_others();
+        encode(shard, told.queue, queue);
+        queue.set_age_ms(static_cast<std::uint32_t>(
+            std::max<std::int64_t>(0, left(now, told.at).count())));
+    }
     return out.SerializeAsString();
 }
 
-std::optional<stage_outcome> decode_outcome(const std::string& bytes)
+std::optional<stage_outcome> decode_outcome(const std::string& bytes,
+                                            time_point         now)
 {
     pb::StageResult in;
     if (!in.ParseFromString(bytes))
@@ -211,6 +235,8 @@
     out.queue.on_time =
         microseconds{static_cast<std::int64_t>(in.on_time_us())};
     out.queue.all = microseconds{static_cast<std::int64_t>(in.all_us())};
+    for (const auto& it : in.others())
+        out.others[it.shard()] = {decode(it), now - milliseconds{it.age_ms()}};
     return out;
 }
 
--- a/src/peer_codec.hpp
+++ b/src/peer_codec.hpp
@@ -16,8 +16,17 @@
 struct peer_gossip
 {
     std::vector<peer> members; ///< The sender first.
-    /// Waits in front of the services that the sender owns.
+    /// Waits in front of the shards that the sender owns, by their keys.
     std::map<std::string, stage_queue> queues;
+    std::vector<peer> candidates; ///< For ownership; in a larger fleet.
+    bool queues_only = false;     ///< The answer need not name members.
+};
+
+/// Wait in front of a shard of another owner, as heard some time ago.
+struct told_queue
+{
+    stage_queue queue;
+    time_point  at{};
 };
 
 /// How an order ended at its owner.
@@ -27,6 +36,8 @@
     std::vector<std::string> handles;
     milliseconds             retry_after{0};
     stage_queue              queue; ///< At the owner, afterwards.
+    /// Of other shards of the service, by their keys.
+    std::map<std::string, told_queue> others;
 };
 
 std::string                encode(const peer_gossip& it);
@@ -44,8 +55,9 @@
 std::optional<stage_order> decode_order(const std::string& bytes,
                                         time_point         now);
 
-std::string                  encode(const stage_outcome& it);
-std::optional<stage_outcome> decode_outcome(const std::string& bytes);
+std::string                  encode(const stage_outcome& it, time_point now);
+std::optional<stage_outcome> decode_outcome(const std::string& bytes,
+                                            time_point         now);
 
 std::string encode_release(const std::vector<std::string>& handles);
 std::optional<std::vector<std::string>>
--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -4,6 +4,7 @@
 #include "io_thread.hpp"
 #include "log.hpp"
 #include "stage_desk.hpp"
+#include "target_directory.hpp"
 #include "time_left.hpp"
 
 #include <algorithm>
@@ -33,6 +34,10 @@
 constexpr milliseconds release_delay{5};
 /// Owners that are tried for one order, before it is made here.
 constexpr int owner_tries = 2;
+/// Between messages of owners about what waits at them.
+constexpr milliseconds queue_interval{300};
+/// A wait that was told longer ago says nothing.
+constexpr seconds told_life{3};
 /// Added to an order's limit for the way of its answer.
 constexpr milliseconds answer_margin{100};
 /// Ids of tickets of other owners; the desk's are below.
@@ -41,17 +46,18 @@
 } // namespace
 
 peer_mesh::peer_mesh(boost::asio::io_context& io, peer_table table,
-                     stage_desk&                               desk,
-                     std::function<std::vector<std::string>()> services)
-    : table_(std::move(table)), desk_(desk), services_(std::move(services)),
-      pool_(io), next_id_(remote_ids)
+                     stage_desk& desk, const target_directory& targets,
+                     std::function<const std::vector<stage_shard>&()> shards)
+    : table_(std::move(table)), desk_(desk), targets_(targets),
+      shards_(std::move(shards)), pool_(io), next_id_(remote_ids)
 {
     fibers_.spawn([this] {
         while (!fibers_.stopping()) {
             run_rounds();
-            fibers_.sleep_until(daemon_now() + table_.interval());
+            fibers_.sleep_until(daemon_now() + table_.beat_interval());
         }
     });
+    fibers_.spawn([this] { share_queues(); });
     fibers_.spawn([this] { join(); });
 }
 
@@ -62,12 +68,34 @@
     ++stats_.rounds;
     const auto now = daemon_now();
     table_.beat(now);
-    round();
+    if (table_.round_due(now)) {
+        round();
+        return;
+    }
+    for (const auto& it : table_.some_alive(1, now))
+        fibers_.spawn([this, it] { gossip_with(it); });
+}
+
+/// Owners of whole services are watched by everybody, since everybody uses
+/// them; those of shards are many.
+std::vector<std::string> peer_mesh::whole_services() const
+{
+    std::vector<std::string> out;
+    for (const auto& it : shards_()) {
+        if (it.key() == it.service)
+            out.push_back(it.service);
+    }
+    return out;
+}
+
+std::string peer_mesh::owner_of(const stage_shard& it) const
+{
+    return table_.owner_of(it.key(), daemon_now(), it.failure_domain);
 }
 
 void peer_mesh::round()
 {
-    for (const auto& it : table_.targets(services_(), daemon_now())) {
+    for (const auto& it : table_.targets(whole_services(), daemon_now())) {
         fibers_.spawn([this, it] { gossip_with(it); });
     }
 }
@@ -107,7 +135,7 @@
 void peer_mesh::tell_others()
 {
     table_.beat(daemon_now());
-    for (const auto& it : table_.to_tell(services_(), daemon_now())) {
+    for (const auto& it : table_.to_tell(whole_services(), daemon_now())) {
         fibers_.spawn([this, it] { gossip_with(it); });
     }
 }
@@ -153,14 +181,20 @@
         peer_silent(address, true);
 }
 
-peer_gossip peer_mesh::own_gossip()
+peer_gossip peer_mesh::own_gossip(bool queues_only)
 {
     const auto  now = daemon_now();
     peer_gossip out;
-    out.members = table_.entries(now);
-    for (const auto& it : services_()) {
-        if (table_.owner_of(it, now) == table_.self().address)
-            out.queues[it] = desk_.queue(it);
+    out.queues_only = queues_only;
+    if (queues_only)
+        out.members = {table_.self()};
+    else
+        out.members = table_.entries(now);
+    if (!queues_only && table_.large())
+        out.candidates = table_.candidates(now);
+    for (const auto& it : shards_()) {
+        if (owner_of(it) == table_.self().address)
+            out.queues[it.key()] = desk_.queue(it.key());
     }
     return out;
 }
@@ -171,14 +205,130 @@
     const auto before = table_.alive(now).size();
     for (auto& address : table_.learn(it.members, now))
         fibers_.spawn([this, address] { gossip_with(address); });
-    for (const auto& [service, wait] : it.queues)
-        queues_[service] = wait;
+    for (const auto& candidate : it.candidates)
+        table_.merge(candidate, now);
+    for (const auto& [shard, wait] : it.queues)
+        hear_queue(shard, {wait, now});
     const auto after = table_.alive(now).size();
     if (before != after)
         log(log_level::info, "peers changed",
             {{"alive", after}, {"before", before}});
 }
 
+// Waits in front of shards ---------------------------------------------------
+
+void peer_mesh::share_queues()
+{
+    while (!fibers_.stopping()) {
+        const bool owner = tell_queues();
+        // Whether this daemon becomes an owner need not be known at once.
+        fibers_.sleep_until(daemon_now() +
+                            (owner ? queue_interval : 3 * queue_interval));
+    }
+}
+
+/// \return true when this daemon owns a shard of a split service.
+bool peer_mesh::tell_queues()
+{
+    std::set<std::string> own;
+    for (const auto& it : shards_()) {
+        if (it.key() != it.service && owner_of(it) == table_.self().address)
+            own.insert(it.service);
+    }
+    std::set<std::string> to;
+    for (const auto& it : shards_()) {
+        if (own.contains(it.service))
+            to.insert(owner_of(it));
+    }
+    to.erase(table_.self().address);
+    for (const auto& it : to) {
+        // One that does not answer is not asked again meanwhile.
+        if (!telling_.insert(it).second)
+            continue;
+        fibers_.spawn([this, it] {
+            const auto body =
+                call(it, gossip_path, encode(own_gossip(true)), gossip_limit);
+            telling_.erase(it);
+            const auto answer = body ? decode_gossip(*body) : std::nullopt;
+            if (answer)
+                take_gossip(*answer);
+        });
+    }
+    return !own.empty();
+}
+
+void peer_mesh::hear_queue(const std::string& shard, const told_queue& it)
+{
+    auto& known = queues_[shard];
+    if (it.at >= known.at)
+        known = it;
+}
+
+stage_queue peer_mesh::known_queue(const std::string& shard,
+                                   const std::string& owner,
+                                   time_point         now) const
+{
+    if (owner == table_.self().address)
+        return desk_.queue(shard);
+    const auto it = queues_.find(shard);
+    if (it == queues_.end() || now - it->second.at > told_life)
+        return {};
+    return it->second.queue;
+}
+
+std::vector<const stage_shard*>
+peer_mesh::shards_of(const std::string&          service,
+                     std::vector<shard_outlook>& outlooks) const
+{
+    const auto                      now = daemon_now();
+    std::vector<const stage_shard*> out;
+    for (const auto& it : shards_()) {
+        if (it.service != service)
+            continue;
+        out.push_back(&it);
+        outlooks.push_back(
+            {it.failure_domain, known_queue(it.key(), owner_of(it), now)});
+    }
+    return out;
+}
+
+/// \return null when the service is not known.
+const stage_shard* peer_mesh::shard_for(const stage_order& order) const
+{
+    std::vector<shard_outlook> outlooks;
+    const auto                 list = shards_of(order.service, outlooks);
+    if (list.empty())
+        return nullptr;
+    shard_wish wish;
+    wish.failure_domain = order.group.failure_domain;
+    wish.input_bytes    = order.near_bytes;
+    wish.own_domain     = table_.self().failure_domain;
+    wish.on_time        = order.group.goal > daemon_now();
+    wish.lot            = next_id_;
+    return list[choose_shard(outlooks, wish)];
+}
+
+/// What is known here of the waits of a service's other shards.
+std::map<std::string, told_queue>
+peer_mesh::others(const stage_order& order) const
+{
+    std::map<std::string, told_queue> out;
+    if (order.shard.empty())
+        return out;
+    const auto now = daemon_now();
+    for (const auto& it : shards_()) {
+        const auto key = it.key();
+        if (it.service != order.service || key == order.shard)
+            continue;
+        const auto known = queues_.find(key);
+        if (owner_of(it) == table_.self().address)
+            out[key] = {desk_.queue(key), now};
+        else if (known != queues_.end() && now - known->second.at < told_life)
+            out[key] = known->second;
+    }
+    return out;
+}
+
 void peer_mesh::peer_silent(const std::string& address, bool certain)
 {
     if (!table_.silent(address, certain, daemon_now()))
@@ -228,12 +378,20 @@
 std::shared_ptr<stage_ticket>
 peer_mesh::submit(stage_order order, std::shared_ptr<fiber_signal> changed)
 {
-    const auto now   = daemon_now();
-    const auto owner = table_.owner_of(order.service, now);
+    const auto  now   = daemon_now();
+    const auto* shard = shard_for(order);
+    if (shard && shard->key() != shard->service) {
+        order.shard = shard->key();
+        // All its targets are as near as each other.
+        order.group.failure_domain = shard->failure_domain;
+    }
+    const std::string domain = shard ? shard->failure_domain : "";
+    const auto        owner  = table_.owner_of(order.pool(), now, domain);
     if (owner == table_.self().address && table_.settled(now))
         return desk_.submit(std::move(order), std::move(changed));
     auto it             = std::make_shared<remote_order>();
     it->order           = std::move(order);
+    it->failure_domain  = domain;
     it->ticket          = std::make_shared<stage_ticket>();
     it->ticket->changed = std::move(changed);
     it->ticket->id      = next_id_++;
@@ -260,7 +418,8 @@
     wait_until_settled(*it);
     for (int n = 0; n < owner_tries && !it->withdrawn && !fibers_.stopping();
          ++n) {
-        it->owner = table_.owner_of(it->order.service, daemon_now());
+        it->owner =
+            table_.owner_of(it->order.pool(), daemon_now(), it->failure_domain);
         if (it->owner == table_.self().address)
             break;
         auto outcome = ask_owner(it);
@@ -271,24 +430,38 @@
         if (it->withdrawn)
             break;
         if (daemon_now() >= it->order.group.limit) {
-            finish(it, {order_state::late, {}, {}, queues_[it->order.service]});
+            stage_outcome late;
+            late.state = order_state::late;
+            late.queue = known_queue(it->order.pool(), it->owner, daemon_now());
+            finish(it, std::move(late));
             return;
         }
         ++stats_.orders_moved;
         log(log_level::warning, "stage order moves to another owner",
             {{"request", it->order.source->attempt},
-             {"service", it->order.service},
+             {"shard", it->order.pool()},
              {"owner", it->owner}});
         peer_silent(it->owner, true);
     }
     if (fibers_.stopping())
         finish(it, {});
-    else if (!it->withdrawn)
+    else if (!it->withdrawn && must_make_here(*it))
         make_here(it);
+    else if (!it->withdrawn)
+        finish(it, {});
     else
         remote_.erase(it->ticket->id);
 }
 
+/// In a larger fleet, orders that many daemons make alone fill the targets
+/// with small calls. Only a daemon that reaches no other one does so.
+bool peer_mesh::must_make_here(const remote_order& it) const
+{
+    return !table_.large() ||
+           table_.owner_of(it.order.pool(), daemon_now(), it.failure_domain) ==
+               table_.self().address;
+}
+
 std::optional<stage_outcome> peer_mesh::ask_owner(const remote_ptr& it)
 {
     const auto now = daemon_now();
@@ -299,7 +472,7 @@
     it->asked_at = {};
     if (body)
         table_.answered(it->owner, daemon_now());
-    return body ? decode_outcome(*body) : std::nullopt;
+    return body ? decode_outcome(*body, daemon_now()) : std::nullopt;
 }
 
 void peer_mesh::make_here(const remote_ptr& it)
@@ -315,8 +488,11 @@
     const auto state = it->local->state == order_state::waiting
                            ? order_state::late
                            : it->local->state;
-    finish(it, {state, it->local->handles, it->local->retry_after,
-                desk_.queue(it->order.service)});
+    finish(it, {state,
+                it->local->handles,
+                it->local->retry_after,
+                desk_.queue(it->order.pool()),
+                {}});
 }
 
 void peer_mesh::finish(const remote_ptr& it, stage_outcome outcome)
@@ -326,10 +502,12 @@
         release(it->order.service, outcome.handles);
         return;
     }
-    queues_[it->order.service] = outcome.queue;
-    it->ticket->state          = outcome.state;
-    it->ticket->handles        = std::move(outcome.handles);
-    it->ticket->retry_after    = outcome.retry_after;
+    hear_queue(it->order.pool(), {outcome.queue, daemon_now()});
+    for (const auto& [shard, told] : outcome.others)
+        hear_queue(shard, told);
+    it->ticket->state       = outcome.state;
+    it->ticket->handles     = std::move(outcome.handles);
+    it->ticket->retry_after = outcome.retry_after;
     it->ticket->changed->notify();
 }
 
@@ -353,14 +531,16 @@
 {
     if (handles.empty())
         return;
-    const auto owner = table_.owner_of(service, daemon_now());
-    if (owner == table_.self().address) {
-        desk_.release(service, handles);
-        return;
-    }
     const bool flushing = !releases_.empty();
-    auto&      list     = releases_[owner];
-    list.insert(list.end(), handles.begin(), handles.end());
+    for (const auto& it : handles) {
+        const auto owner = owner_of_result(service, it);
+        if (owner == table_.self().address)
+            desk_.release(service, {it});
+        else
+            releases_[owner].push_back(it);
+    }
+    if (releases_.empty())
+        return;
     if (flushing)
         return;
     fibers_.spawn([this] {
@@ -369,6 +549,19 @@
     });
 }
 
+/// The daemon that had a result made, and counts the room that it takes.
+std::string peer_mesh::owner_of_result(const std::string& service,
+                                       const std::string& handle) const
+{
+    const auto* maker = targets_.find_by_address(
+        std::string_view(handle).substr(0, handle.find('/')));
+    for (const auto& it : shards_()) {
+        if (it.service == service && (!maker || it.holds(*maker)))
+            return owner_of(it);
+    }
+    return table_.self().address;
+}
+
 void peer_mesh::flush_releases()
 {
     for (auto& [owner, handles] : std::exchange(releases_, {})) {
@@ -383,10 +576,12 @@
 
 stage_queue peer_mesh::queue(const std::string& service) const
 {
-    if (table_.owner_of(service, daemon_now()) == table_.self().address)
-        return desk_.queue(service);
-    const auto it = queues_.find(service);
-    return it == queues_.end() ? stage_queue{} : it->second;
+    std::vector<shard_outlook> outlooks;
+    if (shards_of(service, outlooks).empty())
+        return {};
+    shard_wish wish;
+    wish.own_domain = table_.self().failure_domain;
+    return outlooks[choose_shard(outlooks, wish)].queue;
 }
 
 // Messages of others ---------------------------------------------------------
@@ -409,7 +604,7 @@
             take_gossip(*it);
             if (!it->members.empty())
                 table_.answered(it->members.front().address, daemon_now());
-            out.body() = encode(own_gossip());
+            out.body() = encode(own_gossip(it->queues_only));
             exchange.respond(std::move(out));
             return;
         }
@@ -469,7 +664,7 @@
     }
     ++stats_.orders_served;
     const auto limit   = order->group.limit;
-    const auto service = order->service;
+    const auto asked   = *order;
     auto       changed = std::make_shared<fiber_signal>();
     bool       gone    = false;
     exchange.on_client_gone([&gone, changed] {
@@ -491,9 +686,10 @@
         return;
     }
     http_response out(http::status::ok, 11);
-    out.body() =
-        encode(stage_outcome{ticket->state, ticket->handles,
-                             ticket->retry_after, desk_.queue(service)});
+    out.body() = encode(stage_outcome{ticket->state, ticket->handles,
+                                      ticket->retry_after,
+                                      desk_.queue(asked.pool()), others(asked)},
+                        daemon_now());
     exchange.respond(std::move(out));
 }
 
--- a/src/peer_mesh.hpp
+++ b/src/peer_mesh.hpp
@@ -5,6 +5,7 @@
 #include "peer_codec.hpp"
 #include "peer_table.hpp"
 #include "stage_service.hpp"
+#include "stage_shards.hpp"
 
 #include "fiber_group.hpp"
 
@@ -23,6 +24,7 @@
 namespace arbutusgate::gateway {
 
 class stage_desk;
+class target_directory;
 
 /// Counts since start.
 struct peer_mesh_stats
@@ -37,9 +39,11 @@
 class peer_mesh final : public stage_service
 {
 public:
-    /// \param services names the stage services in force.
+    /// \param shards gives the shards of the stage services in force.
+    /// \param targets outlives the mesh.
     peer_mesh(boost::asio::io_context& io, peer_table table, stage_desk& desk,
-              std::function<std::vector<std::string>()> services);
+              const target_directory&                          targets,
+              std::function<const std::vector<stage_shard>&()> shards);
     ~peer_mesh() override = default;
 
     peer_mesh(const peer_mesh&)            = delete;
@@ -82,6 +86,7 @@
     struct remote_order
     {
         stage_order                   order;
+        std::string                   failure_domain; ///< Of its shard.
         std::shared_ptr<stage_ticket> ticket;
         std::shared_ptr<stage_ticket> local; ///< When made here after all.
         http_client*                  client = nullptr;
@@ -91,9 +96,25 @@
     };
     using remote_ptr = std::shared_ptr<remote_order>;
 
-    void run_rounds();
-    void round();
-    void tell_others();
+    void                     run_rounds();
+    void                     round();
+    std::vector<std::string> whole_services() const;
+    std::string              owner_of(const stage_shard& it) const;
+    /// Tells the owners of other shards of the own services what waits here.
+    void        share_queues();
+    bool        tell_queues();
+    void        hear_queue(const std::string& shard, const told_queue& it);
+    stage_queue known_queue(const std::string& shard, const std::string& owner,
+                            time_point now) const;
+    /// The shards of a service, with the wait of each.
+    std::vector<const stage_shard*>
+                       shards_of(const std::string&          service,
+                                 std::vector<shard_outlook>& outlooks) const;
+    const stage_shard* shard_for(const stage_order& order) const;
+    std::string        owner_of_result(const std::string& service,
+                                       const std::string& handle) const;
+    std::map<std::string, told_queue> others(const stage_order& it) const;
+    void                              tell_others();
     /// Asks the seeds until all were met, for the first seconds.
     void join();
     void gossip_with(const std::string& address);
@@ -104,6 +125,7 @@
     void run_remote(const remote_ptr& it);
     /// \return nothing when the owner gave no answer.
     std::optional<stage_outcome> ask_owner(const remote_ptr& it);
+    bool                         must_make_here(const remote_order& it) const;
     void                         make_here(const remote_ptr& it);
     void finish(const remote_ptr& it, stage_outcome outcome);
     /// Sends one message. \return the body of a 200.
@@ -112,26 +134,28 @@
                                     milliseconds  timeout,
                                     http_client** in_use = nullptr);
     void        peer_silent(const std::string& address, bool certain);
-    peer_gossip own_gossip();
+    peer_gossip own_gossip(bool queues_only = false);
     void        take_gossip(const peer_gossip& it);
     void        serve_order(http_exchange& exchange);
     void        serve_state(http_exchange& exchange);
 
-    peer_table                                 table_;
-    stage_desk&                                desk_;
-    std::function<std::vector<std::string>()>  services_;
-    std::function<std::optional<state_copy>()> copy_state_;
-    connection_pool                            pool_;
-    std::map<std::uint64_t, remote_ptr>        remote_; ///< By ticket id.
-    std::map<std::string, stage_queue>         queues_; ///< Of other owners.
-    std::map<std::string, std::vector<std::string>> releases_; ///< By owner.
-    std::set<std::string>                           probed_;   ///< Asked now.
-    bool            watching_ = false; ///< The owners of orders.
-    std::uint64_t   next_id_;
-    peer_mesh_stats stats_;
-    bool            leaving_ = false;
-    time_point      state_served_{}; ///< Latest copy of the published state.
-    fiber_group     fibers_;
+    peer_table                                       table_;
+    stage_desk&                                      desk_;
+    const target_directory&                          targets_;
+    std::function<const std::vector<stage_shard>&()> shards_;
+    std::function<std::optional<state_copy>()>       copy_state_;
+    connection_pool                                  pool_;
+    std::map<std::uint64_t, remote_ptr>              remote_; ///< By ticket id.
+    std::map<std::string, told_queue>                queues_; ///< By shard.
+    std::map<std::string, std::vector<std::string>>  releases_; ///< By owner.
+    std::set<std::string>                            probed_;   ///< Asked now.
+    std::set<std::string> telling_;          ///< Of queues, now.
+    bool                  watching_ = false; ///< The owners of orders.
+    std::uint64_t         next_id_;
+    peer_mesh_stats       stats_;
+    bool                  leaving_ = false;
+    time_point  state_served_{}; ///< Latest copy of the published state.
+    fiber_group fibers_;
 };
 
 } // namespace arbutusgate::gateway
--- a/src/peer_table.cpp
+++ b/src/peer_table.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace arbutusgate::gateway {
 
@@ -13,10 +14,30 @@
 /// A gap between rounds that is longer is a pause of this process.
 constexpr int pause_rounds = 3;
 
-std::uint64_t weight(std::string_view service, const std::string& address)
+/// What was found of the candidates holds for so long; heartbeats that come
+/// meanwhile make no dead one alive.
+constexpr milliseconds candidates_kept{100};
+
+std::uint64_t weight(std::string_view work, const std::string& address)
 {
     return XXH3_64bits_withSeed(address.data(), address.size(),
-                                XXH3_64bits(service.data(), service.size()));
+                                XXH3_64bits(work.data(), work.size()));
+}
+
+/// Weighted rendezvous: a daemon wins in proportion to its capacity.
+double claim(std::string_view work, const peer& it)
+{
+    constexpr double most = 18446744073709551616.0; // 2^64
+    const auto lot = (static_cast<double>(weight(work, it.address)) + 1) / most;
+    return std::log(lot) / std::max(1U, it.capacity);
+}
+
+/// The better candidate first.
+bool better_candidate(const peer& a, const peer& b)
+{
+    if (a.capacity != b.capacity)
+        return a.capacity > b.capacity;
+    return weight("", a.address) > weight("", b.address);
 }
 
 } // namespace
@@ -59,6 +80,19 @@
     return n > times_.small_fleet ? n - times_.small_fleet : 0;
 }
 
+milliseconds peer_table::beat_interval() const
+{
+    return std::min(interval(), times_.candidate_interval);
+}
+
+bool peer_table::round_due(time_point now)
+{
+    if (now - round_at_ < interval())
+        return false;
+    round_at_ = now;
+    return true;
+}
+
 milliseconds peer_table::interval() const
 {
     // Others learn soon of a daemon that has started, and that it is ready.
@@ -75,11 +109,13 @@
     ++rounds_;
     if (started_ == time_point{})
         started_ = now;
-    if (beaten_ != time_point{} && now - beaten_ > pause_rounds * interval()) {
+    if (beaten_ != time_point{} &&
+        now - beaten_ > pause_rounds * beat_interval()) {
         for (auto& [address, it] : peers_)
             it.heard += now - beaten_;
     }
-    beaten_ = now;
+    beaten_           = now;
+    candidates_until_ = {};
     std::erase_if(peers_, [&](const auto& entry) {
         return now - entry.second.heard > times_.forget;
     });
@@ -165,6 +201,8 @@
         known.suspects      = 0;
         met_                = now;
     }
+    if (started || it.refuses_orders != known.it.refuses_orders)
+        candidates_until_ = {};
     known.it    = it;
     known.heard = now;
     return started;
@@ -241,20 +279,78 @@
     return out;
 }
 
-std::string peer_table::owner_of(std::string_view service, time_point now) const
+void peer_table::find_candidates(time_point now) const
 {
-    const std::string* best = self_.refuses_orders ? nullptr : &self_.address;
-    std::uint64_t      most = best ? weight(service, self_.address) : 0;
+    if (now < candidates_until_)
+        return;
+    candidates_until_ = now + candidates_kept;
+    std::vector<const entry*> all;
     for (const auto& [address, it] : peers_) {
-        if (!living(it, now) || it.it.refuses_orders || now < it.suspect_until)
+        if (living(it, now) && !it.it.refuses_orders)
+            all.push_back(&it);
+    }
+    if (!self_.refuses_orders)
+        all.push_back(nullptr);
+    const auto peer_of = [this](const entry* it) -> const peer& {
+        return it ? it->it : self_;
+    };
+    std::sort(all.begin(), all.end(), [&](const auto* a, const auto* b) {
+        return better_candidate(peer_of(a), peer_of(b));
+    });
+    candidates_.clear();
+    for (const auto* it : all) {
+        if (candidates_.size() == times_.candidates) {
+            if (it)
+                it->candidate_since = {};
+            continue;
+        }
+        if (it && beyond_small() > 0) {
+            if (it->candidate_since == time_point{})
+                it->candidate_since = now;
+            if (now - std::max(it->heard, it->candidate_since) >=
+                times_.candidate_dead)
+                continue;
+        }
+        candidates_.push_back(it);
+    }
+}
+
+std::vector<peer> peer_table::candidates(time_point now) const
+{
+    find_candidates(now);
+    std::vector<peer> out;
+    for (const auto* it : candidates_)
+        out.push_back(it ? it->it : self_);
+    return out;
+}
+
+std::string peer_table::owner_of(std::string_view work, time_point now,
+                                 std::string_view failure_domain) const
+{
+    find_candidates(now);
+    const peer*   best      = nullptr;
+    bool          best_near = false;
+    double        most      = 0;
+    std::uint32_t largest   = 0;
+    for (const auto* it : candidates_) {
+        if (it && now < it->suspect_until)
+            continue;
+        const auto& its = it ? it->it : self_;
+        // The first one is the largest. A much smaller one is not preferred
+        // for its place.
+        largest = std::max(largest, its.capacity);
+        const bool nearby =
+            its.failure_domain == failure_domain && 2 * its.capacity >= largest;
+        if (best && best_near && !nearby)
             continue;
-        const auto its = weight(service, address);
-        if (!best || its > most) {
-            best = &address;
-            most = its;
+        const auto wins = claim(work, its);
+        if (!best || (nearby && !best_near) || wins > most) {
+            best      = &its;
+            best_near = nearby;
+            most      = wins;
         }
     }
-    return best ? *best : self_.address;
+    return best ? best->address : self_.address;
 }
 
 std::uint32_t peer_table::daemons() const
--- a/src/peer_table.hpp
+++ b/src/peer_table.hpp
@@ -22,6 +22,8 @@
     std::string   failure_domain;
     /// It leaves, or does not know the configuration and the targets.
     bool refuses_orders = false;
+    /// Thousandths of a core that it may use.
+    std::uint32_t capacity = 0;
 };
 
 /// Times of a table.
@@ -49,6 +51,15 @@
     std::uint32_t seed_rounds = 5;
     std::size_t   fanout      = 3;  ///< Random peers for each round.
     std::size_t   entries     = 12; ///< In one message.
+    /// Daemons that may own something: those with the largest capacity. All
+    /// must know the same ones, so that messages of a larger fleet name them
+    /// besides the sample.
+    std::size_t candidates = 12;
+    /// Between messages of the candidates in a larger fleet. They reach all of
+    /// 360 within seven of them.
+    milliseconds candidate_interval{2000};
+    /// A candidate without a new heartbeat for this long is none any more.
+    milliseconds candidate_dead{15'000};
     /// A daemon that has started asks the seeds that it has not met after this
     /// time, then after twice as long each time, and for so long in all: others
     /// may start a little later.
@@ -80,6 +91,11 @@
     /// A round begins. After a pause of this process the others are given the
     /// time that it missed.
     void beat(time_point now);
+    /// The messages of a whole round are due, and not only one with the
+    /// candidates. \return false in a larger fleet most of the time.
+    bool round_due(time_point now);
+    /// Time until the next beat.
+    milliseconds beat_interval() const;
     /// Addresses for this round's messages.
     /// \param services whose owners are to be watched.
     std::vector<std::string> targets(const std::vector<std::string>& services,
@@ -121,8 +137,16 @@
     std::vector<std::string> alive(time_point now) const;
     /// Some of these, at random.
     std::vector<std::string> some_alive(std::size_t most, time_point now);
-    /// Address of the daemon that owns the service; perhaps the own one.
-    std::string owner_of(std::string_view service, time_point now) const;
+    /// The daemons that may own something and are not known to be dead, in
+    /// the order of their capacity, for a message of a larger fleet.
+    std::vector<peer> candidates(time_point now) const;
+    /// Address of the daemon that owns some work; perhaps the own one.
+    /// \param work any name; those of a failure domain are owned there if it
+    /// has a candidate.
+    std::string owner_of(std::string_view work, time_point now,
+                         std::string_view failure_domain = {}) const;
+    /// More daemons are known than each can keep in touch with.
+    bool large() const { return beyond_small() > 0; }
     /// Daemons that were alive lately, this one included. Zero: nobody was
     /// met yet.
     std::uint32_t daemons() const;
@@ -136,10 +160,13 @@
         time_point    suspect_until{};
         std::uint32_t misses   = 0; ///< In a row.
         std::uint32_t suspects = 0; ///< In a row.
+        /// Since when its heartbeats are to come often; or none.
+        mutable time_point candidate_since{};
     };
 
     std::size_t beyond_small() const;
     bool        living(const entry& it, time_point now) const;
+    void        find_candidates(time_point now) const;
 
     peer                         self_;
     std::vector<std::string>     seeds_;
@@ -148,8 +175,12 @@
     std::map<std::string, entry> peers_;
     time_point                   started_{}; ///< First round.
     time_point                   beaten_{};
-    time_point                   met_{}; ///< Latest new daemon.
+    time_point                   met_{};      ///< Latest new daemon.
+    time_point                   round_at_{}; ///< Latest whole round.
     std::uint64_t                rounds_ = 0;
+    /// Candidates as last found; null: this daemon.
+    mutable std::vector<const entry*> candidates_;
+    mutable time_point                candidates_until_{};
 };
 
 } // namespace arbutusgate::gateway
--- a/src/stage_desk.cpp
+++ b/src/stage_desk.cpp
@@ -53,73 +53,85 @@
     fibers_.spawn([this] { run_timers(); });
 }
 
-stage_desk::pool* stage_desk::find_pool(const std::string& service)
+stage_desk::pool* stage_desk::find_pool(const std::string& key)
 {
+    const auto  found = pools_.find(key);
+    const auto  shard = found == pools_.end()
+                            ? parse_shard_key(key)
+                            : std::optional(found->second->shard);
     const auto  table = init_.state.table();
-    const auto* entry = table ? table->find_service(service) : nullptr;
-    const auto  found = pools_.find(service);
+    const auto* entry =
+        table && shard ? table->find_service(shard->service) : nullptr;
     if (!entry || !entry->stage)
         return found == pools_.end() ? nullptr : found->second.get();
     if (found != pools_.end()) {
         found->second->batcher.set_limits(*entry->stage);
         return found->second.get();
     }
-    return pools_.emplace(service, std::make_unique<pool>(*entry->stage))
+    return pools_.emplace(key, std::make_unique<pool>(*shard, *entry->stage))
         .first->second.get();
 }
 
+const std::vector<const target*>& stage_desk::targets_of(pool& it) const
+{
+    const auto generation = init_.targets.generation();
+    if (it.generation != generation) {
+        it.targets    = it.shard.select(init_.targets.usable(it.shard.service));
+        it.generation = generation;
+    }
+    return it.targets;
+}
+
 std::shared_ptr<stage_ticket>
 stage_desk::submit(stage_order order, std::shared_ptr<fiber_signal> changed)
 {
-    auto ticket         = std::make_shared<stage_ticket>();
-    ticket->changed     = std::move(changed);
-    ticket->id          = next_group_++;
-    order.group.id      = ticket->id;
-    auto*       it      = find_pool(order.service);
-    const auto& targets = init_.targets.usable(order.service);
-    if (!it || targets.empty()) {
+    auto ticket     = std::make_shared<stage_ticket>();
+    ticket->changed = std::move(changed);
+    ticket->id      = next_group_++;
+    order.group.id  = ticket->id;
+    const auto key  = order.pool();
+    auto*      it   = find_pool(key);
+    const auto n    = it ? targets_of(*it).size() : 0;
+    if (n == 0) {
         ticket->state       = order_state::refused;
         ticket->retry_after = seconds{1};
         return ticket;
     }
-    const auto now = daemon_now();
-    const auto done =
-        it->batcher.expected_done(order.group, targets.size(), now);
+    const auto now  = daemon_now();
+    const auto done = it->batcher.expected_done(order.group, n, now);
     if (done > order.group.limit) {
         ticket->state       = order_state::refused;
         ticket->retry_after = left_until(done, order.group.limit);
         return ticket;
     }
     it->batcher.add(order.group, now);
-    const auto  service = order.service;
     group_entry entry;
     entry.missing = order.group.count;
     entry.handles.resize(order.group.count);
     entry.order  = std::move(order);
     entry.ticket = ticket;
     it->groups.emplace(ticket->id, std::move(entry));
-    pump(service, *it);
+    pump(key, *it);
     fibers_.wake();
     return ticket;
 }
 
 void stage_desk::withdraw(const std::shared_ptr<stage_ticket>& ticket)
 {
-    for (auto& [service, it] : pools_) {
+    for (auto& [key, it] : pools_) {
         if (it->groups.contains(ticket->id))
             end(*it, ticket->id, order_state::failed);
     }
 }
 
-void stage_desk::pump(const std::string& service, pool& it)
+void stage_desk::pump(const std::string& key, pool& it)
 {
     const auto now = daemon_now();
-    while (auto call = it.batcher.next(init_.targets.usable(service), now)) {
+    while (auto call = it.batcher.next(targets_of(it), now)) {
         ++stats_.calls;
         stats_.pieces += call->pieces.size();
-        fibers_.spawn([this, service, call = *std::move(call)] {
-            run_call(service, call);
-        });
+        fibers_.spawn(
+            [this, key, call = *std::move(call)] { run_call(key, call); });
     }
     if (it.batcher.wake_at(now) < wake_at_) {
         rearm_ = true;
@@ -183,21 +195,21 @@
     return *std::move(results);
 }
 
-void stage_desk::run_call(const std::string& service, const stage_call& call)
+void stage_desk::run_call(const std::string& key, const stage_call& call)
 {
     const auto started       = daemon_now();
     bool       target_failed = false;
-    auto       results = exchange(call, *pools_.at(service), target_failed);
-    auto&      it      = *pools_.at(service);
-    const auto now     = daemon_now();
+    auto       results       = exchange(call, *pools_.at(key), target_failed);
+    auto&      it            = *pools_.at(key);
+    const auto now           = daemon_now();
     const auto took =
         std::chrono::duration_cast<milliseconds>(now - started).count();
     if (target_failed)
         ++stats_.failed_calls;
-    const auto outcomes = settle(service, it, call, results);
+    const auto outcomes = settle(key, it, call, results);
     it.batcher.finish(call.id, outcomes, target_failed, now);
     log(log_level::info, "stage call ended",
-        {{"service", service},
+        {{"shard", key},
          {"target", call.target},
          {"pieces", call.pieces.size()},
          {"took_ms", took},
@@ -205,21 +217,20 @@
          {"room_kb", call.room / 1000},
          {"waiting", it.batcher.state(1, now).waiting},
          {"failed", target_failed}});
-    pump(service, it);
+    pump(key, it);
 }
 
 std::vector<piece_outcome>
-stage_desk::settle(const std::string& service, pool& it, const stage_call& call,
+stage_desk::settle(const std::string& key, pool& it, const stage_call& call,
                    const std::vector<piece_result>& results)
 {
     std::vector<piece_outcome> out;
     for (std::size_t n = 0; n < results.size(); ++n)
-        out.push_back(
-            settle_piece(service, it, call, call.pieces[n], results[n]));
+        out.push_back(settle_piece(key, it, call, call.pieces[n], results[n]));
     return out;
 }
 
-piece_outcome stage_desk::settle_piece(const std::string& service, pool& it,
+piece_outcome stage_desk::settle_piece(const std::string& key, pool& it,
                                        const stage_call&    call,
                                        const batched_piece& piece,
                                        const piece_result&  result)
@@ -227,11 +238,11 @@
     const auto found = it.groups.find(piece.group);
     if (!result.handle.empty()) {
         ++stats_.results;
-        made_[result.handle] = {service, call.target, piece.result_bytes};
+        made_[result.handle] = {key, call.target, piece.result_bytes};
         if (found == it.groups.end() ||
             !found->second.handles.at(piece.piece).empty()) {
             ++stats_.duplicates;
-            release(service, {result.handle});
+            release(it.shard.service, {result.handle});
             return piece_outcome::made;
         }
         auto& entry                   = found->second;
@@ -296,7 +307,7 @@
 {
     const auto now  = daemon_now();
     auto       wake = now + std::chrono::minutes{1};
-    for (auto& [service, it] : pools_) {
+    for (auto& [key, it] : pools_) {
         if (it->groups.empty() && it->batcher.state(1, now).calls == 0)
             continue;
         for (const auto id : it->batcher.expire(now))
@@ -304,9 +315,9 @@
         for (const auto id : it->batcher.overdue(now)) {
             ++stats_.overdue_calls;
             log(log_level::warning, "stage call is overdue",
-                {{"service", service}, {"call", id}});
+                {{"shard", key}, {"call", id}});
         }
-        pump(service, *it);
+        pump(key, *it);
         wake = std::min(wake, it->batcher.wake_at(now));
     }
     return std::max(wake, now + milliseconds{10});
@@ -337,7 +348,7 @@
             if (found == made_.end())
                 continue;
             id = found->second.target;
-            if (const auto at = pools_.find(found->second.service);
+            if (const auto at = pools_.find(found->second.pool);
                 at != pools_.end())
                 at->second->batcher.released(id, found->second.bytes);
             made_.erase(found);
@@ -367,20 +378,20 @@
 
 void stage_desk::forget(const std::string& target)
 {
-    for (auto& [service, it] : pools_)
+    for (auto& [key, it] : pools_)
         it->batcher.forget(target);
     std::erase_if(made_, [&](const auto& entry) {
         return entry.second.target == target;
     });
 }
 
-stage_queue stage_desk::queue(const std::string& service) const
+stage_queue stage_desk::queue(const std::string& key) const
 {
-    const auto it = pools_.find(service);
+    const auto it = pools_.find(key);
     if (it == pools_.end())
         return {};
-    const auto state = it->second->batcher.state(
-        init_.targets.usable(service).size(), daemon_now());
+    const auto state =
+        it->second->batcher.state(targets_of(*it->second).size(), daemon_now());
     return {state.on_time, state.all};
 }
 
--- a/src/stage_desk.hpp
+++ b/src/stage_desk.hpp
@@ -4,6 +4,7 @@
 
 #include "stage_batcher.hpp"
 #include "stage_service.hpp"
+#include "stage_shards.hpp"
 #include "wire_codec.hpp"
 
 #include "fiber_group.hpp"
@@ -59,9 +60,10 @@
     submit(stage_order order, std::shared_ptr<fiber_signal> changed) override;
     void withdraw(const std::shared_ptr<stage_ticket>& ticket) override;
     /// The service is of no interest here: handles name their makers.
-    void        release(const std::string&              service,
-                        const std::vector<std::string>& handles) override;
-    stage_queue queue(const std::string& service) const override;
+    void release(const std::string&              service,
+                 const std::vector<std::string>& handles) override;
+    /// \param key of a shard, or a service that is not split.
+    stage_queue queue(const std::string& key) const override;
 
     /// A target is gone or started anew.
     void forget(const std::string& target);
@@ -80,38 +82,47 @@
 
     struct pool
     {
-        explicit pool(const stage_limits& limits) : batcher(limits) {}
+        pool(stage_shard of, const stage_limits& limits)
+            : shard(std::move(of)), batcher(limits)
+        {
+        }
 
+        stage_shard                                    shard;
         stage_batcher                                  batcher;
         std::unordered_map<std::uint64_t, group_entry> groups;
+        std::vector<const target*> targets; ///< Of the generation.
+        std::uint64_t              generation = 0;
     };
 
     struct made_result
     {
-        std::string   service;
+        std::string   pool;
         std::string   target;
         std::uint64_t bytes = 0;
     };
 
-    pool* find_pool(const std::string& service);
-    void  pump(const std::string& service, pool& it);
-    void  run_call(const std::string& service, const stage_call& call);
+    pool* find_pool(const std::string& key);
+    /// The usable targets of the pool's shard.
+    const std::vector<const target*>& targets_of(pool& it) const;
+    void                              pump(const std::string& key, pool& it);
+    void run_call(const std::string& key, const stage_call& call);
     std::vector<piece_result>  exchange(const stage_call& call, pool& it,
                                         bool& target_failed);
     std::vector<stage_piece>   encode(const stage_call& call, pool& it) const;
-    std::vector<piece_outcome> settle(const std::string& service, pool& it,
+    std::vector<piece_outcome> settle(const std::string& key, pool& it,
                                       const stage_call&                call,
                                       const std::vector<piece_result>& results);
-    piece_outcome settle_piece(const std::string& service, pool& it,
-                               const stage_call&    call,
-                               const batched_piece& piece,
-                               const piece_result&  result);
-    void          end(pool& it, std::uint64_t group, order_state how);
-    void          run_timers();
-    time_point    check_queues();
-    void          flush_releases();
-
-    stage_desk_init                                        init_;
+    piece_outcome              settle_piece(const std::string& key, pool& it,
+                                            const stage_call&    call,
+                                            const batched_piece& piece,
+                                            const piece_result&  result);
+    void       end(pool& it, std::uint64_t group, order_state how);
+    void       run_timers();
+    time_point check_queues();
+    void       flush_releases();
+
+    stage_desk_init init_;
+    /// By the key of their shard.
     std::unordered_map<std::string, std::unique_ptr<pool>> pools_;
     std::unordered_map<std::string, made_result>           made_;
     /// Handles to give up, by address.
--- a/src/stage_service.hpp
+++ b/src/stage_service.hpp
@@ -21,8 +21,14 @@
 struct stage_order
 {
     std::string service;
+    std::string shard; ///< Key of the part of the service; empty: all of it.
     piece_group group; ///< Its id is set by the receiver.
     std::shared_ptr<const stage_source> source;
+    /// Bytes that cross failure domains when it is made in another one than
+    /// the group's.
+    std::uint64_t near_bytes = 0;
+
+    const std::string& pool() const { return shard.empty() ? service : shard; }
 };
 
 /// How an order stands.
@@ -63,7 +69,8 @@
     /// Gives up results at their makers, a little later.
     virtual void release(const std::string&              service,
                          const std::vector<std::string>& handles) = 0;
-    /// Waits in front of the service, as last known.
+    /// Waits in front of the service, as last known: of the part of it that
+    /// such an order would go to.
     virtual stage_queue queue(const std::string& service) const = 0;
 };
 
--- a/src/target_directory.cpp
+++ b/src/target_directory.cpp
@@ -17,17 +17,18 @@
                 return target_change::none;
             out = target_change::none;
         }
-        if (old.service != it.service) {
+        if (old.service != it.service || old.address != it.address) {
             const auto service = old.service;
-            targets_.erase(known);
+            erase(known);
             rebuild(service);
         }
     }
     if (it.leaving)
         out = target_change::leaving;
-    const auto id      = it.id;
-    const auto service = it.service;
-    targets_[id]       = entry{std::move(it), false};
+    const auto id           = it.id;
+    const auto service      = it.service;
+    by_address_[it.address] = id;
+    targets_[id]            = entry{std::move(it), false};
     rebuild(service);
     return out;
 }
@@ -42,7 +43,7 @@
         return target_change::none;
     }
     const auto service = it->second.it.service;
-    targets_.erase(it);
+    erase(it);
     rebuild(service);
     return target_change::gone;
 }
@@ -88,11 +89,16 @@
 
 const target* target_directory::find_by_address(std::string_view address) const
 {
-    for (const auto& [id, it] : targets_) {
-        if (it.it.address == address)
-            return &it.it;
-    }
-    return nullptr;
+    const auto it = by_address_.find(address);
+    return it == by_address_.end() ? nullptr : find(it->second);
+}
+
+void target_directory::erase(entry_map::iterator it)
+{
+    const auto known = by_address_.find(it->second.it.address);
+    if (known != by_address_.end() && known->second == it->first)
+        by_address_.erase(known);
+    targets_.erase(it);
 }
 
 std::vector<target> target_directory::published() const
@@ -115,6 +121,7 @@
 
 void target_directory::rebuild(const std::string& service)
 {
+    ++generation_;
     auto& list = usable_[service];
     list.clear();
     for (const auto& [id, it] : targets_) {
--- a/src/target_directory.hpp
+++ b/src/target_directory.hpp
@@ -3,6 +3,7 @@
 
 #include "gateway_types.hpp"
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
@@ -58,6 +59,8 @@
     /// Targets of the service that may get new work.
     const std::vector<const target*>& usable(std::string_view service) const;
     std::size_t                       size() const { return targets_.size(); }
+    /// Grows with each change of the usable targets.
+    std::uint64_t generation() const { return generation_; }
     /// All targets whose entries stand.
     std::vector<target> published() const;
 
@@ -68,11 +71,17 @@
         bool   lapsed = false;
     };
 
+    using entry_map = std::map<std::string, entry>;
+
     void rebuild(const std::string& service);
+    void erase(entry_map::iterator it);
 
-    milliseconds                                                lapse_grace_;
-    time_point                                                  lapse_until_{};
-    std::map<std::string, entry>                                targets_;
+    milliseconds lapse_grace_;
+    time_point   lapse_until_{};
+    entry_map    targets_;
+    /// Id of the latest target that was published with an address.
+    std::map<std::string, std::string, std::less<>>             by_address_;
+    std::uint64_t                                               generation_ = 0;
     std::unordered_map<std::string, std::vector<const target*>> usable_;
 };
 
--- a/tests/gateway_peer_test.cpp
+++ b/tests/gateway_peer_test.cpp
@@ -23,7 +23,7 @@
 
 peer make_peer(int n)
 {
-    return {address(n), 1, 0, "d" + std::to_string(n % 3), false};
+    return {address(n), 1, 0, "d" + std::to_string(n % 3), false, 0};
 }
 
 /// Daemons that exchange messages in rounds, without a network.
@@ -31,7 +31,9 @@
 {
     std::vector<peer_table> all;
     std::vector<bool>       dead;
-    int                     ms = 0;
+    int                     ms    = 0;
+    std::size_t             bytes = 0; ///< Of candidates in messages.
+    std::vector<int>        due;       ///< Next beat of each, ms.
 
     explicit fleet(int n)
     {
@@ -65,7 +67,9 @@
         }
         const auto sent = all[from].entries(at(ms));
         auto       met  = all[n].learn(sent, at(ms));
+        tell_candidates(from, n);
         const auto news = all[from].learn(all[n].entries(at(ms)), at(ms));
+        tell_candidates(n, from);
         all[from].answered(to, at(ms));
         for (const auto& it : met)
             exchange(n, it);
@@ -73,12 +77,50 @@
             exchange(from, it);
     }
 
-    std::map<std::string, int> owners(const std::string& service)
+    void tell_candidates(std::size_t from, std::size_t to)
+    {
+        if (!all[from].large())
+            return;
+        const auto list = all[from].candidates(at(ms));
+        bytes += encode(peer_gossip{{}, {}, list, false}).size();
+        for (const auto& it : list)
+            all[to].merge(it, at(ms));
+    }
+
+    /// Beats for so long, each daemon at its own time.
+    void run(int time)
+    {
+        constexpr int step = 50;
+        if (due.empty()) {
+            for (std::size_t n = 0; n < all.size(); ++n)
+                due.push_back(ms + static_cast<int>(n * 37 % 300));
+        }
+        for (const int end = ms + time; ms < end; ms += step) {
+            for (std::size_t n = 0; n < all.size(); ++n) {
+                if (dead[n] || ms < due[n])
+                    continue;
+                due[n] += static_cast<int>(all[n].beat_interval().count());
+                all[n].beat(at(ms));
+                const auto to = all[n].round_due(at(ms))
+                                    ? all[n].targets({}, at(ms))
+                                    : all[n].some_alive(1, at(ms));
+                for (const auto& it : to)
+                    exchange(n, it);
+                if (all[n].joining(at(ms)) && to.empty()) {
+                    for (const auto& it : all[n].unmet_seeds(at(ms)))
+                        exchange(n, it);
+                }
+            }
+        }
+    }
+
+    std::map<std::string, int> owners(const std::string& service,
+                                      const std::string& domain = "")
     {
         std::map<std::string, int> out;
         for (std::size_t n = 0; n < all.size(); ++n) {
             if (!dead[n])
-                ++out[all[n].owner_of(service, at(ms))];
+                ++out[all[n].owner_of(service, at(ms), domain)];
         }
         return out;
     }
@@ -168,6 +210,78 @@
     CHECK(most >= 350);
 }
 
+// Guards against a larger fleet whose daemons take different ones for the owner
+// of a shard: each then makes small calls of its own, which fill the targets.
+TEST_CASE("daemons of a large fleet soon agree on all owners", "[gateway]")
+{
+    const auto n = GENERATE(300, 361);
+    fleet      f(n);
+    for (int k = 0; k < n; k += 20) {
+        auto it     = make_peer(k);
+        it.capacity = 500;
+        f.all[k]    = peer_table(it, {address(0), address(1)}, k + 1);
+    }
+    f.run(2500);
+    for (const std::string domain : {"d0", "d1", "d2"}) {
+        const auto agreed = f.owners("s|" + domain, domain);
+        CHECK(agreed.size() == 1);
+        const auto owner = agreed.begin()->first;
+        CHECK(std::stoul(owner.substr(7)) % 20 == 0);
+        CHECK(std::stoul(owner.substr(7)) % 3 ==
+              static_cast<std::size_t>(domain[1] - '0'));
+    }
+    // Candidates in a day's messages, for each daemon and second.
+    f.run(20'000);
+    f.bytes = 0;
+    f.run(20'000);
+    CHECK(f.bytes / n / 20 < 2000);
+    // Nobody takes a living candidate for dead meanwhile.
+    for (const std::string domain : {"d0", "d1", "d2"})
+        CHECK(f.owners("s|" + domain, domain).size() == 1);
+}
+
+// Guards against a dead owner of a shard that daemons without work for it keep
+// for alive, and against owners that differ for long after a loss.
+TEST_CASE("a large fleet forgets dead candidates", "[gateway]")
+{
+    constexpr int n = 300;
+    fleet         f(n);
+    for (int k = 0; k < n; k += 20) {
+        auto it     = make_peer(k);
+        it.capacity = 500;
+        f.all[k]    = peer_table(it, {address(0), address(1)}, k + 1);
+    }
+    f.run(25'000);
+    // One failure domain with all its large daemons is lost.
+    for (int k = 0; k < n; k += 3)
+        f.dead[k] = true;
+    f.run(40'000);
+    for (const std::string domain : {"d0", "d1", "d2"}) {
+        const auto agreed = f.owners("s|" + domain, domain);
+
+        CHECK(agreed.size() == 1);
+        CHECK_FALSE(f.dead[std::stoul(agreed.begin()->first.substr(7))]);
+    }
+}
+
+// Guards against small daemons that own as much as large ones.
+TEST_CASE("daemons own in proportion to their capacity", "[gateway]")
+{
+    peer_table it(make_peer(0), {}, 1);
+    auto       large = make_peer(1);
+    large.capacity   = 500;
+    auto small       = make_peer(2);
+    small.capacity   = 125;
+    it.merge(large, at(0));
+    it.merge(small, at(0));
+    it.set_refuses_orders(true);
+    int of_large = 0;
+    for (int k = 0; k < 1000; ++k)
+        of_large += it.owner_of(std::to_string(k), at(200)) == large.address;
+    CHECK(of_large > 750);
+    CHECK(of_large < 850);
+}
+
 // Guards against stages that wait for a dead owner.
 TEST_CASE("a silent owner is replaced by the same one everywhere", "[gateway]")
 {
@@ -266,13 +380,20 @@
     gossip.members                   = {make_peer(1), make_peer(2)};
     gossip.members[1].refuses_orders = true;
     gossip.queues["s"]               = {milliseconds{40}, milliseconds{900}};
+    gossip.candidates                = {make_peer(3)};
+    gossip.candidates[0].capacity    = 120;
+    gossip.queues_only               = true;
     const auto read                  = decode_gossip(encode(gossip));
     REQUIRE(read);
     CHECK(read->members[1].address == address(2));
     CHECK(read->members[1].refuses_orders);
+    REQUIRE(read->candidates.size() == 1);
+    CHECK(read->candidates[0].capacity == 120);
+    CHECK(read->queues_only);
     CHECK(read->queues.at("s").all == milliseconds{900});
     stage_order order;
     order.service              = "s";
+    order.shard                = "s|d1|0|1";
     order.group.rank           = 2;
     order.group.goal           = at(700);
     order.group.limit          = at(2500);
@@ -286,6 +407,7 @@
     CHECK(got->group.goal == at(5700));
     CHECK(got->group.limit == at(7500));
     CHECK(got->group.count == 3);
+    CHECK(got->shard == "s|d1|0|1");
     CHECK(got->group.failure_domain == "d1");
     CHECK(got->source->attempt == "id");
     CHECK(got->source->stage == 1);
@@ -294,10 +416,16 @@
         encode(stage_outcome{order_state::refused,
                              {},
                              milliseconds{300},
-                             {milliseconds{7}, milliseconds{9}}}));
+                             {milliseconds{7}, milliseconds{9}},
+                             {{"s|d1|0|1",
+                               {{milliseconds{1}, milliseconds{2}}, at(400)}}}},
+               at(600)),
+        at(5600));
     CHECK(outcome->state == order_state::refused);
     CHECK(outcome->retry_after == milliseconds{300});
     CHECK(outcome->queue.all == milliseconds{9});
+    CHECK(outcome->others.at("s|d1|0|1").queue.all == milliseconds{2});
+    CHECK(outcome->others.at("s|d1|0|1").at == at(5400));
     CHECK(decode_release(encode_release({"h"})) ==
           std::vector<std::string>{"h"});
     const state_copy state{
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -371,7 +371,8 @@
     drained.set_value();
     ended.wait();
     const auto reply = told.get();
-    const auto read  = decode_outcome(reply.substr(reply.find("\r\n\r\n") + 4));
+    const auto read =
+        decode_outcome(reply.substr(reply.find("\r\n\r\n") + 4), {});
     REQUIRE(read);
     CHECK(read->state == order_state::done);
     CHECK(read->handles == std::vector<std::string>{"h/0"});
