Give up a stream's results with its first event, also if it may be resumed

Cause: results of streams that may be resumed were held until the stream's end, one second and more.

Ruled out: too few calls; they started as fast as targets were free.

Change: results are given up with the first event. A stream that is resumed has its pieces made again first, which may be repeated.

The test fails on the code before.

--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -390,6 +390,24 @@
     }
 }
 
+/// A stream's results are given up with its first event, since their makers
+/// have little room; one that is resumed has them made again.
+bool forward_run::remake_results()
+{
+    if (route_->stages.empty())
+        return true;
+    tickets_.clear();
+    made_at_.clear();
+    submitted_.clear();
+    results_released_  = false;
+    first_event_by_    = until_;
+    const auto failure = run_stages();
+    const bool whole   = !failure && !gone_;
+    log(log_level::info, "results made again for a resumed stream",
+        {{"request", call_.attempt}, {"whole", whole}});
+    return whole;
+}
+
 /// Gives up results that all later stages have read, since their makers have
 /// little room.
 void forward_run::release_read_results()
@@ -507,6 +525,8 @@
     auto          last         = attempt_result::not_run;
     bool          may_have_run = false;
     for (;;) {
+        if (began_ && !remake_results())
+            break;
         const auto* found = choose();
         if (!found || time_over())
             break;
@@ -782,8 +802,7 @@
                 parts_.times.add(service_->name, now - called_);
             exchange_.begin_stream(parts_.codec.relay_head(from.head()));
             parts_.counters.observe_first_text(route_->name, now - arrived_);
-            if (!route_->may_be_resumed)
-                release_results();
+            release_results();
         }
         if (!exchange_.write(batch)) {
             gone_ = true;
--- a/src/forward_run.hpp
+++ b/src/forward_run.hpp
@@ -105,6 +105,7 @@
     void          refuse(const run_failure& it);
     void          release_results();
     void          release_read_results();
+    bool          remake_results();
     void          learn_stage_times();
     void          on_caller_gone();
     milliseconds  left() const;
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -190,8 +190,8 @@
     std::vector<target> targets_;
 };
 
-/// A gateway with the routes /once/, /again/, /stream/, /resume/ and /staged/
-/// of host "a.example" and the service "s".
+/// A gateway with the routes /once/, /again/, /stream/, /resume/, /staged/ and
+/// /staged-stream/ of host "a.example" and the service "s".
 class gateway_fixture
 {
 public:
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -337,6 +337,56 @@
     CHECK(has(final_request, "Arbutusgate-Inputs: h/2\r\n"));
 }
 
+// Guards against results that take their makers' room for as long as a stream
+// lasts that may be resumed, and against a resumed one without its inputs.
+TEST_CASE("a stream's results go with its first event and are made again",
+          "[gateway][sockets]")
+{
+    std::promise<void> freed;
+    std::atomic<int>   made{0};
+    scripted_target    stage([&](target_session& it) {
+        for (auto text = it.read(); !text.empty(); text = it.read()) {
+            if (has(text, "/stage-free")) {
+                if (has(text, "h/1"))
+                    freed.set_value();
+                it.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                continue;
+            }
+            it.write(answer(R"({"items":[{"handle":"h/)" +
+                               std::to_string(++made) + R"("}]})"));
+        }
+    });
+    std::atomic<int>   calls{0};
+    std::string        second;
+    const auto         script = [&](target_session& it) {
+        const auto request = it.read();
+        if (request.empty())
+            return;
+        if (++calls == 1) {
+            CHECK(has(request, "Arbutusgate-Inputs: h/1\r\n"));
+            it.write(stream_head() + chunk("id: 1\ndata: a\n\n"));
+            CHECK(freed.get_future().wait_for(seconds{10}) ==
+                          std::future_status::ready);
+            it.reset();
+            return;
+        }
+        second = request;
+        it.write(stream_head() + chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+    };
+    scripted_target one(script);
+    scripted_target two(script);
+    gateway_fixture g({make_target("i-1", one.address()),
+                       make_target("i-2", two.address()),
+                       make_target("p-1", stage.address(), "p")});
+    const auto      out = g.exchange(
+             g.request("/staged-stream/", "body",
+                       "Arbutusgate-Pieces: 1\r\nArbutusgate-Piece-Key: kk\r\n"));
+    CHECK(has(second, "Last-Event-Id: 1"));
+    CHECK(has(second, "Arbutusgate-Inputs: h/2\r\n"));
+    CHECK(has(out, "id: 2\ndata: b\n\n"));
+    CHECK(out.ends_with("0\r\n\r\n"));
+}
+
 // Guards against a daemon that stops with another daemon's order in its queue,
 // which would have the pieces made again elsewhere.
 TEST_CASE("a draining daemon finishes the orders of others",
