Count the room for large results in told waits, expected ends and at entry

Cause: waits counted the time of calls only. In a burst of large results the room of their makers binds: pieces waited for room until their callers left, and were refused late.

Ruled out: that room needs a schedule of its own now; since results go with the first event, calls of the large stage take 3 to 4 pieces only while a burst lasts.

Change: a batcher learns how long results are held, weighted by their bytes, and tells the wait for room beside the other waits. It counts for results of 200 kB and more at entry and in the choice of a shard, and for orders with results of 1% of a target's room and more in their expected end.

--- a/src/entry_admission.cpp
+++ b/src/entry_admission.cpp
@@ -22,23 +22,29 @@
                 start = std::max(start, ends[n]);
         }
         const auto own =
-            stage.skipped ? microseconds{0} : wait(stage.queue) + stage.call;
+            stage.skipped ? microseconds{0} : wait(stage) + stage.call;
         ends.push_back(start + own);
         longest = std::max(longest, ends.back());
     }
     return longest + it.answer;
 }
 
+microseconds wait_of(const stage_outlook& it, microseconds for_call)
+{
+    return it.large ? std::max(for_call, it.queue.room) : for_call;
+}
+
 } // namespace
 
 entry_decision decide_entry(const request_outlook& it, time_point now)
 {
     entry_decision out;
-    out.expected =
-        path_time(it, [](const stage_queue& q) { return q.on_time; });
+    out.expected = path_time(
+        it, [](const auto& s) { return wait_of(s, s.queue.on_time); });
     if (now + out.expected <= it.goal)
         return out;
-    out.expected = path_time(it, [](const stage_queue& q) { return q.all; });
+    out.expected =
+        path_time(it, [](const auto& s) { return wait_of(s, s.queue.all); });
     out.admitted = now + out.expected <= it.limit;
     if (!out.admitted)
         out.retry_after =
--- a/src/entry_admission.hpp
+++ b/src/entry_admission.hpp
@@ -17,6 +17,7 @@
 {
     microseconds on_time{0}; ///< Of a piece that can meet its goal.
     microseconds all{0};     ///< Of a piece that cannot.
+    microseconds room{0};    ///< Of one with a large result, for its room.
 };
 
 /// One stage of a request that is about to start.
@@ -25,7 +26,8 @@
     std::vector<std::uint32_t> after;
     bool                       skipped = false; ///< It has no pieces.
     stage_queue                queue;
-    microseconds               call{0}; ///< Time of its own call.
+    microseconds               call{0};       ///< Time of its own call.
+    bool                       large = false; ///< Its results are.
 };
 
 /// What is known of a request before its first stage.
--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -156,6 +156,7 @@
         stage_outlook it;
         it.after   = step.after;
         it.skipped = count == 0;
+        it.large   = step.result_bytes >= large_result;
         it.queue   = parts_.stages.queue(step.service);
         if (maker && maker->stage)
             it.call =
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -35,12 +35,14 @@
     out.set_shard(shard);
     out.set_on_time_us(static_cast<std::uint64_t>(it.on_time.count()));
     out.set_all_us(static_cast<std::uint64_t>(it.all.count()));
+    out.set_room_us(static_cast<std::uint64_t>(it.room.count()));
 }
 
 stage_queue decode(const pb::StageQueue& it)
 {
     return {microseconds{static_cast<std::int64_t>(it.on_time_us())},
-            microseconds{static_cast<std::int64_t>(it.all_us())}};
+            microseconds{static_cast<std::int64_t>(it.all_us())},
+            microseconds{static_cast<std::int64_t>(it.room_us())}};
 }
 
 /// Pieces of one stage of one call; a message with more is not ours.
@@ -213,6 +215,7 @@
     out.set_retry_after_ms(static_cast<std::uint32_t>(it.retry_after.count()));
     out.set_on_time_us(static_cast<std::uint64_t>(it.queue.on_time.count()));
     out.set_all_us(static_cast<std::uint64_t>(it.queue.all.count()));
+    out.set_room_us(static_cast<std::uint64_t>(it.queue.room.count()));
     for (const auto& [shard, told] : it.others) {
         auto& queue = *out.add_others();
         encode(shard, told.queue, queue);
@@ -234,7 +237,8 @@
     out.retry_after = milliseconds{in.retry_after_ms()};
     out.queue.on_time =
         microseconds{static_cast<std::int64_t>(in.on_time_us())};
-    out.queue.all = microseconds{static_cast<std::int64_t>(in.all_us())};
+    out.queue.all  = microseconds{static_cast<std::int64_t>(in.all_us())};
+    out.queue.room = microseconds{static_cast<std::int64_t>(in.room_us())};
     for (const auto& it : in.others())
         out.others[it.shard()] = {decode(it), now - milliseconds{it.age_ms()}};
     return out;
--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -36,6 +36,8 @@
 constexpr int owner_tries = 2;
 /// Between messages of owners about what waits at them.
 constexpr milliseconds queue_interval{300};
+/// Results of this size and more wait for room at their makers.
+constexpr std::uint64_t large_result = 200'000; // bytes
 /// A wait that was told longer ago says nothing.
 constexpr seconds told_life{3};
 /// Added to an order's limit for the way of its answer.
@@ -304,6 +306,7 @@
     wish.input_bytes    = order.near_bytes;
     wish.own_domain     = table_.self().failure_domain;
     wish.on_time        = order.group.goal > daemon_now();
+    wish.large_results  = order.group.result_bytes >= large_result;
     wish.lot            = next_id_;
     return list[choose_shard(outlooks, wish)];
 }
--- a/src/stage_batcher.cpp
+++ b/src/stage_batcher.cpp
@@ -14,6 +14,10 @@
 constexpr milliseconds failed_pause{200}; // doubled with each failure
 constexpr milliseconds failed_pause_most{2000};
 constexpr double       learn_gain = 0.1;
+/// Results of less than this part of a target's room find room at once.
+constexpr std::uint64_t room_parts = 100;
+/// Of what was learned, with each result that is given up.
+constexpr double held_fade = 0.98;
 /// Learned times of pieces stay within this factor of the listed time.
 constexpr double piece_time_range = 8;
 /// A target whose calls take longer than this gets work last.
@@ -51,35 +55,42 @@
                                         std::size_t        targets,
                                         time_point         now) const
 {
-    const auto  call = next_call_time();
-    const auto  own  = turn_of(it, it.count, call, now);
-    auto        work = piece_time(it.kind) * it.count;
-    std::size_t n    = it.count;
+    const auto  call  = next_call_time();
+    const auto  own   = turn_of(it, it.count, call, now);
+    auto        work  = piece_time(it.kind) * it.count;
+    auto        bytes = it.result_bytes * it.count;
+    std::size_t n     = it.count;
     for (const auto& [id, group] : groups_) {
         if (group.pieces.empty() ||
             turn_of(group.it, group.pieces.size(), call, now) > own)
             continue;
         n += group.pieces.size();
         work += piece_time(group.it.kind) * group.pieces.size();
+        bytes += group.it.result_bytes * group.pieces.size();
     }
     work += limits_.call_time * ((n + limits_.batch - 1) / limits_.batch);
     for (const auto& [id, entry] : calls_)
         work += entry.call.expected / 2;
     const auto servers = std::max<std::size_t>(1, targets * limits_.slots);
     const auto alone   = limits_.call_time + piece_time(it.kind) * it.count;
-    return now + std::max<microseconds>(work / servers, alone);
+    // Small results go beside large ones that wait for room.
+    const auto room = it.result_bytes * room_parts >= limits_.result_room
+                          ? room_wait(bytes, targets)
+                          : microseconds{0};
+    return now + std::max<microseconds>(work / servers, room + alone);
 }
 
 batcher_state stage_batcher::state(std::size_t targets, time_point now) const
 {
     batcher_state out;
-    out.waiting         = waiting_;
-    out.calls           = calls_.size();
-    const auto   call   = next_call_time();
-    std::size_t  pieces = 0;
-    microseconds on_time{0};
-    microseconds late{0};
-    microseconds oldest{0};
+    out.waiting          = waiting_;
+    out.calls            = calls_.size();
+    const auto    call   = next_call_time();
+    std::size_t   pieces = 0;
+    microseconds  on_time{0};
+    std::uint64_t bytes = 0;
+    microseconds  late{0};
+    microseconds  oldest{0};
     for (const auto& [id, group] : groups_) {
         if (group.pieces.empty())
             continue;
@@ -88,6 +99,7 @@
         if (turn_of(group.it, n, call, now).late == 0) {
             pieces += n;
             on_time += work;
+            bytes += group.it.result_bytes * n;
         }
         else {
             late += work;
@@ -106,9 +118,28 @@
     out.on_time        = (on_time + calls(pieces) + running) / servers;
     out.all            = std::max<microseconds>(
         oldest, (on_time + late + calls(waiting_) + running) / servers);
+    out.room = room_wait(bytes, targets);
     return out;
 }
 
+// Results leave at the pace at which all the room turns over in the time that
+// one is held.
+microseconds stage_batcher::room_wait(std::uint64_t bytes,
+                                      std::size_t   targets) const
+{
+    const auto    room = limits_.result_room * targets;
+    std::uint64_t used = 0;
+    for (const auto& [id, it] : targets_)
+        used += it.room_used;
+    const auto free = room > used ? room - used : 0;
+    if (held_bytes_ <= 0 || room == 0 || bytes <= free)
+        return microseconds{0};
+    const auto turns =
+        static_cast<double>(bytes - free) / static_cast<double>(room);
+    return std::chrono::duration_cast<microseconds>(
+        std::chrono::duration<double>(turns * held_work_ / held_bytes_));
+}
+
 void stage_batcher::add(const piece_group& it, time_point now)
 {
     waiting_group group{it, {}, now};
@@ -471,21 +502,34 @@
     return out;
 }
 
-void stage_batcher::give_back(target_state& it, std::uint64_t bytes)
+std::optional<time_point> stage_batcher::give_back(target_state& it,
+                                                   std::uint64_t bytes)
 {
     for (auto kept = it.kept.begin(); kept != it.kept.end(); ++kept) {
         if (kept->second != bytes)
             continue;
+        const auto lapses = kept->first;
         it.room_used -= bytes;
         it.kept.erase(kept);
-        return;
+        return lapses;
     }
+    return std::nullopt;
 }
 
-void stage_batcher::released(const std::string& target, std::uint64_t bytes)
+void stage_batcher::released(const std::string& target, std::uint64_t bytes,
+                             time_point now)
 {
-    if (const auto it = targets_.find(target); it != targets_.end())
-        give_back(it->second, bytes);
+    const auto it = targets_.find(target);
+    if (it == targets_.end())
+        return;
+    const auto lapses = give_back(it->second, bytes);
+    if (!lapses)
+        return;
+    const std::chrono::duration<double> held =
+        now - (*lapses - limits_.result_kept);
+    const auto size = static_cast<double>(bytes);
+    held_bytes_     = held_fade * held_bytes_ + size;
+    held_work_      = held_fade * held_work_ + size * held.count();
 }
 
 void stage_batcher::forget(const std::string& target)
--- a/src/stage_batcher.hpp
+++ b/src/stage_batcher.hpp
@@ -65,6 +65,7 @@
     std::size_t  calls   = 0; ///< At work.
     microseconds on_time{0};  ///< Wait of a piece that can meet its goal.
     microseconds all{0};      ///< Wait of a piece that cannot.
+    microseconds room{0};     ///< Wait of a large result for room.
 };
 
 /// Belongs to one thread; does no I/O and reads no clock.
@@ -101,7 +102,8 @@
     time_point wake_at(time_point now) const;
 
     /// A result was given up at a target.
-    void released(const std::string& target, std::uint64_t bytes);
+    void released(const std::string& target, std::uint64_t bytes,
+                  time_point now);
     void forget(const std::string& target);
 
     batcher_state state(std::size_t targets, time_point now) const;
@@ -162,7 +164,11 @@
     bool          hold(const target& at, std::size_t targets, time_point now);
     std::uint64_t room_left(target_state& it, time_point now) const;
     static void   pause_failed(target_state& it, time_point now);
-    static void   give_back(target_state& it, std::uint64_t bytes);
+    /// \return when the result would have lapsed, or nothing.
+    static std::optional<time_point> give_back(target_state& it,
+                                               std::uint64_t bytes);
+    /// Time until results of so many bytes have found room.
+    microseconds room_wait(std::uint64_t bytes, std::size_t targets) const;
 
     stage_limits                                     limits_;
     std::uint64_t                                    next_call_ = 1;
@@ -172,6 +178,10 @@
     /// Learned time of a piece by kind, in microseconds.
     std::unordered_map<std::uint32_t, double> piece_times_;
     std::size_t                               waiting_ = 0;
+    /// From the start of calls until their results are given up: seconds
+    /// weighted by bytes, and the bytes; both fade.
+    double                held_work_  = 0;
+    double                held_bytes_ = 0;
     std::set<std::string> domains_; ///< Of the targets of the latest call.
     arrival_rate          arrivals_;
     time_point            held_until_{time_point::max()}; ///< Of a held call.
--- a/src/stage_desk.cpp
+++ b/src/stage_desk.cpp
@@ -350,7 +350,8 @@
             id = found->second.target;
             if (const auto at = pools_.find(found->second.pool);
                 at != pools_.end())
-                at->second->batcher.released(id, found->second.bytes);
+                at->second->batcher.released(id, found->second.bytes,
+                                             daemon_now());
             made_.erase(found);
         }
         // Another daemon may have had these results made.
@@ -392,7 +393,7 @@
         return {};
     const auto state =
         it->second->batcher.state(targets_of(*it->second).size(), daemon_now());
-    return {state.on_time, state.all};
+    return {state.on_time, state.all, state.room};
 }
 
 } // namespace arbutusgate::gateway
--- a/src/stage_shards.cpp
+++ b/src/stage_shards.cpp
@@ -120,7 +120,9 @@
                          const shard_wish&                 wish)
 {
     const auto cost = [&wish](const shard_outlook& it) {
-        auto       out = wish.on_time ? it.queue.on_time : it.queue.all;
+        auto out = wish.on_time ? it.queue.on_time : it.queue.all;
+        if (wish.large_results)
+            out = std::max(out, it.queue.room);
         const bool far = !wish.failure_domain.empty() &&
                          it.failure_domain != wish.failure_domain;
         if (it.failure_domain.empty())
--- a/src/stage_shards.hpp
+++ b/src/stage_shards.hpp
@@ -59,8 +59,9 @@
     std::uint64_t    input_bytes = 0;
     std::string_view own_domain; ///< Of the daemon.
     /// The order can meet its goal, so the wait of such orders counts.
-    bool          on_time = true;
-    std::uint64_t lot     = 0; ///< Breaks ties; differs between orders.
+    bool          on_time       = true;
+    std::uint64_t lot           = 0; ///< Breaks ties; differs between orders.
+    bool          large_results = false; ///< They wait for room.
 };
 
 /// \return index of the shard that gets the order.
--- a/tests/entry_admission_test.cpp
+++ b/tests/entry_admission_test.cpp
@@ -57,3 +57,21 @@
     it.stages[1].skipped = true;
     CHECK(decide_entry(it, at(0)).expected == milliseconds{500});
 }
+
+// Guards against requests that are let in while their large results find no
+// room in time, and against others that are refused for it.
+TEST_CASE("the wait for room counts for large results only", "[gateway]")
+{
+    request_outlook it;
+    it.goal  = at(1000);
+    it.limit = at(3000);
+    stage_outlook stage;
+    stage.queue = {milliseconds{100}, milliseconds{200}, seconds{4}};
+    stage.call  = milliseconds{200};
+    it.stages   = {stage};
+    CHECK(decide_entry(it, at(0)).admitted);
+    it.stages[0].large  = true;
+    const auto decision = decide_entry(it, at(0));
+    CHECK_FALSE(decision.admitted);
+    CHECK(decision.retry_after == milliseconds{1200});
+}
--- a/tests/gateway_batcher_test.cpp
+++ b/tests/gateway_batcher_test.cpp
@@ -213,13 +213,42 @@
     CHECK(call->pieces.size() == 3);
     f.finish(*call, 180);
     CHECK_FALSE(f.it.next(f.one, at(180)));
-    f.it.released("a", 300'000);
-    f.it.released("a", 300'000);
+    f.it.released("a", 300'000, at(500));
+    f.it.released("a", 300'000, at(500));
     CHECK(f.it.next(f.one, at(181))->pieces.size() == 2);
     // The rest lapses by itself.
     CHECK(f.it.next(f.two, at(4001)));
 }
 
+// Guards against a burst of large results that is let in since only the time of
+// calls is counted: it waits for room until its callers have left.
+TEST_CASE("the wait for room is told and counted", "[gateway]")
+{
+    fixture f;
+    auto    it      = make_group(1, 10, 5000, 9000);
+    it.result_bytes = 100'000;
+    f.it.add(it, at(0));
+    const auto call = f.it.next(f.one, at(0));
+    REQUIRE(call->pieces.size() == 10);
+    f.finish(*call, 250);
+    // Results are held for 2 s from the start of their call.
+    for (int n = 0; n < 10; ++n)
+        f.it.released("a", 100'000, at(2000));
+    it.id = 2;
+    f.it.add(it, at(2000));
+    REQUIRE(f.it.next(f.one, at(2000)));
+    it.id = 3;
+    CHECK(f.it.expected_done(it, 1, at(2000)) == at(2000 + 2000 + 250));
+    f.it.add(it, at(2000));
+    CHECK(f.it.state(1, at(2000)).room == seconds{2});
+    CHECK(f.it.state(1, at(2000)).on_time < milliseconds{500});
+    it.id = 4;
+    CHECK(f.it.expected_done(it, 1, at(2000)) == at(2000 + 4000 + 250));
+    // Small results find room at once.
+    it.result_bytes = 100;
+    CHECK(f.it.expected_done(it, 1, at(2000)) < at(3000));
+}
+
 // Guards against room that stays taken by pieces that were not made, and
 // against a full target that is asked again at once.
 TEST_CASE("pieces without room wait and try again", "[gateway]")
@@ -350,7 +379,7 @@
             took += piece.kind == 1 ? 4 : 10;
         ms += took;
         f.finish(*call, ms);
-        f.it.released("a", 0);
+        f.it.released("a", 0, at(ms));
     }
     auto quick = make_group(++id, 10, ms + 60'000, ms + 90'000);
     quick.kind = 1;
