Let one daemon of each failure domain read the store and tell the others

Ruled out: longer pauses; they are what the bounds on configuration and drain allow.

Heartbeats are no change. What the store confirmed longer ago than 0.375 of the bound is not used; without an answer a daemon reads the store itself for 3 s.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway.hpp"
 
+#include "change_log.hpp"
 #include "forward_run.hpp"
 #include "http_server.hpp"
 #include "io_thread.hpp"
@@ -94,19 +95,22 @@
 {
     explicit impl(gateway_init it);
 
-    void          start_on_thread();
-    void          follow();
-    follow_times  follow_pace() const;
-    void          follow_peers();
-    follow_events events();
-    void          configured(const route_table& table);
-    void          target_changed(const std::string& id, target_change what);
-    void          serve(http_exchange& exchange);
-    void          serve_peer(http_exchange& exchange);
-    void          serve_ready(http_exchange& exchange) const;
-    void          serve_metrics(http_exchange& exchange) const;
-    bool          ready() const;
-    peer_table    own_peers() const;
+    void                         start_on_thread();
+    void                         follow();
+    follow_times                 follow_pace() const;
+    void                         follow_peers();
+    std::optional<state_changes> changes_of_reader(std::uint64_t       after,
+                                                   const follow_times& times,
+                                                   time_point& confirmed);
+    follow_events                events();
+    void                         configured(const route_table& table);
+    void       target_changed(const std::string& id, target_change what);
+    void       serve(http_exchange& exchange);
+    void       serve_peer(http_exchange& exchange);
+    void       serve_ready(http_exchange& exchange) const;
+    void       serve_metrics(http_exchange& exchange) const;
+    bool       ready() const;
+    peer_table own_peers() const;
     const std::vector<stage_shard>& stage_shards();
     http_server_init                listener(std::string                         address,
                                              std::function<void(http_exchange&)> handler);
@@ -122,6 +126,7 @@
     // Used on the thread only.
     target_directory                    targets{lapse_grace};
     target_picker                       picker{random_seed()};
+    change_log                          changes;
     retry_budget                        budget;
     time_estimates                      times;
     std::mt19937_64                     random{random_seed()};
@@ -214,6 +219,9 @@
         targets, [this]() -> const auto& { return stage_shards(); });
     reader = make_reader(io);
     peers->set_state([this] { return state->copy(); });
+    peers->set_changes([this](std::uint64_t revision) {
+        return changes.since(revision, daemon_now());
+    });
     parts = std::make_unique<gateway_parts>(gateway_parts{
         codec, *state, targets, picker, *connections, *peers, budget, times,
         counters, random, settings.failure_domain});
@@ -261,10 +269,36 @@
                                      settings.bounds.target_drain));
 }
 
+/// What the daemon that reads the store for this one knows, if that is all.
+std::optional<state_changes>
+gateway::impl::changes_of_reader(std::uint64_t after, const follow_times& times,
+                                 time_point& confirmed)
+{
+    auto told = peers->ask_changes(after);
+    if (!told || told->age > times.reader_age)
+        return std::nullopt;
+    confirmed = daemon_now() - told->age;
+    for (auto& change : told->it.changes) {
+        auto* config = std::get_if<configuration>(&change);
+        if (!config)
+            continue;
+        auto read = reader->parse_configuration(config->document);
+        if (!read.ok()) {
+            log(log_level::warning, "configuration of a peer not usable",
+                {{"error", read.status().ToString()}});
+            return std::nullopt;
+        }
+        *config = *std::move(read);
+    }
+    return std::move(told->it);
+}
+
 void gateway::impl::follow()
 {
     while (!stopping) {
-        const auto times = follow_pace();
+        auto times = follow_pace();
+        if (peers->has_reader())
+            times = follow_times_of_reader(times);
         state->set_times(times);
         peers->set_ready(ready());
         const auto step = state->next(daemon_now());
@@ -283,8 +317,18 @@
             break;
         }
         case state_follower::call::watch: {
-            auto it = reader->watch(step.after, times.wait,
-                                    times.wait + times.timeout);
+            time_point                    confirmed;
+            absl::StatusOr<state_changes> it;
+            if (auto told = changes_of_reader(step.after, times, confirmed)) {
+                it = *std::move(told);
+            }
+            else {
+                it        = reader->watch(step.after, times.wait,
+                                          times.wait + times.timeout);
+                confirmed = daemon_now();
+            }
+            if (it.ok())
+                changes.append(step.after, *it, confirmed);
             state->on_changes(std::move(it), daemon_now());
             break;
         }
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -45,6 +45,23 @@
             microseconds{static_cast<std::int64_t>(it.room_us())}};
 }
 
+void encode(const target& it, pb::GatewayTarget& out)
+{
+    out.set_id(it.id);
+    out.set_service(it.service);
+    out.set_address(it.address);
+    out.set_failure_domain(it.failure_domain);
+    out.set_slots(it.slots);
+    out.set_leaving(it.leaving);
+    out.set_started_at(it.started_at);
+}
+
+target decode(const pb::GatewayTarget& it)
+{
+    return {it.id(),    it.service(), it.address(),   it.failure_domain(),
+            it.slots(), it.leaving(), it.started_at()};
+}
+
 /// Pieces of one stage of one call; a message with more is not ours.
 constexpr std::uint32_t most_pieces = 10'000;
 
@@ -119,16 +136,8 @@
     pb::GatewayState out;
     out.set_revision(it.revision);
     out.set_configuration(it.document);
-    for (const auto& at : it.targets) {
-        auto& entry = *out.add_targets();
-        entry.set_id(at.id);
-        entry.set_service(at.service);
-        entry.set_address(at.address);
-        entry.set_failure_domain(at.failure_domain);
-        entry.set_slots(at.slots);
-        entry.set_leaving(at.leaving);
-        entry.set_started_at(at.started_at);
-    }
+    for (const auto& at : it.targets)
+        encode(at, *out.add_targets());
     return out.SerializeAsString();
 }
 
@@ -139,9 +148,57 @@
         return std::nullopt;
     state_copy out{in.revision(), in.configuration(), {}};
     for (const auto& it : in.targets())
-        out.targets.push_back({it.id(), it.service(), it.address(),
-                               it.failure_domain(), it.slots(), it.leaving(),
-                               it.started_at()});
+        out.targets.push_back(decode(it));
+    return out;
+}
+
+std::string encode(const std::optional<told_changes>& it)
+{
+    pb::GatewayChanges out;
+    out.set_known(it.has_value());
+    if (!it)
+        return out.SerializeAsString();
+    out.set_revision(it->it.revision);
+    out.set_age_ms(
+        static_cast<std::uint32_t>(std::max<std::int64_t>(0, it->age.count())));
+    for (const auto& change : it->it.changes) {
+        if (const auto* put = std::get_if<target>(&change)) {
+            encode(*put, *out.add_changes()->mutable_target());
+        }
+        else if (const auto* gone = std::get_if<target_removed>(&change)) {
+            auto& removed = *out.add_changes()->mutable_removed();
+            removed.set_id(gone->id);
+            removed.set_unreadable(gone->unreadable);
+        }
+        else if (const auto* config = std::get_if<configuration>(&change)) {
+            out.add_changes()->set_configuration(config->document);
+        }
+    }
+    return out.SerializeAsString();
+}
+
+std::optional<told_changes> decode_changes(const std::string& bytes)
+{
+    pb::GatewayChanges in;
+    if (!in.ParseFromString(bytes) || !in.known())
+        return std::nullopt;
+    told_changes out;
+    out.it.revision = in.revision();
+    out.age         = milliseconds{in.age_ms()};
+    for (const auto& it : in.changes()) {
+        if (it.has_target()) {
+            out.it.changes.emplace_back(decode(it.target()));
+        }
+        else if (it.has_removed()) {
+            out.it.changes.emplace_back(
+                target_removed{it.removed().id(), it.removed().unreadable()});
+        }
+        else {
+            configuration config;
+            config.document = it.configuration();
+            out.it.changes.emplace_back(std::move(config));
+        }
+    }
     return out;
 }
 
--- a/src/peer_codec.hpp
+++ b/src/peer_codec.hpp
@@ -1,6 +1,7 @@
 /// Messages between gateway daemons as protobuf.
 #pragma once
 
+#include "change_log.hpp"
 #include "peer_table.hpp"
 #include "stage_service.hpp"
 #include "state_reader.hpp"
@@ -50,6 +51,10 @@
 std::string                  encode_state_query(std::uint64_t revision);
 std::optional<std::uint64_t> decode_state_query(const std::string& bytes);
 
+std::string encode(const std::optional<told_changes>& it);
+/// \return nothing also when the sender knows no answer.
+std::optional<told_changes> decode_changes(const std::string& bytes);
+
 std::string encode(const stage_order& it, time_point now);
 /// \param now of the receiver.
 std::optional<stage_order> decode_order(const std::string& bytes,
--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -17,12 +17,18 @@
 constexpr const char* order_path   = "/v1/orders";
 constexpr const char* release_path = "/v1/releases";
 constexpr const char* state_path   = "/v1/state";
+constexpr const char* changes_path = "/v1/changes";
+/// Name of the work of reading the store for a failure domain.
+constexpr std::string_view reader_work = "published state";
 
 constexpr milliseconds connect_limit{300};
 constexpr milliseconds gossip_limit{500};
 constexpr milliseconds release_limit{1000};
 constexpr milliseconds state_limit{500};
 constexpr milliseconds state_spacing{30};
+constexpr milliseconds changes_limit{400};
+/// A reader that did not answer is asked again after this time.
+constexpr milliseconds reader_pause{3000};
 /// Daemons that are asked for the published state at a time: one may be cut
 /// off from the store as well.
 constexpr std::size_t state_askings = 2;
@@ -602,6 +608,10 @@
         serve_state(exchange);
         return;
     }
+    if (path == changes_path) {
+        serve_changes(exchange);
+        return;
+    }
     if (path == gossip_path) {
         if (const auto it = decode_gossip(body)) {
             take_gossip(*it);
@@ -657,6 +667,49 @@
     exchange.respond(std::move(out));
 }
 
+std::string peer_mesh::reader() const
+{
+    return table_.owner_of(reader_work, daemon_now(),
+                           table_.self().failure_domain);
+}
+
+bool peer_mesh::has_reader() const
+{
+    return table_.large() && daemon_now() >= reader_off_until_ &&
+           reader() != table_.self().address;
+}
+
+std::optional<told_changes> peer_mesh::ask_changes(std::uint64_t revision)
+{
+    if (!has_reader())
+        return std::nullopt;
+    const auto from = reader();
+    const auto body =
+        call(from, changes_path, encode_state_query(revision), changes_limit);
+    auto out = body ? decode_changes(*body) : std::nullopt;
+    if (out) {
+        table_.answered(from, daemon_now());
+        return out;
+    }
+    reader_off_until_ = daemon_now() + reader_pause;
+    log(log_level::info, "published state is read from the store",
+        {{"reader", from}, {"answered", body.has_value()}});
+    if (!body)
+        peer_silent(from, false);
+    return std::nullopt;
+}
+
+void peer_mesh::serve_changes(http_exchange& exchange)
+{
+    const auto    asked = decode_state_query(exchange.request().body());
+    http_response out(http::status::ok, 11);
+    if (!asked)
+        out.result(http::status::bad_request);
+    else
+        out.body() = encode(changes_ ? changes_(*asked) : std::nullopt);
+    exchange.respond(std::move(out));
+}
+
 void peer_mesh::serve_order(http_exchange& exchange)
 {
     auto order = decode_order(exchange.request().body(), daemon_now());
--- a/src/peer_mesh.hpp
+++ b/src/peer_mesh.hpp
@@ -66,6 +66,20 @@
         copy_state_ = std::move(copy);
     }
 
+    /// Asks the daemon that reads the store for this failure domain what
+    /// changed after the revision.
+    /// \return nothing when this daemon is to read the store itself: the fleet
+    /// is small, it is the reader, or the reader does not answer.
+    std::optional<told_changes> ask_changes(std::uint64_t revision);
+    /// \param changes gives what this daemon knows, to others that ask.
+    void set_changes(
+        std::function<std::optional<told_changes>(std::uint64_t)> changes)
+    {
+        changes_ = std::move(changes);
+    }
+    /// This daemon learns the published state from another one at present.
+    bool has_reader() const;
+
     /// Serves a message of another daemon.
     void serve(http_exchange& exchange);
     /// Tells the others that this daemon leaves, so that it owns nothing.
@@ -138,17 +152,21 @@
     void        take_gossip(const peer_gossip& it);
     void        serve_order(http_exchange& exchange);
     void        serve_state(http_exchange& exchange);
-
-    peer_table                                       table_;
-    stage_desk&                                      desk_;
-    const target_directory&                          targets_;
-    std::function<const std::vector<stage_shard>&()> shards_;
-    std::function<std::optional<state_copy>()>       copy_state_;
-    connection_pool                                  pool_;
-    std::map<std::uint64_t, remote_ptr>              remote_; ///< By ticket id.
-    std::map<std::string, told_queue>                queues_; ///< By shard.
-    std::map<std::string, std::vector<std::string>>  releases_; ///< By owner.
-    std::set<std::string>                            probed_;   ///< Asked now.
+    void        serve_changes(http_exchange& exchange);
+    std::string reader() const;
+
+    peer_table                                                table_;
+    stage_desk&                                               desk_;
+    const target_directory&                                   targets_;
+    std::function<const std::vector<stage_shard>&()>          shards_;
+    std::function<std::optional<state_copy>()>                copy_state_;
+    std::function<std::optional<told_changes>(std::uint64_t)> changes_;
+    time_point      reader_off_until_{}; ///< It did not answer.
+    connection_pool pool_;
+    std::map<std::uint64_t, remote_ptr>             remote_; ///< By ticket id.
+    std::map<std::string, told_queue>               queues_; ///< By shard.
+    std::map<std::string, std::vector<std::string>> releases_; ///< By owner.
+    std::set<std::string>                           probed_;   ///< Asked now.
     std::set<std::string> telling_;          ///< Of queues, now.
     bool                  watching_ = false; ///< The owners of orders.
     std::uint64_t         next_id_;
--- a/src/state_follower.cpp
+++ b/src/state_follower.cpp
@@ -11,6 +11,8 @@
 constexpr double pace_part    = 0.3;
 constexpr double timeout_part = 0.45;
 constexpr double retry_part   = 0.075;
+/// A reader's answers come each pace; one may be a little late.
+constexpr double reader_part = 0.375;
 
 milliseconds part_of(milliseconds bound, double part)
 {
@@ -27,9 +29,16 @@
     out.timeout     = part_of(bound, timeout_part);
     out.retry_least = part_of(bound, retry_part);
     out.retry_most  = out.pace;
+    out.reader_age  = part_of(bound, reader_part);
     return out;
 }
 
+follow_times follow_times_of_reader(follow_times it)
+{
+    it.pace /= 2;
+    return it;
+}
+
 state_follower::state_follower(follow_times times, follow_events events,
                                target_directory& targets, time_point now)
     : times_(times), events_(std::move(events)), targets_(targets),
--- a/src/state_follower.hpp
+++ b/src/state_follower.hpp
@@ -32,6 +32,8 @@
     /// Without an answer for this long other daemons are asked. After a restart
     /// of all, a store that refuses some of the calls answers sooner.
     milliseconds ask_others{800};
+    /// What another daemon tells is used if the store confirmed it so lately.
+    milliseconds reader_age{750};
 };
 
 /// Times with which a change is in force within the bound although one call
@@ -39,6 +41,10 @@
 /// \param bound the shortest time in which a change must be in force.
 follow_times follow_times_for(milliseconds bound);
 
+/// The same for a daemon that asks another one in place of the store: it asks
+/// twice as often, since the other one's pace is added to its own.
+follow_times follow_times_of_reader(follow_times it);
+
 /// What the follower believes changed; for logs and for the owners of
 /// per-target state.
 struct follow_events
