Bound answers of targets in trouble; drop second copies of stage answers

Cause, by reading the code for each failure that operators of similar systems told of: (1) a stage call took whatever answer stood on its connection, so a second copy of the answer before became results of other pieces. (2) A stream counted as alive with each byte, also when no event came of them. (4) Bodies that are not passed on were read up to 16 MB each, and an event could grow as long, searched from its start each time.

Ruled out: heads without end (the parser's limit of 8 KB and one limit of time for the whole head); answers to other requests on plain calls and streams (told apart by their id).

Change: first handles of a target's latest answers are kept, and an answer that repeats one ends its connection; silence is counted between events; a stream is cut for silence only if it can be resumed; stage answers and answers that are dropped end at 256 KB, an event at 256 KB.

--- a/src/event_splitter.hpp
+++ b/src/event_splitter.hpp
@@ -18,9 +18,14 @@
 class event_splitter
 {
 public:
+    /// Bytes; a target may send some without end.
+    static constexpr std::size_t longest_event = 256 * 1024;
+
     void add(std::string_view text);
     /// The next whole event, if there is one.
     std::optional<raw_event> next();
+    /// An event has become too long to be one. The stream is of no more use.
+    bool overflowed() const { return rest().size() > longest_event; }
     /// Bytes after the last whole event.
     std::string_view rest() const
     {
--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -28,6 +28,8 @@
 constexpr milliseconds  connect_limit{400};
 constexpr std::uint32_t connect_tries   = 3;
 constexpr std::uint32_t foreign_answers = 3; ///< Skipped on a connection.
+/// Of an answer that is not passed on; a longer one ends the connection.
+constexpr std::size_t foreign_bytes = 256 * 1024;
 /// A caller of a daemon without configuration may come back after this.
 constexpr milliseconds not_ready_retry{500};
 constexpr milliseconds no_target_retry{1000};
@@ -661,7 +663,7 @@
             return true;
         log(log_level::warning, "answer to another request dropped",
             {{"request", call_.attempt}, {"answer_to", head_.attempt}});
-        lease->read_all(left(), ec);
+        lease->read_all(left(), ec, foreign_bytes);
         if (!ec)
             ec = lease->read_head(left());
         if (ec)
@@ -694,7 +696,7 @@
              {"status", head_.status}});
         const auto how = refusal_kind();
         error_code ec;
-        lease->read_all(left(), ec);
+        lease->read_all(left(), ec, foreign_bytes);
         finish_call(at, how);
         if (!ec)
             give_back(std::move(lease));
@@ -771,15 +773,26 @@
     return began_ ? attempt_result::cut : attempt_result::failed;
 }
 
+/// Another target could go on with the stream.
+bool forward_run::may_resume()
+{
+    return route_->repeatable() && attempts_ + 1 < route_->max_attempts &&
+           last_event_.has_value() &&
+           parts_.budget.left(service_->name, daemon_now()) >= 1;
+}
+
 /// \return true when the target ended its stream and all of it was sent.
 bool forward_run::relay_events(http_client& from, error_code& ec)
 {
     event_splitter events;
+    auto           event_at = daemon_now();
     for (;;) {
-        const auto silence =
-            route_->repeatable() ? std::min(left(), resume_silence) : left();
-        const auto text =
-            from.read_some(events_ == 0 && !began_ ? left() : silence, ec);
+        // Bytes that make no event do not show that the target is at work. A
+        // silent stream is cut only if another target may go on with it.
+        auto wait = left();
+        if (began_ && may_resume())
+            wait = std::min(wait, left_until(event_at + resume_silence));
+        const auto text = from.read_some(wait, ec);
         if (ec || gone_)
             return false;
         if (text.empty())
@@ -791,7 +804,15 @@
                 last_event_ = it->id;
             batch += it->text;
             ++events_;
+            event_at = daemon_now();
         }
+        if (events.overflowed())
+            ec = boost::asio::error::message_size;
+        else if (time_over() || (began_ && may_resume() &&
+                                 daemon_now() >= event_at + resume_silence))
+            ec = boost::asio::error::timed_out;
+        if (ec && batch.empty())
+            return false;
         if (batch.empty())
             continue;
         if (!began_) {
@@ -809,10 +830,8 @@
             gone_ = true;
             return false;
         }
-        if (time_over()) {
-            ec = boost::asio::error::timed_out;
+        if (ec)
             return false;
-        }
     }
 }
 
--- a/src/forward_run.hpp
+++ b/src/forward_run.hpp
@@ -96,6 +96,7 @@
     attempt_result relay_stream(const target& at, connection_lease& lease);
     bool         relay_events(http_client& from, boost::system::error_code& ec);
     bool         may_repeat(attempt_result last) const;
+    bool         may_resume();
     run_failure  attempt_failure(attempt_result last) const;
     void         finish_call(const target& at, call_outcome how);
     call_outcome refusal_kind() const;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -22,8 +22,7 @@
 
 namespace {
 
-constexpr std::size_t   read_size  = 8 * 1024;         // bytes
-constexpr std::uint64_t body_limit = 16 * 1024 * 1024; // bytes
+constexpr std::size_t read_size = 8 * 1024; // bytes
 
 } // namespace
 
@@ -137,7 +136,7 @@
 {
     error_code ec;
     impl_->parser.emplace();
-    impl_->parser->body_limit(body_limit);
+    impl_->parser->body_limit(longest_body);
     impl_->stream.expires_after(timeout);
     http::async_read_header(impl_->stream, impl_->buffer, *impl_->parser,
                             fiber_token{ec});
@@ -175,7 +174,8 @@
     return {};
 }
 
-std::string http_client::read_all(milliseconds timeout, error_code& ec)
+std::string http_client::read_all(milliseconds timeout, error_code& ec,
+                                  std::size_t most)
 {
     const auto  until = std::chrono::steady_clock::now() + timeout;
     std::string text;
@@ -186,6 +186,11 @@
         if (ec || part.empty())
             return text;
         text += part;
+        if (text.size() > most) {
+            ec            = asio::error::message_size;
+            impl_->broken = true;
+            return text;
+        }
     }
 }
 
--- a/src/http_client.hpp
+++ b/src/http_client.hpp
@@ -19,6 +19,9 @@
 class http_client
 {
 public:
+    /// Bytes of any body.
+    static constexpr std::size_t longest_body = 16 * 1024 * 1024;
+
     explicit http_client(boost::asio::io_context& io);
     ~http_client();
 
@@ -42,7 +45,9 @@
     /// the end of the body.
     std::string read_some(milliseconds timeout, boost::system::error_code& ec);
     /// Reads the rest of the body.
-    std::string read_all(milliseconds timeout, boost::system::error_code& ec);
+    /// \param most bytes; a longer body is an error, message_size.
+    std::string read_all(milliseconds timeout, boost::system::error_code& ec,
+                         std::size_t most = longest_body);
     /// Ends the running operation with an error and closes the connection.
     void cancel();
 
--- a/src/stage_desk.cpp
+++ b/src/stage_desk.cpp
@@ -21,6 +21,10 @@
 constexpr milliseconds  release_delay{10};
 constexpr std::uint32_t piece_failures    = 4; // of one order
 constexpr std::uint32_t stage_connections = 8; // to one target
+/// Of a stage answer: a handle has some 40 bytes, and a call some 100 pieces.
+constexpr std::size_t answer_bytes = 256 * 1024;
+/// Answers of a target that a second copy is compared with.
+constexpr std::size_t answers_kept = 16;
 
 std::string_view address_of(std::string_view handle)
 {
@@ -175,14 +179,17 @@
     if (ec)
         return {};
     const auto head = init_.codec.decode_answer(lease->head());
-    const auto body = lease->read_all(left_until(until), ec);
-    if (ec)
+    const auto body = lease->read_all(left_until(until), ec, answer_bytes);
+    if (ec) {
+        log(log_level::warning, "stage answer ends early",
+            {{"target", call.target}, {"error", ec.message()}});
         return {};
-    init_.connections.give_back(std::move(lease), head.idle_time);
+    }
     if (head.status != static_cast<unsigned>(http::status::ok)) {
         ++stats_.refused_calls;
         log(log_level::info, "stage call refused",
             {{"target", call.target}, {"status", head.status}});
+        init_.connections.give_back(std::move(lease), head.idle_time);
         return {};
     }
     auto results = init_.codec.decode_stage_results(body, pieces.size());
@@ -191,10 +198,36 @@
             {{"target", call.target}, {"error", results.status().ToString()}});
         return {};
     }
+    if (seen_before(call.target, *results)) {
+        log(log_level::warning, "second copy of a stage answer dropped",
+            {{"target", call.target}});
+        return {};
+    }
+    // A connection with an answer of another call is not used again.
+    init_.connections.give_back(std::move(lease), head.idle_time);
     target_failed = false;
     return *std::move(results);
 }
 
+/// A target may send an answer twice, and then the second copy stands where the
+/// answer to the next call is due. Each result has a handle of its own.
+bool stage_desk::seen_before(const std::string&               target,
+                             const std::vector<piece_result>& results)
+{
+    const auto first =
+        std::find_if(results.begin(), results.end(),
+                     [](const auto& it) { return !it.handle.empty(); });
+    if (first == results.end())
+        return false;
+    auto& known = answers_[target];
+    if (std::find(known.begin(), known.end(), first->handle) != known.end())
+        return true;
+    known.push_back(first->handle);
+    if (known.size() > answers_kept)
+        known.pop_front();
+    return false;
+}
+
 void stage_desk::run_call(const std::string& key, const stage_call& call)
 {
     const auto started       = daemon_now();
@@ -370,7 +403,7 @@
                             release_limit))
                 return;
             const auto head = init_.codec.decode_answer(lease->head());
-            lease->read_all(release_limit, ec);
+            lease->read_all(release_limit, ec, answer_bytes);
             if (!ec)
                 init_.connections.give_back(std::move(lease), head.idle_time);
         });
@@ -381,6 +414,7 @@
 {
     for (auto& [key, it] : pools_)
         it->batcher.forget(target);
+    answers_.erase(target);
     std::erase_if(made_, [&](const auto& entry) {
         return entry.second.target == target;
     });
--- a/src/stage_desk.hpp
+++ b/src/stage_desk.hpp
@@ -12,6 +12,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -108,6 +109,8 @@
     void run_call(const std::string& key, const stage_call& call);
     std::vector<piece_result>  exchange(const stage_call& call, pool& it,
                                         bool& target_failed);
+    bool                       seen_before(const std::string&               target,
+                                           const std::vector<piece_result>& results);
     std::vector<stage_piece>   encode(const stage_call& call, pool& it) const;
     std::vector<piece_outcome> settle(const std::string& key, pool& it,
                                       const stage_call&                call,
@@ -125,6 +128,8 @@
     /// By the key of their shard.
     std::unordered_map<std::string, std::unique_ptr<pool>> pools_;
     std::unordered_map<std::string, made_result>           made_;
+    /// First handle of the latest answers, by target.
+    std::unordered_map<std::string, std::deque<std::string>> answers_;
     /// Handles to give up, by address.
     std::unordered_map<std::string, std::vector<std::string>> releases_;
     std::uint64_t                                             next_group_ = 1;
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -61,10 +61,12 @@
                          ec);
         return buffer_;
     }
-    void write(const std::string& text)
+    /// \return false when the peer has closed.
+    bool write(const std::string& text)
     {
         boost::system::error_code ec;
         asio::write(socket_, asio::buffer(text), ec);
+        return !ec;
     }
     /// Ends the connection with a reset.
     void reset()
--- a/tests/gateway_stream_test.cpp
+++ b/tests/gateway_stream_test.cpp
@@ -30,6 +30,22 @@
     }
 }
 
+// Guards against bytes without end that never make an event.
+TEST_CASE("an event may not grow without end", "[gateway]")
+{
+    event_splitter it;
+    for (int n = 0; n < 100 && !it.overflowed(); ++n) {
+        it.add(std::string(8 * 1024, 'x'));
+        CHECK_FALSE(it.next());
+    }
+    CHECK(it.overflowed());
+    CHECK(it.rest().size() <= event_splitter::longest_event + 8 * 1024);
+    event_splitter whole;
+    whole.add("data: a\n\n");
+    CHECK(whole.next());
+    CHECK_FALSE(whole.overflowed());
+}
+
 // Guards against headers of one connection, or ones that it lists, that reach
 // the next hop.
 TEST_CASE("headers of the connection end at this hop", "[gateway]")
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -387,6 +387,125 @@
     CHECK(out.ends_with("0\r\n\r\n"));
 }
 
+// Guards against the second copy of a stage answer that arrives where the
+// answer to the next call is due: its handles are results of other pieces.
+TEST_CASE("a second copy of a stage answer is no answer", "[gateway][sockets]")
+{
+    std::string      final_request;
+    std::atomic<int> made{0};
+    scripted_target  stage([&](target_session& it) {
+        std::string last;
+        for (auto text = it.read(); !text.empty(); text = it.read()) {
+            if (has(text, "/stage-free")) {
+                it.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                continue;
+            }
+            const auto own = answer(R"({"items":[{"handle":"h/)" +
+                                     std::to_string(++made) + R"("}]})");
+            it.write(last + own);
+            last = own;
+        }
+    });
+    scripted_target  engine([&](target_session& it) {
+        final_request = it.read();
+        it.write(answer("done"));
+    });
+    gateway_fixture  g({make_target("i-1", engine.address()),
+                        make_target("p-1", stage.address(), "p")});
+    const auto       out = g.exchange(
+              g.request("/staged/", "body",
+                        "Arbutusgate-Pieces: 1,1\r\nArbutusgate-Piece-Key: kk\r\n"));
+    CHECK(out.ends_with("done"));
+    CHECK_FALSE(has(final_request, "Arbutusgate-Inputs: h/1\r\n"));
+    CHECK(has(final_request, "Arbutusgate-Inputs: h/"));
+}
+
+// Guards against a target that sends bytes without end in place of an answer:
+// a few such answers at once take all the memory of a small VM.
+TEST_CASE("a stage answer without end is given up soon", "[gateway][sockets]")
+{
+    std::promise<std::size_t> sent;
+    std::atomic<bool>         told{false};
+    scripted_target           stage([&](target_session& it) {
+        if (it.read().empty())
+            return;
+        it.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        const auto  part = chunk(std::string(64 * 1024, ' '));
+        std::size_t n    = 0;
+        while (it.write(part))
+            n += part.size();
+        // Others get the same when the call is repeated.
+        if (!told.exchange(true))
+            sent.set_value(n);
+    });
+    gateway_fixture           g({make_target("p-1", stage.address(), "p")});
+    stage_order               order;
+    order.service     = "p";
+    order.group.count = 1;
+    order.group.goal = order.group.limit = daemon_now() + milliseconds{300};
+    order.source =
+        std::make_shared<const stage_source>(stage_source{"9c41", 0, "kk", {}});
+    const auto body = encode(order, daemon_now());
+    g.exchange("POST /v1/orders HTTP/1.1\r\nHost: a\r\n"
+               "Connection: close\r\nContent-Length: " +
+                   std::to_string(body.size()) + "\r\n\r\n" + body,
+               g.daemon().peer_port());
+    // Besides what the sockets' buffers hold.
+    CHECK(sent.get_future().get() < 12 * 1024 * 1024);
+}
+
+// Guards against a stalled stream that a byte now and then keeps open.
+TEST_CASE("bytes that make no event do not keep a stream open",
+          "[gateway][sockets]")
+{
+    std::atomic<int> calls{0};
+    const auto       script = [&](target_session& it) {
+        if (it.read().empty())
+            return;
+        if (++calls == 1) {
+            it.write(stream_head() + chunk("id: 1\ndata: a\n\n"));
+            while (it.write(chunk(":")))
+                std::this_thread::sleep_for(milliseconds{50});
+            return;
+        }
+        it.write(stream_head() + chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+    };
+    scripted_target one(script);
+    scripted_target two(script);
+    gateway_fixture g(
+        {make_target("i-1", one.address()), make_target("i-2", two.address())});
+    const auto out = g.exchange(g.request("/resume/"));
+    CHECK(has(out, "id: 2\ndata: b\n\n"));
+    CHECK(out.ends_with("0\r\n\r\n"));
+}
+
+// Guards against a slow but sound stream that is cut although no other target
+// may go on with it.
+TEST_CASE("a slow stream at its last target is waited for",
+          "[gateway][sockets]")
+{
+    std::atomic<int> calls{0};
+    const auto       script = [&](target_session& it) {
+        if (it.read().empty())
+            return;
+        if (++calls == 1) {
+            it.write(stream_head() + chunk("id: 1\ndata: a\n\n"));
+            it.reset();
+            return;
+        }
+        it.write(stream_head() + chunk("id: 2\ndata: b\n\n"));
+        std::this_thread::sleep_for(milliseconds{1700});
+        it.write(chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n");
+    };
+    scripted_target one(script);
+    scripted_target two(script);
+    gateway_fixture g(
+        {make_target("i-1", one.address()), make_target("i-2", two.address())});
+    const auto out = g.exchange(g.request("/resume/"));
+    CHECK(has(out, "id: 3\ndata: c\n\n"));
+    CHECK(out.ends_with("0\r\n\r\n"));
+}
+
 // Guards against a daemon that stops with another daemon's order in its queue,
 // which would have the pieces made again elsewhere.
 TEST_CASE("a draining daemon finishes the orders of others",
