Take a stage target that found no room for full until results are given up

Cause: an owner counts the room that its own calls take. Results of an owner that died, of daemons that were killed and of calls whose answers were lost lie beside them, and results differ from their listed size.

Ruled out: two owners of a shard at a time (one made nearly all calls of each shard until the final fault); full targets (no call refused).

Change: where a piece found no room, the room that was believed free counts as taken for the learned time that results are held, so that the next calls take what is given up.

--- a/src/stage_batcher.cpp
+++ b/src/stage_batcher.cpp
@@ -437,6 +437,7 @@
         at.failures = 0;
         learn(ended.call, now - ended.since);
     }
+    bool full = false;
     for (std::size_t n = 0; n < ended.call.pieces.size(); ++n) {
         const auto& piece = ended.call.pieces[n];
         const auto  group = groups_.find(piece.group);
@@ -444,8 +445,7 @@
             n < outcomes.size() ? outcomes[n] : piece_outcome::retry;
         if (how != piece_outcome::made)
             give_back(at, piece.result_bytes);
-        if (how == piece_outcome::no_room)
-            at.paused_until = std::max(at.paused_until, now + full_pause);
+        full = full || how == piece_outcome::no_room;
         if ((how == piece_outcome::retry || how == piece_outcome::no_room) &&
             group != groups_.end() && !ended.overdue)
         {
@@ -453,9 +453,29 @@
             ++waiting_;
         }
     }
+    if (full)
+        believe_full(at, now);
     calls_.erase(it);
 }
 
+/// A target has no room where some was expected: results are larger than
+/// listed, or they were made for an owner that died, or in a call whose answer
+/// was lost. From here on it has the room of those that are given up.
+void stage_batcher::believe_full(target_state& it, time_point now)
+{
+    it.paused_until    = std::max(it.paused_until, now + full_pause);
+    const auto unknown = room_left(it, now);
+    if (unknown == 0)
+        return;
+    const auto held =
+        held_bytes_ > 0
+            ? std::chrono::duration_cast<microseconds>(
+                  std::chrono::duration<double>(held_work_ / held_bytes_))
+            : microseconds{full_pause};
+    it.room_used += unknown;
+    it.kept.emplace(now + held, unknown);
+}
+
 std::vector<std::uint64_t> stage_batcher::overdue(time_point now)
 {
     std::vector<std::uint64_t> out;
--- a/src/stage_batcher.hpp
+++ b/src/stage_batcher.hpp
@@ -164,6 +164,7 @@
     bool          hold(const target& at, std::size_t targets, time_point now);
     std::uint64_t room_left(target_state& it, time_point now) const;
     static void   pause_failed(target_state& it, time_point now);
+    void          believe_full(target_state& it, time_point now);
     /// \return when the result would have lapsed, or nothing.
     static std::optional<time_point> give_back(target_state& it,
                                                std::uint64_t bytes);
--- a/tests/gateway_batcher_test.cpp
+++ b/tests/gateway_batcher_test.cpp
@@ -220,6 +220,43 @@
     CHECK(f.it.next(f.two, at(4001)));
 }
 
+// Guards against call after call whose pieces find no room: a target holds
+// results that this owner does not know, such as those of an owner that died.
+TEST_CASE("a target without room gets work as results are given up",
+          "[gateway]")
+{
+    fixture f;
+    auto    it      = make_group(1, 2, 5000, 9000);
+    it.result_bytes = 100'000;
+    f.it.add(it, at(0));
+    const auto first = f.it.next(f.one, at(0));
+    REQUIRE(first);
+    f.finish(*first, 200);
+    // Results are held for 0.5 s.
+    f.it.released("a", 100'000, at(500));
+    f.it.released("a", 100'000, at(500));
+    it.id    = 2;
+    it.count = 10;
+    f.it.add(it, at(500));
+    const auto call = f.it.next(f.one, at(500));
+    REQUIRE(call->pieces.size() == 10);
+    // Two of ten results found room.
+    std::vector<piece_outcome> out(10, piece_outcome::no_room);
+    out[0] = out[1] = piece_outcome::made;
+    f.it.finish(call->id, out, false, at(700));
+    CHECK_FALSE(f.it.next(f.one, at(900)));
+    f.it.released("a", 100'000, at(900));
+    f.it.released("a", 100'000, at(900));
+    const auto next = f.it.next(f.one, at(900));
+    REQUIRE(next);
+    CHECK(next->pieces.size() == 2);
+    f.finish(*next, 1100);
+    // What it held of others was given up like its own by then.
+    const auto last = f.it.next(f.one, at(1250));
+    REQUIRE(last);
+    CHECK(last->pieces.size() == 6);
+}
+
 // Guards against a burst of large results that is let in since only the time of
 // calls is counted: it waits for room until its callers have left.
 TEST_CASE("the wait for room is told and counted", "[gateway]")
