--- a/src/peer_table.hpp
+++ b/src/peer_table.hpp
@@ -55,8 +55,7 @@
     /// must know the same ones, so that messages of a larger fleet name them
     /// besides the sample.
     std::size_t candidates = 12;
-    /// Between messages of the candidates in a larger fleet. They reach all of
-    /// 360 within seven of them.
+    /// Between messages of the candidates in a larger fleet.
     milliseconds candidate_interval{2000};
     /// A candidate without a new heartbeat for this long is none any more.
     milliseconds candidate_dead{15'000};
--- a/src/stage_shards.cpp
+++ b/src/stage_shards.cpp
@@ -10,9 +10,8 @@
 
 namespace {
 
-/// Targets of a service that one daemon batches for. Its calls cost it some
-/// 0.3 ms each and its orders some 0.2 ms (docs/CAPACITY.md), and a larger
-/// pool has a free target sooner.
+/// Targets that one daemon batches for. More share the waits of their queue
+/// better, and cost their owner more orders and calls.
 constexpr std::size_t small_service = 10;
 constexpr std::size_t shard_targets = 12;
 constexpr char        separator     = '|';
