Expect late answers in the test of status and explain

Cause: "status and explain show the daemon's answers" failed once (load 12 on 8 cores): two attempts in place of one. The fixture's stage is expected to take 10 ms, so an answer after some 100 ms is given up for lost and asked for again.

Ruled out: 112 more runs of it, 72 of them six at a time beside load, did not fail; so it depends on a pause of that length of the machine.

Change: the fixture's stage is expected to take 10 s. The checks are the same; the trace is printed when one fails.

--- a/tests/admin_test.cpp
+++ b/tests/admin_test.cpp
@@ -7,6 +7,16 @@
 
 namespace {
 
+/// The target's answers are expected late, so that none is given up for lost
+/// on a busy machine.
+std::string patient_document(const std::string& target)
+{
+    auto                       out   = base_document(target);
+    constexpr std::string_view quick = "expected_ms: 10,";
+    out.replace(out.find(quick), quick.size(), "expected_ms: 10000,");
+    return out;
+}
+
 /// A daemon before one target, which holds its answers back on demand.
 class admin_fixture
 {
@@ -60,7 +70,7 @@
             fiber_sleep(it.thread().io(), milliseconds{2});
         it.respond(json_answer(answer_to(body_of(it))));
     }};
-    fake_platform       service{base_document(stock.address())};
+    fake_platform       service{patient_document(stock.address())};
     arbutusgate::daemon process{make_settings(service.address())};
     io_thread           callers;
 };
@@ -123,6 +133,7 @@
     CHECK(contains(explained.out, "stock-01"));
     const auto trace =
         json::parse(it.command({"--json", "explain", id}).out).as_object();
+    INFO(explained.out);
     CHECK(trace.at("request_id") == json::value(id));
     CHECK(trace.at("execution") == json::value("done"));
     CHECK(trace.at("attempts").as_array().size() == 1);
