Tell a slow owner from one that is gone

Cause: an owner that said nothing for 250 ms and did not answer for 250 ms more lost all its orders. A daemon that is only slow does the same.

Ruled out: a limit that follows the owner's usual answer time (the estimator of TCP's timer): a burst makes answers late faster than a daemon, which asks an owner a few times a second, can learn it.

Change: owner_probe. An owner that does not answer is asked on a new connection; the system accepts that for a slow process. One that does not accept within 200 ms is gone; one that accepts has 1 s in all. If only the new connection is answered, the old one was lost, and orders are sent to the same owner again. Counters for suspicions, slow owners and lost connections.

It costs a caller of a dark owner 0.2 s.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -450,6 +450,12 @@
          n(mesh.orders_served), true},
         {"orders_moved_total", "Stage orders whose owner failed.",
          n(mesh.orders_moved), true},
+        {"peers_suspected_total", "Times that a daemon did not answer.",
+         n(mesh.suspected), true},
+        {"owners_slow_total", "Owners that were late and not gone.",
+         n(mesh.slow), true},
+        {"owners_reconnected_total", "Owners on connections that went silent.",
+         n(mesh.reconnected), true},
     });
     exchange.respond(std::move(out));
 }
--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -3,6 +3,7 @@
 #include "http_server.hpp"
 #include "io_thread.hpp"
 #include "log.hpp"
+#include "owner_probe.hpp"
 #include "stage_desk.hpp"
 #include "target_directory.hpp"
 #include "time_left.hpp"
@@ -32,10 +33,8 @@
 /// Daemons that are asked for the published state at a time: one may be cut
 /// off from the store as well.
 constexpr std::size_t state_askings = 2;
-/// Between looks at owners with orders, and for the answer of one that was
-/// quiet: a slow daemon answers within some 50 ms.
+/// Between looks at owners with orders.
 constexpr milliseconds watch_interval{100};
-constexpr milliseconds probe_limit{250};
 /// Results that are given up wait this long for others of the same owner.
 constexpr milliseconds release_delay{5};
 /// Owners that are tried for one order, before it is made here.
@@ -180,13 +179,70 @@
 
 void peer_mesh::probe(const std::string& address)
 {
-    const auto body =
-        call(address, gossip_path, encode(own_gossip()), probe_limit);
+    const auto it      = std::make_shared<owner_probe>(daemon_now());
+    const auto changed = std::make_shared<fiber_signal>();
+    fibers_.spawn([this, address, it, changed] {
+        const auto body = call(address, gossip_path, encode(own_gossip()),
+                               left_until(it->answer_by()));
+        it->first_ended(body.has_value());
+        changed->notify();
+    });
+    std::optional<probe_verdict> verdict;
+    bool                         second = false;
+    while (!fibers_.stopping()) {
+        const auto now = daemon_now();
+        verdict        = it->verdict(now);
+        if (verdict)
+            break;
+        if (!second && it->needs_second(now)) {
+            second = true;
+            fibers_.spawn([this, address, it, changed] {
+                ask_again(address, *it);
+                changed->notify();
+            });
+        }
+        changed->wait_until(it->next_at(now), [&] {
+            const auto at = daemon_now();
+            return fibers_.stopping() || it->verdict(at) ||
+                   (!second && it->needs_second(at));
+        });
+    }
     probed_.erase(address);
-    if (body)
-        table_.answered(address, daemon_now());
-    else
+    if (verdict == probe_verdict::gone) {
         peer_silent(address, true);
+    }
+    else if (verdict) {
+        table_.answered(address, daemon_now());
+        stats_.slow += second && verdict == probe_verdict::alive ? 1 : 0;
+        if (verdict == probe_verdict::lost_connection)
+            leave_connections(address);
+    }
+}
+
+void peer_mesh::ask_again(const std::string& address, owner_probe& it)
+{
+    const auto client = pool_.create();
+    const bool open   = !client->connect(address, it.connect_limit());
+    it.connected(open);
+    if (!open)
+        return;
+    const auto body = call_on(*client, address, gossip_path,
+                              encode(own_gossip()), it.answer_by());
+    it.second_ended(body.has_value(), daemon_now());
+}
+
+void peer_mesh::leave_connections(const std::string& address)
+{
+    ++stats_.reconnected;
+    log(log_level::warning, "connection to a peer is silent",
+        {{"peer", address}});
+    pool_.drop(address);
+    for (auto& [id, it] : remote_) {
+        if (it->owner != address || !it->client)
+            continue;
+        it->resend = true;
+        it->client->cancel();
+    }
 }
 
 peer_gossip peer_mesh::own_gossip(bool queues_only)
@@ -342,6 +398,7 @@
 {
     if (!table_.silent(address, certain, daemon_now()))
         return;
+    ++stats_.suspected;
     log(log_level::warning, "peer does not answer", {{"peer", address}});
     pool_.drop(address);
     for (auto& [id, it] : remote_) {
@@ -364,21 +421,29 @@
     }
     if (in_use)
         *in_use = client.get();
-    std::optional<fiber_group::use> use(std::in_place, fibers_, *client);
-    http_request                    request(http::verb::post, path, 11);
+    auto out = call_on(*client, address, path, std::move(body), until);
+    if (in_use)
+        *in_use = nullptr;
+    if (out)
+        pool_.put(address, std::move(client));
+    return out;
+}
+
+std::optional<std::string>
+peer_mesh::call_on(http_client& client, const std::string& address,
+                   const char* path, std::string body, time_point until)
+{
+    const fiber_group::use use(fibers_, client);
+    http_request           request(http::verb::post, path, 11);
     request.set(http::field::host, address);
     request.body() = std::move(body);
     request.prepare_payload();
-    auto        ec = client->send(request, left_until(until));
+    auto        ec = client.send(request, left_until(until));
     std::string out;
     if (!ec)
-        out = client->read_all(left_until(until), ec);
-    if (in_use)
-        *in_use = nullptr;
-    use.reset();
-    if (ec || client->head().result() != http::status::ok)
+        out = client.read_all(left_until(until), ec);
+    if (ec || client.head().result() != http::status::ok)
         return std::nullopt;
-    pool_.put(address, std::move(client));
     return out;
 }
 
@@ -445,6 +510,8 @@
             finish(it, std::move(late));
             return;
         }
+        if (std::exchange(it->resend, false))
+            continue;
         ++stats_.orders_moved;
         log(log_level::warning, "stage order moves to another owner",
             {{"request", it->order.source->attempt},
--- a/src/peer_mesh.hpp
+++ b/src/peer_mesh.hpp
@@ -23,12 +23,16 @@
 
 namespace arbutusgate::gateway {
 
+class owner_probe;
 class stage_desk;
 class target_directory;
 
 /// Counts since start.
 struct peer_mesh_stats
 {
+    std::uint64_t suspected     = 0; ///< Daemons that did not answer.
+    std::uint64_t slow          = 0; ///< Owners that answered late.
+    std::uint64_t reconnected   = 0; ///< Owners on silent connections.
     std::uint64_t orders_sent   = 0; ///< To other daemons.
     std::uint64_t orders_served = 0; ///< For other daemons.
     std::uint64_t orders_moved  = 0; ///< After an owner failed.
@@ -107,6 +111,7 @@
         std::string                   owner;
         time_point                    asked_at{}; ///< Open since; or none.
         bool                          withdrawn = false;
+        bool resend = false; ///< To the same owner: its connection was lost.
     };
     using remote_ptr = std::shared_ptr<remote_order>;
 
@@ -134,6 +139,9 @@
     void gossip_with(const std::string& address);
     void watch_owners();
     void probe(const std::string& address);
+    void ask_again(const std::string& address, owner_probe& it);
+    /// The orders at the owner are sent again over new connections.
+    void leave_connections(const std::string& address);
     void flush_releases();
     void wait_until_settled(const remote_order& it);
     void run_remote(const remote_ptr& it);
@@ -147,6 +155,10 @@
                                     const char* path, std::string body,
                                     milliseconds  timeout,
                                     http_client** in_use = nullptr);
+    std::optional<std::string> call_on(http_client&       client,
+                                       const std::string& address,
+                                       const char* path, std::string body,
+                                       time_point until);
     void        peer_silent(const std::string& address, bool certain);
     peer_gossip own_gossip(bool queues_only = false);
     void        take_gossip(const peer_gossip& it);
