Give no work to targets that leave or close by their own word

On the code before, a target that said in an answer that it leaves got requests until the published state said so, and one that refused with a time to come back was asked again after 60 ms.

Change: the adapter decodes both headers into target_notice. target_gate keeps what targets said, for their lifetime or until the stated time; the directory asks it for each list of targets that it hands out, so that the picker and the batchers see no other. What was begun is asked for again once its connection is open. Releases to a closed target wait. A request whose targets are all closed is refused at once with the time until the first opens, unless that is soon enough for its goal; with stages, before the first one. Closures end at random up to a quarter later, and work comes back one call each 100 ms for 0.5 s.

Also: a stage call that was dropped before it was sent counted as one of no duration and made its target and its pieces look quick ("a call that was not sent teaches nothing").

Ruled out: cutting shards by what targets said themselves, since daemons would cut them differently; telling other daemons (docs/platform.md).

--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -1,5 +1,6 @@
 #include "forward_run.hpp"
 
+#include "answer_notice.hpp"
 #include "event_splitter.hpp"
 #include "http_server.hpp"
 #include "log.hpp"
@@ -68,6 +69,8 @@
     call_ = parts_.codec.decode_call(exchange_.request());
     exchange_.on_client_gone([this] { on_caller_gone(); });
     auto failure = prepare();
+    if (!failure)
+        failure = refuse_closed();
     if (!failure)
         failure = admit();
     if (!failure)
@@ -142,6 +145,26 @@
 
 // Stages ---------------------------------------------------------------------
 
+/// All targets of the service said that they want no work for so long that the
+/// request cannot meet its goal.
+std::optional<run_failure> forward_run::refuse_closed() const
+{
+    if (parts_.targets.gate().empty())
+        return std::nullopt;
+    const auto opens = opens_at(tried_);
+    const auto now   = daemon_now();
+    const auto goal  = arrived_ + route_->latency_goal -
+                      parts_.times.get(service_->name, model_reserve);
+    if (!opens || *opens <= std::max(now, goal))
+        return std::nullopt;
+    const auto wait = left_until(*opens, now);
+    log(log_level::info, "refused while all targets are closed",
+        {{"request", call_.attempt},
+         {"service", service_->name},
+         {"opens_in_ms", wait.count()}});
+    return run_failure{refusal_reason::overloaded, execution::not_run, wait};
+}
+
 std::optional<run_failure> forward_run::admit()
 {
     // A single stage is decided on by its owner, which knows more.
@@ -255,8 +278,9 @@
     hints.affinity = affinity();
     if (hints.affinity == 0)
         return "";
-    const auto* it = parts_.picker.pick(parts_.targets.usable(service_->name),
-                                        hints, daemon_now());
+    const auto  now = daemon_now();
+    const auto* it  = parts_.picker.pick(
+         parts_.targets.open(service_->name, now), hints, now);
     return it ? it->failure_domain : "";
 }
 
@@ -498,8 +522,33 @@
     }
     hints.affinity = affinity();
     hints.tokens   = call_.prompt_tokens;
-    return parts_.picker.pick(parts_.targets.usable(service_->name), hints,
-                              daemon_now());
+    const auto now = daemon_now();
+    return parts_.picker.pick(parts_.targets.open(service_->name, now), hints,
+                              now);
+}
+
+std::optional<time_point>
+forward_run::opens_at(const std::vector<std::string>& tried) const
+{
+    auto list = parts_.targets.usable(service_->name);
+    std::erase_if(list, [&](const auto* it) {
+        return std::find(tried.begin(), tried.end(), it->id) != tried.end();
+    });
+    return parts_.targets.opens_at(list, daemon_now());
+}
+
+/// Waits for a closed target as long as its answer can still meet the goal.
+const target* forward_run::await_target()
+{
+    for (;;) {
+        const auto* found = choose();
+        if (found || gone_ || refuse_closed())
+            return found;
+        const auto opens = opens_at(tried_);
+        if (!opens || *opens <= daemon_now())
+            return nullptr;
+        changed_->wait_until(*opens, [this] { return gone_; });
+    }
 }
 
 bool forward_run::may_repeat(attempt_result last) const
@@ -514,9 +563,12 @@
 
 run_failure forward_run::attempt_failure(attempt_result last) const
 {
-    if (last == attempt_result::not_run)
+    if (last == attempt_result::not_run) {
+        const auto opens = opens_at({});
+        const auto wait  = opens ? left_until(*opens) : milliseconds{0};
         return {refusal_reason::overloaded, execution::not_run,
-                target_full_retry};
+                std::max(target_full_retry, wait)};
+    }
     if (time_over())
         return {refusal_reason::deadline_exceeded, execution::unknown, {}};
     return {refusal_reason::stage_failed, execution::unknown, {}};
@@ -530,17 +582,17 @@
     for (;;) {
         if (began_ && !remake_results())
             break;
-        const auto* found = choose();
+        const auto* found = await_target();
         if (!found || time_over())
             break;
-        const auto at        = *found;
-        had_connect_failure_ = false;
-        last                 = attempt(at);
+        const auto at = *found;
+        unsent_       = false;
+        last          = attempt(at);
         if (last == attempt_result::answered || gone_)
             return std::nullopt;
         tried_.push_back(at.id);
         may_have_run = may_have_run || last != attempt_result::not_run;
-        if (had_connect_failure_) {
+        if (unsent_) {
             if (++connects >= connect_tries || time_over())
                 break;
             continue;
@@ -581,13 +633,20 @@
 {
     const auto tokens = call_.prompt_tokens;
     called_           = daemon_now();
-    call_number_      = parts_.picker.start(at.id, tokens, daemon_now());
+    call_number_      = parts_.picker.start(at.id, tokens, called_);
+    parts_.targets.gate().sent(at.id, called_);
     error_code ec;
     const auto most = service_->max_connections / std::max(1U, parts_.daemons);
     auto       lease =
         parts_.connections.open(at, most, std::min(connect_limit, left()), ec);
+    if (lease && parts_.targets.gate().refuses(at, daemon_now())) {
+        unsent_ = true;
+        finish_call(at, call_outcome::cancelled);
+        parts_.connections.give_back(std::move(lease), std::nullopt);
+        return attempt_result::not_run;
+    }
     if (!lease) {
-        had_connect_failure_ = true;
+        unsent_ = true;
         finish_call(at, ec == boost::asio::error::no_descriptors
                             ? call_outcome::cancelled
                             : call_outcome::connect_failed);
@@ -635,7 +694,7 @@
         finish_call(at, call_outcome::broken);
         return began_ ? attempt_result::cut : attempt_result::failed;
     }
-    if (!skip_foreign(lease)) {
+    if (!skip_foreign(at, lease)) {
         finish_call(at, call_outcome::broken);
         return began_ ? attempt_result::cut : attempt_result::failed;
     }
@@ -651,11 +710,13 @@
 }
 
 // An answer to another request may stand before the answer to this one.
-bool forward_run::skip_foreign(connection_lease& lease)
+bool forward_run::skip_foreign(const target& at, connection_lease& lease)
 {
     error_code ec;
     for (std::uint32_t n = 0; n < foreign_answers; ++n) {
         head_ = parts_.codec.decode_answer(lease->head());
+        hear_notice(parts_.targets, at, head_, {"request", call_.attempt},
+                    daemon_now());
         if (head_.attempt == call_.attempt)
             return true;
         // A refusal may come before the target has read the request's id.
--- a/src/forward_run.hpp
+++ b/src/forward_run.hpp
@@ -75,6 +75,7 @@
 
     std::optional<run_failure> prepare();
     std::optional<run_failure> admit();
+    std::optional<run_failure> refuse_closed() const;
     std::optional<run_failure> run_stages();
     bool                       submit_stages(run_failure& failure);
     stage_order                make_order(std::uint32_t stage);
@@ -89,8 +90,13 @@
 
     std::optional<run_failure> call_targets();
     const target*              choose();
-    attempt_result             attempt(const target& at);
-    attempt_result             send(const target& at, connection_lease& lease);
+    const target*              await_target();
+    /// When the first target of the service may get work; nothing: none will.
+    /// \param tried ids of targets to leave out.
+    std::optional<time_point>
+                   opens_at(const std::vector<std::string>& tried) const;
+    attempt_result attempt(const target& at);
+    attempt_result send(const target& at, connection_lease& lease);
     attempt_result read_answer(const target& at, connection_lease& lease);
     attempt_result relay_plain(const target& at, connection_lease& lease);
     attempt_result relay_stream(const target& at, connection_lease& lease);
@@ -100,7 +106,7 @@
     run_failure  attempt_failure(attempt_result last) const;
     void         finish_call(const target& at, call_outcome how);
     call_outcome refusal_kind() const;
-    bool         skip_foreign(connection_lease& lease);
+    bool         skip_foreign(const target& at, connection_lease& lease);
     void         give_back(connection_lease lease);
 
     void          refuse(const run_failure& it);
@@ -142,7 +148,7 @@
     http_client*               current_ = nullptr; ///< In use; for cancelling.
     bool                       gone_    = false;
     bool                       began_   = false; ///< The stream's head is out.
-    bool                       had_connect_failure_ = false;
+    bool                       unsent_  = false; ///< The latest attempt.
     std::optional<std::string> last_event_;
     std::optional<http_response> error_answer_; ///< Of an earlier attempt.
     std::uint32_t                events_ = 0;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -124,12 +124,12 @@
     metrics   counters;
 
     // Used on the thread only.
-    target_directory                    targets{lapse_grace};
-    target_picker                       picker{random_seed()};
-    change_log                          changes;
-    retry_budget                        budget;
-    time_estimates                      times;
-    std::mt19937_64                     random{random_seed()};
+    target_directory targets{lapse_grace, target_gate{random_seed()}};
+    target_picker    picker{random_seed()};
+    change_log       changes;
+    retry_budget     budget;
+    time_estimates   times;
+    std::mt19937_64  random{random_seed()};
     std::unique_ptr<state_follower>     state;
     std::unique_ptr<target_connections> connections;
     std::unique_ptr<stage_desk>         stages;
@@ -301,6 +301,8 @@
             times = follow_times_of_reader(times);
         state->set_times(times);
         peers->set_ready(ready());
+        for (const auto& id : targets.gate().expire(daemon_now()))
+            log(log_level::info, "target opens again", {{"target", id}});
         const auto step = state->next(daemon_now());
         switch (step.what) {
         case state_follower::call::sleep:
@@ -409,6 +411,7 @@
     const auto now   = daemon_now();
     const auto calls = stages->stats();
     const auto mesh  = peers->stats();
+    const auto gate  = targets.gate().stats();
     const auto table = state->table();
     const auto n     = [](auto it) {
         return static_cast<double>(it);
@@ -433,6 +436,16 @@
          n(connections->failed()), true},
         {"target_connections_idle", "Idle connections to targets.",
          n(connections->idle())},
+        {"targets_leaving_by_answer_total",
+         "Targets that said in an answer that they leave.", n(gate.leaving),
+         true},
+        {"target_closures_total",
+         "Times that targets asked for no work for a while.", n(gate.closed),
+         true},
+        {"target_closures_ended_total", "Such times that are over.",
+         n(gate.reopened), true},
+        {"target_closures_unreadable_total", "Such times that are no numbers.",
+         n(gate.unreadable), true},
         {"stage_calls_total", "Calls to stage targets.", n(calls.calls), true},
         {"stage_pieces_total", "Pieces in these calls.", n(calls.pieces), true},
         {"stage_results_total", "Results of pieces.", n(calls.results), true},
--- a/src/gateway_types.hpp
+++ b/src/gateway_types.hpp
@@ -138,6 +138,15 @@
     std::uint32_t slots   = 0;
 };
 
+/// What a target says of its own readiness for work with an answer.
+struct target_notice
+{
+    bool leaving = false; ///< It takes no new work in its lifetime.
+    /// It wants no work from this daemon for so long.
+    std::optional<milliseconds> closed_for;
+    bool unreadable_time = false; ///< It stated one that is no number.
+};
+
 /// Part of a prompt that several requests may share.
 struct prompt_part
 {
--- a/src/stage_batcher.cpp
+++ b/src/stage_batcher.cpp
@@ -440,24 +440,46 @@
     bool full = false;
     for (std::size_t n = 0; n < ended.call.pieces.size(); ++n) {
         const auto& piece = ended.call.pieces[n];
-        const auto  group = groups_.find(piece.group);
         const auto  how =
             n < outcomes.size() ? outcomes[n] : piece_outcome::retry;
         if (how != piece_outcome::made)
             give_back(at, piece.result_bytes);
         full = full || how == piece_outcome::no_room;
         if ((how == piece_outcome::retry || how == piece_outcome::no_room) &&
-            group != groups_.end() && !ended.overdue)
-        {
-            group->second.pieces.push_back(piece.piece);
-            ++waiting_;
-        }
+            !ended.overdue)
+            wait_again(piece);
     }
     if (full)
         believe_full(at, now);
     calls_.erase(it);
 }
 
+/// Unless its group has ended.
+void stage_batcher::wait_again(const batched_piece& it)
+{
+    const auto group = groups_.find(it.group);
+    if (group == groups_.end())
+        return;
+    group->second.pieces.push_back(it.piece);
+    ++waiting_;
+}
+
+void stage_batcher::abandon(std::uint64_t call)
+{
+    const auto it = calls_.find(call);
+    if (it == calls_.end())
+        return;
+    auto& at = targets_[it->second.call.target];
+    if (!it->second.overdue)
+        at.calls -= std::min(at.calls, 1U);
+    for (const auto& piece : it->second.call.pieces) {
+        give_back(at, piece.result_bytes);
+        if (!it->second.overdue)
+            wait_again(piece);
+    }
+    calls_.erase(it);
+}
+
 /// A target has no room where some was expected: results are larger than
 /// listed, or they were made for an owner that died, or in a call whose answer
 /// was lost. From here on it has the room of those that are given up.
@@ -491,13 +513,8 @@
         pause_failed(at, now);
         // Its answer may be lost, and the target idle.
         at.calls -= std::min(at.calls, 1U);
-        for (const auto& piece : it.call.pieces) {
-            const auto group = groups_.find(piece.group);
-            if (group == groups_.end())
-                continue;
-            group->second.pieces.push_back(piece.piece);
-            ++waiting_;
-        }
+        for (const auto& piece : it.call.pieces)
+            wait_again(piece);
     }
     return out;
 }
--- a/src/stage_batcher.hpp
+++ b/src/stage_batcher.hpp
@@ -95,6 +95,8 @@
     /// \param target_failed the target gave no usable answer.
     void finish(std::uint64_t call, const std::vector<piece_outcome>& outcomes,
                 bool target_failed, time_point now);
+    /// A call was not sent; its pieces wait again.
+    void abandon(std::uint64_t call);
     /// A call takes much longer than expected: its pieces wait again.
     /// \return ids of such calls; each is named once.
     std::vector<std::uint64_t> overdue(time_point now);
@@ -137,6 +139,7 @@
     microseconds piece_time(std::uint32_t kind) const;
     microseconds call_time(const std::vector<batched_piece>& pieces) const;
     void         learn(const stage_call& call, microseconds took);
+    void         wait_again(const batched_piece& it);
     /// Place of a group in the queue; less goes first.
     struct turn
     {
--- a/src/stage_desk.cpp
+++ b/src/stage_desk.cpp
@@ -1,5 +1,6 @@
 #include "stage_desk.hpp"
 
+#include "answer_notice.hpp"
 #include "io_thread.hpp"
 #include "log.hpp"
 #include "state_follower.hpp"
@@ -23,6 +24,8 @@
 constexpr std::uint32_t stage_connections = 8; // to one target
 /// Of a stage answer: a handle has some 40 bytes, and a call some 100 pieces.
 constexpr std::size_t answer_bytes = 256 * 1024;
+/// A caller whose stage has no target may come back after this.
+constexpr seconds no_target_retry{1};
 /// Answers of a target that a second copy is compared with.
 constexpr std::size_t answers_kept = 16;
 
@@ -86,6 +89,16 @@
     return it.targets;
 }
 
+std::optional<stage_desk::outlook> stage_desk::outlook_of(pool&      it,
+                                                          time_point now) const
+{
+    const auto& all  = targets_of(it);
+    const auto  from = init_.targets.opens_at(all, now);
+    if (!from)
+        return std::nullopt;
+    return outlook{init_.targets.open(all, *from).size(), *from};
+}
+
 std::shared_ptr<stage_ticket>
 stage_desk::submit(stage_order order, std::shared_ptr<fiber_signal> changed)
 {
@@ -95,14 +108,15 @@
     order.group.id  = ticket->id;
     const auto key  = order.pool();
     auto*      it   = find_pool(key);
-    const auto n    = it ? targets_of(*it).size() : 0;
-    if (n == 0) {
+    const auto now  = daemon_now();
+    const auto by   = it ? outlook_of(*it, now) : std::nullopt;
+    if (!by) {
         ticket->state       = order_state::refused;
-        ticket->retry_after = seconds{1};
+        ticket->retry_after = no_target_retry;
         return ticket;
     }
-    const auto now  = daemon_now();
-    const auto done = it->batcher.expected_done(order.group, n, now);
+    const auto done =
+        it->batcher.expected_done(order.group, by->targets, by->from);
     if (done > order.group.limit) {
         ticket->state       = order_state::refused;
         ticket->retry_after = left_until(done, order.group.limit);
@@ -131,9 +145,12 @@
 void stage_desk::pump(const std::string& key, pool& it)
 {
     const auto now = daemon_now();
-    while (auto call = it.batcher.next(targets_of(it), now)) {
+    while (auto call =
+               it.batcher.next(init_.targets.open(targets_of(it), now), now))
+    {
         ++stats_.calls;
         stats_.pieces += call->pieces.size();
+        init_.targets.gate().sent(call->target, now);
         fibers_.spawn(
             [this, key, call = *std::move(call)] { run_call(key, call); });
     }
@@ -160,17 +177,23 @@
 }
 
 std::vector<piece_result> stage_desk::exchange(const stage_call& call, pool& it,
-                                               bool& target_failed)
+                                               call_end& how)
 {
     const auto* found  = init_.targets.find(call.target);
     auto        pieces = encode(call, it);
+    how                = call_end::not_sent;
     if (!found || pieces.empty())
         return {};
     const auto at = *found; // The entry may go while this fiber waits.
     boost::system::error_code ec;
     auto                      lease =
         init_.connections.open(at, stage_connections, connect_limit, ec);
-    target_failed = true;
+    // An answer to another request may have come while this one connected.
+    if (init_.targets.gate().refuses(at, daemon_now())) {
+        init_.connections.give_back(std::move(lease), std::nullopt);
+        return {};
+    }
+    how = call_end::target_failed;
     if (!lease)
         return {};
     const fiber_group::use use(fibers_, *lease);
@@ -179,6 +202,8 @@
     if (ec)
         return {};
     const auto head = init_.codec.decode_answer(lease->head());
+    hear_notice(init_.targets, at, head,
+                {"stage call", pieces.front().source->attempt}, daemon_now());
     const auto body = lease->read_all(left_until(until), ec, answer_bytes);
     if (ec) {
         log(log_level::warning, "stage answer ends early",
@@ -205,7 +230,7 @@
     }
     // A connection with an answer of another call is not used again.
     init_.connections.give_back(std::move(lease), head.idle_time);
-    target_failed = false;
+    how = call_end::answered;
     return *std::move(results);
 }
 
@@ -230,11 +255,17 @@
 
 void stage_desk::run_call(const std::string& key, const stage_call& call)
 {
-    const auto started       = daemon_now();
-    bool       target_failed = false;
-    auto       results       = exchange(call, *pools_.at(key), target_failed);
-    auto&      it            = *pools_.at(key);
-    const auto now           = daemon_now();
+    const auto started = daemon_now();
+    auto       how     = call_end::not_sent;
+    auto       results = exchange(call, *pools_.at(key), how);
+    auto&      it      = *pools_.at(key);
+    const auto now     = daemon_now();
+    if (how == call_end::not_sent) {
+        it.batcher.abandon(call.id);
+        pump(key, it);
+        return;
+    }
+    const bool target_failed = how == call_end::target_failed;
     const auto took =
         std::chrono::duration_cast<milliseconds>(now - started).count();
     if (target_failed)
@@ -392,24 +423,57 @@
                                     : init_.targets.find(id);
         if (!at)
             continue;
-        fibers_.spawn([this, to = *at, handles = std::move(handles)] {
-            boost::system::error_code ec;
-            auto lease = init_.connections.open(to, stage_connections,
-                                                connect_limit, ec);
-            if (!lease)
-                return;
-            const fiber_group::use use(fibers_, *lease);
-            if (lease->send(init_.codec.encode_release(handles, to),
-                            release_limit))
-                return;
-            const auto head = init_.codec.decode_answer(lease->head());
-            lease->read_all(release_limit, ec, answer_bytes);
-            if (!ec)
-                init_.connections.give_back(std::move(lease), head.idle_time);
-        });
+        const auto opens = init_.targets.gate().opens_at(*at, daemon_now());
+        if (opens && *opens > daemon_now())
+            hold_release(*at, std::move(handles));
+        else
+            fibers_.spawn([this, to = *at, handles = std::move(handles)] {
+                send_release(to, handles);
+            });
     }
 }
 
+/// A closed target wants no calls at all.
+void stage_desk::hold_release(const target&            to,
+                              std::vector<std::string> handles)
+{
+    auto&      held  = held_releases_[to.id];
+    const bool first = held.empty();
+    held.insert(held.end(), std::make_move_iterator(handles.begin()),
+                std::make_move_iterator(handles.end()));
+    if (!first)
+        return;
+    fibers_.spawn([this, to] {
+        for (auto now = daemon_now(); !fibers_.stopping(); now = daemon_now()) {
+            const auto opens = init_.targets.gate().opens_at(to, now);
+            if (!opens || *opens <= now)
+                break;
+            fibers_.sleep_until(*opens);
+        }
+        const auto all = std::exchange(held_releases_[to.id], {});
+        held_releases_.erase(to.id);
+        send_release(to, all);
+    });
+}
+
+void stage_desk::send_release(const target&                   to,
+                              const std::vector<std::string>& handles)
+{
+    boost::system::error_code ec;
+    auto                      lease =
+        init_.connections.open(to, stage_connections, connect_limit, ec);
+    if (!lease)
+        return;
+    const fiber_group::use use(fibers_, *lease);
+    if (lease->send(init_.codec.encode_release(handles, to), release_limit))
+        return;
+    const auto head = init_.codec.decode_answer(lease->head());
+    hear_notice(init_.targets, to, head, {"release", ""}, daemon_now());
+    lease->read_all(release_limit, ec, answer_bytes);
+    if (!ec)
+        init_.connections.give_back(std::move(lease), head.idle_time);
+}
+
 void stage_desk::forget(const std::string& target)
 {
     for (auto& [key, it] : pools_)
@@ -425,9 +489,12 @@
     const auto it = pools_.find(key);
     if (it == pools_.end())
         return {};
-    const auto state =
-        it->second->batcher.state(targets_of(*it->second).size(), daemon_now());
-    return {state.on_time, state.all, state.room};
+    const auto now = daemon_now();
+    const auto by  = outlook_of(*it->second, now)
+                        .value_or(outlook{0, now + no_target_retry});
+    const auto state  = it->second->batcher.state(by.targets, now);
+    const auto closed = by.from - now;
+    return {state.on_time + closed, state.all + closed, state.room + closed};
 }
 
 } // namespace arbutusgate::gateway
--- a/src/stage_desk.hpp
+++ b/src/stage_desk.hpp
@@ -15,6 +15,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -105,10 +106,25 @@
     pool* find_pool(const std::string& key);
     /// The usable targets of the pool's shard.
     const std::vector<const target*>& targets_of(pool& it) const;
-    void                              pump(const std::string& key, pool& it);
+    /// Targets of a pool that count on, and from when on they may get work.
+    struct outlook
+    {
+        std::size_t targets = 0;
+        time_point  from{};
+    };
+    /// \return nothing when the pool has no target.
+    std::optional<outlook> outlook_of(pool& it, time_point now) const;
+    void                   pump(const std::string& key, pool& it);
     void run_call(const std::string& key, const stage_call& call);
+    /// How a call ended.
+    enum class call_end
+    {
+        answered,
+        target_failed, ///< No usable answer.
+        not_sent,      ///< The target or its pieces are not there any more.
+    };
     std::vector<piece_result>  exchange(const stage_call& call, pool& it,
-                                        bool& target_failed);
+                                        call_end& how);
     bool                       seen_before(const std::string&               target,
                                            const std::vector<piece_result>& results);
     std::vector<stage_piece>   encode(const stage_call& call, pool& it) const;
@@ -123,6 +139,9 @@
     void       run_timers();
     time_point check_queues();
     void       flush_releases();
+    void       send_release(const target&                   to,
+                            const std::vector<std::string>& handles);
+    void       hold_release(const target& to, std::vector<std::string> handles);
 
     stage_desk_init init_;
     /// By the key of their shard.
@@ -132,6 +151,8 @@
     std::unordered_map<std::string, std::deque<std::string>> answers_;
     /// Handles to give up, by address.
     std::unordered_map<std::string, std::vector<std::string>> releases_;
+    /// Handles to give up when their closed target opens, by target.
+    std::unordered_map<std::string, std::vector<std::string>> held_releases_;
     std::uint64_t                                             next_group_ = 1;
     stage_desk_stats                                          stats_;
     time_point  wake_at_{};     ///< Of the timers of the queues.
--- a/src/target_directory.cpp
+++ b/src/target_directory.cpp
@@ -1,5 +1,7 @@
 #include "target_directory.hpp"
 
+#include <algorithm>
+#include <iterator>
 #include <set>
 
 namespace arbutusgate::gateway {
@@ -119,6 +121,36 @@
     return it == usable_.end() ? none : it->second;
 }
 
+const std::vector<const target*>&
+target_directory::open(std::string_view service, time_point now)
+{
+    return open(usable(service), now);
+}
+
+const std::vector<const target*>&
+target_directory::open(const std::vector<const target*>& all, time_point now)
+{
+    if (gate_.empty())
+        return all;
+    open_.clear();
+    std::copy_if(all.begin(), all.end(), std::back_inserter(open_),
+                 [&](const auto* it) { return gate_.admits(*it, now); });
+    return open_;
+}
+
+std::optional<time_point>
+target_directory::opens_at(const std::vector<const target*>& all,
+                           time_point                        now) const
+{
+    std::optional<time_point> out;
+    for (const auto* it : all) {
+        const auto at = gate_.opens_at(*it, now);
+        if (at && (!out || *at < *out))
+            out = at;
+    }
+    return out;
+}
+
 void target_directory::rebuild(const std::string& service)
 {
     ++generation_;
--- a/src/target_directory.hpp
+++ b/src/target_directory.hpp
@@ -2,9 +2,11 @@
 #pragma once
 
 #include "gateway_types.hpp"
+#include "target_gate.hpp"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -27,8 +29,9 @@
 public:
     /// \param lapse_grace time that targets whose entry lapsed while the
     /// source was unreachable stay usable after it is back.
-    explicit target_directory(milliseconds lapse_grace)
-        : lapse_grace_(lapse_grace)
+    explicit target_directory(milliseconds lapse_grace,
+                              target_gate  gate = target_gate{})
+        : lapse_grace_(lapse_grace), gate_(std::move(gate))
     {
     }
 
@@ -56,9 +59,26 @@
     const target* find(const std::string& id) const;
     /// \return null when no known target has the address.
     const target* find_by_address(std::string_view address) const;
-    /// Targets of the service that may get new work.
+    /// Targets of the service that may get new work as published; the same at
+    /// all daemons.
     const std::vector<const target*>& usable(std::string_view service) const;
-    std::size_t                       size() const { return targets_.size(); }
+    /// Those of them that may get work of this daemon now.
+    /// \return valid until the next call.
+    const std::vector<const target*>& open(std::string_view service,
+                                           time_point       now);
+    /// Those of the list that may get work of this daemon now.
+    /// \param all returned itself when all may.
+    /// \return valid until the next call.
+    const std::vector<const target*>&
+    open(const std::vector<const target*>& all, time_point now);
+    /// When the first of the list may get work, not before \p now.
+    /// \return nothing when all leave or there is none.
+    std::optional<time_point> opens_at(const std::vector<const target*>& all,
+                                       time_point now) const;
+    /// What targets said themselves.
+    target_gate&       gate() { return gate_; }
+    const target_gate& gate() const { return gate_; }
+    std::size_t        size() const { return targets_.size(); }
     /// Grows with each change of the usable targets.
     std::uint64_t generation() const { return generation_; }
     /// All targets whose entries stand.
@@ -77,12 +97,14 @@
     void erase(entry_map::iterator it);
 
     milliseconds lapse_grace_;
+    target_gate  gate_;
     time_point   lapse_until_{};
     entry_map    targets_;
     /// Id of the latest target that was published with an address.
     std::map<std::string, std::string, std::less<>>             by_address_;
     std::uint64_t                                               generation_ = 0;
     std::unordered_map<std::string, std::vector<const target*>> usable_;
+    std::vector<const target*> open_; ///< As last returned.
 };
 
 } // namespace arbutusgate::gateway
--- a/src/wire_codec.hpp
+++ b/src/wire_codec.hpp
@@ -52,6 +52,7 @@
     bool                        event_body = false;
     std::optional<target_load>  load;
     std::optional<milliseconds> idle_time; ///< Connections stay open so long.
+    target_notice               notice;
 };
 
 /// What all pieces of one stage of one call have in common.
--- a/tests/gateway_batcher_test.cpp
+++ b/tests/gateway_batcher_test.cpp
@@ -301,6 +301,28 @@
     CHECK(f.it.next(f.one, at(301))->pieces.size() == 3);
 }
 
+// Guards against a target that counts as quick, and pieces that count as cheap,
+// since a call to it was dropped before it was sent.
+TEST_CASE("a call that was not sent teaches nothing", "[gateway]")
+{
+    fixture f;
+    f.it.add(make_group(1, 5, 1000, 3000), at(0));
+    const auto call = f.it.next(f.one, at(0));
+    REQUIRE(call);
+    f.it.abandon(call->id);
+    CHECK(f.it.state(1, at(0)).waiting == 5);
+    CHECK(f.it.state(1, at(0)).calls == 0);
+    const auto again = f.it.next(f.one, at(0));
+    REQUIRE(again);
+    CHECK(again->pieces.size() == 5);
+    CHECK(again->expected == call->expected);
+    CHECK(again->room == call->room);
+    // Also when it was overdue before.
+    CHECK(f.it.overdue(at(1000)).size() == 1);
+    f.it.abandon(again->id);
+    CHECK(f.it.state(1, at(1000)).waiting == 5);
+}
+
 // Guards against pieces that wait for a target that hangs or is dark.
 TEST_CASE("pieces of an overdue call are made elsewhere", "[gateway]")
 {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -238,6 +238,33 @@
     CHECK(relayed.find(http::field::keep_alive) == relayed.end());
 }
 
+// Guards against a target's word about itself that is missed or made up.
+TEST_CASE("what an answer says of its target is decoded", "[platform]")
+{
+    const http_codec        codec;
+    http::response_header<> in;
+    in.result(200);
+    CHECK_FALSE(codec.decode_answer(in).notice.leaving);
+    in.set("Server-Leaving", "1");
+    CHECK(codec.decode_answer(in).notice.leaving);
+    in.set("Server-Leaving", "0");
+    CHECK_FALSE(codec.decode_answer(in).notice.leaving);
+    in.set(http::field::retry_after, "2");
+    // Only a refusal for lack of capacity closes its target.
+    CHECK_FALSE(codec.decode_answer(in).notice.closed_for);
+    in.result(503);
+    CHECK(codec.decode_answer(in).notice.closed_for == milliseconds{2000});
+    in.set(http::field::retry_after, "0.25");
+    CHECK(codec.decode_answer(in).notice.closed_for == milliseconds{250});
+    for (const auto* bad :
+         {"", "soon", "-2", "nan", "inf", "1e40", "1 2", "0x"}) {
+        in.set(http::field::retry_after, bad);
+        const auto it = codec.decode_answer(in).notice;
+        CHECK_FALSE(it.closed_for);
+        CHECK(it.unreadable_time);
+    }
+}
+
 // Guards against results that are given to the wrong pieces.
 TEST_CASE("stage calls and results are encoded in order", "[platform]")
 {
