Heed a target's time to come back in the product's own daemon, too

Callers saw: a target of a pool that refused an attempt and named a time was asked again by the next request.

Cause: the time was read, in whole seconds, only for the answer to that one caller.

Change: the router gives a target that refused with a time no attempt until then and up to a quarter more (closure_end, shared with target_gate). While all targets of a pool are closed requests are refused at once with the time until the first one opens. Fractions of seconds are read.

Tests: "a target that asked for no work gets none before its time" and "a request is told when the first closed target wants work" need the new member and fail when on_refusal does nothing; "refusals name a time, and calls within it are counted".

--- a/include/arbutusgate/pipeline_run.hpp
+++ b/include/arbutusgate/pipeline_run.hpp
@@ -145,9 +145,10 @@
 
     /// Asks for admission to all pools of the pipeline.
     /// \return no action when admitted.
-    run_actions admit(time_point now);
-    run_actions commit(time_point now);
-    bool        pools_reachable(time_point now) const;
+    run_actions  admit(time_point now);
+    run_actions  commit(time_point now);
+    bool         pools_reachable(time_point now) const;
+    milliseconds no_target_retry(time_point now) const;
     /// Asks for room in the pool of the stage.
     /// \return no action when there is room.
     run_actions enter(time_point now);
--- a/src/pipeline_run.cpp
+++ b/src/pipeline_run.cpp
@@ -135,7 +135,7 @@
             return wait;
     }
     if (!choose_target(now))
-        return give_up(refusal_reason::no_target, retry_later);
+        return give_up(refusal_reason::no_target, no_target_retry(now));
     attempt_start_ = now;
     ++attempt_;
     if (!pipeline().stages[stage_].idempotent)
@@ -181,7 +181,7 @@
             return give_up(refusal_reason::deadline_unreachable, retry_later);
     }
     if (!pools_reachable(now))
-        return give_up(refusal_reason::no_target, retry_later);
+        return give_up(refusal_reason::no_target, no_target_retry(now));
     // Without time to spare it is admitted only where nothing waits.
     const auto spared = info_.deadline - now - needed_high();
     latest_ =
@@ -206,6 +206,20 @@
     return true;
 }
 
+/// When all targets of a pool asked for no work, the time until the first one
+/// wants some.
+milliseconds pipeline_run::no_target_retry(time_point now) const
+{
+    milliseconds out{retry_later};
+    for (std::size_t n = 0; n < pipeline().stages.size(); ++n) {
+        const auto&     pool = pool_of(n);
+        std::lock_guard lock(pool.state->mutex);
+        out = std::max(out, std::chrono::ceil<milliseconds>(
+                                router::closed_for(pool.targets, now)));
+    }
+    return out;
+}
+
 run_actions pipeline_run::commit(time_point now)
 {
     // A grant has counted the run in the pool that it waited for.
@@ -459,6 +473,8 @@
                                                    : result.status,
                                now, slower);
         slow = route_->slow;
+        if (result.status == attempt_status::not_run)
+            state.routes.on_refusal(*route_, result.retry_after, now);
         if (done)
             state.retries.on_success();
         policy_.impl_->update_share(
--- a/src/policy_router.cpp
+++ b/src/policy_router.cpp
@@ -1,5 +1,7 @@
 #include "policy_router.hpp"
 
+#include "closure_time.hpp"
+
 #include "arbutusgate/config.hpp"
 
 #include <algorithm>
@@ -55,6 +57,12 @@
     return waits_until(it.ejected_until, longest_ejection, now);
 }
 
+bool closed(const route_target& it, time_point now)
+{
+    constexpr closure_times times;
+    return waits_until(it.closed_until, times.most + times.spread_most, now);
+}
+
 void mark_leaving(route_target& it, time_point now)
 {
     if (!it.leaving || it.leaving_since == time_point{})
@@ -109,8 +117,8 @@
 {
     return static_cast<std::uint32_t>(
         std::count_if(targets.begin(), targets.end(), [&](const auto& it) {
-            return !it->leaving && !it->probing && !unreachable(*it, now) &&
-                   !ejected(*it, now);
+            return !it->leaving && !it->probing && !closed(*it, now) &&
+                   !unreachable(*it, now) && !ejected(*it, now);
         }));
 }
 
@@ -119,8 +127,9 @@
     if (strategy_ != policy_strategy::adaptive)
         return true;
     const bool reached =
-        std::any_of(targets.begin(), targets.end(), [](const auto& it) {
-            return !it->leaving && it->connects_failed == 0;
+        std::any_of(targets.begin(), targets.end(), [&](const auto& it) {
+            return !it->leaving && !closed(*it, now) &&
+                   it->connects_failed == 0;
         });
     if (reached)
         return true;
@@ -141,7 +150,8 @@
 {
     candidates_.clear();
     for (int n = 0; n < static_cast<int>(targets.size()); ++n) {
-        if (!still_leaving(*targets[n], query.now))
+        if (!still_leaving(*targets[n], query.now) &&
+            !closed(*targets[n], query.now))
             candidates_.push_back(n);
     }
     if (candidates_.empty())
@@ -238,7 +248,8 @@
     std::uint64_t load     = 0;
     std::uint64_t capacity = 0;
     for (const auto& it : targets) {
-        if (it->leaving || unreachable(*it, now) || ejected(*it, now))
+        if (it->leaving || closed(*it, now) || unreachable(*it, now) ||
+            ejected(*it, now))
             continue;
         load += it->report.in_flight + it->report.queued;
         capacity += it->report.capacity;
@@ -318,6 +329,24 @@
     it.slow = it.slowness > slow_factor * std::max(1.0, *median);
 }
 
+void router::on_refusal(route_target& it, milliseconds wait, time_point now)
+{
+    if (wait > milliseconds{0})
+        it.closed_until =
+            std::max(it.closed_until, closure_end(now, wait, random_));
+}
+
+microseconds router::closed_for(const route_targets& targets, time_point now)
+{
+    auto first = microseconds::max();
+    for (const auto& it : targets) {
+        if (!it->leaving)
+            first = std::min(first, closed(*it, now) ? it->closed_until - now
+                                                     : microseconds{0});
+    }
+    return first == microseconds::max() ? microseconds{0} : first;
+}
+
 void router::on_result(const route_targets& targets, route_target& it,
                        attempt_status status, time_point now, double slowness)
 {
--- a/src/policy_router.hpp
+++ b/src/policy_router.hpp
@@ -32,6 +32,7 @@
     bool          slow      = false;
     std::uint32_t ejections = 0; ///< In a row; lengthens the next one.
     time_point    ejected_until;
+    time_point    closed_until;        ///< It wants no work before, as it said.
     std::uint32_t connects_failed = 0; ///< In a row.
     time_point    unreachable_until;
     load_report   report; ///< Last one.
@@ -70,6 +71,13 @@
     void on_result(const route_targets& targets, route_target& it,
                    attempt_status status, time_point now, double slowness = 0);
 
+    /// A target refused an attempt and asked for no work for so long.
+    void on_refusal(route_target& it, milliseconds wait, time_point now);
+    /// Time until the first target wants work; zero when one does, or none of
+    /// them ever will.
+    static microseconds closed_for(const route_targets& targets,
+                                   time_point           now);
+
     static void on_report(route_target& it, const load_report& report,
                           time_point now);
     /// True when the targets are full as a whole, by their reports.
--- a/src/stage_caller.cpp
+++ b/src/stage_caller.cpp
@@ -8,6 +8,8 @@
 #include "sse.hpp"
 #include "stream_reader.hpp"
 
+#include "absl/strings/numbers.h"
+
 #include <boost/asio/error.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/json/object.hpp>
@@ -15,7 +17,6 @@
 #include <boost/json/serialize.hpp>
 
 #include <algorithm>
-#include <charconv>
 
 namespace arbutusgate {
 
@@ -87,12 +88,16 @@
     return {value.data(), value.size()};
 }
 
+/// Zero when the target named no time, or one that is no number.
 milliseconds retry_after(const http::response_header<>& head)
 {
     const auto text = header(head, "Retry-After");
-    unsigned   n    = 0;
-    std::from_chars(text.data(), text.data() + text.size(), n);
-    return seconds{std::min(n, 3600U)};
+    double     n    = 0;
+    if (!absl::SimpleAtod({text.data(), text.size()}, &n) || !(n > 0))
+        return milliseconds{0};
+    constexpr double most = 3600;
+    return std::chrono::duration_cast<milliseconds>(
+        std::chrono::duration<double>(std::min(n, most)));
 }
 
 bool says_not_run(const std::string& body)
--- a/src/standin_behaviour.hpp
+++ b/src/standin_behaviour.hpp
@@ -21,6 +21,8 @@
     double fail_rate    = 0;   ///< Runs and answers 500.
     double not_run_rate = 0;   ///< Answers 503 without running.
     double hang_rate    = 0;   ///< Runs; no byte of an answer comes.
+    /// Refusals ask for no call for so long; 0: they name no time.
+    double retry_after_s = 0;
     /// The connection goes silent at a random point of the answer.
     double silent_rate = 0;
     bool   leaving     = false; ///< Load reports say that it is leaving.
--- a/src/standin_fleet.cpp
+++ b/src/standin_fleet.cpp
@@ -34,6 +34,7 @@
             {"failed", it.failed},
             {"cancelled", it.cancelled},
             {"late_calls", it.late_calls},
+            {"early_calls", it.early_calls},
             {"behaviour", to_json(replica.behaviour())}};
 }
 
--- a/src/standin_replica.cpp
+++ b/src/standin_replica.cpp
@@ -15,6 +15,9 @@
 // or that the replica stops.
 constexpr microseconds silence_step = milliseconds{100};
 
+// Calls that were under way when a refusal asked for none.
+constexpr milliseconds closure_slack{500};
+
 // The server closes connections only after this; silent calls outlive any
 // client's timeout.
 constexpr auto idle_timeout = std::chrono::minutes{10};
@@ -110,6 +113,9 @@
     if (behaviour_.leaving &&
         steady_clock::now() - leaving_since_ > limits::leaving_bound)
         ++stats_.late_calls;
+    const auto now = steady_clock::now();
+    if (now < closed_until_ && now - closed_at_ > closure_slack)
+        ++stats_.early_calls;
     return plan;
 }
 
@@ -132,12 +138,24 @@
         exchange.abort();
         return false;
     }
+    auto response = json_response(http::status::service_unavailable,
+                                  {{"execution", "not_run"}});
     {
         std::lock_guard lock(mutex_);
         ++stats_.refused;
+        if (behaviour_.retry_after_s > 0) {
+            const auto now = steady_clock::now();
+            if (now >= closed_until_)
+                closed_at_ = now;
+            closed_until_ =
+                now +
+                std::chrono::duration_cast<microseconds>(
+                    std::chrono::duration<double>(behaviour_.retry_after_s));
+            response.set(http::field::retry_after,
+                         absl::StrCat(behaviour_.retry_after_s));
+        }
     }
-    respond(exchange, json_response(http::status::service_unavailable,
-                                    {{"execution", "not_run"}}));
+    respond(exchange, std::move(response));
     return false;
 }
 
--- a/src/standin_replica.hpp
+++ b/src/standin_replica.hpp
@@ -46,6 +46,9 @@
     /// Calls that came later than limits::leaving_bound after the replica
     /// began to leave.
     std::uint64_t late_calls = 0;
+    /// Calls later than 0.5 s after a refusal that asked for no call, within
+    /// the time that it named.
+    std::uint64_t early_calls = 0;
 };
 
 /// Listener, load report, faults and slots; the kinds of replica add their
@@ -140,6 +143,8 @@
     mutable std::mutex                    mutex_; ///< Of the members below.
     standin_behaviour                     behaviour_;
     std::chrono::steady_clock::time_point leaving_since_;
+    std::chrono::steady_clock::time_point closed_at_{};
+    std::chrono::steady_clock::time_point closed_until_{};
     replica_stats                         stats_;
 };
 
--- a/src/target_gate.cpp
+++ b/src/target_gate.cpp
@@ -50,13 +50,8 @@
 
 void target_gate::close(entry& it, milliseconds time, time_point now)
 {
-    time = std::min(time, times_.closed_most);
-    const auto spread =
-        std::min(std::chrono::duration_cast<milliseconds>(time * times_.spread),
-                 times_.spread_most);
-    const milliseconds later{std::uniform_int_distribution<std::int64_t>(
-        0, spread.count())(random_)};
-    it.closed_until = std::max(it.closed_until, now + time + later);
+    it.closed_until = std::max(it.closed_until,
+                               closure_end(now, time, random_, times_.closure));
     it.ramp_until   = std::max(it.ramp_until, it.closed_until + times_.ramp);
 }
 
--- a/src/target_gate.hpp
+++ b/src/target_gate.hpp
@@ -6,6 +6,7 @@
 /// is turned away or cut off.
 #pragma once
 
+#include "closure_time.hpp"
 #include "gateway_types.hpp"
 
 #include <cstdint>
@@ -28,12 +29,7 @@
 /// Times of a gate.
 struct gate_times
 {
-    /// Of what a target asks for; a longer time is a mistake of the target.
-    milliseconds closed_most{600'000};
-    /// Closures end later by a random part of their time, up to the most:
-    /// daemons that were turned away together do not come back together.
-    double       spread = 0.25;
-    milliseconds spread_most{500};
+    closure_times closure;
     /// After a closure work comes back one call at a time, so far apart, for so
     /// long.
     milliseconds ramp{500};
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -419,3 +419,62 @@
     CHECK(routes.choose(targets, {start}) == -1);
     CHECK(routes.choose(targets, {start - seconds{60}}) == 0);
 }
+
+// Guards against attempts at a target in the time for which it asked for none,
+// also when it is the only one left, and against a time to come back that does
+// not hold.
+TEST_CASE("a target that asked for no work gets none before its time")
+{
+    const auto strategy =
+        GENERATE(policy_strategy::adaptive, policy_strategy::random,
+                 policy_strategy::round_robin, policy_strategy::least_inflight);
+    auto   targets = make_targets(2);
+    router routes(strategy, 1);
+    routes.on_refusal(*targets[0], milliseconds{0}, start);
+    CHECK(router::usable(targets, start) == 2);
+    routes.on_refusal(*targets[0], milliseconds{3000}, start);
+    routes.on_refusal(*targets[0], milliseconds{500}, start + seconds{1});
+    CHECK(router::closed_for(targets, start) == microseconds{0});
+    for (int n = 0; n < 50; ++n) {
+        CHECK(routes.choose(targets, {start + milliseconds{n * 60}}) == 1);
+        router::release(*targets[1]);
+    }
+    routes.on_refusal(*targets[1], milliseconds{2000}, start);
+    CHECK(router::usable(targets, start) == 0);
+    CHECK(routes.choose(targets, {start}) == -1);
+    const auto wait = router::closed_for(targets, start);
+    CHECK(wait >= seconds{2});
+    CHECK(wait <= milliseconds{2500});
+    CHECK(routes.choose(targets, {start + wait}) == 1);
+    router::release(*targets[1]);
+    CHECK(router::usable(targets, start + milliseconds{3500}) == 2);
+    // A target's mistake does not close it for good.
+    routes.on_refusal(*targets[0], std::chrono::hours{10'000}, start);
+    CHECK(router::usable(targets, start + std::chrono::minutes{11}) == 2);
+}
+
+// Guards against a request that is told to come back while no target wants it.
+TEST_CASE("a request is told when the first closed target wants work")
+{
+    reason_counters counters;
+    policy          shared(make_deployment(1), {}, counters);
+    pipeline_run    first(shared, make_info(1, start), start);
+    const auto      actions = first.start(start);
+    const auto*     attempt = find<start_attempt>(actions);
+    REQUIRE(attempt);
+    attempt_result refused{attempt->attempt, attempt_status::not_run};
+    refused.retry_after = seconds{4};
+    const auto  ended   = first.on_attempt(refused, start);
+    const auto* end     = find<finish>(ended);
+    REQUIRE(end);
+    CHECK(end->result == execution::not_run);
+    CHECK(end->retry_after >= seconds{4});
+    const auto   later = start + seconds{1};
+    pipeline_run second(shared, make_info(2, later), later);
+    const auto   refusal = second.start(later);
+    CHECK_FALSE(find<start_attempt>(refusal));
+    const auto* told = find<finish>(refusal);
+    REQUIRE(told);
+    CHECK(told->retry_after >= seconds{3});
+    CHECK(told->retry_after <= milliseconds{3500});
+}
--- a/tests/standin_test.cpp
+++ b/tests/standin_test.cpp
@@ -213,6 +213,33 @@
     CHECK(it.executions() == 0);
 }
 
+// Guards against a caller's check that sees no time, and a count that misses a
+// call in that time.
+TEST_CASE("refusals name a time, and calls within it are counted")
+{
+    auto init                    = local_replica();
+    init.behaviour.not_run_rate  = 1;
+    init.behaviour.retry_after_s = 600.5;
+    local_fleet it(init);
+    const auto  stats = [&] {
+        return it.fleet.replicas().front()->stats();
+    };
+    run_on(it.thread, [&] {
+        http_client client(it.thread.io());
+        REQUIRE_FALSE(client.connect(it.address, seconds{20}));
+        REQUIRE_FALSE(client.send(
+            make_request("/v1/call", json::serialize(call_body("r1"))),
+            seconds{20}));
+        CHECK(client.head()["Retry-After"] == "600.5");
+        return true;
+    });
+    // Calls that were under way do not count.
+    CHECK(stats().early_calls == 0);
+    std::this_thread::sleep_for(milliseconds{600});
+    it.post("/v1/call", call_body("r2"));
+    CHECK(stats().early_calls == 1);
+}
+
 // Guards against executions that are counted wrongly, on which the check of
 // at-most-once stands.
 TEST_CASE("each execution is recorded with its key and tag")
