Count goals from a caller's first try

Cause: a caller that was refused comes back after up to a third of its time. So returning callers were served as if on time, in the places of those that were.

Change: caller_patience knows the longest time that callers of a route state. One that states less than 0.85 of it has used the difference before, and its goal is that much earlier, in admission, in stage orders and for learned times. Callers' own limits were seen to differ by 0.15 in the log of refused requests.

Callers whose limits differ by more than that would be taken for returning ones.

--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -1,6 +1,7 @@
 #include "forward_run.hpp"
 
 #include "answer_notice.hpp"
+#include "caller_patience.hpp"
 #include "event_splitter.hpp"
 #include "http_server.hpp"
 #include "log.hpp"
@@ -128,7 +129,11 @@
     auto                   time = call_.patience.value_or(no_limit);
     if (route_->timeout > milliseconds{0})
         time = std::min(time, route_->timeout);
-    until_ = arrived_ + time;
+    until_   = arrived_ + time;
+    goal_at_ = arrived_ + route_->latency_goal;
+    if (call_.patience)
+        goal_at_ -= parts_.patience.used_before(route_->name, *call_.patience,
+                                                arrived_);
     first_event_by_ =
         route_->rule == repeat_rule::stream
             ? std::min(until_, arrived_ + stream_patience(*route_))
@@ -153,8 +158,8 @@
         return std::nullopt;
     const auto opens = opens_at(tried_);
     const auto now   = daemon_now();
-    const auto goal  = arrived_ + route_->latency_goal -
-                      parts_.times.get(service_->name, model_reserve);
+    const auto goal =
+        goal_at_ - parts_.times.get(service_->name, model_reserve);
     if (!opens || *opens <= std::max(now, goal))
         return std::nullopt;
     const auto wait = left_until(*opens, now);
@@ -172,7 +177,7 @@
         return std::nullopt;
     request_outlook outlook;
     outlook.answer = parts_.times.get(service_->name, model_reserve);
-    outlook.goal   = arrived_ + route_->latency_goal;
+    outlook.goal   = goal_at_;
     outlook.limit  = first_event_by_;
     for (std::uint32_t n = 0; n < route_->stages.size(); ++n) {
         const auto&   step  = route_->stages[n];
@@ -195,6 +200,9 @@
     log(log_level::info, "refused at entry",
         {{"request", call_.attempt},
          {"expected_ms", decision.expected.count() / 1000},
+         {"goal_left_ms",
+          std::chrono::duration_cast<milliseconds>(goal_at_ - daemon_now())
+              .count()},
          {"left_ms", left().count()}});
     return run_failure{refusal_reason::overloaded, execution::not_run,
                        decision.retry_after};
@@ -293,7 +301,7 @@
     out.group.count = count;
     out.group.rank  = rank_;
     const auto rest = after_stage(stage);
-    out.group.goal  = arrived_ + route_->latency_goal - rest;
+    out.group.goal  = goal_at_ - rest;
     out.group.limit = first_event_by_ - rest;
     out.group.limit = std::min(out.group.limit, inputs_kept_until(stage));
     out.group.failure_domain = domain_of(step.after);
@@ -410,7 +418,7 @@
         if (submitted_[n] == time_point{} ||
             tickets_[n]->state != order_state::done)
             continue;
-        if (now <= arrived_ + route_->latency_goal - after_stage(n))
+        if (now <= goal_at_ - after_stage(n))
             parts_.times.add(route_->stages[n].service, now - submitted_[n]);
         submitted_[n] = {};
         made_at_[n]   = now;
@@ -881,7 +889,7 @@
             const auto now = daemon_now();
             first_event_ =
                 std::chrono::duration_cast<milliseconds>(now - arrived_);
-            if (now <= arrived_ + route_->latency_goal)
+            if (now <= goal_at_)
                 parts_.times.add(service_->name, now - called_);
             exchange_.begin_stream(parts_.codec.relay_head(from.head()));
             parts_.counters.observe_first_text(route_->name, now - arrived_);
--- a/src/forward_run.hpp
+++ b/src/forward_run.hpp
@@ -23,6 +23,7 @@
 
 namespace gateway {
 
+class caller_patience;
 class retry_budget;
 class route_table;
 class state_follower;
@@ -40,6 +41,7 @@
     stage_service&      stages;
     retry_budget&       budget;
     time_estimates&     times;
+    caller_patience&    patience;
     metrics&            counters;
     std::mt19937_64&    random;
     std::string         failure_domain;
@@ -131,7 +133,9 @@
     time_point                         arrived_;
     time_point                         called_{}; ///< Latest attempt.
     time_point                         until_{};  ///< Deadline or timeout.
-    time_point    first_event_by_{};              ///< The caller leaves then.
+    /// A later first event is late. Counts from the caller's first try.
+    time_point    goal_at_{};
+    time_point    first_event_by_{}; ///< The caller leaves then.
     std::uint32_t rank_ = 0;
 
     std::vector<std::shared_ptr<stage_ticket>> tickets_;   ///< By stage.
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway.hpp"
 
+#include "caller_patience.hpp"
 #include "change_log.hpp"
 #include "forward_run.hpp"
 #include "http_server.hpp"
@@ -129,6 +130,7 @@
     change_log       changes;
     retry_budget     budget;
     time_estimates   times;
+    caller_patience  patience;
     std::mt19937_64  random{random_seed()};
     std::unique_ptr<state_follower>     state;
     std::unique_ptr<target_connections> connections;
@@ -224,7 +226,7 @@
     });
     parts = std::make_unique<gateway_parts>(gateway_parts{
         codec, *state, targets, picker, *connections, *peers, budget, times,
-        counters, random, settings.failure_domain});
+        patience, counters, random, settings.failure_domain});
     spawn_fiber([this] {
         follow();
         follower_ended.set_value();
--- a/src/stage_desk.cpp
+++ b/src/stage_desk.cpp
@@ -368,8 +368,8 @@
     }
 }
 
-/// Told at once, since waiting would not help: the time that was missing is
-/// the time after which another try may succeed.
+/// They are told at once, with the wait of the late orders that are left as the
+/// time after which another try may succeed.
 void stage_desk::drop_hopeless(pool& it, time_point now)
 {
     const auto by = outlook_of(it, now);
