Bound what a caller's numbers and a peer's bytes can do

Looked for: "one malformed message took a whole process down" (the users' list).

Found: a stage with more than 10,000 pieces in a caller's header was sent to its owner, who does not take such a message; the daemon then took the owner for dead and moved its orders. A stated time near the end of the range overflowed. protobuf wrote a line to standard error for each damaged text of a peer, outside the log's form and bound. No message was found that ends a process.

Change: a request with more than 4,096 pieces in a stage is malformed (400), by the same constant in the messages of peers; stated times are taken for at most an hour; protobuf's own lines are off in the gateway.

--- a/include/arbutusgate/config.hpp
+++ b/include/arbutusgate/config.hpp
@@ -85,6 +85,10 @@
 inline constexpr int                       stream_patience_goals = 4;
 inline constexpr int                       stream_patience_gaps  = 8;
 
+/// Pieces of one stage of a request. Each takes memory at its owner; targets
+/// take some 100 in a call.
+inline constexpr std::uint32_t stage_pieces = 4096;
+
 // Requests.
 inline constexpr std::size_t   request_body     = 1024 * 1024; // bytes
 inline constexpr std::size_t   request_header   = 16 * 1024;   // bytes
--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -27,7 +27,9 @@
 
 namespace {
 
-constexpr milliseconds  connect_limit{400};
+constexpr milliseconds connect_limit{400};
+/// A caller that states more is taken to wait for so long.
+constexpr milliseconds  longest_patience{3'600'000};
 constexpr std::uint32_t connect_tries   = 3;
 constexpr std::uint32_t foreign_answers = 3; ///< Skipped on a connection.
 /// Of an answer that is not passed on; a longer one ends the connection.
@@ -122,11 +124,14 @@
         if (!account_)
             return run_failure{refusal_reason::unauthorized};
     }
-    if (call_.attempt.empty())
+    if (call_.attempt.empty() ||
+        std::any_of(call_.pieces.begin(), call_.pieces.end(),
+                    [](auto it) { return it > limits::stage_pieces; }))
         return run_failure{refusal_reason::bad_request};
     rank_ = account_ && account_->rank ? *account_->rank : route_->rank;
     constexpr milliseconds no_limit{60'000};
-    auto                   time = call_.patience.value_or(no_limit);
+    auto time = std::clamp(call_.patience.value_or(no_limit), milliseconds{0},
+                           longest_patience);
     if (route_->timeout > milliseconds{0})
         time = std::min(time, route_->timeout);
     until_   = arrived_ + time;
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -2,6 +2,8 @@
 
 #include "gateway.pb.h"
 
+#include "arbutusgate/config.hpp"
+
 #include <algorithm>
 
 namespace arbutusgate::gateway {
@@ -62,9 +64,6 @@
             it.slots(), it.leaving(), it.started_at()};
 }
 
-/// Pieces of one stage of one call; a message with more is not ours.
-constexpr std::uint32_t most_pieces = 10'000;
-
 pb::OrderState encode(order_state it)
 {
     switch (it) {
@@ -242,7 +241,7 @@
 {
     pb::StageOrder in;
     if (!in.ParseFromString(bytes) || in.count() == 0 ||
-        in.count() > most_pieces)
+        in.count() > limits::stage_pieces)
         return std::nullopt;
     stage_order out;
     out.service              = in.service();
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -77,6 +77,32 @@
     CHECK(has(g.exchange("nonsense\r\n\r\n"), "HTTP/1.1 400"));
 }
 
+// Guards against one request that takes the memory of a whole process, makes
+// its daemon take an owner for dead, or ends it by an overflow.
+TEST_CASE("absurd numbers of a caller end its own request only",
+          "[gateway][sockets]")
+{
+    scripted_target t(always(answer("fine")));
+    gateway_fixture g({make_target("i-1", t.address())});
+    const auto      staged = [&](const std::string& pieces) {
+        return g.exchange(g.request("/staged/", "body",
+                                         "Arbutusgate-Piece-Key: k\r\n"
+                                              "Arbutusgate-Pieces: " +
+                                             pieces + "\r\n"));
+    };
+    CHECK(has(staged("4294967295,1"), "HTTP/1.1 400"));
+    CHECK(has(staged("1,4097"), "HTTP/1.1 400"));
+    CHECK(has(staged("99999999999999999999,-1,,x"), "HTTP/1.1"));
+    for (const auto* time : {"9223372036854775807", "-9223372036854775808",
+                             "99999999999999999999", "-1", "0", "x"})
+    {
+        auto text = g.request("/once/");
+        text.replace(text.find("15000"), 5, time);
+        CHECK(has(g.exchange(text), "HTTP/1.1"));
+    }
+    CHECK(g.exchange(g.request("/once/")).ends_with("fine"));
+}
+
 // Guards against a non-idempotent request that runs twice, and against one
 // that may have run and is called not run.
 TEST_CASE("a lost answer is repeated only where the route allows it",
--- a/tools/arbutusgate-gateway.cpp
+++ b/tools/arbutusgate-gateway.cpp
@@ -5,6 +5,8 @@
 #include "option_table.hpp"
 #include "store_client.hpp"
 
+#include <google/protobuf/stubs/logging.h>
+
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -47,6 +49,9 @@
         sigaddset(&signals, it);
     // Before any thread starts, so that all inherit it.
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    // Its lines have no form and no bound; malformed messages have lines of
+    // our own.
+    google::protobuf::SetLogHandler(nullptr);
     const platform::http_codec codec;
     gateway::gateway           process(
                   {settings, codec, [&](boost::asio::io_context& io) {
