Write the head of a stream that has no event

Callers saw: bytes that are no answer.

Cause: the head was written with the first event. A caller that lost only the end of its stream goes on after its last event; the target's stream then has no event, and the caller got the end of a chunked body alone.

Ruled out: heads and chunks of streams with events (3,242 of them in pieces of random sizes, read strictly), and a race at a restart.

Change: the head goes out before the end if it is not out yet.

Test: "a stream without events has a head and an end" fails on the code before (no head).

--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -832,6 +832,9 @@
     const bool whole = relay_events(*lease, ec);
     finish_call(at, whole ? call_outcome::done : call_outcome::broken);
     if (whole) {
+        // A stream that goes on after its last event has none.
+        if (!began_)
+            begin_stream(*lease);
         exchange_.end_stream();
         log_end("answered", head_.status);
         give_back(std::move(lease));
@@ -846,6 +849,19 @@
     return began_ ? attempt_result::cut : attempt_result::failed;
 }
 
+/// The caller gets the head; what the target has read is not needed any more.
+void forward_run::begin_stream(http_client& from)
+{
+    began_         = true;
+    const auto now = daemon_now();
+    first_event_   = std::chrono::duration_cast<milliseconds>(now - arrived_);
+    if (events_ > 0 && now <= goal_at_)
+        parts_.times.add(service_->name, now - called_);
+    exchange_.begin_stream(parts_.codec.relay_head(from.head()));
+    parts_.counters.observe_first_text(route_->name, now - arrived_);
+    release_results();
+}
+
 /// Another target could go on with the stream.
 bool forward_run::may_resume()
 {
@@ -888,17 +904,8 @@
             return false;
         if (batch.empty())
             continue;
-        if (!began_) {
-            began_         = true;
-            const auto now = daemon_now();
-            first_event_ =
-                std::chrono::duration_cast<milliseconds>(now - arrived_);
-            if (now <= goal_at_)
-                parts_.times.add(service_->name, now - called_);
-            exchange_.begin_stream(parts_.codec.relay_head(from.head()));
-            parts_.counters.observe_first_text(route_->name, now - arrived_);
-            release_results();
-        }
+        if (!began_)
+            begin_stream(from);
         if (!exchange_.write(batch)) {
             gone_ = true;
             return false;
--- a/src/forward_run.hpp
+++ b/src/forward_run.hpp
@@ -102,6 +102,7 @@
     attempt_result read_answer(const target& at, connection_lease& lease);
     attempt_result relay_plain(const target& at, connection_lease& lease);
     attempt_result relay_stream(const target& at, connection_lease& lease);
+    void           begin_stream(http_client& from);
     bool         relay_events(http_client& from, boost::system::error_code& ec);
     bool         may_repeat(attempt_result last) const;
     bool         may_resume();
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -258,6 +258,21 @@
     CHECK(out.ends_with("early"));
 }
 
+// Guards against an end without a head: a caller that lost only the end of a
+// stream goes on after its last event, and gets no event any more.
+TEST_CASE("a stream without events has a head and an end", "[gateway][sockets]")
+{
+    scripted_target t(always(stream_head() + "0\r\n\r\n"));
+    gateway_fixture g({make_target("i-1", t.address())});
+    for (const auto* path : {"/stream/", "/resume/"}) {
+        const auto out =
+            g.exchange(g.request(path, "body", "Last-Event-Id: 7\r\n"));
+        CHECK(out.starts_with("HTTP/1.1 200 OK\r\n"));
+        CHECK(has(out, "Arbutusgate-Server-Signature: sig\r\n"));
+        CHECK(out.ends_with("\r\n\r\n0\r\n\r\n"));
+    }
+}
+
 // Guards against a cut stream that looks whole.
 TEST_CASE("a stream that breaks off does not end", "[gateway][sockets]")
 {
