--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -553,6 +553,17 @@
     return XXH3_64bits(it.id.data(), it.id.size()) | 1;
 }
 
+/// Ids of the parts of the prompt that other requests may share, for the log.
+std::string forward_run::shared_parts() const
+{
+    constexpr std::size_t max_logged = 8;
+    std::string           out;
+    const auto n = call_.prompt.empty() ? 0 : call_.prompt.size() - 1;
+    for (auto k = n - std::min(n, max_logged); k < n; ++k)
+        out += (out.empty() ? "" : ",") + call_.prompt[k].id;
+    return out;
+}
+
 const target* forward_run::pick_target()
 {
     pick_hints hints;
@@ -824,6 +835,7 @@
             {{"request", call_.attempt},
              {"target", chosen.id},
              {"error", ec.message()},
+             {"parts", shared_parts()},
              {"client_gone", caller_gone_}});
         finish_call(chosen, call_outcome::broken);
         return stream_started_ ? attempt_result::cut : attempt_result::failed;
@@ -975,6 +987,7 @@
         {{"request", call_.attempt},
          {"target", chosen.id},
          {"events", events_},
+         {"parts", shared_parts()},
          {"client_gone", caller_gone_},
          {"error", ec.message()}});
     return stream_started_ ? attempt_result::cut : attempt_result::failed;
--- a/src/forward_run.hpp
+++ b/src/forward_run.hpp
@@ -140,6 +140,7 @@
     bool          deadline_passed() const;
     std::uint64_t result_bytes() const;
     std::uint64_t affinity() const;
+    std::string   shared_parts() const;
     void          log_end(std::string_view outcome, unsigned status);
 
     request_dependencies&              parts_;
