--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -227,6 +227,12 @@
     std::unique_ptr<gateway> gateway_;
 };
 
+/// Addresses with ports that are free at the moment.
+std::vector<std::string> free_addresses(std::size_t n);
+/// Gateways that know each other, with the same targets.
+std::vector<std::unique_ptr<gateway_fixture>>
+make_fleet(std::size_t n, const std::vector<target>& targets);
+
 inline target make_target(const std::string& id, const std::string& address,
                           const std::string& service = "s")
 {
--- a/tests/gateway_limit_test.cpp
+++ b/tests/gateway_limit_test.cpp
@@ -110,32 +110,6 @@
     return text.find(part) != std::string::npos;
 }
 
-/// Addresses with ports that are free at the moment.
-std::vector<std::string> free_addresses(std::size_t n)
-{
-    asio::io_context           io;
-    std::vector<tcp::acceptor> acceptors;
-    std::vector<std::string>   out;
-    while (out.size() < n) {
-        acceptors.emplace_back(
-            io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-        out.push_back("127.0.0.1:" +
-                      std::to_string(acceptors.back().local_endpoint().port()));
-    }
-    return out;
-}
-
-/// Gateways that know each other, with the same targets.
-std::vector<std::unique_ptr<gateway_fixture>>
-make_fleet(std::size_t n, const std::vector<target>& targets)
-{
-    const auto                                    peers = free_addresses(n);
-    std::vector<std::unique_ptr<gateway_fixture>> out;
-    for (const auto& it : peers)
-        out.push_back(std::make_unique<gateway_fixture>(targets, it, peers));
-    return out;
-}
-
 } // namespace
 
 // Guards against a fleet whose daemons together send a target more calls than
