Rank the members of a fleet only when they change

A daemon sorted all members by capacity every 100 ms and built the addresses of all to draw a few, which took most of the time of fleets in virtual time and some of each daemon of a large fleet. The order is now kept until a member comes, goes or changes, and few addresses are copied. The draws stay the same.

--- a/src/peer_table.cpp
+++ b/src/peer_table.cpp
@@ -114,15 +114,35 @@
     if (started_ == time_point{})
         started_ = now;
     if (paused_since_heartbeat(now)) {
-        for (auto& [address, it] : peers_)
-            it.last_heartbeat += now - last_heartbeat_;
+        for (auto* it : by_address_)
+            it->last_heartbeat += now - last_heartbeat_;
         resumed_at_ = now;
     }
     last_heartbeat_         = now;
     candidates_valid_until_ = {};
-    std::erase_if(peers_, [&](const auto& entry) {
-        return now - entry.second.last_heartbeat > params_.forget_after;
-    });
+    const auto forgotten    = [&](const entry* it) {
+        return now - it->last_heartbeat > params_.forget_after;
+    };
+    if (std::none_of(by_address_.begin(), by_address_.end(), forgotten))
+        return;
+    ranking_changed_ = true;
+    std::erase_if(by_address_, forgotten);
+    std::erase_if(peers_,
+                  [&](const auto& it) { return forgotten(&it.second); });
+}
+
+peer_table::entry& peer_table::entry_of(const std::string& address)
+{
+    const auto [it, added] = peers_.try_emplace(address);
+    if (added) {
+        const auto place =
+            std::lower_bound(by_address_.begin(), by_address_.end(), address,
+                             [](const entry* known, const std::string& text) {
+                                 return known->info.address < text;
+                             });
+        by_address_.insert(place, &it->second);
+    }
+    return it->second;
 }
 
 bool peer_table::paused_since_heartbeat(time_point now) const
@@ -209,7 +229,7 @@
     // would still spread after the daemon is ready.
     if (it.refuses_orders && !peers_.contains(it.address))
         return false;
-    auto&      known = peers_[it.address];
+    auto&      known = entry_of(it.address);
     const bool newer = it.incarnation > known.info.incarnation ||
                        (it.incarnation == known.info.incarnation &&
                         it.heartbeat > known.info.heartbeat);
@@ -226,6 +246,9 @@
         candidates_valid_until_ = {};
     if (known.tie_break == 0)
         known.tie_break = tie_break_of(it.address);
+    if (started || it.refuses_orders != known.info.refuses_orders ||
+        it.capacity != known.info.capacity)
+        ranking_changed_ = true;
     known.info           = it;
     known.last_heartbeat = now;
     return started;
@@ -268,13 +291,19 @@
     return !already_suspect;
 }
 
-std::vector<peer> peer_table::entries(time_point now)
+std::vector<const peer*> peer_table::alive_peers(time_point now) const
 {
-    std::vector<const peer*> others;
-    for (const auto& [address, it] : peers_) {
-        if (is_alive(it, now))
-            others.push_back(&it.info);
+    std::vector<const peer*> out;
+    for (const auto* it : by_address_) {
+        if (is_alive(*it, now))
+            out.push_back(&it->info);
     }
+    return out;
+}
+
+std::vector<peer> peer_table::entries(time_point now)
+{
+    auto others = alive_peers(now);
     std::shuffle(others.begin(), others.end(), random_);
     others.resize(std::min(others.size(), params_.max_entries - 1));
     std::vector<peer> out{self_};
@@ -286,69 +315,80 @@
 std::vector<std::string> peer_table::alive(time_point now) const
 {
     std::vector<std::string> out;
-    for (const auto& [address, it] : peers_) {
-        if (is_alive(it, now))
-            out.push_back(address);
-    }
+    for (const auto* it : alive_peers(now))
+        out.push_back(it->address);
     return out;
 }
 
 std::vector<std::string> peer_table::random_alive(std::size_t count,
                                                   time_point  now)
 {
-    auto out = alive(now);
-    std::shuffle(out.begin(), out.end(), random_);
-    out.resize(std::min(out.size(), count));
+    auto list = alive_peers(now);
+    std::shuffle(list.begin(), list.end(), random_);
+    list.resize(std::min(list.size(), count));
+    std::vector<std::string> out;
+    for (const auto* it : list)
+        out.push_back(it->address);
     return out;
 }
 
-void peer_table::update_candidates(time_point now) const
+void peer_table::rank_peers() const
 {
-    if (now < candidates_valid_until_)
+    if (!std::exchange(ranking_changed_, false))
         return;
-    candidates_valid_until_ = now + candidates_cache_time;
-    std::vector<const entry*> all;
-    for (const auto& [address, it] : peers_) {
-        if (!it.info.refuses_orders)
-            all.push_back(&it);
+    ranked_.clear();
+    for (const auto* it : by_address_) {
+        if (!it->info.refuses_orders)
+            ranked_.push_back(it);
     }
     if (!self_.refuses_orders)
-        all.push_back(nullptr);
-    // By descending capacity.
+        ranked_.push_back(nullptr);
     const auto rank_of = [&,
                           own = tie_break_of(self_.address)](const auto* it) {
         return std::pair(peer_of(it).capacity, it ? it->tie_break : own);
     };
-    std::sort(all.begin(), all.end(), [&](const auto* a, const auto* b) {
-        return rank_of(a) > rank_of(b);
-    });
-    const auto  before = std::exchange(candidates_, {});
-    std::size_t rank   = 0;
-    std::size_t lost   = 0; // Of the best max_candidates.
-    for (const auto* it : all) {
-        const bool best = rank++ < params_.max_candidates;
-        if (it && !is_alive(*it, now)) {
-            lost += best ? 1 : 0;
-            continue;
-        }
-        if (candidates_.size() == params_.max_candidates) {
-            if (it)
-                it->candidate_since = {};
-            continue;
-        }
-        if (it && beyond_small_fleet() > 0) {
-            if (it->candidate_since == time_point{})
-                it->candidate_since = now;
-            if (now - std::max(it->last_heartbeat, it->candidate_since) >=
-                params_.candidate_dead_after)
-            {
-                lost += best ? 1 : 0;
-                continue;
-            }
-        }
-        candidates_.push_back(it);
+    std::sort(
+        ranked_.begin(), ranked_.end(),
+        [&](const auto* a, const auto* b) { return rank_of(a) > rank_of(b); });
+}
+
+bool peer_table::may_be_candidate(const entry& it, time_point now) const
+{
+    if (beyond_small_fleet() == 0)
+        return true;
+    if (it.candidate_since == time_point{})
+        it.candidate_since = now;
+    return now - std::max(it.last_heartbeat, it.candidate_since) <
+           params_.candidate_dead_after;
+}
+
+void peer_table::update_candidates(time_point now) const
+{
+    if (now < candidates_valid_until_)
+        return;
+    candidates_valid_until_ = now + candidates_cache_time;
+    const bool  reranked    = ranking_changed_;
+    const auto  before      = std::exchange(candidates_, {});
+    std::size_t rank        = 0;
+    std::size_t lost        = 0; // Of the best max_candidates.
+    rank_peers();
+    for (; rank < ranked_.size() && candidates_.size() < params_.max_candidates;
+         ++rank)
+    {
+        const auto* it = ranked_[rank];
+        if (!it || (is_alive(*it, now) && may_be_candidate(*it, now)))
+            candidates_.push_back(it);
+        else if (rank < params_.max_candidates)
+            ++lost;
+    }
+    // The others are no candidates any more.
+    for (; (reranked || candidates_ != before) && rank < ranked_.size(); ++rank)
+    {
+        const auto* it = ranked_[rank];
+        if (it && is_alive(*it, now))
+            it->candidate_since = {};
     }
-    const auto expected = std::min(all.size(), params_.max_candidates);
+    const auto expected = std::min(ranked_.size(), params_.max_candidates);
     live_share_         = expected == 0 ? 1
                                         : static_cast<double>(expected - lost) /
                                       static_cast<double>(expected);
--- a/src/peer_table.hpp
+++ b/src/peer_table.hpp
@@ -96,6 +96,7 @@
     /// \return true if the value changed.
     bool set_refuses_orders(bool it)
     {
+        ranking_changed_ = true;
         return std::exchange(self_.refuses_orders, it) != it;
     }
     void set_seeds(std::vector<std::string> seeds);
@@ -199,7 +200,13 @@
     };
 
     /// Number of daemons above the size of a small fleet.
-    std::size_t beyond_small_fleet() const;
+    std::size_t              beyond_small_fleet() const;
+    entry&                   entry_of(const std::string& address);
+    std::vector<const peer*> alive_peers(time_point now) const;
+    /// Sorts the daemons that may be candidates, by descending capacity.
+    void rank_peers() const;
+    /// \return whether the daemon is alive enough for a candidate.
+    bool        may_be_candidate(const entry& it, time_point now) const;
     bool        is_alive(const entry& it, time_point now) const;
     void        update_candidates(time_point now) const;
     const peer& peer_of(const entry* it) const { return it ? it->info : self_; }
@@ -210,12 +217,17 @@
     std::mt19937_64              random_;
     peer_table_params            params_;
     std::map<std::string, entry> peers_;
-    time_point                   started_{}; ///< First heartbeat.
+    std::vector<entry*>          by_address_; ///< All entries of peers_.
+    time_point                   started_{};  ///< First heartbeat.
     time_point                   last_heartbeat_{};
     time_point    last_discovery_{}; ///< Of a new daemon process.
     time_point    last_round_{};     ///< Latest gossip round.
     std::uint64_t heartbeats_ = 0;
-    /// Cached candidates by descending capacity; null stands for this daemon.
+    /// Daemons that accept orders, by descending capacity; null stands for this
+    /// daemon.
+    mutable std::vector<const entry*> ranked_;
+    mutable bool                      ranking_changed_ = true;
+    /// Cached candidates; the first ones of ranked_ that are alive.
     mutable std::vector<const entry*> candidates_;
     mutable time_point                candidates_valid_until_{};
     mutable time_point                candidates_changed_at_{};
