--- a/include/arbutusgate/types.hpp
+++ b/include/arbutusgate/types.hpp
@@ -87,6 +87,7 @@
     stage_failed,    ///< A target reported a failure that is not retried.
     draining,        ///< The daemon accepts no new requests.
     not_ready,       ///< No configuration is in force yet.
+    quarantined,     ///< A part of the prompt crashes targets.
     client_gone,     ///< The caller closed its connection.
     internal,        ///< Internal error; the log has the details.
     count,
--- /dev/null
+++ b/src/crash_report.hpp
@@ -0,0 +1,62 @@
+/// What daemons tell each other of parts of prompts whose requests crash
+/// targets.
+#pragma once
+
+#include "gateway_types.hpp"
+
+#include <cstdint>
+#include <vector>
+
+namespace arbutusgate::gateway {
+
+/// Hashes of the parts of a request's prompt.
+struct prompt_key
+{
+    std::vector<std::uint64_t> shared;  ///< All parts but the last, in order.
+    std::uint64_t              own = 0; ///< The last part: the request's own.
+};
+
+prompt_key make_prompt_key(const std::vector<prompt_part>& prompt);
+
+/// Identifies the software that may crash on a part: the service and version of
+/// the target.
+std::uint64_t crash_scope(const target& of);
+/// Identifies one lifetime of a target.
+std::uint64_t target_lifetime(const target& of);
+
+/// A target ended before it began to answer a request with the part.
+struct part_crash
+{
+    std::uint64_t lifetime = 0;
+    std::uint64_t request  = 0; ///< prompt_key::own.
+    std::uint64_t scope    = 0;
+    time_point    at{};
+};
+
+/// A target began to answer a request with the part.
+struct part_answer
+{
+    std::uint64_t scope = 0;
+    time_point    at{}; ///< The latest one.
+};
+
+struct part_report
+{
+    std::uint64_t            part = 0;
+    std::vector<part_crash>  crashes; ///< One of each lifetime, by time.
+    std::vector<part_answer> answers; ///< One of each scope.
+    /// Parts that all requests of these crashes had besides this one, by
+    /// number. Each of them may be the cause instead.
+    std::vector<std::uint64_t> companions;
+    std::uint32_t              trials = 0;
+    time_point                 last_trial_at{};
+};
+
+/// A target of which calls broke off went on sending on other connections.
+struct lifetime_report
+{
+    std::uint64_t lifetime = 0;
+    time_point    alive_at{};
+};
+
+} // namespace arbutusgate::gateway
--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -1,18 +1,22 @@
 #include "forward_run.hpp"
 
+#include "crash_check.hpp"
 #include "event_splitter.hpp"
 #include "http_server.hpp"
 #include "log.hpp"
 #include "metrics.hpp"
 #include "notice_handler.hpp"
+#include "part_quarantine.hpp"
 #include "permit_source.hpp"
 #include "prior_wait_estimator.hpp"
 #include "problem.hpp"
 #include "retry_budget.hpp"
 #include "state_follower.hpp"
 #include "target_directory.hpp"
+#include "text.hpp"
 #include "time_estimates.hpp"
 #include "time_left.hpp"
+#include "trial_source.hpp"
 
 #include "arbutusgate/config.hpp"
 
@@ -79,9 +83,12 @@
 
 void forward_run::run()
 {
-    call_ = parts_.codec.decode_call(exchange_.request());
+    call_   = parts_.codec.decode_call(exchange_.request());
+    prompt_ = make_prompt_key(call_.prompt);
     exchange_.on_client_gone([this] { on_caller_gone(); });
     auto failure = resolve();
+    if (!failure)
+        failure = refuse_if_quarantined();
     if (!failure)
         failure = refuse_if_closed();
     if (!failure)
@@ -176,7 +183,7 @@
 /// Refuses the request when every target of the service is closed, or has given
 /// out the calls of its limit, for so long that the request cannot meet its
 /// latency goal.
-std::optional<run_failure> forward_run::refuse_if_closed() const
+std::optional<run_failure> forward_run::refuse_if_closed()
 {
     if (parts_.targets.gate().empty() && parts_.targets.limits().empty())
         return std::nullopt;
@@ -192,6 +199,56 @@
     return run_failure{refusal_reason::overloaded, execution::not_run, wait};
 }
 
+bool forward_run::quarantined_at(const target& it) const
+{
+    const auto found =
+        parts_.quarantine.find(prompt_, crash_scope(it), daemon_now());
+    return found && found->part != trial_part_;
+}
+
+const std::vector<const target*>& forward_run::usable_targets()
+{
+    const auto& all = parts_.targets.usable(service_->name);
+    if (!parts_.quarantine.active())
+        return all;
+    usable_.clear();
+    std::copy_if(all.begin(), all.end(), std::back_inserter(usable_),
+                 [this](const auto* it) { return !quarantined_at(*it); });
+    return usable_;
+}
+
+std::optional<run_failure> forward_run::refuse_if_quarantined()
+{
+    const auto& all = parts_.targets.usable(service_->name);
+    if (!parts_.quarantine.active() || all.empty() || !usable_targets().empty())
+        return std::nullopt;
+    const auto now = daemon_now();
+    const auto found =
+        parts_.quarantine.find(prompt_, crash_scope(*all.front()), now);
+    if (!found)
+        return std::nullopt;
+    if (found->next_trial_at <= now && parts_.trials.acquire(found->part)) {
+        trial_part_ = found->part;
+        log(log_level::info, "request is the trial of a quarantined part",
+            {{"request", call_.attempt}, {"parts", shared_parts()}});
+        return std::nullopt;
+    }
+    const auto age =
+        std::chrono::duration_cast<milliseconds>(now - found->last_crash_at);
+    const auto wait = std::max(target_full_retry_after,
+                               remaining_until(found->next_trial_at, now));
+    log(log_level::info,
+        "request refused: a part of its prompt crashes targets",
+        {{"request", call_.attempt},
+         {"parts", shared_parts()},
+         {"part", to_hex(found->part)},
+         {"crashes", found->crashes},
+         {"requests", found->requests},
+         {"last_crash_age_ms", age.count()},
+         {"next_trial_in_ms", wait.count()}});
+    return run_failure{refusal_reason::quarantined, execution::not_run, wait};
+}
+
 std::optional<run_failure> forward_run::admit()
 {
     // The owner of a single stage decides this itself, since it knows more
@@ -315,7 +372,7 @@
         return "";
     const auto  now = daemon_now();
     const auto* it  = parts_.picker.pick(
-         parts_.targets.open(service_->name, now), hints, now);
+         parts_.targets.open(usable_targets(), now), hints, now);
     return it ? it->failure_domain : "";
 }
 
@@ -424,6 +481,8 @@
                                execution::not_run, target_full_retry_after};
         learn_stage_times();
         release_consumed_results();
+        if (auto refused = refuse_if_quarantined())
+            return refused;
         if (!settled() && !submit_stages(failure))
             return failure;
     }
@@ -577,14 +636,14 @@
     hints.affinity = affinity();
     hints.tokens   = call_.prompt_tokens;
     const auto now = daemon_now();
-    return parts_.picker.pick(parts_.targets.open(service_->name, now), hints,
+    return parts_.picker.pick(parts_.targets.open(usable_targets(), now), hints,
                               now);
 }
 
 std::optional<time_point>
-forward_run::opens_at(const std::vector<std::string>& tried) const
+forward_run::opens_at(const std::vector<std::string>& tried)
 {
-    auto list = parts_.targets.usable(service_->name);
+    auto list = usable_targets();
     std::erase_if(list, [&](const auto* it) {
         return std::find(tried.begin(), tried.end(), it->id) != tried.end();
     });
@@ -592,12 +651,12 @@
 }
 
 /// The target that opens first, of those that the request has not tried.
-const target* forward_run::first_to_open() const
+const target* forward_run::first_to_open()
 {
     const target*             out = nullptr;
     std::optional<time_point> out_at;
     const auto                now = daemon_now();
-    for (const auto* it : parts_.targets.usable(service_->name)) {
+    for (const auto* it : usable_targets()) {
         if (std::find(tried_targets_.begin(), tried_targets_.end(), it->id) !=
             tried_targets_.end())
             continue;
@@ -697,7 +756,7 @@
            (last != attempt_result::cut || last_event_id_.has_value());
 }
 
-run_failure forward_run::attempt_failure(attempt_result last) const
+run_failure forward_run::attempt_failure(attempt_result last)
 {
     if (last == attempt_result::not_run) {
         const auto opens = opens_at({});
@@ -712,12 +771,16 @@
 
 std::optional<run_failure> forward_run::call_targets()
 {
-    std::uint32_t connects     = 0;
-    auto          last         = attempt_result::not_run;
-    bool          may_have_run = false;
+    std::uint32_t              connects     = 0;
+    auto                       last         = attempt_result::not_run;
+    bool                       may_have_run = false;
+    std::optional<run_failure> refused;
     for (;;) {
         if (stream_started_ && !rerun_stages())
             break;
+        refused = refuse_if_quarantined();
+        if (refused)
+            break;
         const auto found = await_target();
         if (!found || deadline_passed())
             break;
@@ -730,6 +793,8 @@
         if (!permit_lapsed_)
             tried_targets_.push_back(chosen.id);
         may_have_run = may_have_run || last != attempt_result::not_run;
+        if (!request_unsent_)
+            trial_part_.reset();
         if (request_unsent_) {
             if (++connects >= max_connect_attempts || deadline_passed())
                 break;
@@ -755,7 +820,7 @@
         exchange_.respond(*std::move(saved_error_response_));
         return std::nullopt;
     }
-    auto out = attempt_failure(last);
+    auto out = refused ? *refused : attempt_failure(last);
     if (may_have_run)
         out.result = execution::unknown;
     return out;
@@ -779,8 +844,8 @@
     auto       lease = parts_.connections.open(
               chosen, most, std::min(connect_timeout, remaining_time()), ec);
     permit_lapsed_ = !may_send(chosen);
-    if (lease &&
-        (parts_.targets.gate().refuses(chosen, daemon_now()) || permit_lapsed_))
+    if (lease && (parts_.targets.gate().refuses(chosen, daemon_now()) ||
+                  permit_lapsed_ || quarantined_at(chosen)))
     {
         request_unsent_ = true;
         finish_call(chosen, call_outcome::cancelled);
@@ -828,9 +893,11 @@
          {"in_flight", parts_.picker.in_flight(chosen.id)},
          {"left_ms", context.time_left.count()},
          {"resumed", last_event_id_.has_value()}});
-    sent_at_      = daemon_now();
-    const auto ec = lease->send(request, remaining_time());
+    sent_at_        = daemon_now();
+    earlier_events_ = events_;
+    const auto ec   = lease->send(request, remaining_time());
     if (ec) {
+        report_unanswered(chosen, ec);
         log(log_level::warning, "no response from the target",
             {{"request", call_.attempt},
              {"target", chosen.id},
@@ -840,6 +907,7 @@
         finish_call(chosen, call_outcome::broken);
         return stream_started_ ? attempt_result::cut : attempt_result::failed;
     }
+    parts_.quarantine.heard(chosen, lease->connected_at(), daemon_now());
     if (!skip_foreign_responses(chosen, lease)) {
         finish_call(chosen, call_outcome::broken);
         return stream_started_ ? attempt_result::cut : attempt_result::failed;
@@ -875,12 +943,35 @@
         lease->read_all(remaining_time(), ec, max_discarded_body);
         if (!ec)
             ec = lease->read_head(remaining_time());
-        if (ec)
+        if (ec) {
+            report_unanswered(chosen, ec);
             return false;
+        }
     }
     return false;
 }
 
+/// Only an end of the connection may mean that the target crashed. A target
+/// that is leaving ends its connections, too.
+void forward_run::report_unanswered(const target& at, const error_code& ec)
+{
+    namespace asio_error = boost::asio::error;
+    if (caller_gone_ || prompt_.shared.empty())
+        return;
+    const auto* known = parts_.targets.find(at.id);
+    if (at.leaving || (known && known->leaving) ||
+        parts_.targets.gate().leaves(at))
+        return;
+    const auto now = daemon_now();
+    if (ec == http::error::end_of_stream ||
+        ec == http::error::partial_message || ec == asio_error::eof ||
+        ec == asio_error::connection_reset || ec == asio_error::broken_pipe ||
+        ec == asio_error::connection_aborted)
+        parts_.crashes.broke_off(prompt_, at, now);
+    else if (ec == boost::beast::error::timeout || ec == asio_error::timed_out)
+        parts_.quarantine.fell_silent(prompt_, at, now);
+}
+
 call_outcome forward_run::refusal_outcome() const
 {
     if (head_.status ==
@@ -946,12 +1037,16 @@
                         : server_error ? call_outcome::error
                                        : call_outcome::done);
     if (ec) {
+        if (body.empty())
+            report_unanswered(chosen, ec);
         log(log_level::warning, "response ended early",
             {{"request", call_.attempt},
              {"target", chosen.id},
              {"error", ec.message()}});
         return attempt_result::failed;
     }
+    if (head_.status >= 200 && head_.status < 300)
+        parts_.quarantine.answered(prompt_, chosen, daemon_now());
     return_connection(std::move(lease));
     if (server_error && route_->repeatable() &&
         attempts_ + 1 < route_->max_attempts && !deadline_passed() &&
@@ -971,7 +1066,7 @@
                                                       connection_lease& lease)
 {
     error_code ec;
-    const bool whole = relay_events(*lease, ec);
+    const bool whole = relay_events(chosen, *lease, ec);
     finish_call(chosen, whole ? call_outcome::done : call_outcome::broken);
     if (whole) {
         // The target sent no event: an empty stream, or one resumed after its
@@ -983,6 +1078,8 @@
         return_connection(std::move(lease));
         return attempt_result::answered;
     }
+    if (events_ == earlier_events_)
+        report_unanswered(chosen, ec ? ec : http::error::partial_message);
     log(log_level::warning, "stream ended early",
         {{"request", call_.attempt},
          {"target", chosen.id},
@@ -1017,7 +1114,8 @@
 }
 
 /// \return true when the target ended the stream and all of it was relayed.
-bool forward_run::relay_events(http_client& from, error_code& ec)
+bool forward_run::relay_events(const target& chosen, http_client& from,
+                               error_code& ec)
 {
     event_splitter events;
     auto           event_at = daemon_now();
@@ -1033,14 +1131,16 @@
             return false;
         if (text.empty())
             return events.rest().empty();
+        parts_.quarantine.heard(chosen, from.connected_at(), daemon_now());
         events.add(text);
         std::string batch;
         while (auto it = events.next()) {
             if (it->id)
                 last_event_id_ = it->id;
             batch += it->text;
-            ++events_;
             event_at = daemon_now();
+            if (events_++ == earlier_events_)
+                parts_.quarantine.answered(prompt_, chosen, event_at);
         }
         if (events.overflowed())
             ec = boost::asio::error::message_size;
@@ -1085,6 +1185,7 @@
     else if (it.reason == refusal_reason::overloaded ||
              it.reason == refusal_reason::no_target ||
              it.reason == refusal_reason::not_ready ||
+             it.reason == refusal_reason::quarantined ||
              it.reason == refusal_reason::stage_failed ||
              it.reason == refusal_reason::deadline_unreachable)
         response.result(http::status::service_unavailable);
--- a/src/forward_run.hpp
+++ b/src/forward_run.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "call_permit.hpp"
+#include "crash_report.hpp"
 #include "stage_service.hpp"
 #include "target_connections.hpp"
 #include "target_picker.hpp"
@@ -25,6 +26,8 @@
 
 namespace gateway {
 
+class crash_check;
+class part_quarantine;
 class permit_source;
 class prior_wait_estimator;
 class retry_budget;
@@ -32,6 +35,7 @@
 class state_follower;
 class target_directory;
 class time_estimates;
+class trial_source;
 
 /// Dependencies that all requests of one daemon share. They are used only on
 /// the daemon's thread.
@@ -44,6 +48,9 @@
     target_connections&   connections;
     stage_service&        stages;
     permit_source&        permits;
+    part_quarantine&      quarantine;
+    crash_check&          crashes;
+    trial_source&         trials;
     retry_budget&         budget;
     time_estimates&       times;
     prior_wait_estimator& prior_waits;
@@ -85,13 +92,20 @@
     std::optional<run_failure> resolve();
     /// Refuses a request with several stages that cannot be served in time.
     std::optional<run_failure> admit();
-    std::optional<run_failure> refuse_if_closed() const;
-    std::optional<run_failure> run_stages();
-    bool                       submit_stages(run_failure& failure);
-    stage_order                make_order(std::uint32_t stage);
-    std::string                prompt_cache_domain();
-    std::vector<std::string>   inputs_of(std::uint32_t stage) const;
-    std::vector<std::string>   final_inputs() const;
+    std::optional<run_failure> refuse_if_closed();
+    /// Refuses the request when a part of its prompt keeps it from all targets,
+    /// unless it becomes the trial of that part.
+    std::optional<run_failure> refuse_if_quarantined();
+    bool                       quarantined_at(const target& it) const;
+    /// Targets of the service that may get new work and at which no part of the
+    /// prompt is in quarantine.
+    const std::vector<const target*>& usable_targets();
+    std::optional<run_failure>        run_stages();
+    bool                              submit_stages(run_failure& failure);
+    stage_order                       make_order(std::uint32_t stage);
+    std::string                       prompt_cache_domain();
+    std::vector<std::string>          inputs_of(std::uint32_t stage) const;
+    std::vector<std::string>          final_inputs() const;
     std::string
          main_result_domain(const std::vector<std::uint32_t>& stages) const;
     bool stage_ready(std::uint32_t stage) const;
@@ -104,16 +118,15 @@
     bool                       limits_calls(const target& it) const;
     std::optional<target>      take_free_target();
     std::optional<target>      await_target();
-    const target*              first_to_open() const;
+    const target*              first_to_open();
     bool         acquire_permit(const target& chosen, milliseconds max_wait);
     bool         may_send(const target& chosen) const;
     milliseconds time_until_goal() const;
     /// \param tried ids of targets to leave out.
     /// \return earliest time at which a target of the service may get work;
     /// nullopt when none will.
-    std::optional<time_point>
-                   opens_at(const std::vector<std::string>& tried) const;
-    attempt_result attempt(const target& chosen);
+    std::optional<time_point> opens_at(const std::vector<std::string>& tried);
+    attempt_result            attempt(const target& chosen);
     attempt_result send(const target& chosen, connection_lease& lease);
     attempt_result handle_response(const target&     chosen,
                                    connection_lease& lease);
@@ -121,10 +134,15 @@
                                   connection_lease& lease);
     attempt_result relay_stream(const target& chosen, connection_lease& lease);
     void           begin_stream(http_client& from);
-    bool         relay_events(http_client& from, boost::system::error_code& ec);
+    bool           relay_events(const target& chosen, http_client& from,
+                                boost::system::error_code& ec);
+    /// Records that a call ended without an event, or without the whole of a
+    /// response that is no stream.
+    void         report_unanswered(const target&                    at,
+                                   const boost::system::error_code& ec);
     bool         may_retry(attempt_result last) const;
     bool         may_resume();
-    run_failure  attempt_failure(attempt_result last) const;
+    run_failure  attempt_failure(attempt_result last);
     void         finish_call(const target& chosen, call_outcome how);
     call_outcome refusal_outcome() const;
     bool skip_foreign_responses(const target& chosen, connection_lease& lease);
@@ -146,6 +164,7 @@
     request_dependencies&              parts_;
     http_exchange&                     exchange_;
     request_head                       call_;
+    prompt_key                         prompt_;
     std::shared_ptr<const route_table> table_;
     const route*                       route_   = nullptr;
     const account*                     account_ = nullptr;
@@ -186,13 +205,19 @@
     /// The attempt was not sent because its permit was too old by then, or
     /// because the target had named a limit meanwhile.
     bool permit_lapsed_ = false;
+    /// The next attempt is the trial of this part, which is in quarantine.
+    std::optional<std::uint64_t> trial_part_;
+    /// Last result of usable_targets(), if some part is in quarantine.
+    std::vector<const target*> usable_;
     /// For the attempt; unset: the target named no limit when it was chosen.
     std::optional<call_permit> permit_;
     std::optional<std::string> last_event_id_; ///< For resuming.
     /// From an earlier attempt; sent when no later attempt succeeds.
     std::optional<http_response> saved_error_response_;
-    std::uint32_t                events_ = 0;        ///< Events relayed.
-    std::optional<milliseconds>  first_event_after_; ///< Time since arrival.
+    std::uint32_t                events_ = 0; ///< Events relayed.
+    /// Events relayed before the latest attempt.
+    std::uint32_t               earlier_events_ = 0;
+    std::optional<milliseconds> first_event_after_; ///< Time since arrival.
 };
 
 } // namespace gateway
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -1,11 +1,13 @@
 #include "gateway.hpp"
 
 #include "change_log.hpp"
+#include "crash_check.hpp"
 #include "forward_run.hpp"
 #include "http_server.hpp"
 #include "io_thread.hpp"
 #include "log.hpp"
 #include "metrics.hpp"
+#include "part_quarantine.hpp"
 #include "peer_mesh.hpp"
 #include "prior_wait_estimator.hpp"
 #include "problem.hpp"
@@ -15,6 +17,7 @@
 #include "state_follower.hpp"
 #include "state_reader.hpp"
 #include "target_directory.hpp"
+#include "text.hpp"
 #include "time_estimates.hpp"
 
 #include <algorithm>
@@ -58,6 +61,16 @@
     return "gone";
 }
 
+void log_verdict(bool quarantined, const part_verdict& it)
+{
+    log(log_level::warning,
+        quarantined ? "part of prompts crashes targets, quarantined"
+                    : "quarantine of a part ended",
+        {{"part", to_hex(it.part)},
+         {"crashes", it.crashes},
+         {"requests", it.requests}});
+}
+
 refusal_reason reason_of(http_error error)
 {
     switch (error) {
@@ -133,6 +146,7 @@
     // Used on that thread only.
     target_directory     targets{lapse_grace, target_gate{random_seed()}};
     target_picker        picker{random_seed()};
+    part_quarantine      quarantine;
     change_log           changes;
     retry_budget         budget;
     time_estimates       estimates;
@@ -140,6 +154,7 @@
     std::mt19937_64      random{random_seed()};
     std::unique_ptr<state_follower>       state;
     std::unique_ptr<target_connections>   connections;
+    std::unique_ptr<crash_check>          crashes;
     std::unique_ptr<stage_scheduler>      stages;
     std::unique_ptr<peer_mesh>            peers;
     std::unique_ptr<state_reader>         reader;
@@ -211,6 +226,7 @@
          {"service", found ? found->service : ""}});
     if (change == target_change::leaving)
         return;
+    quarantine.target_changed(id, found, daemon_now());
     picker.forget(id);
     connections->drop(id);
     stages->forget(id);
@@ -222,21 +238,23 @@
     state    = std::make_unique<state_follower>(store_follow_times(), events(),
                                              targets, daemon_now());
     connections = std::make_unique<target_connections>(io);
+    crashes     = std::make_unique<crash_check>(*connections, quarantine);
     stages      = std::make_unique<stage_scheduler>(
         stage_scheduler_init{io, codec, *state, targets, *connections});
     peers = std::make_unique<peer_mesh>(
-        io, own_peers(), *stages,
-        targets, [this]() -> const auto& { return stage_shards(); });
+        io, own_peers(), *stages, targets,
+        quarantine, [this]() -> const auto& { return stage_shards(); });
     stages->set_permits(&peers->permits());
     reader = make_reader(io);
+    quarantine.on_verdict(log_verdict);
     peers->set_state([this] { return state->copy(); });
     peers->set_changes([this](std::uint64_t revision) {
         return changes.since(revision, daemon_now());
     });
     parts = std::make_unique<request_dependencies>(request_dependencies{
         codec, *state, targets, picker, *connections, *peers, peers->permits(),
-        budget, estimates, prior_waits, counters, random,
-        settings.failure_domain});
+        quarantine, *crashes, peers->trials(), budget, estimates, prior_waits,
+        counters, random, settings.failure_domain});
     spawn_fiber([this] {
         follow();
         follower_ended.set_value();
@@ -318,6 +336,7 @@
         for (const auto& id : targets.gate().expire(daemon_now()))
             log(log_level::info, "target accepts work again", {{"target", id}});
         targets.limits().expire(daemon_now());
+        quarantine.expire(daemon_now());
         const auto step = state->next(daemon_now());
         switch (step.kind) {
         case state_follower::step_kind::sleep:
@@ -431,6 +450,7 @@
     const auto mesh    = peers->stats();
     const auto gate    = targets.gate().stats();
     const auto limit   = targets.limits().stats();
+    const auto parts   = quarantine.stats();
     const auto permits = peers->permits().stats();
     const auto issued  = peers->permits().issued();
     const auto table   = state->table();
@@ -492,6 +512,28 @@
          true},
         {"call_permits_unanswered_total",
          "Requests of these without an answer.", n(permits.unanswered), true},
+        {"prompt_parts_quarantined",
+         "Parts of prompts that crash targets and keep requests from them.",
+         n(quarantine.convicted())},
+        {"prompt_parts_known",
+         "Parts of prompts whose requests broke off lately.",
+         n(quarantine.size())},
+        {"calls_broken_unanswered_total",
+         "Calls with a prompt whose connection ended before an event.",
+         n(parts.accused), true},
+        {"prompt_part_quarantines_total", "Quarantines that began.",
+         n(parts.convicted), true},
+        {"prompt_part_quarantines_ended_total", "Quarantines that ended.",
+         n(parts.ended), true},
+        {"prompt_part_trials_total",
+         "Requests with a quarantined part that this daemon let pass.",
+         n(parts.trials), true},
+        {"targets_found_alive_total",
+         "Targets that sent bytes after calls to them had broken off.",
+         n(parts.refuted), true},
+        {"prompt_parts_forgotten_total",
+         "Parts that were forgotten to make place for others.",
+         n(parts.forgotten), true},
         {"stage_calls_total", "Calls to stage targets.", n(calls.calls), true},
         {"stage_pieces_total", "Pieces in these calls.", n(calls.pieces), true},
         {"stage_results_total", "Results of pieces.", n(calls.results), true},
@@ -582,6 +624,7 @@
         impl_->stages->set_permits(nullptr);
         impl_->peers.reset();
         impl_->stages.reset();
+        impl_->crashes.reset();
         impl_->connections.reset();
         impl_->reader.reset();
         ended.set_value();
--- a/src/gateway_types.hpp
+++ b/src/gateway_types.hpp
@@ -132,6 +132,7 @@
     bool          leaving = false;
     /// Start time of the process; differs after a restart. 0: not published.
     std::int64_t started_at = 0;
+    std::string  version{}; ///< Of its software; may be empty.
 };
 
 /// Load that a target reports with a response.
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -1,5 +1,6 @@
 #include "http_client.hpp"
 
+#include "daemon_clock.hpp"
 #include "fiber_token.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -65,7 +66,8 @@
     bool                       request_started = false;
     bool                       writing = false; ///< A request is being written.
     bool                       connected = false;
-    bool                       broken    = false;
+    time_point                 connected_at{};
+    bool                       broken = false;
 };
 
 namespace {
@@ -109,7 +111,8 @@
         tcp::endpoint(asio::ip::make_address(host), port), fiber_token{ec});
     if (ec)
         return ec;
-    impl_->connected = true;
+    impl_->connected    = true;
+    impl_->connected_at = daemon_now();
     error_code ignored;
     impl_->stream.socket().set_option(tcp::no_delay(true), ignored);
     return {};
@@ -201,6 +204,11 @@
     impl_->stream.close();
 }
 
+time_point http_client::connected_at() const
+{
+    return impl_->connected_at;
+}
+
 bool http_client::may_have_sent() const
 {
     return impl_->request_started;
--- a/src/http_client.hpp
+++ b/src/http_client.hpp
@@ -51,6 +51,8 @@
     /// Closes the connection; an operation in progress fails.
     void cancel();
 
+    /// When the connection was opened.
+    time_point connected_at() const;
     /// True when a byte of a request may have left this process.
     bool may_have_sent() const;
     /// True when another request may be sent on this connection.
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -57,12 +57,13 @@
     out.set_slots(it.slots);
     out.set_leaving(it.leaving);
     out.set_started_at(it.started_at);
+    out.set_version(it.version);
 }
 
 target decode(const pb::GatewayTarget& it)
 {
-    return {it.id(),    it.service(), it.address(),   it.failure_domain(),
-            it.slots(), it.leaving(), it.started_at()};
+    return {it.id(),    it.service(), it.address(),    it.failure_domain(),
+            it.slots(), it.leaving(), it.started_at(), it.version()};
 }
 
 pb::OrderState encode(order_state it)
@@ -127,6 +128,46 @@
     return out;
 }
 
+void encode(const part_report& it, time_point now, pb::PartReport& out)
+{
+    out.set_part(it.part);
+    for (const auto& crash : it.crashes) {
+        auto& to = *out.add_crashes();
+        to.set_lifetime(crash.lifetime);
+        to.set_request(crash.request);
+        to.set_scope(crash.scope);
+        to.set_age_ms(to_wire(remaining(now, crash.at)));
+    }
+    for (const auto& answer : it.answers) {
+        auto& to = *out.add_answers();
+        to.set_scope(answer.scope);
+        to.set_age_ms(to_wire(remaining(now, answer.at)));
+    }
+    for (const auto part : it.companions)
+        out.add_companions(part);
+    out.set_trials(it.trials);
+    if (it.trials > 0)
+        out.set_last_trial_age_ms(to_wire(remaining(now, it.last_trial_at)));
+}
+
+part_report decode(const pb::PartReport& it, time_point now)
+{
+    part_report out;
+    out.part = it.part();
+    for (const auto& crash : it.crashes())
+        out.crashes.push_back({crash.lifetime(), crash.request(), crash.scope(),
+                               now - milliseconds{crash.age_ms()}});
+    for (const auto& answer : it.answers())
+        out.answers.push_back(
+            {answer.scope(), now - milliseconds{answer.age_ms()}});
+    out.companions.assign(it.companions().begin(), it.companions().end());
+    std::sort(out.companions.begin(), out.companions.end());
+    out.trials = it.trials();
+    if (out.trials > 0)
+        out.last_trial_at = now - milliseconds{it.last_trial_age_ms()};
+    return out;
+}
+
 } // namespace
 
 std::string encode(const peer_gossip& it, time_point now)
@@ -141,6 +182,13 @@
     out.set_queues_only(it.queues_only);
     for (const auto& limit : it.limits)
         encode(limit, now, *out.add_limits());
+    for (const auto& part : it.parts)
+        encode(part, now, *out.add_parts());
+    for (const auto& lifetime : it.lifetimes) {
+        auto& to = *out.add_lifetimes();
+        to.set_lifetime(lifetime.lifetime);
+        to.set_age_ms(to_wire(remaining(now, lifetime.alive_at)));
+    }
     return out.SerializeAsString();
 }
 
@@ -162,6 +210,11 @@
         if (auto limit = decode(it, now))
             out.limits.push_back(*std::move(limit));
     }
+    for (const auto& it : in.parts())
+        out.parts.push_back(decode(it, now));
+    for (const auto& it : in.lifetimes())
+        out.lifetimes.push_back(
+            {it.lifetime(), now - milliseconds{it.age_ms()}});
     return out;
 }
 
@@ -210,6 +263,39 @@
     return out;
 }
 
+std::string encode_trial_request(const part_report& it, time_point now)
+{
+    pb::TrialRequest out;
+    encode(it, now, *out.mutable_part());
+    return out.SerializeAsString();
+}
+
+std::optional<part_report> decode_trial_request(const std::string& bytes,
+                                                time_point         now)
+{
+    pb::TrialRequest in;
+    if (!in.ParseFromString(bytes) || !in.has_part())
+        return std::nullopt;
+    return decode(in.part(), now);
+}
+
+std::string encode(const trial_response& it, time_point now)
+{
+    pb::TrialResponse out;
+    out.set_granted(it.granted);
+    encode(it.part, now, *out.mutable_part());
+    return out.SerializeAsString();
+}
+
+std::optional<trial_response> decode_trial_response(const std::string& bytes,
+                                                    time_point         now)
+{
+    pb::TrialResponse in;
+    if (!in.ParseFromString(bytes))
+        return std::nullopt;
+    return trial_response{in.granted(), decode(in.part(), now)};
+}
+
 std::string encode(const state_copy& it)
 {
     pb::GatewayState out;
--- a/src/peer_codec.hpp
+++ b/src/peer_codec.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "change_log.hpp"
+#include "crash_report.hpp"
 #include "peer_table.hpp"
 #include "permit_issuer.hpp"
 #include "stage_service.hpp"
@@ -23,7 +24,16 @@
     /// Daemons that may own shards; sent only in a large fleet.
     std::vector<peer> candidates;
     bool queues_only = false; ///< The response may omit the members.
-    std::vector<target_limit> limits;
+    std::vector<target_limit>    limits;
+    std::vector<part_report>     parts{};
+    std::vector<lifetime_report> lifetimes{};
+};
+
+/// Answer to the request of a daemon for the trial of a part.
+struct trial_response
+{
+    bool        granted = false;
+    part_report part; ///< As known to the daemon that decided.
 };
 
 /// Queueing times of a shard, as reported by its owner.
@@ -57,6 +67,15 @@
 std::optional<permit_response> decode_permit_response(const std::string& bytes,
                                                       time_point         now);
 
+/// Request for the trial of a part.
+/// \param it as known to the sender.
+std::string encode_trial_request(const part_report& it, time_point now);
+std::optional<part_report>    decode_trial_request(const std::string& bytes,
+                                                   time_point         now);
+std::string                   encode(const trial_response& it, time_point now);
+std::optional<trial_response> decode_trial_response(const std::string& bytes,
+                                                    time_point         now);
+
 std::string               encode(const state_copy& it);
 std::optional<state_copy> decode_state(const std::string& bytes);
 /// \param revision that the querying daemon already has.
--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -4,6 +4,7 @@
 #include "io_thread.hpp"
 #include "log.hpp"
 #include "owner_probe.hpp"
+#include "report_pace.hpp"
 #include "stage_scheduler.hpp"
 #include "target_directory.hpp"
 #include "time_left.hpp"
@@ -21,6 +22,7 @@
 constexpr const char* state_path   = "/v1/state";
 constexpr const char* changes_path = "/v1/changes";
 constexpr const char* permits_path = "/v1/permits";
+constexpr const char* trials_path  = "/v1/trials";
 /// Name under which the reading of the store has an owner in each failure
 /// domain.
 constexpr std::string_view reader_work = "published state";
@@ -45,13 +47,10 @@
 constexpr int max_owner_attempts = 2;
 /// Interval between an owner's reports of its queueing times.
 constexpr milliseconds queue_report_interval{300};
-/// Limits of targets in one message.
-constexpr std::size_t max_limit_reports = 12;
-/// Smallest interval between messages about changed limits to other daemons.
-constexpr milliseconds limit_spread_interval{200};
-/// Daemons of a large fleet that a daemon tells at once of changed limits. Each
-/// tells others in turn.
-constexpr std::size_t limit_fanout = 4;
+/// Reports in one message.
+constexpr std::size_t max_limit_reports    = 12;
+constexpr std::size_t max_part_reports     = 12;
+constexpr std::size_t max_lifetime_reports = 12;
 /// Results of at least this size wait for result memory at their targets.
 constexpr std::uint64_t large_result_bytes = 200'000;
 /// Reports of queueing times that are older are ignored.
@@ -66,16 +65,26 @@
 
 peer_mesh::peer_mesh(boost::asio::io_context& io, peer_table table,
                      stage_scheduler& scheduler, target_directory& targets,
+                     part_quarantine& quarantine,
                      std::function<const std::vector<stage_shard>&()> shards)
     : table_(std::move(table)), scheduler_(scheduler), targets_(targets),
-      shards_(std::move(shards)), pool_(io), next_id_(first_remote_id),
+      quarantine_(quarantine), shards_(std::move(shards)), pool_(io),
+      next_id_(first_remote_id),
       permits_(table_, targets.limits(),
                [this](const std::string& address, std::string body,
                       milliseconds timeout) {
                    const fiber_group::guest guest(fibers_);
                    return call(address, permits_path, std::move(body), timeout);
-               })
-{
+               }),
+      trials_(table_, quarantine,
+              [this](const std::string& address, std::string body,
+                     milliseconds timeout) {
+                  const fiber_group::guest guest(fibers_);
+                  return call(address, trials_path, std::move(body), timeout);
+              })
+{
+    quarantine_.on_news(
+        [this](part_quarantine::source from) { on_part_news(from); });
     targets_.limits().on_change([this](limit_change          change,
                                        const target_limit&   it,
                                        target_limits::source from) {
@@ -94,6 +103,7 @@
 peer_mesh::~peer_mesh()
 {
     targets_.limits().on_change(nullptr);
+    quarantine_.on_news(nullptr);
 }
 
 // Membership -----------------------------------------------------------------
@@ -103,6 +113,7 @@
     ++stats_.rounds;
     const auto now = daemon_now();
     table_.advance_heartbeat(now);
+    quarantine_.set_hearing_time(report_spread_time(table_));
     if (table_.round_due(now)) {
         run_round();
         return;
@@ -199,22 +210,32 @@
         if (!table_.large())
             return;
     }
-    limits_changed_ = true;
-    if (!std::exchange(spreading_limits_, true))
-        fibers_.spawn([this] { spread_limits(); });
+    start_spreading();
+}
+
+void peer_mesh::on_part_news(part_quarantine::source from)
+{
+    if (from == part_quarantine::source::own || table_.large())
+        start_spreading();
+}
+
+void peer_mesh::start_spreading()
+{
+    reports_changed_ = true;
+    if (!std::exchange(spreading_, true))
+        fibers_.spawn([this] { spread_reports(); });
 }
 
-void peer_mesh::spread_limits()
+void peer_mesh::spread_reports()
 {
-    while (std::exchange(limits_changed_, false) && !fibers_.stopping()) {
+    report_pace pace;
+    while (std::exchange(reports_changed_, false) && !fibers_.stopping()) {
         const auto now = daemon_now();
-        for (const auto& it : table_.large()
-                                  ? table_.random_alive(limit_fanout, now)
-                                  : table_.alive(now))
+        for (const auto& it : report_recipients(table_, now))
             fibers_.spawn([this, it] { exchange_reports(it); });
-        fibers_.sleep_until(now + limit_spread_interval);
+        fibers_.sleep_until(now + pace.next_interval());
     }
-    spreading_limits_ = false;
+    spreading_ = false;
 }
 
 void peer_mesh::exchange_reports(const std::string& address)
@@ -347,7 +368,9 @@
         if (owner_of(it) == table_.self().address)
             out.queues[it.key()] = scheduler_.queue(it.key());
     }
-    out.limits = targets_.limits().reports(max_limit_reports, now);
+    out.limits    = targets_.limits().reports(max_limit_reports, now);
+    out.parts     = quarantine_.reports(max_part_reports, now);
+    out.lifetimes = quarantine_.lifetime_reports(max_lifetime_reports, now);
     return out;
 }
 
@@ -365,6 +388,14 @@
         if (!table_.resuming(now))
             targets_.limits().merge(limit, now);
     }
+    for (const auto& part : it.parts)
+        quarantine_.merge(part, now);
+    // A message that waited during a pause would show a target as alive later
+    // than it was.
+    for (const auto& lifetime : it.lifetimes) {
+        if (!table_.resuming(now))
+            quarantine_.merge(lifetime, now);
+    }
     const auto after = table_.alive(now).size();
     if (before != after)
         log(log_level::info, "peers changed",
@@ -800,6 +831,13 @@
             return;
         }
     }
+    else if (path == trials_path) {
+        if (auto response = trials_.serve(body)) {
+            out.body() = *std::move(response);
+            exchange.respond(std::move(out));
+            return;
+        }
+    }
     log(log_level::warning, "invalid message from a peer",
         {{"path", std::string_view(path.data(), path.size())}});
     out.result(http::status::bad_request);
--- a/src/peer_mesh.hpp
+++ b/src/peer_mesh.hpp
@@ -4,6 +4,7 @@
 
 #include "connection_pool.hpp"
 #include "fleet_permits.hpp"
+#include "fleet_trials.hpp"
 #include "peer_codec.hpp"
 #include "peer_table.hpp"
 #include "stage_service.hpp"
@@ -47,9 +48,10 @@
 {
 public:
     /// \param shards returns the current shards of all stage services.
-    /// \param targets must outlive the mesh.
+    /// \param targets, quarantine must outlive the mesh.
     peer_mesh(boost::asio::io_context& io, peer_table table,
               stage_scheduler& scheduler, target_directory& targets,
+              part_quarantine&                                 quarantine,
               std::function<const std::vector<stage_shard>&()> shards);
     ~peer_mesh() override;
 
@@ -92,6 +94,8 @@
     /// Permits for calls to targets that limit them.
     fleet_permits&       permits() { return permits_; }
     const fleet_permits& permits() const { return permits_; }
+    /// Trials of parts in quarantine.
+    fleet_trials& trials() { return trials_; }
 
     /// Handles an HTTP request of another daemon.
     void serve(http_exchange& exchange);
@@ -152,9 +156,11 @@
     void announce_change();
     void on_limit_change(limit_change change, const target_limit& it,
                          target_limits::source from);
-    /// Sends the limits that changed to other daemons, without waiting for the
+    void on_part_news(part_quarantine::source from);
+    /// Sends news of limits and parts to other daemons, without waiting for the
     /// next round.
-    void spread_limits();
+    void spread_reports();
+    void start_spreading();
     /// Sends a message without members.
     void exchange_reports(const std::string& address);
     /// Contacts seeds that are not known to be alive, while joining.
@@ -196,6 +202,7 @@
     peer_table                                                   table_;
     stage_scheduler&                                             scheduler_;
     target_directory&                                            targets_;
+    part_quarantine&                                             quarantine_;
     std::function<const std::vector<stage_shard>&()>             shards_;
     std::function<std::optional<state_copy>()>                   copy_state_;
     std::function<std::optional<relayed_changes>(std::uint64_t)> changes_;
@@ -214,10 +221,11 @@
     std::uint64_t         next_id_;
     peer_mesh_stats       stats_;
     bool                  leaving_ = false;
-    time_point    last_state_copy_{}; ///< When the state was last copied.
-    bool          limits_changed_   = false; ///< Since they were last spread.
-    bool          spreading_limits_ = false; ///< A fiber runs for it.
+    time_point    last_state_copy_{};       ///< When the state was last copied.
+    bool          reports_changed_ = false; ///< Since they were last spread.
+    bool          spreading_       = false; ///< A fiber runs for it.
     fleet_permits permits_;
+    fleet_trials  trials_;
     fiber_group   fibers_;
 };
 
--- a/src/target_connections.cpp
+++ b/src/target_connections.cpp
@@ -74,6 +74,13 @@
     return {};
 }
 
+bool target_connections::accepts(const target& to, milliseconds timeout)
+{
+    const auto client = pool_.create();
+    ++opened_;
+    return !client->connect(to.address, timeout);
+}
+
 void target_connections::give_back(connection_lease            lease,
                                    std::optional<milliseconds> idle_time)
 {
--- a/src/text.hpp
+++ b/src/text.hpp
@@ -5,6 +5,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/string_view.h"
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -28,4 +29,10 @@
     return absl::StrCat(to_absl(args)...);
 }
 
+/// 16 hexadecimal digits.
+inline std::string to_hex(std::uint64_t n)
+{
+    return absl::StrCat(absl::Hex(n, absl::kZeroPad16));
+}
+
 } // namespace arbutusgate
--- a/src/types.cpp
+++ b/src/types.cpp
@@ -60,6 +60,8 @@
         return "draining";
     case refusal_reason::not_ready:
         return "not_ready";
+    case refusal_reason::quarantined:
+        return "quarantined";
     case refusal_reason::client_gone:
         return "client_gone";
     case refusal_reason::internal:
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -12,6 +12,8 @@
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 
+#include <sys/socket.h>
+
 #include <atomic>
 #include <functional>
 #include <memory>
@@ -99,6 +101,7 @@
     explicit scripted_target(script run)
         : run_(std::move(run)),
           acceptor_(io_, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+          port_(acceptor_.local_endpoint().port()),
           thread_([this] { accept(); })
     {
     }
@@ -107,16 +110,16 @@
         stop_ = true;
         boost::system::error_code ec;
         tcp::socket               wake(io_);
-        wake.connect(acceptor_.local_endpoint(), ec);
+        wake.connect({asio::ip::address_v4::loopback(), port_}, ec);
         thread_.join();
         for (auto& session : sessions_)
             session.join();
     }
 
-    std::string address() const
-    {
-        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
-    }
+    /// Refuses connections from now on.
+    void stop_listening() { ::shutdown(acceptor_.native_handle(), SHUT_RDWR); }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
     std::vector<std::string> requests()
     {
         std::lock_guard lock(mutex_);
@@ -147,6 +150,7 @@
     script                   run_;
     asio::io_context         io_;
     tcp::acceptor            acceptor_;
+    std::uint16_t            port_;
     std::atomic<bool>        stop_{false};
     std::mutex               mutex_;
     std::vector<std::string> requests_;
--- a/tests/gateway_quarantine_test.cpp
+++ b/tests/gateway_quarantine_test.cpp
@@ -2,8 +2,6 @@
 
 #include <catch2/catch.hpp>
 
-#include <set>
-
 using namespace arbutusgate;
 using namespace arbutusgate::gateway;
 using namespace arbutusgate::gateway::test;
@@ -17,13 +15,11 @@
 
 const std::string deadly_part = "dead";
 
-/// Targets that crash on a request with a deadly part: all their connections
-/// are reset.
+/// Targets that crash on a request with a deadly part: the connection is reset
+/// and no other one is accepted.
 class crashing_targets
 {
 public:
-    /// \param respond called with the request and the session; returns false
-    /// when the session shall end.
     explicit crashing_targets(std::size_t n)
     {
         for (std::size_t k = 0; k < n; ++k)
@@ -45,11 +41,6 @@
         std::lock_guard lock(mutex_);
         return crashes_;
     }
-    std::size_t crashed_targets() const
-    {
-        std::lock_guard lock(mutex_);
-        return crashed_.size();
-    }
 
 private:
     void serve(std::size_t k, target_session& it)
@@ -63,10 +54,10 @@
             {
                 std::lock_guard lock(mutex_);
                 crashes_.push_back(std::chrono::steady_clock::now());
-                crashed_.insert(k);
             }
             // A target may send the head before it ends.
             it.write(stream_head());
+            servers_[k]->stop_listening();
             it.reset();
             return;
         }
@@ -74,7 +65,6 @@
 
     mutable std::mutex                                 mutex_;
     std::vector<std::chrono::steady_clock::time_point> crashes_;
-    std::set<std::size_t>                              crashed_;
     std::vector<std::unique_ptr<scripted_target>>      servers_;
 };
 
@@ -104,18 +94,22 @@
 TEST_CASE("a prompt part that crashes targets stops reaching them",
           "[gateway][sockets][quarantine]")
 {
-    crashing_targets servers(8);
+    crashing_targets servers(24);
     auto             fleet = make_fleet(3, servers.targets());
-    int              sound = 0;
     int              n     = 0;
-    const auto       send  = [&] {
+    // Requests that share the first part, the route and the caller are served.
+    const auto send = [&] {
         const auto& deadly = *fleet[static_cast<std::size_t>(n) % fleet.size()];
         deadly.exchange(deadly_request("/stream/", n));
         const auto& other =
             *fleet[static_cast<std::size_t>(n + 1) % fleet.size()];
-        if (other.exchange(sound_request("/stream/", n)).find("data: x") !=
-            std::string::npos)
-            ++sound;
+        auto out = other.exchange(sound_request("/stream/", n));
+        // Crashed targets stay published here, so that connecting to them may
+        // use up the tries of a request.
+        if (out.find("\"overloaded\"") != std::string::npos)
+            out = other.exchange(sound_request("/stream/", n));
+        INFO(out);
+        CHECK(out.find("data: x") != std::string::npos);
         ++n;
         std::this_thread::sleep_for(milliseconds{150});
     };
@@ -130,6 +124,4 @@
                                        [&](auto it) { return it > known; });
     CHECK(crashes.size() >= 3);
     CHECK(static_cast<std::size_t>(late) <= max_late_requests);
-    // Requests that share the first part, the route and the caller are served.
-    CHECK(sound == n);
 }
--- a/tests/limit_fleet.hpp
+++ b/tests/limit_fleet.hpp
@@ -3,22 +3,13 @@
 #pragma once
 
 #include "call_permit.hpp"
-#include "peer_codec.hpp"
-#include "peer_table.hpp"
 #include "permit_issuer.hpp"
 #include "target_limits.hpp"
+#include "virtual_fleet.hpp"
 
-#include <algorithm>
-#include <cstdint>
-#include <functional>
 #include <map>
-#include <memory>
 #include <optional>
-#include <queue>
-#include <random>
 #include <set>
-#include <string>
-#include <vector>
 
 namespace arbutusgate::gateway::test {
 
@@ -29,41 +20,24 @@
     std::size_t daemon = 0;
 };
 
-class limit_fleet
+class limit_fleet final : public virtual_fleet
 {
 public:
     /// \param offered calls a second that all daemons together want to send.
     limit_fleet(std::size_t n, std::uint64_t seed, double offered)
-        : random_(seed), offered_(offered)
+        : virtual_fleet(n, seed), offered_(offered), knowledge_(n)
     {
-        for (std::size_t k = 0; k < n; ++k)
-            daemons_.push_back(std::make_unique<daemon>());
-        for (std::size_t k = 0; k < n; ++k)
-            start(k);
+        start_all();
         for (std::size_t k = 0; k < n; ++k)
             schedule_call(k);
     }
 
-    time_point now() const { return now_; }
-
-    void run(milliseconds time)
-    {
-        const auto end = now_ + time;
-        while (!events_.empty() && events_.top().at <= end) {
-            auto it = events_.top();
-            events_.pop();
-            now_ = it.at;
-            it.run();
-        }
-        now_ = end;
-    }
-
     /// Sets the limit that the target names from now on.
     void name(std::optional<double> limit)
     {
         limit_ = limit;
         if (limit && !named_at_)
-            named_at_ = now_;
+            named_at_ = now();
     }
     /// The target starts anew: it names no limit.
     void restart_target()
@@ -73,39 +47,6 @@
         named_at_.reset();
     }
 
-    // Faults -----------------------------------------------------------------
-
-    void kill(std::size_t k)
-    {
-        ++daemons_[k]->life;
-        daemons_[k]->alive = false;
-    }
-    void restart(std::size_t k)
-    {
-        kill(k);
-        start(k);
-    }
-    /// The daemon runs no code for a time; messages to it wait.
-    void pause(std::size_t k, milliseconds time)
-    {
-        daemons_[k]->paused_until = now_ + time;
-    }
-    void leave(std::size_t k)
-    {
-        daemons_[k]->table->set_refuses_orders(true);
-        daemons_[k]->table->advance_heartbeat(now_);
-        for (const auto& to :
-             daemons_[k]->table->announcement_recipients({}, now_))
-            gossip(k, index_of(to), false);
-    }
-    /// No message passes between a daemon of the first kind and one of the
-    /// second.
-    void cut(std::function<bool(std::size_t, std::size_t)> between)
-    {
-        cut_ = std::move(between);
-    }
-    /// Part of the messages between daemons that is lost.
-    void lose(double part) { loss_ = part; }
     void offer(double calls) { offered_ = calls; }
     /// Leaves out the calls of a daemon that a fault excuses.
     void excuse(std::size_t k) { excused_.insert(k); }
@@ -137,31 +78,25 @@
             std::count_if(calls_.begin(), calls_.end(),
                           [&](const auto& it) { return it.at >= from; });
         return static_cast<double>(n) /
-               std::chrono::duration<double>(now_ - from).count();
+               std::chrono::duration<double>(now() - from).count();
     }
     /// Daemons that are alive and know the limit, or its end.
     std::size_t know(std::optional<double> limit) const
     {
-        return static_cast<std::size_t>(std::count_if(
-            daemons_.begin(), daemons_.end(), [&](const auto& it) {
-                const auto* known = it->limits.find(target_);
-                return it->alive &&
-                       (known ? known->rate : std::nullopt) == limit;
-            }));
-    }
-    std::size_t alive() const
-    {
-        return static_cast<std::size_t>(
-            std::count_if(daemons_.begin(), daemons_.end(),
-                          [](const auto& it) { return it->alive; }));
+        std::size_t out = 0;
+        for (std::size_t k = 0; k < size(); ++k) {
+            const auto* known = knowledge_[k].limits->find(target_);
+            out += at(k).alive && (known ? known->rate : std::nullopt) == limit;
+        }
+        return out;
     }
     /// The daemon that most others take for the owner of the limit.
     std::size_t owner() const
     {
         std::map<std::string, int> votes;
-        for (const auto& it : daemons_) {
-            if (it->alive)
-                ++votes[it->issuer->owner(target_.id, now_)];
+        for (std::size_t k = 0; k < size(); ++k) {
+            if (at(k).alive)
+                ++votes[knowledge_[k].issuer->owner(target_.id, now())];
         }
         return index_of(std::max_element(votes.begin(), votes.end(),
                                          [](const auto& a, const auto& b) {
@@ -175,198 +110,66 @@
     /// Lets all daemons know limits of further targets.
     void add_other_limits(std::size_t count)
     {
-        for (auto& it : daemons_) {
+        for (auto& it : knowledge_) {
             for (std::size_t n = 0; n < count; ++n)
-                it->limits.merge({"other-" + std::to_string(n), 1, 2.5, now_},
-                                 now_);
+                it.limits->merge({"other-" + std::to_string(n), 1, 2.5, now()},
+                                 now());
         }
     }
     /// Lets a daemon believe a report, such as one of a peer that was away.
     void report(std::size_t k, std::optional<double> rate, time_point named_at)
     {
-        daemons_[k]->limits.merge(
-            {target_.id, target_.started_at, rate, named_at}, now_);
+        limits(k).merge({target_.id, target_.started_at, rate, named_at},
+                        now());
     }
 
 private:
-    struct daemon
+    struct knowledge
     {
-        std::unique_ptr<peer_table>    table;
-        target_limits                  limits;
+        std::unique_ptr<target_limits> limits;
         std::unique_ptr<permit_issuer> issuer;
-        std::uint64_t                  life  = 0; ///< Changes at each end.
-        bool                           alive = false;
-        time_point                     paused_until{};
-        bool                           changed   = false;
-        bool                           spreading = false;
     };
 
-    struct event
-    {
-        time_point            at{};
-        std::uint64_t         order = 0;
-        std::function<void()> run;
+    target_limits& limits(std::size_t k) { return *knowledge_[k].limits; }
 
-        bool operator<(const event& other) const
-        {
-            return std::tie(other.at, other.order) < std::tie(at, order);
-        }
-    };
-
-    static std::string address(std::size_t k)
+    void reset(std::size_t k) override
     {
-        return "10.0.0." + std::to_string(k) + ":900";
-    }
-    static std::size_t index_of(const std::string& address)
-    {
-        return std::stoul(address.substr(std::string_view("10.0.0.").size()));
-    }
-
-    void at(time_point when, std::function<void()> run)
-    {
-        events_.push({when, next_event_++, std::move(run)});
-    }
-    /// Runs code of a daemon, after its pause and unless it has ended.
-    void on(std::size_t k, time_point when, std::function<void()> run)
-    {
-        at(when, [this, k, life = daemons_[k]->life, run = std::move(run)] {
-            auto& it = *daemons_[k];
-            if (it.life != life || !it.alive)
-                return;
-            if (now_ < it.paused_until)
-                on(k, it.paused_until, run);
-            else
-                run();
-        });
-    }
-    milliseconds delay()
-    {
-        return milliseconds{std::uniform_int_distribution<int>(1, 4)(random_)};
-    }
-    /// Sends a message to a daemon unless it is lost or cut.
-    void send(std::size_t from, std::size_t to, std::function<void()> receive)
-    {
-        if ((cut_ && (cut_(from, to) || cut_(to, from))) ||
-            std::uniform_real_distribution<>()(random_) < loss_)
-            return;
-        on(to, now_ + delay(), std::move(receive));
-    }
-
-    void start(std::size_t k)
-    {
-        auto&                    it = *daemons_[k];
-        peer                     self{address(k), ++incarnation_,
-                  0,          "d" + std::to_string(k % 5),
-                  false,      k % 20 == 0 ? 500U : 120U};
-        std::vector<std::string> seeds;
-        for (std::size_t n = 0; n < std::min<std::size_t>(3, daemons_.size());
-             ++n)
-            seeds.push_back(address(n));
-        it.table   = std::make_unique<peer_table>(self, seeds, random_());
-        it.limits  = target_limits{};
-        it.issuer  = std::make_unique<permit_issuer>(*it.table, it.limits);
-        it.alive   = true;
-        it.changed = it.spreading = false;
-        it.limits.on_change([this, k](limit_change, const target_limit&,
-                                      target_limits::source from) {
-            if (from == target_limits::source::response ||
-                daemons_[k]->table->large())
+        auto& it  = knowledge_[k];
+        it.issuer = nullptr;
+        it.limits = std::make_unique<target_limits>();
+        it.issuer = std::make_unique<permit_issuer>(*at(k).table, *it.limits);
+        it.limits->on_change([this, k](limit_change, const target_limit&,
+                                       target_limits::source from) {
+            if (from == target_limits::source::response || at(k).table->large())
                 spread(k);
         });
-        on(k, now_ + milliseconds{k * 37 % 300}, [this, k] { heartbeat(k); });
-        on(k, now_ + milliseconds{k * 37 % 300 + 1},
-           [this, k] { join(k, milliseconds{100}); });
     }
 
-    void heartbeat(std::size_t k)
-    {
-        auto& it = *daemons_[k]->table;
-        it.advance_heartbeat(now_);
-        daemons_[k]->limits.expire(now_);
-        for (const auto& to : it.round_due(now_) ? it.round_recipients({}, now_)
-                                                 : it.random_alive(1, now_))
-            gossip(k, index_of(to), false);
-        on(k, now_ + it.heartbeat_interval(), [this, k] { heartbeat(k); });
-    }
+    void on_heartbeat(std::size_t k) override { limits(k).expire(now()); }
 
-    void join(std::size_t k, milliseconds interval)
+    void add_reports(std::size_t k, peer_gossip& out) override
     {
-        if (!daemons_[k]->table->joining(now_))
-            return;
-        for (const auto& to : daemons_[k]->table->uncontacted_seeds(now_))
-            gossip(k, index_of(to), false);
-        on(k, now_ + interval, [this, k, interval] { join(k, 2 * interval); });
+        out.limits = limits(k).reports(12, now());
     }
 
-    std::string message(std::size_t k, bool brief)
+    void apply_reports(std::size_t k, const peer_gossip& in) override
     {
-        auto&       it = *daemons_[k];
-        peer_gossip out;
-        out.queues_only = brief;
-        out.members     = brief ? std::vector<peer>{it.table->self()}
-                                : it.table->entries(now_);
-        if (!brief && it.table->large())
-            out.candidates = it.table->candidates(now_);
-        out.limits       = it.limits.reports(12, now_);
-        const auto bytes = encode(out, now_);
-        if (brief)
-            limit_bytes += bytes.size();
-        else if (!out.limits.empty()) {
-            const auto with = bytes.size();
-            out.limits.clear();
-            limit_bytes += with - encode(out, now_).size();
+        for (const auto& limit : in.limits) {
+            if (!at(k).table->resuming(now()))
+                limits(k).merge(limit, now());
         }
-        return bytes;
     }
 
-    /// \return new daemons that should get a message.
-    std::vector<std::string> receive(std::size_t k, const std::string& bytes)
+    void on_message(const peer_gossip& it, std::size_t bytes) override
     {
-        auto&      it      = *daemons_[k];
-        const auto decoded = *decode_gossip(bytes, now_);
-        const auto out     = it.table->merge_members(decoded.members, now_);
-        for (const auto& candidate : decoded.candidates)
-            it.table->merge(candidate, now_);
-        for (const auto& limit : decoded.limits) {
-            if (!it.table->resuming(now_))
-                it.limits.merge(limit, now_);
+        if (it.queues_only) {
+            limit_bytes += bytes;
         }
-        return out;
-    }
-
-    void gossip(std::size_t from, std::size_t to, bool brief)
-    {
-        send(from, to, [this, from, to, brief, bytes = message(from, brief)] {
-            for (const auto& it : receive(to, bytes))
-                gossip(to, index_of(it), false);
-            send(to, from, [this, from, bytes = message(to, brief)] {
-                for (const auto& it : receive(from, bytes))
-                    gossip(from, index_of(it), false);
-            });
-        });
-    }
-
-    void spread(std::size_t k)
-    {
-        auto& it   = *daemons_[k];
-        it.changed = true;
-        if (!std::exchange(it.spreading, true))
-            spread_now(k);
-    }
-    void spread_now(std::size_t k)
-    {
-        auto& it = *daemons_[k];
-        if (!std::exchange(it.changed, false)) {
-            it.spreading = false;
-            return;
+        else if (!it.limits.empty()) {
+            auto without = it;
+            without.limits.clear();
+            limit_bytes += bytes - encode(without, now()).size();
         }
-        on(k, now_, [this, k] {
-            auto& table = *daemons_[k]->table;
-            for (const auto& to : table.large() ? table.random_alive(4, now_)
-                                                : table.alive(now_))
-                gossip(k, index_of(to), true);
-            on(k, now_ + milliseconds{200}, [this, k] { spread_now(k); });
-        });
     }
 
     // Calls ------------------------------------------------------------------
@@ -374,13 +177,13 @@
     void schedule_call(std::size_t k)
     {
         const auto mean =
-            static_cast<double>(daemons_.size()) / std::max(offered_, 1e-9);
+            static_cast<double>(size()) / std::max(offered_, 1e-9);
         const auto wait = std::chrono::duration_cast<microseconds>(
             std::chrono::duration<double>(
                 std::exponential_distribution<>(1 / mean)(random_)));
-        at(now_ + wait, [this, k] {
-            auto& it = *daemons_[k];
-            if (it.alive && now_ >= it.paused_until)
+        schedule(now() + wait, [this, k] {
+            auto& it = at(k);
+            if (it.alive && now() >= it.paused_until)
                 want_call(k);
             schedule_call(k);
         });
@@ -388,48 +191,46 @@
 
     void want_call(std::size_t k)
     {
-        auto&       it    = *daemons_[k];
-        const auto* limit = it.limits.find(target_);
+        const auto* limit = limits(k).find(target_);
         if (!limit) {
             send_call(k, std::nullopt);
             return;
         }
-        if (it.limits.opens_at(target_, now_) > now_)
+        if (limits(k).opens_at(target_, now()) > now())
             return;
         const permit_request request{*limit, milliseconds{500}};
-        const auto           owner = it.issuer->owner(target_.id, now_);
-        if (owner == it.table->self().address) {
-            use(k, it.issuer->issue(request, now_));
+        const auto owner = knowledge_[k].issuer->owner(target_.id, now());
+        if (owner == at(k).table->self().address) {
+            use(k, knowledge_[k].issuer->issue(request, now()));
             return;
         }
         const auto to       = index_of(owner);
         auto       answered = std::make_shared<bool>(false);
-        send(k, to, [this, k, to, answered, bytes = encode(request, now_)] {
-            const auto asked = *decode_permit_request(bytes, now_);
+        send(k, to, [this, k, to, answered, bytes = encode(request, now())] {
+            const auto asked = *decode_permit_request(bytes, now());
             const auto response =
-                encode(daemons_[to]->issuer->issue(asked, now_), now_);
+                encode(knowledge_[to].issuer->issue(asked, now()), now());
             send(to, k, [this, k, answered, response] {
                 if (!std::exchange(*answered, true))
-                    use(k, *decode_permit_response(response, now_));
+                    use(k, *decode_permit_response(response, now()));
             });
         });
-        on(k, now_ + milliseconds{200}, [this, k, answered] {
+        on(k, now() + milliseconds{200}, [this, k, answered] {
             if (!std::exchange(*answered, true))
-                daemons_[k]->limits.hold(target_.id, now_ + milliseconds{500});
+                limits(k).hold(target_.id, now() + milliseconds{500});
         });
     }
 
     void use(std::size_t k, const permit_response& response)
     {
-        auto& it = *daemons_[k];
-        if (response.limit && !it.table->resuming(now_))
-            it.limits.merge(*response.limit, now_);
+        if (response.limit && !at(k).table->resuming(now()))
+            limits(k).merge(*response.limit, now());
         if (!response.granted) {
-            it.limits.hold(target_.id, now_ + response.wait);
+            limits(k).hold(target_.id, now() + response.wait);
             return;
         }
-        const auto*       limit = it.limits.find(target_);
-        const call_permit permit{true, false, now_ + response.wait,
+        const auto*       limit = limits(k).find(target_);
+        const call_permit permit{true, false, now() + response.wait,
                                  limit ? *limit->rate : 1e9};
         // A connection is opened meanwhile.
         const auto connected =
@@ -440,40 +241,33 @@
 
     void send_call(std::size_t k, const std::optional<call_permit>& permit)
     {
-        const auto* limit = daemons_[k]->limits.find(target_);
-        if (limit && (!permit || !permit->covers(limit, now_)))
+        const auto* limit = limits(k).find(target_);
+        if (limit && (!permit || !permit->covers(limit, now())))
             return;
-        const auto sent_at = now_;
+        const auto sent_at = now();
         const auto life    = target_.started_at;
-        at(now_ + delay(), [this, k, sent_at, life] {
+        schedule(now() + delay(), [this, k, sent_at, life] {
             if (life != target_.started_at)
                 return;
-            calls_.push_back({now_, k});
+            calls_.push_back({now(), k});
             const milliseconds work{
                 std::uniform_int_distribution<int>(5, 60)(random_)};
-            at(now_ + work, [this, k, sent_at, life] {
+            schedule(now() + work, [this, k, sent_at, life] {
                 if (life != target_.started_at)
                     return;
                 target_notice notice;
                 notice.call_limit = limit_;
-                on(k, now_ + delay(), [this, k, sent_at, notice, life] {
+                on(k, now() + delay(), [this, k, sent_at, notice, life] {
                     auto from       = target_;
                     from.started_at = life;
-                    daemons_[k]->limits.apply(from, notice, sent_at, now_);
+                    limits(k).apply(from, notice, sent_at, now());
                 });
             });
         });
     }
 
-    std::mt19937_64            random_;
-    double                     offered_;
-    double                     loss_ = 0;
-    time_point                 now_  = time_point{} + std::chrono::hours{1};
-    std::priority_queue<event> events_;
-    std::uint64_t              next_event_  = 0;
-    std::uint64_t              incarnation_ = 0;
-    std::vector<std::unique_ptr<daemon>>          daemons_;
-    std::function<bool(std::size_t, std::size_t)> cut_;
+    double                 offered_;
+    std::vector<knowledge> knowledge_; ///< By daemon.
     target                target_{"i-1", "s", "10.1.0.1:80", "d1", 8, false, 1};
     std::optional<double> limit_;
     std::optional<time_point> named_at_;
