Close connections after refusals that name no request

A faulty target may write an earlier refusal once more on a kept connection. A refusal without attempt id was believed of the request at hand, so that a caller was told "not run, try again" of a request that ran, or it ran twice. After a stage call, the response to that call then stayed on the connection, where the next call took its results for its own. The product's own daemon kept connections after error responses, too, which name no request there.

Such connections are closed now. Both tests of the gateway and the one of the daemon failed before. Tests show besides that responses which end with their connection are delivered whole, or not at all when the connection is reset or a stream ends inside an event; they passed before this change.

--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -1001,7 +1001,9 @@
         error_code ec;
         lease->read_all(remaining_time(), ec, max_discarded_body);
         finish_call(chosen, how);
-        if (!ec)
+        // A second copy of a refusal without attempt id could not be told from
+        // the response to the next request on the connection.
+        if (!ec && !head_.attempt.empty())
             return_connection(std::move(lease));
         return attempt_result::not_run;
     }
--- a/src/stage_caller.cpp
+++ b/src/stage_caller.cpp
@@ -183,13 +183,16 @@
                 daemon_now() - sent_at_);
             work_.on_load(*load);
         }
-        if (head.result() != http::status::ok)
+        const auto head_status = head.result();
+        if (head_status != http::status::ok)
             read_error_response();
         else if (work_.stage->kind == stage_kind::generate)
             read_stream();
         else
             read_service_response();
-        if (client_->reusable())
+        // A second copy of an error response, which names no request, could not
+        // be told from the response to the next call.
+        if (head_status == http::status::ok && client_->reusable())
             owner_.pool_.put(work_.target->address, std::move(client_));
         return std::move(result_);
     }
--- a/src/stage_scheduler.cpp
+++ b/src/stage_scheduler.cpp
@@ -281,7 +281,8 @@
                          daemon_now());
         log(log_level::info, "stage call refused",
             {{"target", call.target}, {"status", head.status}});
-        init_.connections.give_back(std::move(lease), head.idle_time);
+        // The connection is closed: a second copy of the refusal could not be
+        // told from the response to the next call on it.
         return {};
     }
     auto results = init_.codec.decode_stage_results(body, pieces.size());
--- a/tests/caller_test.cpp
+++ b/tests/caller_test.cpp
@@ -190,6 +190,22 @@
     }
 }
 
+// Guards against a second copy of a refusal that is taken for the response to
+// the next call on its connection: a call that runs is reported as not run.
+TEST_CASE("a connection is not used again after a refusal")
+{
+    fake_target target([](http_exchange& it, int) {
+        http_response out(http::status::service_unavailable, 11);
+        out.body() = R"({"execution":"not_run"})";
+        it.respond(std::move(out));
+    });
+    front_end   front(
+          one_stage_deployment(stage_kind::service, true, {target.address()}));
+    CHECK(front.call(front.request()).status == 503);
+    CHECK(target.calls() > 0);
+    CHECK(eventually([&] { return target.connections() == 0; }));
+}
+
 // Guards against targets that continue to work for callers that disconnected.
 TEST_CASE("a caller that closes its connection cancels the target's work")
 {
--- /dev/null
+++ b/tests/gateway_fault_test.cpp
@@ -0,0 +1,234 @@
+#include "gateway_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace arbutusgate;
+using namespace arbutusgate::gateway;
+using namespace arbutusgate::gateway::test;
+
+namespace {
+
+bool has(const std::string& text, std::string_view part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+std::size_t count(const std::string& text, std::string_view part)
+{
+    std::size_t n = 0;
+    for (auto at = text.find(part); at != std::string::npos;
+         at      = text.find(part, at + 1))
+        ++n;
+    return n;
+}
+
+/// Head of a signed response with neither a length nor chunks: it ends with its
+/// connection.
+std::string open_ended_head(const std::string& type = "text/plain")
+{
+    return "HTTP/1.1 200 OK\r\nArbutusgate-Attempt-Id: 9c41\r\n"
+           "Arbutusgate-Server-Signature: sig\r\nContent-Type: " +
+           type + "\r\n\r\n";
+}
+
+const std::string events_type = "text/event-stream";
+
+/// A target that answers the first request on each connection with a text and
+/// ends the connection.
+class ending_target
+{
+public:
+    ending_target(std::string text, bool resets)
+        : server([this, text = std::move(text), resets](target_session& it) {
+              if (it.read().empty())
+                  return;
+              ++requests;
+              it.write(text);
+              if (resets)
+                  it.reset();
+          })
+    {
+    }
+
+    std::atomic<int> requests{0};
+    scripted_target  server;
+};
+
+} // namespace
+
+// Guards against a response without a length that is not delivered, or whose
+// connection is used again.
+TEST_CASE("a plain response may end with its connection", "[gateway][sockets]")
+{
+    const std::string body = GENERATE("", "body of the target");
+    ending_target     t(open_ended_head() + body, false);
+    gateway_fixture   g({make_target("i-1", t.server.address())});
+    for (int n = 0; n < 3; ++n) {
+        const auto out = g.exchange(g.request("/once/"));
+        CHECK(out.starts_with("HTTP/1.1 200 OK\r\n"));
+        CHECK(out.ends_with("\r\n\r\n" + body));
+    }
+    CHECK(t.requests == 3);
+}
+
+// Guards against a response without a length that was cut and reaches the
+// caller as a success.
+TEST_CASE("a plain response whose connection is reset is a failure",
+          "[gateway][sockets]")
+{
+    const std::string body = GENERATE("", "half of the bo");
+    ending_target     t(open_ended_head() + body, true);
+    gateway_fixture   g({make_target("i-1", t.server.address())});
+    const auto        out = g.exchange(g.request("/once/"));
+    CHECK(has(out, "HTTP/1.1 502"));
+    CHECK_FALSE(has(out, "Arbutusgate-Server-Signature"));
+}
+
+// Guards against streams without chunks whose end is taken for a failure, or
+// whose failure is taken for the end.
+TEST_CASE("a stream may end with its connection", "[gateway][sockets]")
+{
+    struct ending
+    {
+        std::string events;
+        bool        resets;
+        bool        whole;
+    };
+    const auto it = GENERATE(
+        values<ending>({{"id: 1\ndata: a\n\nid: 2\ndata: b\n\n", false, true},
+                        {"", false, true},
+                        {"id: 1\ndata: a\n\n", true, false},
+                        {"", true, false},
+                        {"id: 1\ndata: a\n\nid: 2\nda", false, false},
+                        {"id: 1\nda", false, false},
+                        {"id: 1\ndata: a\n\nid: 2\nda", true, false}}));
+    ending_target   t(open_ended_head(events_type) + it.events, it.resets);
+    gateway_fixture g({make_target("i-1", t.server.address())});
+    const auto      out = g.exchange(g.request("/stream/"));
+    CAPTURE(it.events, it.resets, out);
+    CHECK(has(out, "\r\n0\r\n\r\n") == it.whole);
+    CHECK(count(out, "data: a") == count(it.events, "data: a\n\n"));
+    CHECK_FALSE(has(out, "id: 2\nda\r"));
+    CHECK(count(out, "HTTP/1.1") <= 1);
+    // The connection that ended is not used again.
+    g.exchange(g.request("/stream/"));
+    CHECK(t.requests == 2);
+}
+
+// Guards against a stream that breaks off inside an event at the end of its
+// connection and is not resumed.
+TEST_CASE("a stream that ends inside an event is resumed", "[gateway][sockets]")
+{
+    std::atomic<int> calls{0};
+    const auto       script = [&](target_session& it) {
+        if (it.read().empty())
+            return;
+        it.write(open_ended_head(events_type) +
+                       (++calls == 1 ? "id: 1\ndata: a\n\nid: 2\ndat"
+                                     : "id: 2\ndata: b\n\n"));
+    };
+    scripted_target one(script);
+    scripted_target two(script);
+    gateway_fixture g(
+        {make_target("i-1", one.address()), make_target("i-2", two.address())});
+    const auto out = g.exchange(g.request("/resume/"));
+    CHECK(count(out, "id: 1\ndata: a\n\n") == 1);
+    CHECK(count(out, "id: 2\ndata: b\n\n") == 1);
+    CHECK(out.ends_with("0\r\n\r\n"));
+}
+
+// Guards against bytes after a stated length that are taken for the next
+// response on the connection.
+TEST_CASE("bytes after a response of stated length are dropped",
+          "[gateway][sockets]")
+{
+    const bool       late = GENERATE(false, true);
+    std::atomic<int> connections{0};
+    scripted_target  t([&](target_session& it) {
+        const auto n = std::to_string(++connections);
+        for (auto text = it.read(); !text.empty(); text = it.read()) {
+            const auto extra = answer("stale");
+            if (late) {
+                it.write(answer("mine" + n));
+                std::this_thread::sleep_for(milliseconds{20});
+                it.write(extra);
+            }
+            else {
+                it.write(answer("mine" + n) + extra);
+            }
+        }
+    });
+    gateway_fixture  g({make_target("i-1", t.address())});
+    for (int n = 1; n <= 3; ++n) {
+        CHECK(g.exchange(g.request("/once/"))
+                  .ends_with("mine" + std::to_string(n)));
+        std::this_thread::sleep_for(milliseconds{60});
+    }
+}
+
+// Guards against a caller that is told "not run" of a request that runs: a
+// faulty target writes a refusal without attempt id once more, in place of the
+// response to a later request on the connection.
+TEST_CASE("a refusal that comes twice is not believed of the next request",
+          "[gateway][sockets]")
+{
+    const std::string refusal = "HTTP/1.1 503 Full\r\n"
+                                "Arbutusgate-Not-Executed: 1\r\n"
+                                "Content-Length: 0\r\n\r\n";
+    std::atomic<int>  connections{0};
+    scripted_target   t([&](target_session& it) {
+        if (++connections > 1) {
+            while (!it.read().empty())
+                it.write(answer("ran"));
+            return;
+        }
+        it.read();
+        it.write(refusal);
+        // The second request runs, but an old refusal is written before its
+        // response.
+        if (!it.read().empty())
+            it.write(refusal + answer("ran"));
+    });
+    gateway_fixture   g({make_target("i-1", t.address())});
+    CHECK(has(g.exchange(g.request("/once/")), "HTTP/1.1 503"));
+    CHECK(g.exchange(g.request("/once/")).ends_with("ran"));
+}
+
+// Guards against a stage call whose response is left on the connection, since
+// an earlier refusal was written once more before it: the next call would take
+// it for its own.
+TEST_CASE("a refused stage call ends its connection", "[gateway][sockets]")
+{
+    std::atomic<int> refused{0};
+    std::atomic<int> later_calls{0};
+    scripted_target  stage([&](target_session& it) {
+        bool refused_here = false;
+        for (auto text = it.read(); !text.empty(); text = it.read()) {
+            if (has(text, "/stage-free")) {
+                it.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                continue;
+            }
+            later_calls += refused_here ? 1 : 0;
+            if (refused++ == 0) {
+                refused_here = true;
+                it.write("HTTP/1.1 503 Full\r\n"
+                           "Arbutusgate-Not-Executed: 1\r\n"
+                           "Content-Length: 0\r\n\r\n");
+                continue;
+            }
+            it.write(answer(R"({"items":[{"handle":"h/1"}]})"));
+        }
+    });
+    scripted_target  engine([&](target_session& it) {
+        if (!it.read().empty())
+            it.write(answer("done"));
+    });
+    gateway_fixture  g({make_target("i-1", engine.address()),
+                        make_target("p-1", stage.address(), "p")});
+    const auto       out = g.exchange(
+              g.request("/staged/", "body",
+                        "Arbutusgate-Pieces: 1,0\r\nArbutusgate-Piece-Key: kk\r\n"));
+    CHECK(out.ends_with("done"));
+    CHECK(refused >= 2);
+    CHECK(later_calls == 0);
+}
