Continue a stream with events only

A stream had begun and broke off, and the next target answered with a signed success that was no event stream: its head and body were written into the caller's stream, whose connection then ended as if it were complete. Failures of the next target were not relayed before, either. Now anything but events cuts the stream.

--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -1019,11 +1019,16 @@
     }
     handle_limit(parts_.targets, chosen, head_, {"request", call_.attempt},
                  sent_at_, now);
-    if (stream_started_ && !good) {
+    const bool stream = good && head_.event_body;
+    if (stream_started_ && !stream) {
+        log(log_level::warning, "stream is not continued by the next target",
+            {{"request", call_.attempt},
+             {"target", chosen.id},
+             {"status", head_.status}});
         finish_call(chosen, call_outcome::error);
         return attempt_result::cut;
     }
-    if (good && head_.event_body)
+    if (stream)
         return relay_stream(chosen, lease);
     return relay_response(chosen, lease);
 }
--- a/tests/gateway_fault_test.cpp
+++ b/tests/gateway_fault_test.cpp
@@ -232,3 +232,38 @@
     CHECK(refused >= 2);
     CHECK(later_calls == 0);
 }
+
+// Guards against a stream that broke off and into which the next target's
+// response is written, or which then ends as if it were complete.
+TEST_CASE("a stream is only continued by events", "[gateway][sockets]")
+{
+    const std::string next = GENERATE(
+        answer("error text", "500 Internal Server Error"),
+        answer("not a stream"), answer("error text", "404 Not Found"),
+        answer("", "204 No Content"),
+        std::string("HTTP/1.1 503 Full\r\nArbutusgate-Not-Executed: 1\r\n"
+                    "Content-Length: 10\r\n\r\nerror text"),
+        std::string("HTTP/1.1 500 Oops\r\nContent-Length: 10\r\n\r\n"
+                    "error text"),
+        open_ended_head() + "not a stream");
+    std::atomic<int> calls{0};
+    const auto       script = [&](target_session& it) {
+        if (it.read().empty())
+            return;
+        if (++calls == 1) {
+            it.write(stream_head() + chunk("id: 1\ndata: a\n\n"));
+            it.reset();
+            return;
+        }
+        it.write(next);
+    };
+    scripted_target one(script);
+    scripted_target two(script);
+    gateway_fixture g(
+        {make_target("i-1", one.address()), make_target("i-2", two.address())});
+    const auto out = g.exchange(g.request("/resume/"));
+    CAPTURE(next, out);
+    CHECK(calls == 2);
+    CHECK(out.ends_with("\r\n\r\n" + chunk("id: 1\ndata: a\n\n")));
+    CHECK(count(out, "HTTP/1.1") == 1);
+}
