--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -167,6 +167,56 @@
     CHECK_FALSE(decode_page("x").ok());
 }
 
+// Guards against an entry of another writer that ends the process, or that
+// hides the entries beside it or those that follow.
+TEST_CASE("an odd entry does not hide other targets", "[platform]")
+{
+    const std::string deep(100'000, '[');
+    const auto        large = [](const char* from, const char* to) {
+        return with_replacement(target_text, from, to);
+    };
+    const auto odd = GENERATE_COPY(values<std::string>(
+        {deep, R"({"service":)" + deep,
+         large(R"("slots":128)", R"("slots":1e300)"),
+         large(R"("slots":128)", R"("slots":1e999)"),
+         large(R"("sequence":4)", R"("sequence":99999999999999999999999)"),
+         large(R"("born":1764)", R"("born":1e300)"),
+         large(R"("born":1764)", R"("born":-1e300)"),
+         large("10.0.0.9:8080", "10.0.0.9:70000"),
+         large("10.0.0.9:8080", "10.0.0.9:-1"),
+         large("10.0.0.9:8080", "10.0.0.9:0"),
+         large("10.0.0.9:8080", "10.0.0.9:99999999999999999999")}));
+    CAPTURE(odd.substr(0, 80));
+    const auto sound = item("servers/i-1", target_text);
+    const auto after = item("servers/i-3", target_text);
+    const auto list  = sound + "," + item("servers/i-2", odd) + "," + after;
+    const auto page  = decode_page(R"({"items":[)" + list +
+                                   R"(],"morePages":false,"currentRev":530})");
+    REQUIRE(page.ok());
+    REQUIRE(page->entries.size() == 3);
+    CHECK(std::get<target>(page->entries[0]).id == "i-1");
+    CHECK(std::get<target_removed>(page->entries[1]).unreadable);
+    CHECK(std::get<target>(page->entries[2]).id == "i-3");
+    const auto changes =
+        decode_changes(R"({"events":[)" + list + R"(],"currentRev":531})");
+    REQUIRE(changes.ok());
+    CHECK(changes->revision == 531);
+    CHECK(changes->changes.size() == 3);
+    CHECK(std::get<target>(changes->changes[2]).id == "i-3");
+}
+
+// Guards against numbers of a configuration that no time or size can hold.
+TEST_CASE("a configuration with numbers out of range is rejected", "[platform]")
+{
+    for (const auto& [from, to] :
+         std::vector<std::pair<std::string, std::string>>{
+             {R"("timeoutMs":6000)", R"("timeoutMs":1e300)"},
+             {R"("timeoutMs":6000)", R"("timeoutMs":-1)"},
+             {R"("weight":90)", R"("weight":1e300)"}})
+        CHECK_FALSE(
+            decode_configuration(with_replacement(config_text, from, to)).ok());
+}
+
 // Guards against forwarding a changed call, the caller's key, or a caller's
 // value of a header that only the gateway may set.
 TEST_CASE("a forwarded call has only the gateway's own internal headers",
