Bound what one request leaves behind in the quarantine

A caller may send thousands of parts in one request. They all counted as answered, and each call that broke off kept them all, so that few requests of a hostile caller pushed out what was known of others. Of a request with more than 32 shared parts, 32 are taken now, others for each request, so that a deadly part among many is still found.

--- a/src/crash_check.cpp
+++ b/src/crash_check.cpp
@@ -21,7 +21,7 @@
 {
     auto&      calls   = pending_[at.id];
     const bool running = !calls.empty();
-    calls.emplace_back(prompt, when);
+    calls.emplace_back(sample_parts(prompt), when);
     if (!running)
         fibers_.spawn([this, at] { check(at); });
 }
--- a/src/crash_report.hpp
+++ b/src/crash_report.hpp
@@ -17,6 +17,9 @@
 };
 
 prompt_key make_prompt_key(const std::vector<prompt_part>& prompt);
+/// \return the prompt with few of its shared parts, which differ from request
+/// to request: a bound on what one request leaves behind.
+prompt_key sample_parts(const prompt_key& prompt);
 
 /// Identifies the software that may crash on a part: the service and version of
 /// the target.
--- a/src/part_quarantine.cpp
+++ b/src/part_quarantine.cpp
@@ -50,6 +50,23 @@
     return out;
 }
 
+prompt_key sample_parts(const prompt_key& prompt)
+{
+    constexpr std::size_t max_parts = 32;
+    if (prompt.shared.size() <= max_parts)
+        return prompt;
+    const auto rank = [own = prompt.own](std::uint64_t part) {
+        return XXH3_64bits_withSeed(&part, sizeof part, own);
+    };
+    auto out = prompt;
+    std::nth_element(
+        out.shared.begin(),
+        out.shared.begin() + static_cast<std::ptrdiff_t>(max_parts),
+        out.shared.end(), [&](auto a, auto b) { return rank(a) < rank(b); });
+    out.shared.resize(max_parts);
+    return out;
+}
+
 std::uint64_t crash_scope(const target& of)
 {
     return hash(of.version, hash(of.service));
@@ -85,7 +102,7 @@
                                time_point now)
 {
     const auto scope = crash_scope(by);
-    for (const auto part : prompt.shared) {
+    for (const auto part : sample_parts(prompt).shared) {
         remember_answer(part, scope, now);
         const auto found = parts_.find(part);
         if (found == parts_.end())
@@ -103,7 +120,7 @@
                                 time_point now)
 {
     ++stats_.accused;
-    accuse(prompt, at, now);
+    accuse(sample_parts(prompt), at, now);
 }
 
 void part_quarantine::fell_silent(const prompt_key& prompt, const target& at,
@@ -113,7 +130,7 @@
         return;
     if (silent_calls_.size() >= params_.max_silent_calls)
         silent_calls_.erase(silent_calls_.begin());
-    silent_calls_.push_back({prompt, at, now});
+    silent_calls_.push_back({sample_parts(prompt), at, now});
 }
 
 void part_quarantine::target_changed(const std::string& id,
@@ -137,17 +154,14 @@
 {
     const auto lifetime = target_lifetime(at);
     const auto scope    = crash_scope(at);
-    const auto n = std::min(prompt.shared.size(), params_.max_accused_parts);
     note_accused(lifetime, now);
-    for (auto part = prompt.shared.end() - static_cast<std::ptrdiff_t>(n);
-         part != prompt.shared.end(); ++part)
-    {
-        const auto answered = answered_at(*part, scope);
+    for (const auto part : prompt.shared) {
+        const auto answered = answered_at(part, scope);
         if (answered && *answered + params_.answer_margin >= now)
             continue;
-        auto&      it     = entry_of(*part);
+        auto&      it     = entry_of(part);
         const auto before = it.crashes;
-        merge_companions(it.report, companions_of(*part, prompt));
+        merge_companions(it.report, companions_of(part, prompt));
         add_crash(it.report, {lifetime, prompt.own, scope, now});
         judge(it);
         if (it.crashes > before)
--- a/src/part_quarantine.hpp
+++ b/src/part_quarantine.hpp
@@ -61,8 +61,6 @@
     std::size_t max_answered_parts = 8192; ///< Remembered as answered.
     std::size_t max_lifetimes      = 256;  ///< With calls that broke off.
     std::size_t max_silent_calls   = 256;
-    /// Of one request: the last ones, as the first are shared most.
-    std::size_t max_accused_parts = 32;
 };
 
 /// Why a request must not reach a target.
--- a/tests/part_quarantine_test.cpp
+++ b/tests/part_quarantine_test.cpp
@@ -372,3 +372,23 @@
         CHECK_FALSE(blocked(q, key({"f", "m"}, 13), 3000));
     }
 }
+
+// Guards against a deadly part that hides among many others in a request.
+TEST_CASE("a deadly part among many others is found", "[gateway][parts]")
+{
+    part_quarantine q;
+    const auto      make = [](int n) {
+        std::vector<prompt_part> out;
+        for (int k = 0; k < 200; ++k)
+            out.push_back({"x" + std::to_string(1000 * n + k), 1});
+        out[100].id = "dead";
+        return make_prompt_key(out);
+    };
+    int n = 0;
+    while (!blocked(q, make(n), 300 * n + 1000) && n < 200) {
+        q.broke_off(make(n), make_target(n), at(300 * n));
+        ++n;
+    }
+    CHECK(n < 100);
+    CHECK(blocked(q, prompt("dead", 9), 300 * n + 2000));
+}
