Let crashes be older than the clock of a daemon

The clock of a daemon counts from the boot of its VM. One on a VM that had just been booted gave crashes of a minute ago times below zero, where zero stood for "never heard of", so that it took their targets for alive and refused nothing. Found by the test of the product's own daemons, in which the daemon that starts did not refuse the prompt; the new test shows it for the quarantine itself.

--- a/src/part_quarantine.cpp
+++ b/src/part_quarantine.cpp
@@ -32,6 +32,12 @@
     return XXH3_64bits_withSeed(&part, sizeof part, scope);
 }
 
+/// \return true when \p at is less than \p span ago.
+bool is_within(time_point at, milliseconds span, time_point now)
+{
+    return at > now - span;
+}
+
 bool by_time(const part_crash& a, const part_crash& b)
 {
     return a.at < b.at;
@@ -178,9 +184,9 @@
                                                      b.second.accused_at;
                                           }));
     auto& it = lifetimes_[id];
-    if (it.accused_at == time_point{} || it.alive_at > it.accused_at) {
+    if (it.accused_at == never || it.alive_at > it.accused_at) {
         it.accused_at = std::max(at, it.alive_at);
-        it.heard_at   = {};
+        it.heard_at   = never;
     }
     else {
         it.accused_at = std::min(it.accused_at, at);
@@ -202,7 +208,7 @@
         now < it.accused_at + params_.proof_margin ||
         it.alive_at > it.accused_at)
         return;
-    if (it.heard_at == time_point{}) {
+    if (it.heard_at == never) {
         it.heard_at = now;
         return;
     }
@@ -284,7 +290,7 @@
 void part_quarantine::add_news(entry& it, std::size_t weight, source from,
                                time_point now)
 {
-    it.news_weight = now - it.news_at < news_time
+    it.news_weight = is_within(it.news_at, news_time, now)
                          ? std::max(it.news_weight, weight)
                          : weight;
     it.news_at     = now;
@@ -296,7 +302,7 @@
                                                   time_point  now)
 {
     const auto is_news = [&](const entry& it) {
-        return it.news_at != time_point{} && now - it.news_at < news_time;
+        return is_within(it.news_at, news_time, now);
     };
     std::vector<const entry*> news;
     for (const auto& [part, it] : parts_) {
@@ -315,12 +321,12 @@
     add_in_turn(out, std::min(most, out.size() + max_settled_reports),
                 last_quarantine_, [&](const entry& it) {
                     return it.convicted && !is_news(it) &&
-                           now - it.reported_at >= settled_interval;
+                           !is_within(it.reported_at, settled_interval, now);
                 });
     add_in_turn(out, std::min(most, out.size() + max_suspect_reports),
                 last_suspect_, [&](const entry& it) {
                     return !it.convicted && it.crashes > 0 && !is_news(it) &&
-                           now - it.reported_at >= suspect_interval;
+                           !is_within(it.reported_at, suspect_interval, now);
                 });
     for (const auto& it : out)
         parts_.at(it.part).reported_at = now;
@@ -348,8 +354,7 @@
 {
     std::vector<lifetime_report> out;
     for (const auto& [id, it] : lifetimes_) {
-        if (out.size() < most && it.news_at != time_point{} &&
-            now - it.news_at < news_time)
+        if (out.size() < most && is_within(it.news_at, news_time, now))
             out.push_back({id, it.alive_at});
     }
     return out;
@@ -475,7 +480,7 @@
 
 time_point part_quarantine::last_activity(const entry& it) const
 {
-    auto out = it.report.last_trial_at;
+    auto out = it.report.trials > 0 ? it.report.last_trial_at : never;
     for (const auto& crash : it.report.crashes)
         out = std::max(out, crash.at);
     return out;
--- a/src/part_quarantine.hpp
+++ b/src/part_quarantine.hpp
@@ -157,6 +157,10 @@
     part_quarantine_stats stats() const { return stats_; }
 
 private:
+    /// Events of other daemons may be older than the clock of this one, whose
+    /// VM was booted later.
+    static constexpr time_point never = time_point::min();
+
     struct entry
     {
         part_report report;
@@ -164,18 +168,18 @@
         std::size_t requests  = 0; ///< In these crashes.
         bool        convicted = false;
         time_point  in_force_at{}; ///< If convicted.
-        time_point  news_at{};
-        std::size_t news_weight = 0; ///< News of more crashes go first.
-        time_point  reported_at{};   ///< In a message.
+        time_point  news_at     = never;
+        std::size_t news_weight = 0;     ///< News of more crashes go first.
+        time_point  reported_at = never; ///< In a message.
     };
     struct lifetime
     {
         /// When the first of its calls broke off since it was last shown to be
         /// alive.
-        time_point accused_at{};
-        time_point heard_at{}; ///< First bytes after that; zero: none.
-        time_point alive_at{}; ///< When it was shown to be alive.
-        time_point news_at{};
+        time_point accused_at = never;
+        time_point heard_at   = never; ///< First bytes after that; never: none.
+        time_point alive_at   = never; ///< When it was shown to be alive.
+        time_point news_at    = never;
     };
     struct silent_call
     {
--- a/tests/part_quarantine_test.cpp
+++ b/tests/part_quarantine_test.cpp
@@ -392,3 +392,27 @@
     CHECK(n < 100);
     CHECK(blocked(q, prompt("dead", 9), 300 * n + 2000));
 }
+
+// Guards against reports that are older than the clock of a daemon: its VM was
+// booted after the crashes.
+TEST_CASE("a daemon on a new VM learns of old crashes", "[gateway][parts]")
+{
+    part_quarantine known;
+    crash_thrice(known, 0);
+    auto list = known.reports(9, at(1500));
+    // The new VM has been up for 2 s, the crashes are a minute old.
+    const auto booted = time_point{} + seconds{2};
+    for (auto& it : list) {
+        for (auto& crash : it.crashes)
+            crash.at = booted - seconds{60} + (crash.at - at(0));
+        for (auto& answer : it.answers)
+            answer.at = booted - seconds{60} + (answer.at - at(0));
+    }
+    part_quarantine q;
+    for (const auto& it : list)
+        q.merge(it, booted);
+    CHECK(q.find(prompt("dead", 9), crash_scope(make_target(0)), booted));
+    CHECK(q.reports(9, booted).size() >= 1);
+    // Nothing was heard of the targets.
+    CHECK(q.lifetime_reports(9, booted).empty());
+}
