Keep prompts that crash engines from them in the product's own daemon

arbutusgated had the cause of the incident, too: an engine call that ended without a token blamed its engine, and nothing kept its prompt. The daemons now tell each other of such calls by the prefix of the prompt that requests share, with the same quarantine, in their gossip, and at once when there are news. A request with such a prompt is refused with 503 and the time of the next trial (reason "quarantined"), before its stages run and before each engine call. The targets have no start times here: one that breaks calls again within 10 s counts as one crash.

A prompt with a deadly part now crashes a stand-in engine for 3 s. The load tool sends such prompts (--deadly-share) and takes it for a violation when more than three reach engines 3 s after the fifth crash by daemons that may not die, or when another request is refused for its prompt.

Tests: fleets of 9 and 60 node cores refuse the prompt 2.5 s after the third crash, also the daemon that starts then, and end after one trial that is answered; calls that break off are reported; the stand-in crashes; the load tool finds both violations.

--- a/include/arbutusgate/config.hpp
+++ b/include/arbutusgate/config.hpp
@@ -85,6 +85,8 @@
 inline constexpr std::size_t max_leaving_sent    = 32; // newest; per message
 /// Limits of targets on their calls in one message.
 inline constexpr std::size_t max_limits_sent = 8;
+/// Reports on prompts that crash targets in one message.
+inline constexpr std::size_t max_prompt_reports_sent = 8;
 
 // Commands to engines.
 inline constexpr auto command_poll = 5s;
--- a/include/arbutusgate/node_core.hpp
+++ b/include/arbutusgate/node_core.hpp
@@ -99,6 +99,16 @@
 using node_event = std::variant<claim_event, config_event, target_leaving_event,
                                 target_limit_event, config_conflict_event>;
 
+/// A call of a generate stage, for the quarantine of prompts that crash
+/// targets.
+struct prompt_call
+{
+    std::string_view pool;
+    std::string_view target;      ///< Name.
+    std::uint64_t    prefix  = 0; ///< Hash of the part that requests share.
+    std::uint64_t    request = 0; ///< Hash of the request's id.
+};
+
 /// State of a slot as this daemon sees it.
 struct member_view
 {
@@ -171,6 +181,14 @@
     /// \param call_age time since the call was sent.
     void on_target_limit(std::string_view name, std::optional<double> rate,
                          microseconds call_age, time_point now);
+    /// The target began to answer the call.
+    void on_prompt_answered(const prompt_call& it, time_point now);
+    /// The connection of the call ended before that.
+    void on_prompt_broken(const prompt_call& it, time_point now);
+    /// \return time until a request with the prefix may be tried; nothing when
+    /// it may be sent now.
+    std::optional<milliseconds> prompt_refused(const prompt_call& it,
+                                               time_point         now);
     /// Announces to the peers that this daemon drains, and hands its claims to
     /// the other voters.
     void begin_drain(time_point now);
--- a/include/arbutusgate/pipeline_run.hpp
+++ b/include/arbutusgate/pipeline_run.hpp
@@ -28,6 +28,8 @@
     account_id    account;
     time_point    deadline;
     std::uint64_t prefix_hash = 0; ///< Hash of the prompt's prefix; 0: none.
+    /// The prefix is not the whole prompt, so that other requests may have it.
+    bool shares_prefix = false;
     /// Limit set by the caller; 0: the stage's default.
     std::uint32_t max_tokens = 0;
 };
--- a/src/caller_request_reader.cpp
+++ b/src/caller_request_reader.cpp
@@ -130,7 +130,8 @@
     if (auto it = read_deadline(from, pipeline, request))
         return it;
     const auto size = std::min(request.input.size(), hashed_prefix_size);
-    request.info.prefix_hash = XXH3_64bits(request.input.data(), size);
+    request.info.prefix_hash   = XXH3_64bits(request.input.data(), size);
+    request.info.shares_prefix = size < request.input.size();
     return read_idempotency_key(from, pipeline, request);
 }
 
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -118,6 +118,7 @@
     it.counts  = &metrics_;
     it.explain = &explain_;
     it.runs    = &runs_;
+    it.prompts = &fleet_;
     it.on_load = [this](const std::string& target, const load_report& report) {
         leaving_.on_report(target, report);
         limits_.on_report(target, report);
--- a/src/fleet_node.cpp
+++ b/src/fleet_node.cpp
@@ -6,6 +6,7 @@
 #include "limit_part.hpp"
 #include "log.hpp"
 #include "relay_grid.hpp"
+#include "text.hpp"
 
 #include <boost/fiber/future/promise.hpp>
 
@@ -158,6 +159,33 @@
         node->record(claim, std::move(answer));
 }
 
+std::optional<milliseconds> fleet_node::refused(const prompt_call& it)
+{
+    const auto node = host();
+    return node ? node->apply([&](node_core& core, time_point now) {
+        return core.prompt_refused(it, now);
+    })
+                : std::nullopt;
+}
+
+void fleet_node::answered(const prompt_call& it)
+{
+    if (const auto node = host())
+        node->apply([&](node_core& core, time_point now) {
+            core.on_prompt_answered(it, now);
+        });
+}
+
+void fleet_node::broke_off(const prompt_call& it)
+{
+    log(log_level::warning, "engine call ended before its first token",
+        {{"target", std::string(it.target)}, {"prefix", to_hex(it.prefix)}});
+    if (const auto node = host())
+        node->apply([&](node_core& core, time_point now) {
+            core.on_prompt_broken(it, now);
+        });
+}
+
 bool fleet_node::ready() const
 {
     const auto node = host();
--- a/src/fleet_node.hpp
+++ b/src/fleet_node.hpp
@@ -9,6 +9,7 @@
 #include "node_host.hpp"
 #include "peer_link.hpp"
 #include "platform_client.hpp"
+#include "prompt_guard.hpp"
 #include "published_config.hpp"
 #include "version_checker.hpp"
 #include "worker_thread.hpp"
@@ -20,6 +21,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace arbutusgate {
@@ -62,7 +64,9 @@
 /// Thread-safe. The slot list is part of the configuration, so the node core
 /// starts after the first version was read, or with the slot list of the
 /// settings; until then no claims are granted.
-class fleet_node final : public claim_service, private peer_link
+class fleet_node final : public claim_service,
+                         public prompt_guard,
+                         private peer_link
 {
 public:
     /// \param control runs the calls to the platform; must outlive the node.
@@ -83,6 +87,10 @@
     void        release(std::uint64_t claim) override;
     void        record(std::uint64_t claim, recorded_answer answer) override;
 
+    std::optional<milliseconds> refused(const prompt_call& it) override;
+    void                        answered(const prompt_call& it) override;
+    void                        broke_off(const prompt_call& it) override;
+
     bool         ready() const;
     void         note_leaving(std::string_view target);
     void         note_limit(std::string_view target, const load_report& report);
--- a/src/load_check.cpp
+++ b/src/load_check.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace arbutusgate {
 
@@ -30,6 +31,28 @@
     }
 }
 
+void check_deadly_requests(const check_input& input, violation_list& violations)
+{
+    // A daemon that may die need not know the part when it is back.
+    constexpr std::size_t           allowed = 3;
+    std::unordered_set<std::string> late(
+        input.counters.late_deadly_tags.begin(),
+        input.counters.late_deadly_tags.end());
+    std::size_t n = 0;
+    for (const auto& it : input.results) {
+        const auto& request = input.plan[it.number];
+        if (late.contains(request.tag) && !contains(input.may_die, it.daemon))
+            ++n;
+        if (!request.deadly && it.reason == "quarantined")
+            violations.push_back(
+                absl::StrCat("request ", request.tag,
+                             " refused for a part that crashes targets"));
+    }
+    if (n > allowed)
+        violations.push_back(absl::StrCat(
+            n, " requests with a deadly part reached engines too late"));
+}
+
 void check_repeated_keys(const check_input& input, violation_list& violations)
 {
     std::unordered_map<std::uint32_t, const load_result*> first;
@@ -156,7 +179,8 @@
     violation_list violations;
     check_responses(input, violations);
     check_repeated_keys(input, violations);
-    for (const auto& it : input.over_limit)
+    check_deadly_requests(input, violations);
+    for (const auto& it : input.counters.over_limit)
         violations.push_back(absl::StrCat("target ", it.target, " got ",
                                           it.calls,
                                           " calls more than its limit allows"));
--- a/src/load_check.hpp
+++ b/src/load_check.hpp
@@ -24,14 +24,16 @@
     const std::vector<std::string>& daemons;
     /// Indices of the daemons that may lose requests; empty: all daemons.
     std::vector<std::size_t> may_die;
-    /// Targets that got more calls than their limits allow.
-    std::vector<limit_excess> over_limit;
+    standin_counters         counters;
 };
 
 /// Returns one text per violation of the guarantees:
 /// - violations found in a single response;
 /// - requests lost by a daemon that may not die;
 /// - targets that got more calls than the limits that they named allow;
+/// - more than three requests with a deadly part that daemons which may not die
+///   sent to engines too late;
+/// - requests without such a part that were refused because of one;
 /// - different responses to the same idempotency key;
 /// - "not_run" responses to requests of which a stage ran;
 /// - non-idempotent stages that ran more than once for a key;
--- a/src/load_main.cpp
+++ b/src/load_main.cpp
@@ -37,10 +37,11 @@
 {
     std::vector<std::string> targets;
     std::string              mix;
-    double                   rate       = 0;
-    std::uint32_t            duration_s = 0; ///< Duration of the run.
-    std::uint64_t            seed       = 1;
-    std::uint32_t            threads    = 2;
+    double                   rate         = 0;
+    std::uint32_t            duration_s   = 0; ///< Duration of the run.
+    std::uint64_t            seed         = 1;
+    std::uint32_t            threads      = 2;
+    double                   deadly_share = 0; ///< Of requests to engines.
     std::string              json;
     std::string              html;
     std::vector<std::string> controls;
@@ -70,6 +71,9 @@
     table.add_number("rate", "R", "requests/s", it.rate);
     table.add_number("seconds", "S", "length of the run", it.duration_s);
     table.add_number("seed", "N", "of the arrivals and requests", it.seed);
+    table.add_number("deadly-share", "S",
+                     "requests to engines that crash stand-in engines",
+                     it.deadly_share);
     table.add_number("threads", "N", "threads that send", it.threads, 1);
     table.add_text("json", "FILE", "write the figures", it.json);
     table.add_text("html", "FILE", "write a page with plots", it.html);
@@ -137,8 +141,9 @@
 
 int run(const load_options& options, const load_mix& mix)
 {
-    const auto plan = make_plan(mix, options.rate, seconds{options.duration_s},
-                                options.seed, make_run_id(options.seed));
+    const auto plan =
+        make_plan(mix, options.rate, seconds{options.duration_s}, options.seed,
+                  make_run_id(options.seed), options.deadly_share);
     log(log_level::info, "run begins",
         {{"mix", mix.name},
          {"requests", plan.size()},
@@ -147,7 +152,7 @@
     const auto results = run_plan(mix, plan, options.targets, options.threads);
     log(log_level::info, "run ended", {{"results", results.size()}});
     std::optional<std::vector<executed_work>> executions;
-    std::vector<limit_excess>                 over_limit;
+    standin_counters                          counters;
     if (!options.controls.empty()) {
         std::this_thread::sleep_for(cancel_settle_time);
         auto read = read_executions(options.controls);
@@ -156,14 +161,14 @@
                 {{"error", std::string(read.status().message())}});
             return exit_status::failed;
         }
-        executions  = *std::move(read);
-        auto excess = read_limit_excess(options.controls);
-        if (!excess.ok()) {
+        executions      = *std::move(read);
+        auto violations = read_counters(options.controls);
+        if (!violations.ok()) {
             log(log_level::error, "cannot read the counters of the stand-ins",
-                {{"error", std::string(excess.status().message())}});
+                {{"error", std::string(violations.status().message())}});
             return exit_status::failed;
         }
-        over_limit = *std::move(excess);
+        counters = *std::move(violations);
     }
     const check_input input{mix,
                             plan,
@@ -171,7 +176,7 @@
                             executions,
                             options.targets,
                             find_indices(options.may_die, options.targets),
-                            std::move(over_limit)};
+                            std::move(counters)};
     return report(options, summarize(input, find_violations(input)));
 }
 
@@ -195,6 +200,8 @@
         return usage_error(
             "the run exceeds 20000 requests/s, 3600 s or 1000000 "
             "requests");
+    if (options.deadly_share < 0 || options.deadly_share > 1)
+        return usage_error("--deadly-share is not from 0 to 1");
     const auto mix = read_mix(options.mix);
     if (!mix.ok())
         return usage_error(std::string(mix.status().message()));
--- a/src/load_plan.cpp
+++ b/src/load_plan.cpp
@@ -1,9 +1,11 @@
 #include "load_plan.hpp"
 
+#include "deadly_call_check.hpp"
 #include "standin_text.hpp"
 
 #include "absl/strings/str_cat.h"
 
+#include <algorithm>
 #include <random>
 
 namespace arbutusgate {
@@ -22,6 +24,20 @@
     return all;
 }
 
+std::string make_deadly_context(const load_mix& mix)
+{
+    auto text = std::string(deadly_mark) +
+                engine_text("deadly context", mix.context_bytes / 4);
+    text.resize(mix.context_bytes);
+    return text;
+}
+
+bool generates(const mix_pipeline& pipeline)
+{
+    return std::any_of(pipeline.stages.begin(), pipeline.stages.end(),
+                       [](const auto& it) { return it.generates; });
+}
+
 std::uint32_t pick_account(const load_mix& mix, const std::string& pipeline,
                            std::mt19937_64& rng)
 {
@@ -36,13 +52,15 @@
 
 std::vector<planned_request> make_plan(const load_mix& mix, double rate,
                                        seconds duration, std::uint64_t seed,
-                                       const std::string& run)
+                                       const std::string& run,
+                                       double             deadly_share)
 {
     std::mt19937_64                        rng(seed);
     std::exponential_distribution<double>  gap(rate);
     std::uniform_real_distribution<double> unit(0, 1);
     const auto                             contexts = make_contexts(mix);
-    std::vector<double>                    weights;
+    const auto          deadly_context              = make_deadly_context(mix);
+    std::vector<double> weights;
     for (const auto& it : mix.pipelines)
         weights.push_back(it.share);
     std::discrete_distribution<std::uint32_t> pick_pipeline(weights.begin(),
@@ -64,8 +82,12 @@
                 it.repeat = unit(rng) < 0.5 ? key_repeat::after_response
                                             : key_repeat::concurrent;
         }
-        it.input = absl::StrCat(contexts[rng() % contexts.size()], " [request ",
-                                it.tag, "]");
+        // Without deadly requests, the same seed draws the same plan.
+        it.deadly =
+            deadly_share > 0 && generates(pipeline) && unit(rng) < deadly_share;
+        it.input = absl::StrCat(it.deadly ? deadly_context
+                                          : contexts[rng() % contexts.size()],
+                                " [request ", it.tag, "]");
         plan.push_back(std::move(it));
     }
     return plan;
--- a/src/load_plan.hpp
+++ b/src/load_plan.hpp
@@ -28,17 +28,21 @@
     std::uint32_t account  = 0; ///< Index in the mix.
     bool          stream   = false;
     key_repeat    repeat   = key_repeat::none;
-    std::string   tag; ///< Unique name; part of the input.
-    std::string   key; ///< Idempotency key; empty: none.
+    bool          deadly   = false; ///< Crashes stand-in engines.
+    std::string   tag;              ///< Unique name; part of the input.
+    std::string   key;              ///< Idempotency key; empty: none.
     std::string   input;
 };
 
 /// Generates Poisson arrivals at `rate` requests/s for `duration`. The same
 /// arguments yield the same plan.
+/// \param deadly_share of the requests to pipelines with an engine; their
+///        contexts have a part that crashes stand-in engines.
 /// \param run part of the tags and keys; differs between runs with the same
 ///        seed.
 std::vector<planned_request> make_plan(const load_mix& mix, double rate,
                                        seconds duration, std::uint64_t seed,
-                                       const std::string& run);
+                                       const std::string& run,
+                                       double             deadly_share = 0);
 
 } // namespace arbutusgate
--- a/src/load_run.cpp
+++ b/src/load_run.cpp
@@ -198,9 +198,9 @@
     }
 }
 
-/// Reads the counters of the replicas of one stand-in.
+/// Adds the counters of one stand-in.
 absl::Status read_stats(boost::asio::io_context& io, const std::string& address,
-                        std::vector<limit_excess>& all)
+                        standin_counters& all)
 {
     http_client  client(io);
     json::object stats;
@@ -212,18 +212,25 @@
         const auto  n =
             static_cast<std::uint64_t>(number_of(it, "calls_over_limit", 0));
         if (n > 0)
-            all.push_back({text_of(it, "name"), n});
+            all.over_limit.push_back({text_of(it, "name"), n});
+    }
+    const auto* late = stats.if_contains("late_deadly_tags");
+    if (late && late->is_array()) {
+        for (const auto& it : late->get_array()) {
+            if (it.is_string())
+                all.late_deadly_tags.emplace_back(it.get_string());
+        }
     }
     return absl::OkStatus();
 }
 
 } // namespace
 
-absl::StatusOr<std::vector<limit_excess>>
-read_limit_excess(const std::vector<std::string>& controls)
+absl::StatusOr<standin_counters>
+read_counters(const std::vector<std::string>& controls)
 {
-    io_thread                 thread;
-    std::vector<limit_excess> all;
+    io_thread        thread;
+    standin_counters all;
     for (const auto& it : controls) {
         std::promise<absl::Status> result;
         thread.spawn(
--- a/src/load_run.hpp
+++ b/src/load_run.hpp
@@ -41,11 +41,19 @@
     std::uint64_t calls = 0; ///< Most in any 4 s.
 };
 
-/// Reads from the control listeners of stand-ins which targets got more calls
-/// than their limits allow.
+/// What stand-in targets counted against the rules.
+struct standin_counters
+{
+    std::vector<limit_excess> over_limit;
+    /// Tags of requests with a deadly part whose calls came later than
+    /// deadly_call_check allows.
+    std::vector<std::string> late_deadly_tags;
+};
+
+/// Reads the counters of stand-ins from their control listeners.
 /// \return Unavailable when one cannot be reached or sends no valid response.
-absl::StatusOr<std::vector<limit_excess>>
-read_limit_excess(const std::vector<std::string>& controls);
+absl::StatusOr<standin_counters>
+read_counters(const std::vector<std::string>& controls);
 
 /// Reads the execution records of stand-ins from their control listeners.
 /// \return Unavailable when one cannot be reached or sends no valid response,
--- a/src/local_front.hpp
+++ b/src/local_front.hpp
@@ -33,9 +33,11 @@
     /// \param claims outlives the front end.
     /// \param on_load receives the load reports of the targets.
     /// \param read_timeout limits the time to read a whole request.
+    /// \param prompts outlives the front end; null: no prompt is refused.
     local_front(std::shared_ptr<const deployment> config, claim_service& claims,
-                load_action  on_load,
-                milliseconds read_timeout = limits::request_read)
+                load_action   on_load,
+                milliseconds  read_timeout = limits::request_read,
+                prompt_guard* prompts      = nullptr)
         : rules_(std::move(config), {}, counts_.reasons()), catalog_(rules_)
     {
         caller_service_init init;
@@ -44,6 +46,7 @@
         init.services.counts  = &counts_;
         init.services.explain = &explain_;
         init.services.runs    = &runs_;
+        init.services.prompts = prompts;
         init.services.on_load = std::move(on_load);
         init.catalog          = &catalog_;
         init.gate             = &gate_;
--- a/src/node_core.cpp
+++ b/src/node_core.cpp
@@ -6,10 +6,16 @@
 #include "leaving_targets.hpp"
 #include "member_table.hpp"
 #include "observed_clock.hpp"
+#include "part_quarantine.hpp"
+#include "peer_codec.hpp"
 #include "target_limits.hpp"
 
+#include <xxhash.h>
+
+#include <algorithm>
 #include <cmath>
 #include <optional>
+#include <utility>
 
 namespace arbutusgate {
 
@@ -38,6 +44,8 @@
           hello_nonce(context.random() | 1)
     {
         members.advance_heartbeat({});
+        prompts.on_news(
+            [this](gateway::part_quarantine::source) { prompt_news = true; });
         target_rates.on_change([this](gateway::limit_change,
                                       const gateway::target_limit& it,
                                       gateway::target_limits::source) {
@@ -46,6 +54,39 @@
         });
     }
 
+    /// Targets have no start time here. One that ends again after this time
+    /// counts as another lifetime, one that stays away does not.
+    gateway::target target_of(const prompt_call& it, time_point t) const
+    {
+        constexpr seconds restart_time{10};
+        gateway::target   out;
+        out.id         = it.target;
+        out.service    = it.pool;
+        out.started_at = t.time_since_epoch() / restart_time;
+        return out;
+    }
+
+    /// Sends news of prompts at once.
+    void spread_prompt_news(time_point t)
+    {
+        if (std::exchange(prompt_news, false))
+            gossip_now(t);
+    }
+
+    /// One of the daemons that are alive decides on the trial of a part.
+    bool owns_trial(std::uint64_t part, time_point t) const
+    {
+        const auto weight = [part](slot_id slot) {
+            return XXH3_64bits_withSeed(&slot.idx, sizeof slot.idx, part);
+        };
+        const auto own  = weight(context.init.self);
+        const auto view = members.view(t);
+        return std::none_of(view.begin(), view.end(), [&](const auto& it) {
+            return it.current == member_view::state::alive &&
+                   weight(it.slot) > own;
+        });
+    }
+
     time_point advance(time_point now)
     {
         const auto it = clock.advance(now);
@@ -148,6 +189,14 @@
                 std::chrono::duration_cast<milliseconds>(t - it.named_at)
                     .count()));
         }
+        fill_prompts(gossip, t);
+    }
+
+    void fill_prompts(pb::Gossip& gossip, time_point t)
+    {
+        for (const auto& it :
+             prompts.reports(limits::max_prompt_reports_sent, t))
+            gateway::encode(it, t, *gossip.add_parts());
     }
 
     void send_gossip(slot_id to, std::uint64_t nonce, time_point t)
@@ -199,6 +248,7 @@
         members.advance_heartbeat(t);
         leaving.expire(t);
         target_rates.expire(t);
+        prompts.expire(t);
         for (const auto peer : members.next_peers(limits::gossip_fanout))
             send_gossip(peer, 0, t);
         if (!config.majority_replied()) {
@@ -250,8 +300,11 @@
         // wrong.
         if (!paused && receive_limits(gossip, t))
             any_new = true;
+        for (const auto& it : gossip.parts())
+            prompts.merge(gateway::decode(it, t), t);
         if (any_new)
             gossip_now(t);
+        spread_prompt_news(t);
         if (gossip.reply_wanted()) {
             auto& reply = *context.out.add(from).mutable_gossip();
             // Replies hold all members, for a process that has just started.
@@ -325,19 +378,21 @@
         }
     }
 
-    node_context           context;
-    observed_clock         clock;
-    claim_store            store;
-    claim_client           client;
-    member_table           members;
-    config_tracker         config;
-    leaving_targets        leaving;
-    gateway::target_limits target_rates;
-    std::uint64_t          limit_events = 0; ///< Number so far.
-    std::optional<pause>   paused;
-    std::uint64_t          hello_nonce;
-    time_point             next_gossip;
-    time_point             next_confirm;
+    node_context             context;
+    observed_clock           clock;
+    claim_store              store;
+    claim_client             client;
+    member_table             members;
+    config_tracker           config;
+    leaving_targets          leaving;
+    gateway::target_limits   target_rates;
+    std::uint64_t            limit_events = 0;    ///< Number so far.
+    gateway::part_quarantine prompts;             ///< Parts are prefixes.
+    bool                     prompt_news = false; ///< Not sent yet.
+    std::optional<pause>     paused;
+    std::uint64_t            hello_nonce;
+    time_point               next_gossip;
+    time_point               next_confirm;
     pb::MemberEntry newer_process; ///< Newest other process of this slot.
     time_point      newer_process_seen;
     bool            superseded  = false;
@@ -466,6 +521,41 @@
         impl_->gossip_now(t);
 }
 
+void node_core::on_prompt_answered(const prompt_call& it, time_point now)
+{
+    const auto t = impl_->advance(now);
+    impl_->prompts.answered({{it.prefix}, it.request}, impl_->target_of(it, t),
+                            t);
+    impl_->spread_prompt_news(t);
+}
+
+void node_core::on_prompt_broken(const prompt_call& it, time_point now)
+{
+    const auto t = impl_->advance(now);
+    impl_->prompts.broke_off({{it.prefix}, it.request}, impl_->target_of(it, t),
+                             t);
+    impl_->spread_prompt_news(t);
+}
+
+std::optional<milliseconds> node_core::prompt_refused(const prompt_call& it,
+                                                      time_point         now)
+{
+    const auto t = impl_->advance(now);
+    const auto found =
+        impl_->prompts.find({{it.prefix}, it.request},
+                            gateway::crash_scope(impl_->target_of(it, t)), t);
+    if (!found)
+        return std::nullopt;
+    if (found->next_trial_at <= t && impl_->owns_trial(it.prefix, t) &&
+        impl_->prompts.take_trial(it.prefix, t))
+    {
+        impl_->spread_prompt_news(t);
+        return std::nullopt;
+    }
+    return std::max(milliseconds{1},
+                    std::chrono::ceil<milliseconds>(found->next_trial_at - t));
+}
+
 void node_core::begin_drain(time_point now)
 {
     const auto t = impl_->advance(now);
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -128,6 +128,8 @@
     return out;
 }
 
+} // namespace
+
 void encode(const part_report& it, time_point now, pb::PartReport& out)
 {
     out.set_part(it.part);
@@ -168,8 +170,6 @@
     return out;
 }
 
-} // namespace
-
 std::string encode(const peer_gossip& it, time_point now)
 {
     pb::GatewayGossip out;
--- a/src/peer_codec.hpp
+++ b/src/peer_codec.hpp
@@ -13,6 +13,10 @@
 #include <string>
 #include <vector>
 
+namespace arbutusgate::pb {
+class PartReport;
+}
+
 namespace arbutusgate::gateway {
 
 /// Gossip message; the response has the same form.
@@ -67,6 +71,10 @@
 std::optional<permit_response> decode_permit_response(const std::string& bytes,
                                                       time_point         now);
 
+/// Also part of the messages of the product's own daemons.
+void        encode(const part_report& it, time_point now, pb::PartReport& out);
+part_report decode(const pb::PartReport& it, time_point now);
+
 /// Request for the trial of a part.
 /// \param it as known to the sender.
 std::string encode_trial_request(const part_report& it, time_point now);
--- a/src/request_executor.cpp
+++ b/src/request_executor.cpp
@@ -5,12 +5,17 @@
 #include "daemon_clock.hpp"
 #include "json_memory.hpp"
 #include "log.hpp"
+#include "prompt_guard.hpp"
 #include "stream_reader.hpp"
 
+#include <xxhash.h>
+
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
+
 namespace arbutusgate {
 
 namespace json = boost::json;
@@ -82,6 +87,10 @@
 
 request_outcome request_executor::execute()
 {
+    if (refuse_quarantined()) {
+        record_end();
+        return std::move(outcome_);
+    }
     queue_actions(run_.start(daemon_now()));
     bool cancelled = false;
     while (!actions_.empty()) {
@@ -180,7 +189,7 @@
                             offset_};
         return mismatch;
     }
-    auto result = caller_.call(work);
+    auto result = streamed ? call_engine(work) : caller_.call(work);
     if (!streamed && result.attempt.status == attempt_status::done) {
         output_ = std::move(result.output);
         if (action.stage + 1 == pipeline().stages.size())
@@ -189,6 +198,59 @@
     return result;
 }
 
+prompt_call request_executor::call_of(const stage_config& stage,
+                                      std::string_view    target) const
+{
+    const auto& id = request_.request_id;
+    return {config().pools[stage.pool.idx].name, target,
+            request_.info.prefix_hash, XXH3_64bits(id.data(), id.size())};
+}
+
+stage_result request_executor::call_engine(const stage_work& work)
+{
+    auto* const guard =
+        request_.info.shares_prefix ? services_.prompts : nullptr;
+    if (!guard)
+        return caller_.call(work);
+    const auto call = call_of(*work.stage, work.target->name);
+    if (guard->refused(call)) {
+        stage_result out;
+        out.attempt = {work.start.attempt, attempt_status::not_run, offset_};
+        out.detail  = "the prompt is in quarantine";
+        return out;
+    }
+    auto result = caller_.call(work);
+    if (result.attempt.tokens > 0 ||
+        result.attempt.status == attempt_status::done)
+        guard->answered(call);
+    else if (result.connection_ended && !client_gone_)
+        guard->broke_off(call);
+    return result;
+}
+
+bool request_executor::refuse_quarantined()
+{
+    const auto& stages = pipeline().stages;
+    const auto  engine =
+        std::find_if(stages.begin(), stages.end(), [](const auto& it) {
+            return it.kind == stage_kind::generate;
+        });
+    if (!services_.prompts || !request_.info.shares_prefix ||
+        engine == stages.end())
+        return false;
+    const auto wait = services_.prompts->refused(call_of(*engine, ""));
+    if (!wait)
+        return false;
+    services_.counts->reasons().add(refusal_reason::quarantined);
+    trace_.reason    = refusal_reason::quarantined;
+    trace_.result    = execution::not_run;
+    outcome_.failure = refusal(refusal_reason::quarantined, *wait);
+    outcome_.body    = problem_body(outcome_.failure, request_.request_id);
+    outcome_.status =
+        static_cast<std::uint32_t>(problem_status(outcome_.failure));
+    return true;
+}
+
 void request_executor::on_stream_text(std::string_view text)
 {
     const auto offset = offset_;
--- a/src/request_executor.hpp
+++ b/src/request_executor.hpp
@@ -22,6 +22,7 @@
 namespace arbutusgate {
 
 class policy;
+class prompt_guard;
 
 /// Services of the daemon that requests use. They outlive the requests.
 struct request_services
@@ -31,6 +32,7 @@
     metrics*       counts  = nullptr;
     explain_ring*  explain = nullptr;
     run_registry*  runs    = nullptr;
+    prompt_guard*  prompts = nullptr; ///< Null: no prompt is refused.
     /// Called when a target reports its load.
     std::function<void(const std::string& target, const load_report&)> on_load;
 };
@@ -109,6 +111,12 @@
     void perform(const finish& action);
     stage_work   make_work(const start_attempt& action);
     stage_result run_attempt(const start_attempt& action);
+    stage_result call_engine(const stage_work& work);
+    /// Refuses a request whose prompt crashes targets.
+    /// \return true when it was refused.
+    bool        refuse_quarantined();
+    prompt_call call_of(const stage_config& stage,
+                        std::string_view    target) const;
     void record_attempt(const start_attempt& action, const stage_result& result,
                         time_point started);
     void on_stream_text(std::string_view text);
--- a/src/stage_caller.cpp
+++ b/src/stage_caller.cpp
@@ -237,6 +237,8 @@
 {
     const bool late = daemon_now() >= deadline_;
     owner_.pool_.drop(work_.target->address);
+    result_.connection_ended =
+        !late && !owner_.cancelled_ && ec != boost::beast::error::timeout;
     return fail(late ? attempt_status::timeout : attempt_status::silent,
                 ec.message());
 }
--- a/src/stage_caller.hpp
+++ b/src/stage_caller.hpp
@@ -45,6 +45,8 @@
     attempt_result attempt;
     std::string    output; ///< Of services; engines stream to on_text.
     std::string    detail; ///< Human-readable; may be empty.
+    /// The target ended the connection before the end of the response.
+    bool connection_ended = false;
 };
 
 /// Calls targets for one request. Used only by the request's fiber, except for
--- a/src/standin_engine.cpp
+++ b/src/standin_engine.cpp
@@ -35,9 +35,10 @@
 };
 
 standin_engine::standin_engine(replica_init init, const engine_init& engine,
-                               execution_log& executions)
+                               execution_log&     executions,
+                               deadly_call_check& deadly_calls)
     : standin_replica(std::move(init), executions), engine_(engine),
-      cache_(engine.cache_blocks),
+      deadly_calls_(deadly_calls), cache_(engine.cache_blocks),
       events_(engine.event_delay, engine.event_loss)
 {
 }
@@ -90,6 +91,8 @@
     it.stream = body.contains("stream") && body.at("stream").is_bool() &&
                 body.at("stream").get_bool();
     it.plan = plan_call();
+    if (is_deadly(it))
+        deadly_calls_.add_call(request_tag(it.prompt), steady_clock::now());
     if (!serves(it.model))
         it.plan.outcome = call_outcome::not_run;
     if (!acquire_slot(exchange, it.plan, number_of(body, "priority", 0)))
@@ -100,11 +103,22 @@
     run(exchange, it);
 }
 
+bool standin_engine::is_deadly(const completion& it)
+{
+    return it.prompt.find(deadly_mark) != std::string::npos;
+}
+
 // Releases the slot as soon as the sequence ends or its client disconnects. A
 // stalled connection does not hold a slot.
 void standin_engine::run(http_exchange& exchange, completion& it)
 {
     const bool prefilled = prefill(exchange, it);
+    if (prefilled && is_deadly(it)) {
+        deadly_calls_.add_crash(steady_clock::now());
+        crash(engine_.crash_time);
+        release_slot();
+        return exchange.abort();
+    }
     const bool starts = prefilled && it.plan.outcome != call_outcome::failed &&
                         it.plan.outcome != call_outcome::hang;
     if (starts && it.stream) {
--- a/src/standin_engine.hpp
+++ b/src/standin_engine.hpp
@@ -1,6 +1,7 @@
 /// Simulated model engine with continuous batching.
 #pragma once
 
+#include "deadly_call_check.hpp"
 #include "standin_cache.hpp"
 #include "standin_replica.hpp"
 
@@ -24,6 +25,8 @@
     bool         checks_fencing = true;
     /// Time to change the model, version or adapters.
     milliseconds load_time{500};
+    /// An engine that crashed serves nothing for this time.
+    milliseconds crash_time{3000};
 };
 
 /// Serves OpenAI-compatible completions (SSE or JSON), export and import of KV
@@ -31,8 +34,9 @@
 class standin_engine final : public standin_replica
 {
 public:
+    /// \param deadly_calls outlives the engine.
     standin_engine(replica_init init, const engine_init& engine,
-                   execution_log& executions);
+                   execution_log& executions, deadly_call_check& deadly_calls);
 
 protected:
     bool handle(http_exchange& exchange, const request_path& path) override;
@@ -52,22 +56,24 @@
         boost::json::object desired;
     };
 
-    void   handle_completion(http_exchange& exchange);
-    void   run(http_exchange& exchange, completion& it);
-    bool   prefill(http_exchange& exchange, const completion& it);
-    bool   generate(http_exchange& exchange, completion& it);
-    bool   send_chunk(http_exchange& exchange, const completion& it,
-                      std::uint64_t offset, std::string_view text);
-    double token_ms(const completion& it) const;
-    bool   serves(const std::string& model) const;
-    void   save_kv(const std::string& request_id, const std::string& prompt,
-                   std::uint64_t offset);
-    void   export_kv(http_exchange& exchange, const std::string& request_id);
-    void   import_kv(http_exchange& exchange);
-    void   apply_order(http_exchange& exchange);
+    void        handle_completion(http_exchange& exchange);
+    void        run(http_exchange& exchange, completion& it);
+    bool        prefill(http_exchange& exchange, const completion& it);
+    bool        generate(http_exchange& exchange, completion& it);
+    bool        send_chunk(http_exchange& exchange, const completion& it,
+                           std::uint64_t offset, std::string_view text);
+    static bool is_deadly(const completion& it);
+    double      token_ms(const completion& it) const;
+    bool        serves(const std::string& model) const;
+    void save_kv(const std::string& request_id, const std::string& prompt,
+                 std::uint64_t offset);
+    void export_kv(http_exchange& exchange, const std::string& request_id);
+    void import_kv(http_exchange& exchange);
+    void apply_order(http_exchange& exchange);
     boost::json::object state_json() const;
 
     engine_init                               engine_;
+    deadly_call_check&                        deadly_calls_;
     prefix_cache                              cache_;
     cache_event_log                           events_;
     std::unordered_map<std::string, kv_entry> kv_;
--- a/src/standin_fleet.cpp
+++ b/src/standin_fleet.cpp
@@ -93,8 +93,8 @@
 
 void replica_fleet::add_engine(replica_init init, const engine_init& engine)
 {
-    replicas_.push_back(
-        std::make_unique<standin_engine>(std::move(init), engine, executions_));
+    replicas_.push_back(std::make_unique<standin_engine>(
+        std::move(init), engine, executions_, deadly_calls_));
 }
 
 absl::Status replica_fleet::start(const std::string& control)
@@ -177,7 +177,12 @@
     json::array all;
     for (const auto& it : replicas_)
         all.push_back(replica_json(*it));
-    return {{"replicas", std::move(all)}};
+    json::array late;
+    for (const auto& it : deadly_calls_.late_tags())
+        late.emplace_back(it);
+    return {{"replicas", std::move(all)},
+            {"deadly_crashes", deadly_calls_.crashes()},
+            {"late_deadly_tags", std::move(late)}};
 }
 
 absl::StatusOr<std::vector<replica_init>> read_replicas(const std::string& path,
--- a/src/standin_fleet.hpp
+++ b/src/standin_fleet.hpp
@@ -52,6 +52,7 @@
     boost::json::object stats() const;
 
     execution_log                                 executions_;
+    deadly_call_check                             deadly_calls_;
     std::vector<std::unique_ptr<io_thread>>       threads_;
     std::unique_ptr<io_thread>                    control_thread_;
     std::vector<std::unique_ptr<standin_replica>> replicas_;
--- a/src/standin_replica.cpp
+++ b/src/standin_replica.cpp
@@ -87,7 +87,7 @@
 void standin_replica::serve(http_exchange& exchange)
 {
     const request_path path(exchange.request());
-    if (behaviour().down)
+    if (behaviour().down || steady_clock::now() < crashed_until_)
         return exchange.abort();
     if (path.path == "/load") {
         const auto& it = reported_load();
@@ -229,8 +229,9 @@
 
 bool standin_replica::sleep(http_exchange& exchange, microseconds time)
 {
-    const auto deadline = steady_clock::now() + time;
-    while (!exchange.client_gone() && !stopping_) {
+    const auto start    = steady_clock::now();
+    const auto deadline = start + time;
+    while (!exchange.client_gone() && !stopping_ && crashed_at_ <= start) {
         const auto remaining = std::chrono::duration_cast<microseconds>(
             deadline - steady_clock::now());
         if (remaining.count() <= 0)
@@ -240,6 +241,12 @@
     return false;
 }
 
+void standin_replica::crash(milliseconds length)
+{
+    crashed_at_    = steady_clock::now();
+    crashed_until_ = crashed_at_ + length;
+}
+
 void standin_replica::count_cancelled()
 {
     std::lock_guard lock(mutex_);
--- a/src/standin_replica.hpp
+++ b/src/standin_replica.hpp
@@ -120,6 +120,8 @@
     /// \return false when the client disconnects or the replica stops.
     bool sleep(http_exchange& exchange, microseconds time);
     void count_cancelled();
+    /// Ends all calls and serves none for a time.
+    void crash(milliseconds length);
 
     work_slots& slots() { return slots_; }
     /// Must only be used on the replica's thread.
@@ -145,6 +147,9 @@
     std::unique_ptr<http_server> server_;
     std::atomic<bool>            stopping_{false};
     std::deque<load_sample>      samples_;
+    /// Calls that are in progress when it crashes end.
+    std::chrono::steady_clock::time_point crashed_at_{};
+    std::chrono::steady_clock::time_point crashed_until_{};
 
     mutable std::mutex                    mutex_; ///< Guards the members below.
     standin_behaviour                     behaviour_;
--- a/tests/caller_test.cpp
+++ b/tests/caller_test.cpp
@@ -1,4 +1,5 @@
 #include "daemon_fixture.hpp"
+#include "prompt_guard.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -206,6 +207,73 @@
     CHECK(eventually([&] { return target.connections() == 0; }));
 }
 
+namespace {
+
+/// Records what the requests report.
+struct fake_prompts final : prompt_guard
+{
+    std::optional<milliseconds> refused(const prompt_call&) override
+    {
+        return quarantined ? std::optional(milliseconds{1500}) : std::nullopt;
+    }
+    void answered(const prompt_call&) override { ++answers; }
+    void broke_off(const prompt_call& it) override
+    {
+        ++breaks;
+        prefix = it.prefix;
+    }
+
+    std::atomic<bool>          quarantined{false};
+    std::atomic<int>           answers{0};
+    std::atomic<int>           breaks{0};
+    std::atomic<std::uint64_t> prefix{0};
+};
+
+std::string long_input(const std::string& end)
+{
+    return R"({"input":")" + std::string(600, 'c') + end + R"("})";
+}
+
+} // namespace
+
+// Guards against prompts that crash engines and of which the fleet does not
+// learn, and against requests that reach engines although it did.
+TEST_CASE("requests report engine calls that break off")
+{
+    std::atomic<bool> crash{true};
+    fake_target       target([&](http_exchange& it, int) {
+        if (crash)
+            return it.abort();
+        const auto call = request_json(it);
+        it.begin_stream(http_response(http::status::ok, 11));
+        it.write(chunk(call, 0, "first"));
+        it.write("data: [DONE]\n\n");
+        it.end_stream();
+    });
+    fake_prompts      prompts;
+    front_end         front(
+                one_stage_deployment(stage_kind::generate, true, {target.address()}),
+                limits::request_read, &prompts);
+    CHECK(front.call(front.request(long_input("1"))).status >= 500);
+    CHECK(prompts.breaks > 0);
+    CHECK(prompts.answers == 0);
+    CHECK(prompts.prefix != 0);
+    // A short input is a request's own.
+    const int before = prompts.breaks;
+    front.call(front.request());
+    CHECK(prompts.breaks == before);
+    crash = false;
+    CHECK(front.call(front.request(long_input("2"))).status == 200);
+    CHECK(prompts.answers == 1);
+    prompts.quarantined = true;
+    const int  calls    = target.calls();
+    const auto refused  = front.call(front.request(long_input("3")));
+    CHECK(refused.status == 503);
+    CHECK(refused.text("reason") == "quarantined");
+    CHECK(refused.text("execution") == "not_run");
+    CHECK(target.calls() == calls);
+}
+
 // Guards against targets that continue to work for callers that disconnected.
 TEST_CASE("a caller that closes its connection cancels the target's work")
 {
--- a/tests/daemon_fixture.hpp
+++ b/tests/daemon_fixture.hpp
@@ -181,13 +181,14 @@
 public:
     /// \param read_timeout limits the time to read a whole request.
     explicit front_end(std::shared_ptr<const deployment> config,
-                       milliseconds read_timeout = limits::request_read)
+                       milliseconds  read_timeout = limits::request_read,
+                       prompt_guard* prompts      = nullptr)
         : front_(
               std::move(config), claims,
               [this](const std::string& it, const load_report& report) {
                   leaving.on_report(it, report);
               },
-              read_timeout)
+              read_timeout, prompts)
     {
         REQUIRE(front_.start().ok());
     }
--- a/tests/load_test.cpp
+++ b/tests/load_test.cpp
@@ -1,3 +1,4 @@
+#include "deadly_call_check.hpp"
 #include "fiber_http.hpp"
 #include "load_caller.hpp"
 #include "load_report.hpp"
@@ -60,9 +61,8 @@
 
     check_input input(std::vector<std::size_t> may_die = {}) const
     {
-        return {mix,        plan,    results,
-                executions, daemons, std::move(may_die),
-                over_limit};
+        return {mix,     plan, results, executions, daemons, std::move(may_die),
+                counters};
     }
     std::vector<std::string> violations(std::vector<std::size_t> may_die = {})
     {
@@ -74,7 +74,7 @@
     std::vector<load_result>                  results;
     std::optional<std::vector<executed_work>> executions;
     std::vector<std::string>                  daemons = {"d0", "d1"};
-    std::vector<limit_excess>                 over_limit;
+    standin_counters                          counters;
 };
 
 std::string event(const std::string& name, const json::object& data)
@@ -399,8 +399,55 @@
 TEST_CASE("calls beyond a target's limit are a violation")
 {
     fixed_run it;
-    it.over_limit = {{"stock-01", 4}};
+    it.counters.over_limit = {{"stock-01", 4}};
     CHECK(it.violations() ==
           std::vector<std::string>{
               "target stock-01 got 4 calls more than its limit allows"});
 }
+
+// Guards against a run that passes although requests with a deadly part went on
+// to reach engines, or although others were refused.
+TEST_CASE("late deadly requests and refused sound ones are violations")
+{
+    const auto mix  = *read_mix("kestrelveld");
+    auto       plan = make_plan(mix, 50, seconds{20}, 7, "r", 0.2);
+    const auto same = make_plan(mix, 50, seconds{20}, 7, "r");
+    std::vector<planned_request> deadly;
+    std::copy_if(plan.begin(), plan.end(), std::back_inserter(deadly),
+                 [](const auto& it) { return it.deadly; });
+    REQUIRE(deadly.size() > 50);
+    CHECK(std::none_of(same.begin(), same.end(),
+                       [](const auto& it) { return it.deadly; }));
+    for (const auto& it : deadly) {
+        CHECK(it.input.starts_with(deadly_mark));
+        CHECK(it.input.substr(0, 512) == deadly[0].input.substr(0, 512));
+    }
+    std::vector<load_result> results(5);
+    std::vector<std::string> late;
+    for (std::uint32_t n = 0; n < results.size(); ++n) {
+        results[n].number  = deadly[n].number;
+        results[n].outcome = load_outcome::unknown;
+        results[n].daemon  = n;
+        late.push_back(deadly[n].tag);
+    }
+    const std::vector<std::string>                  daemons(5, "d");
+    const std::optional<std::vector<executed_work>> no_records;
+    const check_input all{mix,     plan, results,   no_records,
+                          daemons, {},   {{}, late}};
+    CHECK(find_violations(all) ==
+          std::vector<std::string>{
+              "5 requests with a deadly part reached engines too late"});
+    // Two of the daemons may die.
+    const check_input some{mix,     plan,   results,   no_records,
+                           daemons, {0, 4}, {{}, late}};
+    CHECK(find_violations(some).empty());
+    results.resize(1);
+    const auto sound  = std::find_if(plan.begin(), plan.end(),
+                                     [](const auto& it) { return !it.deadly; });
+    results[0].number = sound->number;
+    results[0].reason = "quarantined";
+    const check_input refused{mix, plan, results, no_records, daemons, {}, {}};
+    CHECK(find_violations(refused) ==
+          std::vector<std::string>{"request " + sound->tag +
+                                   " refused for a part that crashes targets"});
+}
--- a/tests/node_core_test.cpp
+++ b/tests/node_core_test.cpp
@@ -373,3 +373,47 @@
     CHECK(knowing({}) == n);
     CHECK(fleet.conflicts == 0);
 }
+
+// Guards against prompts that crash engines one after another, through daemons
+// that see one of the crashes each, and against their refusal for ever.
+TEST_CASE("all daemons refuse a prompt that crashes engines")
+{
+    const std::uint32_t slots = GENERATE(9U, 60U);
+    node_fleet          fleet(slots);
+    fleet.run(seconds{5});
+    const auto call = [](std::uint64_t n) {
+        static const std::string names[] = {"llm-1", "llm-2", "llm-3"};
+        return prompt_call{"llm", names[n % 3], 77, n};
+    };
+    const auto refusing = [&] {
+        return std::count_if(
+            fleet.nodes.begin(), fleet.nodes.end(), [&](const auto& it) {
+                return it->prompt_refused(call(9), fleet.now).has_value();
+            });
+    };
+    for (std::uint32_t n = 0; n < 3; ++n) {
+        fleet.nodes[n * 2]->on_prompt_broken(call(n), fleet.now);
+        fleet.run(milliseconds{300});
+    }
+    fleet.run(milliseconds{2500});
+    CHECK(refusing() == slots);
+    // Another prompt is served, and a daemon that starts learns of this one.
+    CHECK_FALSE(
+        fleet.nodes[1]->prompt_refused({"llm", "llm-1", 78, 1}, fleet.now));
+    fleet.start(5);
+    fleet.run(seconds{3});
+    CHECK(refusing() == slots);
+    // One daemon lets a trial pass after a minute, and its answer ends it.
+    fleet.run(seconds{60});
+    std::uint32_t trials = 0;
+    for (std::uint32_t n = 0; n < slots; ++n) {
+        if (fleet.nodes[n]->prompt_refused(call(20), fleet.now))
+            continue;
+        ++trials;
+        fleet.run(milliseconds{100});
+    }
+    CHECK(trials == 1);
+    fleet.nodes[3]->on_prompt_answered(call(21), fleet.now);
+    fleet.run(seconds{3});
+    CHECK(refusing() == 0);
+}
--- a/tests/standin_test.cpp
+++ b/tests/standin_test.cpp
@@ -1,3 +1,4 @@
+#include "deadly_call_check.hpp"
 #include "fiber_http.hpp"
 #include "sse_reader.hpp"
 #include "standin_fleet.hpp"
@@ -438,3 +439,17 @@
         check.add_call(at(30'000));
     CHECK(check.most_excess() == 1);
 }
+
+// Guards against a stand-in that does not play the failure: a request with a
+// deadly part ends an engine for a time, with all that it serves.
+TEST_CASE("a deadly prompt crashes an engine")
+{
+    auto engine       = fast_engine();
+    engine.crash_time = milliseconds{300};
+    local_fleet it(local_replica(), engine);
+    const auto  deadly = std::string(deadly_mark) + " [request t-1]";
+    CHECK(it.post("/v1/completions", completion(deadly, 4)).status == 0);
+    CHECK(it.post("/v1/completions", completion("sound", 4)).status == 0);
+    std::this_thread::sleep_for(milliseconds{400});
+    CHECK(it.post("/v1/completions", completion("sound", 4)).status == 200);
+}
