Ignore accusations of targets from before they were heard

A report of a crash that a target had been shown to survive accused it again, so that it had to be heard twice more and was reported again. Declarations of the quarantine are in groups.

--- a/src/part_quarantine.cpp
+++ b/src/part_quarantine.cpp
@@ -184,8 +184,10 @@
                                                      b.second.accused_at;
                                           }));
     auto& it = lifetimes_[id];
+    if (at <= it.alive_at)
+        return;
     if (it.accused_at == never || it.alive_at > it.accused_at) {
-        it.accused_at = std::max(at, it.alive_at);
+        it.accused_at = at;
         it.heard_at   = never;
     }
     else {
@@ -360,7 +362,7 @@
     return out;
 }
 
-std::vector<std::uint64_t>
+part_quarantine::part_list
 part_quarantine::companions_of(std::uint64_t     part,
                                const prompt_key& prompt) const
 {
@@ -372,8 +374,8 @@
 }
 
 /// Only parts that all crashes have in common remain.
-void part_quarantine::merge_companions(
-    part_report& to, const std::vector<std::uint64_t>& of_crash) const
+void part_quarantine::merge_companions(part_report&     to,
+                                       const part_list& of_crash) const
 {
     if (to.crashes.empty())
         to.companions = of_crash;
--- a/src/part_quarantine.hpp
+++ b/src/part_quarantine.hpp
@@ -190,23 +190,27 @@
 
     using part_map = std::map<std::uint64_t, entry>;
 
+    // Reports: their crashes, answers and companions.
     bool counts(const part_report& of, const part_crash& it) const;
-    std::vector<std::uint64_t> companions_of(std::uint64_t     part,
-                                             const prompt_key& prompt) const;
-    void                       merge_companions(part_report&                      to,
-                                                const std::vector<std::uint64_t>& of_crash) const;
     void add_crash(part_report& to, const part_crash& it) const;
     void add_answer(part_report& to, const part_answer& it) const;
     /// Adds the answers that this daemon remembers.
-    void                      add_own_answers(part_report& to) const;
+    void add_own_answers(part_report& to) const;
+
+    using part_list = std::vector<std::uint64_t>;
+
+    part_list companions_of(std::uint64_t part, const prompt_key& prompt) const;
+    void merge_companions(part_report& to, const part_list& of_crash) const;
+
+    // What this daemon saw.
+    void remember_answer(std::uint64_t part, std::uint64_t scope,
+                         time_point now);
     std::optional<time_point> answered_at(std::uint64_t part,
                                           std::uint64_t scope) const;
-    void   remember_answer(std::uint64_t part, std::uint64_t scope,
-                           time_point now);
-    bool   is_scope_of(const entry& it, std::uint64_t scope) const;
-    entry& entry_of(std::uint64_t part);
-    void   accuse(const prompt_key& prompt, const target& at, time_point now);
-    void   note_accused(std::uint64_t lifetime, time_point at);
+
+    void accuse(const prompt_key& prompt, const target& at, time_point now);
+    void note_accused(std::uint64_t lifetime, time_point at);
+
     /// Counts the crashes again, and starts or ends the quarantine.
     void judge(entry& it);
     void judge_crashes_of(std::uint64_t lifetime, source from, time_point now);
@@ -214,11 +218,16 @@
     void add_in_turn(std::vector<part_report>& out, std::size_t most,
                      std::uint64_t&                           last,
                      const std::function<bool(const entry&)>& is_wanted) const;
+
+    bool is_scope_of(const entry& it, std::uint64_t scope) const;
     bool is_test_of(const entry& it, const prompt_key& prompt) const;
+
     time_point   last_activity(const entry& it) const;
     time_point   next_trial_at(const entry& it) const;
     part_verdict verdict_of(const entry& it) const;
-    void         erase(part_map::iterator it);
+
+    entry& entry_of(std::uint64_t part);
+    void   erase(part_map::iterator it);
 
     part_quarantine_params                      params_;
     part_map                                    parts_;
