--- a/tests/part_fleet_test.cpp
+++ b/tests/part_fleet_test.cpp
@@ -204,11 +204,7 @@
     f.run(milliseconds{30'000});
     CAPTURE(n, f.crashes("dead").size());
     CHECK(f.refusing("dead") == n);
-    // Nobody can know of a crash before the entry is removed.
-    const auto crashes = f.crashes("dead");
-    REQUIRE(crashes.size() >= 5);
-    CHECK(f.arrivals_since("dead", crashes[4] + milliseconds{3600} + stable) <=
-          max_late);
+    CHECK(f.late("dead") <= max_late);
     CHECK(f.wrong_verdicts() == 0);
 }
 
@@ -333,5 +329,5 @@
     CHECK(f.report_bytes / n / 60 < 4000);
     f.report_bytes = 0;
     f.run(milliseconds{60'000});
-    CHECK(f.report_bytes / n / 60 < 1500);
+    CHECK(f.report_bytes / n / 60 < 1000);
 }
