Answer requests that reach a server while it stops accepting

Cause: at the end of a drain http_server closed the listening socket, which resets connections that wait to be accepted, and each connection that counted as idle, although its first request was in the socket's buffer or under way.

Change: the server accepts what waits before it closes the listening socket.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -693,7 +693,10 @@
     impl_->thread.spawn([this] { impl_->peers->announce_leaving(); });
     std::this_thread::sleep_for(drain_notice);
     impl_->caller_server->stop_accepting();
-    while (impl_->open_requests > 0 && daemon_now() < deadline)
+    // A connection without a request in progress may be about to carry one.
+    while (
+        (impl_->open_requests > 0 || impl_->caller_server->connections() > 0) &&
+        daemon_now() < deadline)
         std::this_thread::sleep_for(drain_poll_interval);
     log(log_level::info, "stopping",
         {{"open_requests", impl_->open_requests.load()}});
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -34,6 +34,8 @@
 constexpr milliseconds accept_retry_delay{20};
 // How long a refused client may continue to send its request.
 constexpr seconds discard_timeout{2};
+// A connection carries its first request within this time.
+constexpr milliseconds first_request_grace{500};
 
 } // namespace
 
@@ -61,7 +63,8 @@
     std::vector<io_thread*> threads;
     tcp::acceptor           acceptor;
     std::atomic<bool>       accepting{true};
-    std::atomic<bool>       closing{false}; ///< Responses close connections.
+    std::atomic<bool>       closing{false};  ///< Responses close connections.
+    std::atomic<bool>       stopping{false}; ///< All connections are closed.
 
     std::mutex              mutex;
     std::condition_variable changed;
@@ -90,6 +93,10 @@
     /// Closes the socket and notifies the handler that its client is gone.
     void close_and_notify();
     void close_if_idle();
+    /// Closes an idle connection of a server that accepts no more. One that has
+    /// carried no request yet is kept for a short time, as its request may be
+    /// under way.
+    void close_unless_awaited();
 
     const http_request& request() const override { return *request_; }
     io_thread&          thread() override { return thread_; }
@@ -109,6 +116,7 @@
     bool read_request();
     void refuse(error_code ec);
     void discard_request();
+    void start_idle_timer(milliseconds time);
     void start_read_timer();
     void prepare(http_response& response);
     void finish_response(error_code ec);
@@ -132,6 +140,7 @@
     bool                              broken_      = false;
     bool                              client_gone_ = false;
     bool                              idle_        = false;
+    bool                              fresh_       = true; ///< No request yet.
     bool                              timed_out_   = false;
 };
 
@@ -140,8 +149,9 @@
     error_code ec;
     stream_.socket().set_option(tcp::no_delay(true), ec);
     stream_.socket().non_blocking(true, ec);
-    while (owner_->accepting && wait_for_request() && read_request() &&
-           !broken_) {
+    while ((owner_->accepting || (fresh_ && !owner_->stopping)) &&
+           wait_for_request() && read_request() && !broken_)
+    {
         start_watching_client();
         owner_->init.handler(*this);
         stop_watching_client();
@@ -173,18 +183,35 @@
         close();
 }
 
+void http_connection::close_unless_awaited()
+{
+    error_code ec;
+    if (!idle_ || stream_.socket().available(ec) > 0)
+        return;
+    if (fresh_)
+        start_idle_timer(first_request_grace);
+    else
+        close();
+}
+
+void http_connection::start_idle_timer(milliseconds time)
+{
+    timer_.expires_after(time);
+    timer_.async_wait([self = weak_from_this()](error_code ec) {
+        const auto it = self.lock();
+        if (!ec && it)
+            it->close_if_idle();
+    });
+}
+
 bool http_connection::wait_for_request()
 {
     if (buffer_.size() > 0)
         return true;
     error_code ec;
     idle_ = true;
-    timer_.expires_after(owner_->init.idle_timeout);
-    timer_.async_wait([self = weak_from_this()](error_code timer_ec) {
-        const auto it = self.lock();
-        if (!timer_ec && it)
-            it->close_if_idle();
-    });
+    start_idle_timer(owner_->accepting ? owner_->init.idle_timeout
+                                       : first_request_grace);
     stream_.socket().async_wait(tcp::socket::wait_read, fiber_token{ec});
     idle_ = false;
     timer_.cancel();
@@ -214,6 +241,7 @@
     parser_->body_limit(owner_->init.body_limit);
     responded_ = false;
     error_code ec;
+    fresh_ = false;
     start_read_timer();
     stream_.expires_never();
     http::async_read(stream_, buffer_, *parser_, fiber_token{ec});
@@ -363,15 +391,22 @@
         tcp::socket socket(thread.io());
         error_code  ec;
         acceptor.async_accept(socket, fiber_token{ec});
-        if (!accepting)
-            break;
-        if (ec)
+        if (!ec)
+            serve(self, thread, std::move(socket));
+        else if (accepting)
             fiber_sleep(threads.front()->io(), accept_retry_delay);
-        else
+    }
+    // Closing the socket resets the connections that wait to be accepted.
+    error_code ec;
+    acceptor.non_blocking(true, ec);
+    for (std::size_t n = 0; !ec && !stopping; ++n) {
+        auto&       thread = *threads[n % threads.size()];
+        tcp::socket socket(thread.io());
+        acceptor.accept(socket, ec);
+        if (!ec)
             serve(self, thread, std::move(socket));
     }
     // Without this, clients could still connect after stop() has returned.
-    error_code ec;
     acceptor.close(ec);
     std::lock_guard lock(mutex);
     accept_running = false;
@@ -385,7 +420,7 @@
                                                 std::move(socket));
     {
         std::lock_guard lock(mutex);
-        if (open.size() >= init.max_connections)
+        if (stopping || open.size() >= init.max_connections)
             return;
         open.emplace(it.get(), it);
     }
@@ -481,13 +516,15 @@
         return;
     asio::post(state_->threads.front()->io(), [state = state_] {
         error_code ec;
-        state->acceptor.close(ec);
+        state->acceptor.cancel(ec);
     });
-    state_->for_each([](detail::http_connection& it) { it.close_if_idle(); });
+    state_->for_each(
+        [](detail::http_connection& it) { it.close_unless_awaited(); });
 }
 
 void http_server::stop()
 {
+    state_->stopping = true;
     stop_accepting();
     state_->for_each(
         [](detail::http_connection& it) { it.close_and_notify(); });
--- a/src/http_server.hpp
+++ b/src/http_server.hpp
@@ -97,7 +97,8 @@
     /// still accepted.
     void announce_close();
     /// Stops accepting connections. Idle connections are closed at once, others
-    /// after their current request.
+    /// after their current request. One that is new, or whose request has
+    /// arrived, gets its response; connections() counts it.
     void stop_accepting();
     /// Closes all connections and blocks until their fibers have ended. Must
     /// not be called from one of the server's threads.
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -7,7 +7,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <chrono>
 #include <future>
+#include <thread>
 
 using namespace arbutusgate;
 
@@ -150,3 +152,89 @@
     CHECK(handler_notified);
     CHECK(connected.get());
 }
+
+// Guards against requests that get a reset instead of a response, as they reach
+// a server that stops accepting: on a connection that waits to be accepted, on
+// one that was accepted but not read, and on one without a request so far.
+TEST_CASE("a server that stops accepting answers requests under way")
+{
+    enum class moment
+    {
+        before_accept,
+        before_read,
+        before_request,
+    };
+    const auto  when = GENERATE(moment::before_accept, moment::before_read,
+                                moment::before_request);
+    io_thread   server_thread;
+    io_thread   thread;
+    http_server server(echo_init(), {&server_thread});
+    REQUIRE(server.start().ok());
+    const auto  address = "127.0.0.1:" + std::to_string(server.port());
+    http_client client(thread.io());
+    // Keeps the server from accepting and reading.
+    std::promise<void> resume;
+    const auto         hold = [&] {
+        std::promise<void> held;
+        server_thread.spawn([&] {
+            held.set_value();
+            resume.get_future().wait();
+        });
+        held.get_future().wait();
+    };
+    if (when == moment::before_accept)
+        hold();
+    REQUIRE_FALSE(
+        run_on(thread, [&] { return client.connect(address, seconds{20}); }));
+    if (when != moment::before_accept) {
+        while (server.connections() == 0)
+            std::this_thread::sleep_for(milliseconds{1});
+        // The connection waits for its request now.
+        run_on(server_thread, [] { return true; });
+    }
+    if (when == moment::before_read)
+        hold();
+    if (when == moment::before_request)
+        server.stop_accepting();
+    auto response = std::async(std::launch::async, [&] {
+        return run_on(thread, [&] {
+            boost::system::error_code ec;
+            if (client.send(post("x"), seconds{20}))
+                return std::string("no response");
+            return client.read_all(seconds{20}, ec);
+        });
+    });
+    if (when != moment::before_request) {
+        // The request is in the socket's buffer by then.
+        while (!run_on(thread, [&] { return client.may_have_sent(); }))
+            std::this_thread::sleep_for(milliseconds{1});
+        std::this_thread::sleep_for(milliseconds{20});
+        server.stop_accepting();
+        resume.set_value();
+    }
+    CHECK(response.get() == "x");
+    run_on(thread, [&] {
+        client.cancel();
+        return true;
+    });
+}
+
+// Guards against a drain that waits for clients that send nothing.
+TEST_CASE("a server that stops accepting closes connections without requests")
+{
+    io_thread   server_thread;
+    io_thread   thread;
+    http_server server(echo_init(), {&server_thread});
+    REQUIRE(server.start().ok());
+    const auto  address = "127.0.0.1:" + std::to_string(server.port());
+    http_client client(thread.io());
+    REQUIRE_FALSE(
+        run_on(thread, [&] { return client.connect(address, seconds{20}); }));
+    while (server.connections() == 0)
+        std::this_thread::sleep_for(milliseconds{1});
+    server.stop_accepting();
+    const auto end = std::chrono::steady_clock::now() + seconds{20};
+    while (server.connections() > 0 && std::chrono::steady_clock::now() < end)
+        std::this_thread::sleep_for(milliseconds{10});
+    CHECK(server.connections() == 0);
+}
