Keep the companions of a part by crash

Cause: the companions of a part were the parts that all requests of its crashes had. A sound request of the same session that broke off in one of these crashes, at the same target, removed the deadly part from them. Then the session was refused although nothing but the deadly part had crashed targets.

Change: each crash has its companions, the parts that some request of it had; reports carry them there. Parts in all crashes are companions as before.

--- a/src/crash_report.hpp
+++ b/src/crash_report.hpp
@@ -34,6 +34,8 @@
     std::uint64_t request  = 0; ///< prompt_key::own.
     std::uint64_t scope    = 0;
     time_point    at{};
+    /// Parts that some request of this crash had besides this one, by number.
+    std::vector<std::uint64_t> companions{};
 };
 
 /// A target began to answer a request with the part.
@@ -48,11 +50,8 @@
     std::uint64_t            part = 0;
     std::vector<part_crash>  crashes; ///< One of each lifetime, by time.
     std::vector<part_answer> answers; ///< One of each scope.
-    /// Parts that all requests of these crashes had besides this one, by
-    /// number. Each of them may be the cause instead.
-    std::vector<std::uint64_t> companions;
-    std::uint32_t              trials = 0;
-    time_point                 last_trial_at{};
+    std::uint32_t            trials = 0;
+    time_point               last_trial_at{};
 };
 
 /// A target of which calls broke off went on sending on other connections.
--- a/src/part_quarantine.cpp
+++ b/src/part_quarantine.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -167,8 +168,8 @@
             continue;
         auto&      it     = entry_of(part);
         const auto before = it.crashes;
-        merge_companions(it.report, companions_of(part, prompt));
-        add_crash(it.report, {lifetime, prompt.own, scope, now});
+        add_crash(it.report, {lifetime, prompt.own, scope, now,
+                              companions_of(part, prompt)});
         judge(it);
         if (it.crashes > before)
             add_news(it, it.crashes, source::own, now);
@@ -236,8 +237,6 @@
     const auto before      = it.crashes;
     const auto last_before = last_activity(it);
     const auto trials      = it.report.trials;
-    if (useful)
-        merge_companions(it.report, report.companions);
     for (const auto& crash : report.crashes) {
         if (now - crash.at >= params_.retention)
             continue;
@@ -373,16 +372,17 @@
     return out;
 }
 
-/// Only parts that all crashes have in common remain.
-void part_quarantine::merge_companions(part_report&     to,
-                                       const part_list& of_crash) const
+/// Adds what another call that broke off in the same crash shows.
+void part_quarantine::add_call(part_crash& to, const part_crash& it) const
 {
-    if (to.crashes.empty())
-        to.companions = of_crash;
-    else
-        std::erase_if(to.companions, [&](std::uint64_t it) {
-            return !std::binary_search(of_crash.begin(), of_crash.end(), it);
-        });
+    part_list companions;
+    std::set_union(to.companions.begin(), to.companions.end(),
+                   it.companions.begin(), it.companions.end(),
+                   std::back_inserter(companions));
+    companions.resize(std::min(companions.size(), params_.max_companions));
+    if (it.at < to.at)
+        to = it;
+    to.companions = std::move(companions);
 }
 
 void part_quarantine::add_crash(part_report& to, const part_crash& it) const
@@ -391,13 +391,10 @@
     const auto known =
         std::find_if(list.begin(), list.end(),
                      [&](const auto& c) { return c.lifetime == it.lifetime; });
-    if (known != list.end()) {
-        if (it.at < known->at)
-            *known = it;
-    }
-    else {
+    if (known != list.end())
+        add_call(*known, it);
+    else
         list.push_back(it);
-    }
     std::sort(list.begin(), list.end(), by_time);
     if (list.size() <= params_.max_crashes)
         return;
@@ -523,13 +520,24 @@
 bool part_quarantine::is_test_of(const entry&      it,
                                  const prompt_key& prompt) const
 {
-    const auto& companions = it.report.companions;
+    const auto& crashes = it.report.crashes;
+    if (crashes.empty())
+        return false;
+    const auto in_all = [&](std::uint64_t part) {
+        return std::all_of(
+            crashes.begin(), crashes.end(), [part](const auto& c) {
+                return std::binary_search(c.companions.begin(),
+                                          c.companions.end(), part);
+            });
+    };
+    const auto& companions = crashes.front().companions;
     return std::any_of(
         companions.begin(), companions.end(), [&](std::uint64_t part) {
             const auto other = parts_.find(part);
             return other != parts_.end() && other->second.convicted &&
                    std::find(prompt.shared.begin(), prompt.shared.end(),
-                             part) == prompt.shared.end();
+                             part) == prompt.shared.end() &&
+                   in_all(part);
         });
 }
 
--- a/src/part_quarantine.hpp
+++ b/src/part_quarantine.hpp
@@ -57,7 +57,7 @@
     std::size_t max_parts          = 512;  ///< Parts with crashes or answers.
     std::size_t max_crashes        = 6;    ///< Of one part.
     std::size_t max_answers        = 8;    ///< Of one part.
-    std::size_t max_companions     = 8;    ///< Of one part.
+    std::size_t max_companions     = 8;    ///< Of one part in one crash.
     std::size_t max_answered_parts = 8192; ///< Remembered as answered.
     std::size_t max_lifetimes      = 256;  ///< With calls that broke off.
     std::size_t max_silent_calls   = 256;
@@ -200,7 +200,7 @@
     using part_list = std::vector<std::uint64_t>;
 
     part_list companions_of(std::uint64_t part, const prompt_key& prompt) const;
-    void merge_companions(part_report& to, const part_list& of_crash) const;
+    void      add_call(part_crash& to, const part_crash& it) const;
 
     // What this daemon saw.
     void remember_answer(std::uint64_t part, std::uint64_t scope,
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -139,14 +139,14 @@
         to.set_request(crash.request);
         to.set_scope(crash.scope);
         to.set_age_ms(to_wire(remaining(now, crash.at)));
+        for (const auto part : crash.companions)
+            to.add_companions(part);
     }
     for (const auto& answer : it.answers) {
         auto& to = *out.add_answers();
         to.set_scope(answer.scope);
         to.set_age_ms(to_wire(remaining(now, answer.at)));
     }
-    for (const auto part : it.companions)
-        out.add_companions(part);
     out.set_trials(it.trials);
     if (it.trials > 0)
         out.set_last_trial_age_ms(to_wire(remaining(now, it.last_trial_at)));
@@ -156,14 +156,17 @@
 {
     part_report out;
     out.part = it.part();
-    for (const auto& crash : it.crashes())
-        out.crashes.push_back({crash.lifetime(), crash.request(), crash.scope(),
-                               now - milliseconds{crash.age_ms()}});
+    for (const auto& crash : it.crashes()) {
+        auto& to = out.crashes.emplace_back(
+            part_crash{crash.lifetime(), crash.request(), crash.scope(),
+                       now - milliseconds{crash.age_ms()}});
+        to.companions.assign(crash.companions().begin(),
+                             crash.companions().end());
+        std::sort(to.companions.begin(), to.companions.end());
+    }
     for (const auto& answer : it.answers())
         out.answers.push_back(
             {answer.scope(), now - milliseconds{answer.age_ms()}});
-    out.companions.assign(it.companions().begin(), it.companions().end());
-    std::sort(out.companions.begin(), out.companions.end());
     out.trials = it.trials();
     if (out.trials > 0)
         out.last_trial_at = now - milliseconds{it.last_trial_age_ms()};
--- a/tests/part_quarantine_test.cpp
+++ b/tests/part_quarantine_test.cpp
@@ -365,6 +365,24 @@
         CHECK(q.convicted() == 1);
         CHECK(blocked(q, key({"dead"}, 9), 2200));
     }
+    SECTION("a sound request breaks in a crash, too")
+    {
+        const bool      first = GENERATE(false, true);
+        part_quarantine other;
+        for (int n = 0; n < 3; ++n) {
+            const auto broken = [&](const prompt_key& it) {
+                other.broke_off(it, make_target(n), at(300 * n));
+            };
+            if (first)
+                broken(key({"f", "m"}, 20 + n));
+            broken(key({"f", "m", "dead"}, n));
+            if (!first)
+                broken(key({"f", "m"}, 20 + n));
+        }
+        CHECK(blocked(other, key({"f", "m", "dead"}, 9), 2000));
+        CHECK_FALSE(blocked(other, key({"f", "m"}, 9), 2000));
+        CHECK_FALSE(blocked(other, key({"f", "x"}, 9), 2000));
+    }
     SECTION("a request without one of the parts crashes a target")
     {
         q.broke_off(key({"g", "dead"}, 11), make_target(9), at(2100));
