Count one end of an engine once in arbutusgated

Cause: engines have no start time there, and lifetimes were numbered by 10 s of each daemon's own clock. One end of an engine counted as several where clocks differ or the 10 s passed. Calls that were sent to an engine that was down accused their prompts, too, and an answer cleared its prompt only when the whole stream had ended.

Change: crashes of one engine within 10 s are the same; calls that are sent to it in this time accuse nothing unless it has answered this daemon; the first text of an answer clears the prompt.

Measured: "daemons count one end of an engine once" and "calls of engines that are down accuse no prompt" fail on the old node_core and pass now.

--- a/src/node_core.cpp
+++ b/src/node_core.cpp
@@ -15,6 +15,7 @@
 #include <algorithm>
 #include <cmath>
 #include <optional>
+#include <unordered_map>
 #include <utility>
 
 namespace arbutusgate {
@@ -22,6 +23,16 @@
 namespace {
 
 constexpr auto confirm_resend = milliseconds{500};
+/// Targets name no start time. Calls that break off in this time after a crash
+/// show no other crash.
+constexpr seconds target_restart_time{10};
+
+gateway::part_quarantine_params prompt_params()
+{
+    gateway::part_quarantine_params out;
+    out.restart_time = target_restart_time;
+    return out;
+}
 
 } // namespace
 
@@ -54,18 +65,45 @@
         });
     }
 
-    /// Targets have no start time here. One that ends again after this time
-    /// counts as another lifetime, one that stays away does not.
-    gateway::target target_of(const prompt_call& it, time_point t) const
+    static gateway::target target_of(const prompt_call& it)
     {
-        constexpr seconds restart_time{10};
-        gateway::target   out;
-        out.id         = it.target;
-        out.service    = it.pool;
-        out.started_at = t.time_since_epoch() / restart_time;
+        gateway::target out;
+        out.id      = it.target;
+        out.service = it.pool;
         return out;
     }
 
+    void note_crash(std::uint64_t lifetime, time_point at)
+    {
+        auto& last = crashed_at.try_emplace(lifetime, at).first->second;
+        last       = std::max(last, at);
+    }
+    /// A call that is sent to a target while it is down breaks off, but did not
+    /// crash it.
+    bool was_down(const gateway::target& it, time_point sent_at) const
+    {
+        const auto found = crashed_at.find(gateway::target_lifetime(it));
+        return found != crashed_at.end() && sent_at > found->second &&
+               sent_at < found->second + target_restart_time;
+    }
+    void expire_crashes(time_point t)
+    {
+        std::erase_if(crashed_at, [t](const auto& it) {
+            return t - it.second >= target_restart_time;
+        });
+    }
+    void merge_prompt_reports(const pb::Gossip& from, time_point t)
+    {
+        for (const auto& it : from.parts()) {
+            const auto report = gateway::decode(it, t);
+            for (const auto& crash : report.crashes) {
+                if (t - crash.at < target_restart_time)
+                    note_crash(crash.lifetime, crash.at);
+            }
+            prompts.merge(report, t);
+        }
+    }
+
     /// Sends news of prompts at once.
     void spread_prompt_news(time_point t)
     {
@@ -249,6 +287,7 @@
         leaving.expire(t);
         target_rates.expire(t);
         prompts.expire(t);
+        expire_crashes(t);
         for (const auto peer : members.next_peers(limits::gossip_fanout))
             send_gossip(peer, 0, t);
         if (!config.majority_replied()) {
@@ -300,8 +339,7 @@
         // wrong.
         if (!paused && receive_limits(gossip, t))
             any_new = true;
-        for (const auto& it : gossip.parts())
-            prompts.merge(gateway::decode(it, t), t);
+        merge_prompt_reports(gossip, t);
         if (any_new)
             gossip_now(t);
         spread_prompt_news(t);
@@ -386,13 +424,15 @@
     config_tracker           config;
     leaving_targets          leaving;
     gateway::target_limits   target_rates;
-    std::uint64_t            limit_events = 0;    ///< Number so far.
-    gateway::part_quarantine prompts;             ///< Parts are prefixes.
-    bool                     prompt_news = false; ///< Not sent yet.
-    std::optional<pause>     paused;
-    std::uint64_t            hello_nonce;
-    time_point               next_gossip;
-    time_point               next_confirm;
+    std::uint64_t            limit_events = 0;         ///< Number so far.
+    gateway::part_quarantine prompts{prompt_params()}; ///< Parts are prefixes.
+    bool                     prompt_news = false;      ///< Not sent yet.
+    /// Latest crashes of targets, by lifetime, for target_restart_time.
+    std::unordered_map<std::uint64_t, time_point> crashed_at;
+    std::optional<pause>                          paused;
+    std::uint64_t                                 hello_nonce;
+    time_point                                    next_gossip;
+    time_point                                    next_confirm;
     pb::MemberEntry newer_process; ///< Newest other process of this slot.
     time_point      newer_process_seen;
     bool            superseded  = false;
@@ -523,17 +563,25 @@
 
 void node_core::on_prompt_answered(const prompt_call& it, time_point now)
 {
-    const auto t = impl_->advance(now);
-    impl_->prompts.answered({{it.prefix}, it.request}, impl_->target_of(it, t),
-                            t);
+    const auto t  = impl_->advance(now);
+    const auto by = impl::target_of(it);
+    // It is up again.
+    const auto crash = impl_->crashed_at.find(gateway::target_lifetime(by));
+    if (crash != impl_->crashed_at.end() &&
+        t - (now - it.sent_at) > crash->second)
+        impl_->crashed_at.erase(crash);
+    impl_->prompts.answered({{it.prefix}, it.request}, by, t);
     impl_->spread_prompt_news(t);
 }
 
 void node_core::on_prompt_broken(const prompt_call& it, time_point now)
 {
-    const auto t = impl_->advance(now);
-    impl_->prompts.broke_off({{it.prefix}, it.request}, impl_->target_of(it, t),
-                             t);
+    const auto t  = impl_->advance(now);
+    const auto at = impl::target_of(it);
+    if (impl_->was_down(at, t - (now - it.sent_at)))
+        return;
+    impl_->note_crash(gateway::target_lifetime(at), t);
+    impl_->prompts.broke_off({{it.prefix}, it.request}, at, t);
     impl_->spread_prompt_news(t);
 }
 
@@ -543,7 +591,7 @@
     const auto t = impl_->advance(now);
     const auto found =
         impl_->prompts.find({{it.prefix}, it.request},
-                            gateway::crash_scope(impl_->target_of(it, t)), t);
+                            gateway::crash_scope(impl::target_of(it)), t);
     if (!found)
         return std::nullopt;
     if (found->next_trial_at <= t && impl_->owns_trial(it.prefix, t) &&
--- a/src/part_quarantine.cpp
+++ b/src/part_quarantine.cpp
@@ -372,6 +372,14 @@
     return out;
 }
 
+bool part_quarantine::is_same_crash(const part_crash& a,
+                                    const part_crash& b) const
+{
+    return a.lifetime == b.lifetime &&
+           (!params_.restart_time ||
+            std::chrono::abs(a.at - b.at) < *params_.restart_time);
+}
+
 /// Adds what another call that broke off in the same crash shows.
 void part_quarantine::add_call(part_crash& to, const part_crash& it) const
 {
@@ -390,7 +398,7 @@
     auto&      list = to.crashes;
     const auto known =
         std::find_if(list.begin(), list.end(),
-                     [&](const auto& c) { return c.lifetime == it.lifetime; });
+                     [&](const auto& c) { return is_same_crash(c, it); });
     if (known != list.end())
         add_call(*known, it);
     else
--- a/src/part_quarantine.hpp
+++ b/src/part_quarantine.hpp
@@ -44,6 +44,9 @@
     /// How long a call without an answer at its timeout is kept, in case the
     /// target turns out to have ended.
     milliseconds silence_retention{10'000};
+    /// Crashes of one lifetime are the same if they are closer. Unset: all are,
+    /// as target_lifetime() differs after a restart.
+    std::optional<milliseconds> restart_time;
     /// How long a crash counts that convicted no part.
     milliseconds evidence_lifetime{600'000};
     /// How long a quarantine is remembered without new crashes or trials.
@@ -200,6 +203,7 @@
     using part_list = std::vector<std::uint64_t>;
 
     part_list companions_of(std::uint64_t part, const prompt_key& prompt) const;
+    bool      is_same_crash(const part_crash& a, const part_crash& b) const;
     void      add_call(part_crash& to, const part_crash& it) const;
 
     // What this daemon saw.
--- a/src/request_executor.cpp
+++ b/src/request_executor.cpp
@@ -203,7 +203,8 @@
 {
     const auto& id = request_.request_id;
     return {config().pools[stage.pool.idx].name, target,
-            request_.info.prefix_hash, XXH3_64bits(id.data(), id.size())};
+            request_.info.prefix_hash, XXH3_64bits(id.data(), id.size()),
+            daemon_now()};
 }
 
 stage_result request_executor::call_engine(const stage_work& work)
@@ -219,15 +220,22 @@
         out.detail  = "the prompt is in quarantine";
         return out;
     }
+    unanswered_ = call;
     auto result = caller_.call(work);
-    if (result.attempt.tokens > 0 ||
-        result.attempt.status == attempt_status::done)
-        guard->answered(call);
-    else if (result.connection_ended && !client_gone_)
+    if (result.attempt.status == attempt_status::done)
+        note_answered();
+    else if (unanswered_ && result.connection_ended && !client_gone_)
         guard->broke_off(call);
+    unanswered_.reset();
     return result;
 }
 
+void request_executor::note_answered()
+{
+    if (const auto call = std::exchange(unanswered_, std::nullopt))
+        services_.prompts->answered(*call);
+}
+
 bool request_executor::refuse_quarantined()
 {
     const auto& stages = pipeline().stages;
@@ -253,6 +261,7 @@
 
 void request_executor::on_stream_text(std::string_view text)
 {
+    note_answered();
     const auto offset = offset_;
     output_.append(text);
     offset_ += count_code_points(text);
--- a/src/request_executor.hpp
+++ b/src/request_executor.hpp
@@ -112,6 +112,7 @@
     stage_work   make_work(const start_attempt& action);
     stage_result run_attempt(const start_attempt& action);
     stage_result call_engine(const stage_work& work);
+    void         note_answered();
     /// Refuses a request whose prompt crashes targets.
     /// \return true when it was refused.
     bool        refuse_quarantined();
@@ -137,9 +138,11 @@
     std::string              output_; ///< Output of the current stage so far.
     std::uint64_t            offset_ = 0; ///< Length of output_ in characters.
     std::uint32_t            stage_  = 0;
-    claim_event              claim_;
-    request_outcome          outcome_;
-    request_trace            trace_;
+    /// Call of an engine that has not begun to answer.
+    std::optional<prompt_call> unanswered_;
+    claim_event                claim_;
+    request_outcome            outcome_;
+    request_trace              trace_;
     std::string failure_detail_; ///< Describes the last failed attempt.
     bool        any_stage_ran_       = false; ///< A stage may have run.
     bool        client_gone_         = false;
--- a/tests/node_core_test.cpp
+++ b/tests/node_core_test.cpp
@@ -417,3 +417,50 @@
     fleet.run(seconds{3});
     CHECK(refusing() == 0);
 }
+
+// Guards against one end of an engine that counts several times: daemons that
+// call it while it is down notice it at different times.
+TEST_CASE("daemons count one end of an engine once")
+{
+    node_fleet fleet(9);
+    fleet.run(seconds{5});
+    // Other rounds begin at other moments of the daemons' clocks.
+    for (std::uint64_t round = 0; round < 5; ++round) {
+        for (std::uint32_t n = 0; n < 8; ++n) {
+            const prompt_call call{"llm", n % 2 == 0 ? "llm-1" : "llm-2",
+                                   80 + round, 10 * round + n,
+                                   fleet.now - milliseconds{5}};
+            fleet.nodes[n]->on_prompt_broken(call, fleet.now);
+            fleet.run(milliseconds{400});
+        }
+        for (const auto& it : fleet.nodes)
+            CHECK_FALSE(it->prompt_refused(
+                {"llm", "llm-3", 80 + round, 99, fleet.now}, fleet.now));
+        fleet.run(milliseconds{10'000 + 500});
+    }
+}
+
+// Guards against prompts that are refused since their calls were sent to
+// engines that were down already.
+TEST_CASE("calls of engines that are down accuse no prompt")
+{
+    node_fleet fleet(9);
+    fleet.run(seconds{5});
+    const std::string names[] = {"llm-1", "llm-2", "llm-3"};
+    const auto        fail    = [&](std::uint32_t node, std::uint64_t prefix,
+                          const std::string& engine) {
+        fleet.nodes[node]->on_prompt_broken(
+                      {"llm", engine, prefix, prefix + node, fleet.now - milliseconds{5}},
+                      fleet.now);
+    };
+    for (const auto& it : names)
+        fail(0, 77, it);
+    for (std::uint32_t n = 1; n < 7; ++n) {
+        fleet.run(milliseconds{400});
+        fail(n, 78, names[n % 3]);
+    }
+    fleet.run(milliseconds{1500});
+    for (const auto& it : fleet.nodes)
+        CHECK_FALSE(
+            it->prompt_refused({"llm", "llm-4", 78, 99, fleet.now}, fleet.now));
+}
