Notice targets that end without closing connections

Change: calls are watched until their first event. A target that sent nothing for 0.8 s while a call waits is connected to; if it refuses, the calls accuse their parts. If it does not respond, it counts as ended when another target of its failure domain accepts a connection and it still does not: otherwise the daemon may be cut off. The same judgement holds for calls that broke off.

The virtual fleet plays it: silent ends, silent cuts of daemons from all targets or one domain, slow answers, idle connections to ended targets.

--- a/src/crash_check.cpp
+++ b/src/crash_check.cpp
@@ -4,6 +4,11 @@
 #include "log.hpp"
 #include "part_quarantine.hpp"
 #include "target_connections.hpp"
+#include "target_directory.hpp"
+
+#include <boost/asio/error.hpp>
+
+#include <algorithm>
 
 namespace arbutusgate::gateway {
 
@@ -16,9 +21,30 @@
 
 } // namespace
 
+std::unique_ptr<waiting_calls::entry>
+crash_check::watch(const prompt_key& prompt, const target& at)
+{
+    if (prompt.shared.empty())
+        return nullptr;
+    const auto lifetime = target_lifetime(at);
+    const auto call     = waiting_.add(prompt, at, daemon_now());
+    if (watched_.insert(lifetime).second)
+        fibers_.spawn([this, lifetime] { check_while_waiting(lifetime); });
+    return std::make_unique<waiting_calls::entry>(waiting_, lifetime, call);
+}
+
+void crash_check::heard(const target& from, time_point connected_at)
+{
+    const auto now = daemon_now();
+    waiting_.heard(target_lifetime(from), now);
+    quarantine_.heard(from, connected_at, now);
+}
+
 void crash_check::broke_off(const prompt_key& prompt, const target& at,
                             time_point when)
 {
+    if (is_leaving(at))
+        return;
     auto&      calls   = pending_[at.id];
     const bool running = !calls.empty();
     calls.emplace_back(sample_parts(prompt), when);
@@ -26,20 +52,115 @@
         fibers_.spawn([this, at] { check(at); });
 }
 
+void crash_check::fell_silent(const prompt_key& prompt, const target& at,
+                              time_point when)
+{
+    if (!is_leaving(at))
+        quarantine_.fell_silent(prompt, at, when);
+}
+
 void crash_check::check(const target& it)
 {
     fibers_.sleep_until(daemon_now() + check_delay);
-    const bool alive = connections_.accepts(it, connect_timeout);
+    const bool ended = has_ended(it);
     const auto calls = std::exchange(pending_[it.id], {});
     pending_.erase(it.id);
     log(log_level::info,
-        alive ? "target goes on after calls broke off"
-              : "target ended with calls that had no answer",
+        ended ? "target ended with calls that had no answer"
+              : "target goes on after calls broke off",
         {{"target", it.id}, {"service", it.service}, {"calls", calls.size()}});
-    if (alive)
+    if (!ended)
         return;
     for (const auto& [prompt, when] : calls)
         quarantine_.broke_off(prompt, it, when);
 }
 
+void crash_check::check_while_waiting(std::uint64_t lifetime)
+{
+    while (!fibers_.stopping()) {
+        const auto at = waiting_.check_at(lifetime);
+        if (!at)
+            break;
+        if (daemon_now() < *at)
+            fibers_.sleep_until(*at);
+        else
+            check_silent(target{*waiting_.find(lifetime)});
+    }
+    watched_.erase(lifetime);
+}
+
+void crash_check::check_silent(const target& it)
+{
+    const auto lifetime   = target_lifetime(it);
+    const auto started_at = daemon_now();
+    const bool ended      = has_ended(it);
+    const auto now        = daemon_now();
+    if (!ended || is_leaving(it)) {
+        waiting_.heard(lifetime, now);
+        return;
+    }
+    const auto at = waiting_.check_at(lifetime);
+    if (!at || *at > started_at) // It was heard meanwhile.
+        return;
+    const auto prompts = waiting_.take(lifetime, started_at);
+    log(log_level::info, "target ended with calls that had no answer",
+        {{"target", it.id},
+         {"service", it.service},
+         {"calls", prompts.size()},
+         {"silent", true}});
+    for (const auto& prompt : prompts)
+        quarantine_.broke_off(prompt, it, now);
+}
+
+/// A target that does not respond may be cut off from this daemon, as others of
+/// its failure domain are then.
+bool crash_check::has_ended(const target& it)
+{
+    const auto ec = connections_.probe(it, connect_timeout);
+    if (!ec)
+        return false;
+    if (ec == boost::asio::error::connection_refused)
+        return true;
+    const auto witnesses = reachability_witnesses(targets_.published(), it);
+    const bool reachable = accepts_any(witnesses);
+    // A cut may have ended in between.
+    const bool ended = reachable && connections_.probe(it, connect_timeout);
+    log(log_level::info, "target does not respond",
+        {{"target", it.id},
+         {"failure_domain", it.failure_domain},
+         {"error", ec.message()},
+         {"domain_responds", reachable},
+         {"ended", ended}});
+    return ended;
+}
+
+/// \return true as soon as one of the targets accepts a connection.
+bool crash_check::accepts_any(const std::vector<target>& list)
+{
+    struct probe_state
+    {
+        std::size_t running  = 0;
+        bool        accepted = false;
+    };
+    const auto shared = std::make_shared<probe_state>();
+    shared->running   = list.size();
+    for (const auto& it : list)
+        fibers_.spawn([this, it, shared] {
+            const bool accepted = !connections_.probe(it, connect_timeout);
+            shared->accepted    = shared->accepted || accepted;
+            --shared->running;
+        });
+    fibers_.sleep_until(daemon_now() + 2 * connect_timeout, [shared] {
+        return shared->accepted || shared->running == 0;
+    });
+    return shared->accepted;
+}
+
+bool crash_check::is_leaving(const target& it) const
+{
+    const auto* known = targets_.find(it.id);
+    return it.leaving || (known && known->leaving) ||
+           targets_.gate().leaves(it);
+}
+
 } // namespace arbutusgate::gateway
--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -867,6 +867,7 @@
     connection_       = &*lease;
     const auto result = send(chosen, lease);
     connection_       = nullptr;
+    waiting_.reset();
     return result;
 }
 
@@ -895,7 +896,9 @@
          {"resumed", last_event_id_.has_value()}});
     sent_at_        = daemon_now();
     earlier_events_ = events_;
-    const auto ec   = lease->send(request, remaining_time());
+    // Ends at the first event, which may come long before the call does.
+    waiting_      = parts_.crashes.watch(prompt_, chosen);
+    const auto ec = lease->send(request, remaining_time());
     if (ec) {
         report_unanswered(chosen, ec);
         log(log_level::warning, "no response from the target",
@@ -907,7 +910,7 @@
         finish_call(chosen, call_outcome::broken);
         return stream_started_ ? attempt_result::cut : attempt_result::failed;
     }
-    parts_.quarantine.heard(chosen, lease->connected_at(), daemon_now());
+    parts_.crashes.heard(chosen, lease->connected_at());
     if (!skip_foreign_responses(chosen, lease)) {
         finish_call(chosen, call_outcome::broken);
         return stream_started_ ? attempt_result::cut : attempt_result::failed;
@@ -951,17 +954,12 @@
     return false;
 }
 
-/// Only an end of the connection may mean that the target crashed. A target
-/// that is leaving ends its connections, too.
+/// Only an end of the connection may mean that the target crashed.
 void forward_run::report_unanswered(const target& at, const error_code& ec)
 {
     namespace asio_error = boost::asio::error;
     if (caller_gone_ || prompt_.shared.empty())
         return;
-    const auto* known = parts_.targets.find(at.id);
-    if (at.leaving || (known && known->leaving) ||
-        parts_.targets.gate().leaves(at))
-        return;
     const auto now = daemon_now();
     if (ec == http::error::end_of_stream ||
         ec == http::error::partial_message || ec == asio_error::eof ||
@@ -969,7 +967,7 @@
         ec == asio_error::connection_aborted)
         parts_.crashes.broke_off(prompt_, at, now);
     else if (ec == boost::beast::error::timeout || ec == asio_error::timed_out)
-        parts_.quarantine.fell_silent(prompt_, at, now);
+        parts_.crashes.fell_silent(prompt_, at, now);
 }
 
 call_outcome forward_run::refusal_outcome() const
@@ -1037,8 +1035,9 @@
                                                         connection_lease& lease)
 {
     error_code ec;
-    auto       head         = parts_.codec.relay_head(lease->head());
-    auto       body         = lease->read_all(remaining_time(), ec);
+    auto       head = parts_.codec.relay_head(lease->head());
+    auto       body = lease->read_all(remaining_time(), ec);
+    waiting_.reset();
     const bool server_error = head_.status >= 500;
     finish_call(chosen, ec             ? call_outcome::broken
                         : server_error ? call_outcome::error
@@ -1138,7 +1137,7 @@
             return false;
         if (text.empty())
             return events.rest().empty();
-        parts_.quarantine.heard(chosen, from.connected_at(), daemon_now());
+        parts_.crashes.heard(chosen, from.connected_at());
         events.add(text);
         std::string batch;
         while (auto it = events.next()) {
@@ -1146,8 +1145,10 @@
                 last_event_id_ = it->id;
             batch += it->text;
             event_at = daemon_now();
-            if (events_++ == earlier_events_)
+            if (events_++ == earlier_events_) {
+                waiting_.reset();
                 parts_.quarantine.answered(prompt_, chosen, event_at);
+            }
         }
         if (events.overflowed())
             ec = boost::asio::error::message_size;
--- a/src/forward_run.hpp
+++ b/src/forward_run.hpp
@@ -7,6 +7,7 @@
 #include "stage_service.hpp"
 #include "target_connections.hpp"
 #include "target_picker.hpp"
+#include "waiting_calls.hpp"
 #include "wire_codec.hpp"
 
 #include "fiber_signal.hpp"
@@ -197,9 +198,11 @@
     std::uint64_t call_number_ = 0; ///< From target_picker::start.
     response_head head_;
     /// Connection in use; cancelled when the caller leaves.
-    http_client* connection_     = nullptr;
-    bool         caller_gone_    = false;
-    bool         stream_started_ = false; ///< The stream's head was sent.
+    http_client* connection_ = nullptr;
+    /// Call that waits for its first event.
+    std::unique_ptr<waiting_calls::entry> waiting_;
+    bool                                  caller_gone_ = false;
+    bool stream_started_ = false; ///< The stream's head was sent.
     /// The latest attempt ended before its request was sent.
     bool request_unsent_ = false;
     /// The attempt was not sent because its permit was too old by then, or
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -238,8 +238,8 @@
     state    = std::make_unique<state_follower>(store_follow_times(), events(),
                                              targets, daemon_now());
     connections = std::make_unique<target_connections>(io);
-    crashes     = std::make_unique<crash_check>(*connections, quarantine);
-    stages      = std::make_unique<stage_scheduler>(
+    crashes = std::make_unique<crash_check>(*connections, targets, quarantine);
+    stages  = std::make_unique<stage_scheduler>(
         stage_scheduler_init{io, codec, *state, targets, *connections});
     peers = std::make_unique<peer_mesh>(
         io, own_peers(), *stages, targets,
--- a/src/target_connections.cpp
+++ b/src/target_connections.cpp
@@ -74,11 +74,12 @@
     return {};
 }
 
-bool target_connections::accepts(const target& to, milliseconds timeout)
+boost::system::error_code target_connections::probe(const target& to,
+                                                    milliseconds  timeout)
 {
     const auto client = pool_.create();
     ++opened_;
-    return !client->connect(to.address, timeout);
+    return client->connect(to.address, timeout);
 }
 
 void target_connections::give_back(connection_lease            lease,
--- a/src/target_connections.hpp
+++ b/src/target_connections.hpp
@@ -59,9 +59,9 @@
     /// stated one.
     void give_back(connection_lease            lease,
                    std::optional<milliseconds> idle_time);
-    /// \return whether the target accepts a new connection, which is closed
-    /// again.
-    bool accepts(const target& to, milliseconds timeout);
+    /// Opens a new connection and closes it again.
+    /// \return no error when the target accepts it.
+    boost::system::error_code probe(const target& to, milliseconds timeout);
     /// Closes the idle connections of a target that is gone.
     void drop(const std::string& target_id) { pool_.drop(target_id); }
 
--- a/tests/gateway_quarantine_test.cpp
+++ b/tests/gateway_quarantine_test.cpp
@@ -15,12 +15,13 @@
 
 const std::string deadly_part = "dead";
 
-/// Targets that crash on a request with a deadly part: the connection is reset
-/// and no other one is accepted.
+/// Targets that crash on a request with a deadly part: no other connection is
+/// accepted, and open ones are reset or stay silent.
 class crashing_targets
 {
 public:
-    explicit crashing_targets(std::size_t n)
+    explicit crashing_targets(std::size_t n, bool silent = false)
+        : silent_(silent)
     {
         for (std::size_t k = 0; k < n; ++k)
             servers_.push_back(std::make_unique<scripted_target>(
@@ -58,11 +59,15 @@
             // A target may send the head before it ends.
             it.write(stream_head());
             servers_[k]->stop_listening();
-            it.reset();
+            if (silent_)
+                it.wait_closed();
+            else
+                it.reset();
             return;
         }
     }
 
+    bool                                               silent_;
     mutable std::mutex                                 mutex_;
     std::vector<std::chrono::steady_clock::time_point> crashes_;
     std::vector<std::unique_ptr<scripted_target>>      servers_;
@@ -125,3 +130,28 @@
     CHECK(crashes.size() >= 3);
     CHECK(static_cast<std::size_t>(late) <= max_late_requests);
 }
+
+// Guards against crashes that are noticed only when calls time out, as the
+// connections to the target stay open.
+TEST_CASE("a prompt part is found when crashes close no connection",
+          "[gateway][sockets][quarantine]")
+{
+    crashing_targets         servers(24, true);
+    gateway_fixture          fixture(servers.targets());
+    std::vector<std::thread> callers;
+    for (int n = 0; n < 24; ++n) {
+        callers.emplace_back(
+            [&fixture, n] { fixture.exchange(deadly_request("/stream/", n)); });
+        std::this_thread::sleep_for(milliseconds{250});
+    }
+    const auto crashes = servers.crashes();
+    for (auto& it : callers)
+        it.join();
+    CHECK(crashes.size() >= 3);
+    if (crashes.size() < 5)
+        return;
+    const auto known = crashes[4] + stable;
+    const auto late  = std::count_if(crashes.begin(), crashes.end(),
+                                     [&](auto it) { return it > known; });
+    CHECK(static_cast<std::size_t>(late) <= max_late_requests);
+}
--- a/tests/part_fleet.hpp
+++ b/tests/part_fleet.hpp
@@ -5,11 +5,13 @@
 #include "fleet_trials.hpp"
 #include "part_quarantine.hpp"
 #include "virtual_fleet.hpp"
+#include "waiting_calls.hpp"
 
 #include <deque>
 #include <map>
 #include <optional>
 #include <set>
+#include <unordered_map>
 
 namespace arbutusgate::gateway::test {
 
@@ -28,8 +30,10 @@
     /// Crashed targets are gone for so long. Then they come back under a new
     /// id.
     milliseconds down{3400};
-    /// Ended targets close no connection.
+    /// Ended targets close no connection and refuse none.
     bool silent_crashes = false;
+    /// Requests whose answer begins after 0.9 s or more.
+    double slow_share = 0;
 };
 
 /// One request that reached a target.
@@ -43,8 +47,9 @@
 {
 public:
     part_fleet(std::size_t n, std::uint64_t seed, part_load load)
-        : virtual_fleet(n, seed), load_(load), quarantines_(n),
-          in_touch_from_(n, now()), cut_until_(n)
+        : virtual_fleet(n, seed), load_(load), quarantines_(n), waiting_(n),
+          watched_(n), connected_(n), in_touch_from_(n, now()), cut_until_(n),
+          silent_cuts_(n)
     {
         for (std::size_t t = 0; t < load.targets; ++t)
             targets_.push_back(new_target(t));
@@ -87,10 +92,20 @@
     /// time.
     void cut_from_targets(std::size_t k, milliseconds time)
     {
-        cut_until_[k] = now() + time;
+        cut_until_[k]   = now() + time;
+        silent_cuts_[k] = "";
         for (auto& it : targets_)
             break_all(it, [k](const call& c) { return c.daemon == k; });
     }
+    /// Nothing passes between the daemon and the targets of a failure domain
+    /// for a time; no connection ends.
+    /// \param domain empty: of all domains.
+    void cut_silently(std::size_t k, milliseconds time,
+                      const std::string& domain)
+    {
+        cut_until_[k]   = now() + time;
+        silent_cuts_[k] = domain.empty() ? "all" : domain;
+    }
     /// The version of the targets that start from now on.
     void release(std::string version) { version_ = std::move(version); }
     /// The fault of a daemon excuses it until a time after now.
@@ -161,6 +176,7 @@
         std::size_t   attempt  = 1;
         std::size_t   repeat   = 0;
         std::optional<std::uint64_t> trial; ///< Part of which it is the trial.
+        std::uint64_t                waiting = 0; ///< In waiting_calls.
     };
     struct simulated_target
     {
@@ -185,7 +201,9 @@
         out.info.id         = "i-" + std::to_string(next_target_++);
         out.info.address    = "10.1.0." + std::to_string(t) + ":80";
         out.info.started_at = 1;
-        out.started         = now();
+        // Domains of the targets; none is a domain of daemons.
+        out.info.failure_domain = "z" + std::to_string(t % 3);
+        out.started             = now();
         return out;
     }
     bool chance(double share)
@@ -206,6 +224,9 @@
 
     void reset(std::size_t k) override
     {
+        waiting_[k] = {};
+        watched_[k].clear();
+        connected_[k].clear();
         quarantines_[k] = std::make_unique<part_quarantine>();
         quarantines_[k]->on_news([this, k](part_quarantine::source from) {
             if (from == part_quarantine::source::own || at(k).table->large())
@@ -357,27 +378,137 @@
 
     void send_request(call it)
     {
-        if (refused(it.daemon, it) || now() < cut_until_[it.daemon])
+        const auto k = it.daemon;
+        if (refused(k, it) ||
+            (now() < cut_until_[k] && silent_cuts_[k].empty()))
             return;
-        std::vector<std::size_t> up;
+        std::vector<std::size_t> open;
         for (std::size_t t = 0; t < targets_.size(); ++t) {
-            if (targets_[t].up)
-                up.push_back(t);
+            // A connection that is open may be used after the target's end.
+            if (targets_[t].up || (load_.silent_crashes &&
+                                   has_connection(k, targets_[t].info.id)))
+                open.push_back(t);
         }
-        if (up.empty())
+        if (open.empty())
             return;
-        const auto t = up[draw(up.size())];
-        schedule(now() + delay(), [this, t, it] {
-            if (!targets_[t].up)
+        const auto t    = open[draw(open.size())];
+        const auto info = targets_[t].info;
+        connected_[k].erase(info.id);
+        it.waiting = waiting_[k].add(it.prompt, info, now());
+        if (watched_[k].insert(target_lifetime(info)).second)
+            check_waiting(k, target_lifetime(info));
+        if (is_cut_silently(k, info)) {
+            time_out(it, info);
+            return;
+        }
+        schedule(now() + delay(), [this, t, it, info] {
+            if (!targets_[t].up || targets_[t].info.id != info.id) {
+                if (load_.silent_crashes)
+                    time_out(it, info);
+                else
+                    on(it.daemon, now() + delay(),
+                       [this, it, info] { stop_waiting(it, info); });
                 return;
+            }
             targets_[t].calls.push_back(it);
             if (!it.deadly.empty() && now() >= in_touch_from_[it.daemon])
                 arrivals_[it.deadly].push_back({now(), it.daemon});
-            const auto prefill = draw_ms(40, 200);
-            schedule(now() + prefill,
-                     [this, t, id = it.id, target_id = targets_[t].info.id] {
-                         begin_answer(t, target_id, id);
-                     });
+            const auto prefill = chance(load_.slow_share) ? draw_ms(900, 2500)
+                                                          : draw_ms(40, 200);
+            schedule(now() + prefill, [this, t, id = it.id, target = info.id] {
+                begin_answer(t, target, id);
+            });
+        });
+    }
+
+    bool has_connection(std::size_t k, const std::string& target_id) const
+    {
+        constexpr milliseconds idle_timeout{10'000};
+        const auto             it = connected_[k].find(target_id);
+        return it != connected_[k].end() && now() - it->second < idle_timeout;
+    }
+
+    // Crash checks -----------------------------------------------------------
+
+    void stop_waiting(const call& it, const target& at)
+    {
+        if (this->at(it.daemon).life == it.life)
+            waiting_[it.daemon].remove(target_lifetime(at), it.waiting);
+    }
+
+    /// The call gets no answer and no error before its timeout.
+    void time_out(const call& it, const target& at)
+    {
+        on(it.daemon, now() + milliseconds{1500 + 10 * draw(100)},
+           [this, it, at] {
+               if (this->at(it.daemon).life != it.life)
+                   return;
+               stop_waiting(it, at);
+               quarantines_[it.daemon]->fell_silent(it.prompt, at, now());
+           });
+    }
+
+    bool is_cut_silently(std::size_t k, const target& from) const
+    {
+        return now() < cut_until_[k] &&
+               (silent_cuts_[k] == "all" ||
+                silent_cuts_[k] == from.failure_domain);
+    }
+    bool is_cut(std::size_t k, const target& from) const
+    {
+        return is_cut_silently(k, from) ||
+               (now() < cut_until_[k] && silent_cuts_[k].empty());
+    }
+
+    static constexpr milliseconds connect_timeout{400};
+
+    /// Like crash_check::has_ended().
+    void judge(std::size_t k, const target& it, std::function<void(bool)> done)
+    {
+        if (!is_cut(k, it) && (is_up(it) || !load_.silent_crashes)) {
+            on(k, now() + delay(),
+               [ended = !is_up(it), done = std::move(done)] { done(ended); });
+            return;
+        }
+        on(k, now() + connect_timeout, [this, k, it, done = std::move(done)] {
+            std::vector<target> published;
+            for (const auto& other : targets_)
+                published.push_back(other.info);
+            const auto list = reachability_witnesses(published, it);
+            const bool reached =
+                std::any_of(list.begin(), list.end(), [&](const auto& other) {
+                    return is_up(other) && !is_cut(k, other);
+                });
+            on(k, now() + connect_timeout, [this, k, it, reached, done] {
+                done(reached && (is_cut(k, it) || !is_up(it)));
+            });
+        });
+    }
+
+    /// Like crash_check::check_while_waiting().
+    void check_waiting(std::size_t k, std::uint64_t lifetime)
+    {
+        const auto due = waiting_[k].check_at(lifetime);
+        if (!due) {
+            watched_[k].erase(lifetime);
+            return;
+        }
+        if (now() < *due) {
+            on(k, *due, [this, k, lifetime] { check_waiting(k, lifetime); });
+            return;
+        }
+        const auto info = *waiting_[k].find(lifetime);
+        judge(k, info, [this, k, lifetime, info, started = now()](bool ended) {
+            const auto again = waiting_[k].check_at(lifetime);
+            if (!ended) {
+                waiting_[k].heard(lifetime, now());
+            }
+            else if (again && *again <= started) {
+                connected_[k].erase(info.id);
+                for (const auto& prompt : waiting_[k].take(lifetime, started))
+                    quarantines_[k]->broke_off(prompt, info, now());
+            }
+            check_waiting(k, lifetime);
         });
     }
 
@@ -407,12 +538,19 @@
             return;
         }
         it->answered = true;
+        if (is_cut_silently(it->daemon, in.info)) {
+            time_out(*it, in.info);
+            std::erase_if(in.calls, [id](const auto& c) { return c.id == id; });
+            return;
+        }
         on(it->daemon, now() + delay(),
            [this, c = *it, info = in.info, started = in.started] {
                if (at(c.daemon).life != c.life)
                    return;
+               stop_waiting(c, info);
+               connected_[c.daemon][info.id] = now();
                quarantines_[c.daemon]->answered(c.prompt, info, now());
-               quarantines_[c.daemon]->heard(info, started, now());
+               heard(c.daemon, info, started);
            });
         const auto events = draw(20);
         for (std::size_t n = 1; n <= events; ++n) {
@@ -420,13 +558,11 @@
                 auto& from = targets_[t];
                 auto* c =
                     from.info.id == target_id ? find_call(from, id) : nullptr;
-                if (!c)
+                if (!c || is_cut_silently(c->daemon, from.info))
                     return;
                 on(c->daemon, now() + delay(),
                    [this, k = c->daemon, info = from.info,
-                    started = from.started] {
-                       quarantines_[k]->heard(info, started, now());
-                   });
+                    started = from.started] { heard(k, info, started); });
             });
         }
         schedule(
@@ -438,6 +574,12 @@
             });
     }
 
+    void heard(std::size_t k, const target& from, time_point connected_at)
+    {
+        waiting_[k].heard(target_lifetime(from), now());
+        quarantines_[k]->heard(from, connected_at, now());
+    }
+
     void crash(std::size_t t)
     {
         auto& it = targets_[t];
@@ -445,14 +587,11 @@
             return;
         it.up = false;
         if (load_.silent_crashes) {
-            // The calls end at their timeout, the entry is removed meanwhile.
-            for (auto& c : std::exchange(it.calls, {}))
-                on(c.daemon, now() + milliseconds{1500 + 10 * draw(100)},
-                   [this, c, info = it.info] {
-                       if (!c.answered)
-                           quarantines_[c.daemon]->fell_silent(c.prompt, info,
-                                                               now());
-                   });
+            // The entry is removed meanwhile.
+            for (auto& c : std::exchange(it.calls, {})) {
+                if (!c.answered)
+                    time_out(c, it.info);
+            }
             for (std::size_t k = 0; k < size(); ++k)
                 on(k, now() + milliseconds{3600 + 10 * draw(60)},
                    [this, k, id = it.info.id] {
@@ -477,11 +616,17 @@
                 broken.push_back(c);
         }
         std::erase_if(it.calls, which);
-        for (const auto& c : broken)
+        for (const auto& c : broken) {
+            if (is_cut_silently(c.daemon, it.info)) {
+                if (!c.answered)
+                    time_out(c, it.info);
+                continue;
+            }
             on(c.daemon, now() + delay(), [this, c, info = it.info] {
                 if (at(c.daemon).life == c.life)
                     on_break(c, info);
             });
+        }
     }
 
     void on_break(call it, const target& info)
@@ -489,10 +634,13 @@
         if (it.answered)
             return;
         const auto k = it.daemon;
-        // crash_check: the daemon tries a new connection.
+        stop_waiting(it, info);
+        // Like crash_check::check().
         on(k, now() + milliseconds{50}, [this, k, it, info, when = now()] {
-            if (now() < cut_until_[k] || !is_up(info))
-                quarantines_[k]->broke_off(it.prompt, info, when);
+            judge(k, info, [this, k, it, info, when](bool ended) {
+                if (ended)
+                    quarantines_[k]->broke_off(it.prompt, info, when);
+            });
         });
         it.trial.reset();
         if (it.attempt < load_.attempts) {
@@ -512,21 +660,27 @@
         }
     }
 
-    part_load                                      load_;
-    std::vector<std::unique_ptr<part_quarantine>>  quarantines_;
-    std::vector<time_point>                        in_touch_from_;
-    std::vector<time_point>                        cut_until_; ///< By daemon.
-    std::vector<simulated_target>                  targets_;
-    std::string                                    version_ = "v1";
-    std::vector<std::string>                       deadly_;
-    std::size_t                                    deadly_chain_ = 2;
-    bool                                           mended_       = false;
-    std::uint64_t                                  next_call_    = 0;
-    std::uint64_t                                  next_target_  = 0;
-    std::set<std::uint64_t>                        wrong_;
-    std::map<std::string, std::vector<time_point>> crashes_;
-    std::map<std::string, std::vector<deadly_arrival>> arrivals_;
-    std::vector<time_point>                            refused_;
+    part_load                                     load_;
+    std::vector<std::unique_ptr<part_quarantine>> quarantines_;
+    // By daemon. Silent cuts: failure domain, "all", or empty: none.
+    std::vector<waiting_calls>           waiting_;
+    std::vector<std::set<std::uint64_t>> watched_; ///< Lifetimes.
+    /// When an idle connection was last used, by the target's id.
+    std::vector<std::unordered_map<std::string, time_point>> connected_;
+    std::vector<time_point>                                  in_touch_from_;
+    std::vector<time_point>                                  cut_until_;
+    std::vector<std::string>                                 silent_cuts_;
+    std::vector<simulated_target>                            targets_;
+    std::string                                              version_ = "v1";
+    std::vector<std::string>                                 deadly_;
+    std::size_t                                              deadly_chain_ = 2;
+    bool                                                     mended_    = false;
+    std::uint64_t                                            next_call_ = 0;
+    std::uint64_t                                            next_target_ = 0;
+    std::set<std::uint64_t>                                  wrong_;
+    std::map<std::string, std::vector<time_point>>           crashes_;
+    std::map<std::string, std::vector<deadly_arrival>>       arrivals_;
+    std::vector<time_point>                                  refused_;
 };
 
 } // namespace arbutusgate::gateway::test
--- a/tests/part_fleet_test.cpp
+++ b/tests/part_fleet_test.cpp
@@ -208,6 +208,38 @@
     CHECK(f.wrong_verdicts() == 0);
 }
 
+// Guards against calls without an answer at targets that go on: slow ones, and
+// daemons that are cut from all targets or from a failure domain while no
+// connection ends.
+TEST_CASE("silent calls of living targets convict no part",
+          "[gateway][parts][fleet]")
+{
+    const std::size_t n    = GENERATE(9, 69, 361);
+    auto              load = load_of(n);
+    load.slow_share        = 0.05;
+    load.sessions          = 40;
+    part_fleet f(n, 103 * n, load);
+    f.run(settle_time(n));
+    const auto cut = [&](std::size_t round) {
+        for (std::size_t k = round % 2; k < n; k += 2)
+            f.cut_silently(k, milliseconds{3000},
+                           round % 2 == 0 ? "" : "z" + std::to_string(k % 3));
+        f.run(milliseconds{4500});
+    };
+    for (std::size_t round = 0; round < 4; ++round)
+        cut(round);
+    CAPTURE(n);
+    CHECK(f.wrong_verdicts() == 0);
+    // Beside them, a deadly part is found.
+    f.poison({"dead"});
+    for (std::size_t round = 0; round < 4; ++round)
+        cut(round);
+    f.run(milliseconds{5000});
+    CHECK(f.late("dead") <= max_late);
+    CHECK(f.refusing("dead") == n);
+    CHECK(f.wrong_verdicts() == 0);
+}
+
 // Guards against daemons that learn late or forget: some restart or pause
 // before and after the verdict, and new ones must know it 3 s after their
 // start.
