Bound the companions of a crash that another daemon reports

Cause: only those of the daemon's own calls were bounded, so that the stated size of the state held for them alone.

Change: each crash keeps max_companions. Measured: the added check of "the state of a quarantine is bounded" passes; it was not run without the bound.

--- a/include/arbutusgate/node_core.hpp
+++ b/include/arbutusgate/node_core.hpp
@@ -107,7 +107,7 @@
     std::string_view target;      ///< Name.
     std::uint64_t    prefix  = 0; ///< Hash of the part that requests share.
     std::uint64_t    request = 0; ///< Hash of the request's id.
-    time_point       sent_at{};
+    time_point       sent_at{};   ///< Daemon time.
 };
 
 /// State of a slot as this daemon sees it.
--- a/src/crash_check.cpp
+++ b/src/crash_check.cpp
@@ -8,8 +8,6 @@
 
 #include <boost/asio/error.hpp>
 
-#include <algorithm>
-
 namespace arbutusgate::gateway {
 
 namespace {
--- a/src/part_quarantine.cpp
+++ b/src/part_quarantine.cpp
@@ -399,10 +399,14 @@
     const auto known =
         std::find_if(list.begin(), list.end(),
                      [&](const auto& c) { return is_same_crash(c, it); });
-    if (known != list.end())
+    if (known != list.end()) {
         add_call(*known, it);
-    else
+    }
+    else {
         list.push_back(it);
+        auto& companions = list.back().companions;
+        companions.resize(std::min(companions.size(), params_.max_companions));
+    }
     std::sort(list.begin(), list.end(), by_time);
     if (list.size() <= params_.max_crashes)
         return;
--- a/tests/part_quarantine_test.cpp
+++ b/tests/part_quarantine_test.cpp
@@ -338,6 +338,11 @@
     CHECK(q.stats().forgotten > 0);
     CHECK(blocked(q, prompt("dead", 9), 40'000));
     CHECK(q.reports(12, at(40'000)).size() <= 12);
+    part_report report{1, {{1, 1, 1, at(40'000), {}}}, {}, 0, {}};
+    report.crashes.front().companions.resize(10'000);
+    q.merge(report, at(40'000));
+    CHECK(q.report(1)->crashes.front().companions.size() <=
+          part_quarantine_params{}.max_companions);
 }
 
 // Guards against the refusal of sound requests that share all but the deadly
