--- a/tests/part_fleet_test.cpp
+++ b/tests/part_fleet_test.cpp
@@ -41,6 +41,25 @@
     return n > 12 ? milliseconds{20'000} : milliseconds{8000};
 }
 
+/// Lets a share of the targets end six times, with or without a deadly part.
+void check_other_crashes(std::size_t n, double share, bool poison)
+{
+    part_fleet f(n, 53 * n, load_of(n));
+    f.run(settle_time(n));
+    if (poison)
+        f.poison({"dead"});
+    for (int round = 0; round < 6; ++round) {
+        f.crash_targets(share);
+        f.run(milliseconds{round % 2 == 0 ? 900 : 5000});
+    }
+    f.run(milliseconds{15'000});
+    CAPTURE(n, share, poison, f.crashes("dead").size());
+    CHECK(f.late("dead") <= max_late);
+    if (poison)
+        CHECK(f.refusing("dead") == n);
+    CHECK(f.wrong_verdicts() == 0);
+}
+
 } // namespace
 
 // Guards against requests with one part that crash targets one after another,
@@ -89,7 +108,8 @@
 }
 
 // Guards against verdicts that crashes for other reasons hide or bring about:
-// single targets, a third of them or all of them end, again and again.
+// single targets, a third of them or all of them end, again and again. The
+// longest plays are cases of their own, so that they run beside each other.
 TEST_CASE("a fleet tells a deadly part from other crashes",
           "[gateway][parts][fleet]")
 {
@@ -101,25 +121,26 @@
                                                    {9, 1.0, true},
                                                    {69, 0.35, true},
                                                    {69, 1.0, false},
-                                                   {295, 0.35, true},
-                                                   {361, 0.1, true},
-                                                   {361, 0.35, true},
-                                                   {361, 1.0, false},
-                                                   {361, 1.0, true}}));
-    part_fleet f(n, 53 * n, load_of(n));
-    f.run(settle_time(n));
-    if (poison)
-        f.poison({"dead"});
-    for (int round = 0; round < 6; ++round) {
-        f.crash_targets(share);
-        f.run(milliseconds{round % 2 == 0 ? 900 : 5000});
-    }
-    f.run(milliseconds{15'000});
-    CAPTURE(n, share, poison, f.crashes("dead").size());
-    CHECK(f.late("dead") <= max_late);
-    if (poison)
-        CHECK(f.refusing("dead") == n);
-    CHECK(f.wrong_verdicts() == 0);
+                                                   {295, 0.35, true}}));
+    check_other_crashes(n, share, poison);
+}
+
+TEST_CASE("a fleet of 361 tells a deadly part from single crashes",
+          "[gateway][parts][fleet]")
+{
+    check_other_crashes(361, 0.1, true);
+}
+
+TEST_CASE("a fleet of 361 tells a deadly part from many crashes",
+          "[gateway][parts][fleet]")
+{
+    check_other_crashes(361, 0.35, true);
+}
+
+TEST_CASE("a fleet of 361 tells a deadly part from the end of all targets",
+          "[gateway][parts][fleet]")
+{
+    check_other_crashes(361, 1.0, GENERATE(false, true));
 }
 
 // Guards against calls that break off at targets that go on: targets that reset
