--- a/review/common/kit.hpp
+++ b/review/common/kit.hpp
@@ -9,12 +9,14 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <atomic>
+#include <cerrno>
 #include <chrono>
 #include <condition_variable>
 #include <cstdarg>
@@ -108,13 +110,21 @@
     return fd;
 }
 
-/// \return a port that was free a moment ago.
+/// \return a port that was free a moment ago, below those that the system gives
+/// to connections.
 inline int free_port()
 {
-    int       port = 0;
-    const int fd   = listen_on(port);
-    ::close(fd);
-    return port;
+    constexpr int first = 10'000;
+    constexpr int count = 20'000;
+    static int    next  = static_cast<int>(::getpid()) * 61 % count;
+    for (;;) {
+        next     = (next + 1) % count;
+        int port = first + next;
+        if (const int fd = listen_on(port); fd >= 0) {
+            ::close(fd);
+            return port;
+        }
+    }
 }
 
 inline std::string address_of(int port)
@@ -197,11 +207,13 @@
         }
         return true;
     }
-    /// \return false at the end of the connection, or after an error.
+    /// \return false at the end of the connection, at the timeout or after an
+    /// error.
     bool fill()
     {
         char       bytes[16 * 1024];
         const auto n = ::recv(fd_, bytes, sizeof bytes, 0);
+        open_        = open_ && (n > 0 || (n < 0 && errno == EAGAIN));
         if (n <= 0)
             return false;
         buffer_.append(bytes, static_cast<std::size_t>(n));
@@ -284,12 +296,16 @@
     /// Ends the connection for the threads that use it.
     void shut() { ::shutdown(fd_, SHUT_RDWR); }
 
+    /// \return false once the peer has closed, as far as it was read.
+    bool is_open() const { return open_; }
+
     /// Answer that a server sends once more, before the next one.
     std::string extra_answer;
 
 private:
     int         fd_;
     std::string buffer_;
+    bool        open_ = true;
 };
 
 using connection_ptr = std::shared_ptr<connection>;
@@ -610,6 +626,8 @@
         ::dup2(out, 1);
         ::dup2(out, 2);
         ::signal(SIGPIPE, SIG_DFL);
+        // The gateway ends with the script, however that ends.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         ::execl("target/arbutusgate-gateway", "arbutusgate-gateway",
                 "--settings", it.settings.c_str(), nullptr);
         ::_exit(127);
