Review case 1: count only requests on kept connections

Case: the first unanswered request of a connection that had carried answers, for a route whose timeout is shorter than the clients' deadline.

--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -73,9 +73,12 @@
 void stay(const fleet::node& at)
 {
     connection_ptr to;
+    bool           kept = false; ///< It has carried an answer.
     while (!stop) {
-        if (!to)
-            to = connection::open(at.front);
+        if (!to) {
+            to   = connection::open(at.front);
+            kept = false;
+        }
         if (!to) {
             pause_for(100);
             continue;
@@ -87,19 +90,21 @@
         bool    whole = to->read(answer);
         if (!whole && answer.status() == 0 && to->is_open()) {
             // The client's own deadline is later than the route's timeout.
-            ++past_timeout;
+            past_timeout += kept ? 1 : 0;
             to->set_timeout(answer_slack);
             whole = to->read(answer);
             if (answer.status() == 0 && to->is_open()) {
                 out->say("%s: no answer of the gateway in zone %s %d ms after "
-                         "the route's timeout",
-                         id.c_str(), at.zone.c_str(), answer_slack);
-                ++overdue;
+                         "the route's timeout, on a %s connection",
+                         id.c_str(), at.zone.c_str(), answer_slack,
+                         kept ? "kept" : "new");
+                overdue += kept ? 1 : 0;
             }
         }
         if (answer.status() != 0)
             ++answered;
         served += answer.status() == 200 ? 1 : 0;
+        kept = whole;
         if (!whole)
             to = nullptr;
         pause_for(20);
@@ -195,11 +200,11 @@
     }
     pause_for(timeout_ms + 2 * answer_slack);
     stop = true;
-    records.say(
-        "answered %d, of these with 200 %d; unanswered at the timeout of "
-        "their route: %d, and 500 ms later: %d; clients that left: %d",
-        answered.load(), served.load(), past_timeout.load(), overdue.load(),
-        left.load());
+    records.say("answered %d, of these with 200 %d; on kept connections, "
+                "unanswered at the timeout of "
+                "their route: %d, and 500 ms later: %d; clients that left: %d",
+                answered.load(), served.load(), past_timeout.load(),
+                overdue.load(), left.load());
     finish(gateways, records,
            served.load() < 100 ? could_not
            : overdue.load() >= 8 && 2 * overdue.load() > past_timeout.load()
