Run I/O handlers on the dispatcher's context only

Cause: pick_next ran handlers while the fiber that suspended itself still held the spinlock of what it waits for. A handler that notified the same object, such as that of a client that leaves, spun forever on its own thread. Change: handlers run in pick_next only when the dispatcher calls it, which holds no lock. This covers all waits (signals, futures, ends of fibers) and arbutusgated, which has the same scheduler.

--- a/src/fiber_scheduler.cpp
+++ b/src/fiber_scheduler.cpp
@@ -6,9 +6,15 @@
 
 namespace {
 
-// Fiber switches after which I/O is polled, so that busy fibers cannot starve
-// it.
-constexpr std::uint32_t picks_per_poll = 16;
+// Least number of fiber switches between two polls for I/O while fibers are
+// ready.
+constexpr std::uint32_t min_picks_per_poll = 16;
+
+bool on_dispatcher() noexcept
+{
+    return boost::fibers::context::active()->is_context(
+        boost::fibers::type::dispatcher_context);
+}
 
 } // namespace
 
@@ -19,7 +25,11 @@
 
 boost::fibers::context* fiber_scheduler::pick_next() noexcept
 {
-    if (++picks_ >= picks_per_poll) {
+    // A fiber that suspends itself calls this function while it still holds the
+    // spinlock of the object that it waits for. A handler that notifies that
+    // object would spin forever. The dispatcher holds no lock, and has its turn
+    // among the ready fibers.
+    if (++picks_ >= min_picks_per_poll && on_dispatcher()) {
         picks_ = 0;
         io_.poll();
     }
--- a/src/fiber_scheduler.hpp
+++ b/src/fiber_scheduler.hpp
@@ -12,7 +12,8 @@
 namespace arbutusgate {
 
 /// Runs ready fibers in round-robin order and waits for I/O when none is ready.
-/// Handlers of the io_context run between fibers and must not block.
+/// Handlers of the io_context run on the dispatcher's context, between fibers.
+/// They may notify fibers, but must neither block nor suspend.
 class fiber_scheduler final : public boost::fibers::algo::algorithm
 {
 public:
