Limit the memory of all response bodies together

Cause: each body that is read whole was limited to 16 MB, their sum was not. Change: bodies of targets reserve their buffers from 32 MB for each I/O thread, from 16 KB on; one that gets no more is given up. Unfinished events of streams, stage responses and responses to arbutusgated reserve memory, too.

--- a/include/arbutusgate/config.hpp
+++ b/include/arbutusgate/config.hpp
@@ -117,8 +117,14 @@
 inline constexpr std::uint32_t max_stage_pieces = 4096;
 
 // Requests.
-inline constexpr std::size_t   request_body     = 1024 * 1024; // bytes
-inline constexpr std::size_t   request_header   = 16 * 1024;   // bytes
+inline constexpr std::size_t request_body = 1024 * 1024; // bytes
+/// Memory of all response bodies of targets that an I/O thread reads or passes
+/// on. A machine has 160 MB.
+inline constexpr std::size_t body_memory = 32 * 1024 * 1024;
+/// A body up to this size is not counted, so that small responses do not fail
+/// when large ones take all memory.
+inline constexpr std::size_t unreserved_body = 16 * 1024; // bytes
+inline constexpr std::size_t request_header  = 16 * 1024; // bytes
 inline constexpr auto          request_read     = 10s;
 inline constexpr std::size_t   idempotency_key  = 200; // bytes
 inline constexpr std::uint32_t request_retries  = 2;
--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -1036,7 +1036,10 @@
 {
     error_code ec;
     auto       head = parts_.codec.relay_head(lease->head());
-    auto       body = lease->read_all(remaining_time(), ec);
+    // Until the caller has read the response.
+    body_reservation memory(lease->context());
+    auto             body = lease->read_all(remaining_time(), ec,
+                                            http_client::max_body_bytes, &memory);
     waiting_.reset();
     const bool server_error = head_.status >= 500;
     finish_call(chosen, ec             ? call_outcome::broken
@@ -1060,6 +1063,7 @@
     {
         head.body()           = std::move(body);
         saved_error_response_ = std::move(head);
+        saved_error_memory_   = std::move(memory);
         return attempt_result::failed;
     }
     head.body() = std::move(body);
@@ -1123,8 +1127,9 @@
 bool forward_run::relay_events(const target& chosen, http_client& from,
                                error_code& ec)
 {
-    event_splitter events;
-    auto           event_at = daemon_now();
+    event_splitter   events;
+    body_reservation memory(from.context());
+    auto             event_at = daemon_now();
     for (;;) {
         // Only whole events show that the target makes progress. A silent
         // stream is aborted only when another target may resume it.
@@ -1152,6 +1157,8 @@
         }
         if (events.overflowed())
             ec = boost::asio::error::message_size;
+        else if (!memory.grow_to(events.rest().size()))
+            ec = boost::asio::error::no_buffer_space;
         else if (deadline_passed() ||
                  (stream_started_ && may_resume() &&
                   daemon_now() >= event_at + stream_silence_timeout))
--- a/src/forward_run.hpp
+++ b/src/forward_run.hpp
@@ -2,6 +2,7 @@
 /// picks a target and relays the response.
 #pragma once
 
+#include "body_memory.hpp"
 #include "call_permit.hpp"
 #include "crash_report.hpp"
 #include "stage_service.hpp"
@@ -216,8 +217,9 @@
     std::optional<call_permit> permit_;
     std::optional<std::string> last_event_id_; ///< For resuming.
     /// From an earlier attempt; sent when no later attempt succeeds.
-    std::optional<http_response> saved_error_response_;
-    std::uint32_t                events_ = 0; ///< Events relayed.
+    std::optional<http_response>    saved_error_response_;
+    std::optional<body_reservation> saved_error_memory_;
+    std::uint32_t                   events_ = 0; ///< Events relayed.
     /// Events relayed before the latest attempt.
     std::uint32_t               earlier_events_ = 0;
     std::optional<milliseconds> first_event_after_; ///< Time since arrival.
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -1,5 +1,6 @@
 #include "http_client.hpp"
 
+#include "body_memory.hpp"
 #include "daemon_clock.hpp"
 #include "fiber_token.hpp"
 
@@ -179,7 +180,8 @@
 }
 
 std::string http_client::read_all(milliseconds timeout, error_code& ec,
-                                  std::size_t max_bytes)
+                                  std::size_t       max_bytes,
+                                  body_reservation* memory)
 {
     const auto  deadline = std::chrono::steady_clock::now() + timeout;
     std::string text;
@@ -190,14 +192,22 @@
         if (ec || part.empty())
             return text;
         text += part;
-        if (text.size() > max_bytes) {
-            ec            = asio::error::message_size;
+        if (text.size() > max_bytes)
+            ec = asio::error::message_size;
+        else if (memory && !memory->grow_to(text.capacity()))
+            ec = asio::error::no_buffer_space;
+        if (ec) {
             impl_->broken = true;
             return text;
         }
     }
 }
 
+asio::execution_context& http_client::context() const
+{
+    return impl_->stream.get_executor().context();
+}
+
 void http_client::cancel()
 {
     impl_->broken = true;
--- a/src/http_client.hpp
+++ b/src/http_client.hpp
@@ -14,6 +14,8 @@
 
 namespace arbutusgate {
 
+class body_reservation;
+
 /// One connection. Used by one fiber of the io_context's thread at a time; only
 /// cancel() may be called by another fiber of that thread.
 class http_client
@@ -46,8 +48,13 @@
     std::string read_some(milliseconds timeout, boost::system::error_code& ec);
     /// Reads the remaining body.
     /// \param max_bytes a longer body fails with message_size.
+    /// \param memory reserves the body's memory, if set; a body for which too
+    ///               little is left fails with no_buffer_space.
     std::string read_all(milliseconds timeout, boost::system::error_code& ec,
-                         std::size_t max_bytes = max_body_bytes);
+                         std::size_t       max_bytes = max_body_bytes,
+                         body_reservation* memory    = nullptr);
+    /// The io_context, as a parameter of body_reservation.
+    boost::asio::execution_context& context() const;
     /// Closes the connection; an operation in progress fails.
     void cancel();
 
--- a/src/stage_caller.cpp
+++ b/src/stage_caller.cpp
@@ -1,5 +1,6 @@
 #include "stage_caller.hpp"
 
+#include "body_memory.hpp"
 #include "connection_pool.hpp"
 #include "daemon_clock.hpp"
 #include "http_client.hpp"
@@ -296,8 +297,10 @@
 
 void stage_caller::attempt_call::read_error_response()
 {
-    error_code ec;
-    const auto body = client_->read_all(remaining_until(deadline_), ec);
+    error_code       ec;
+    body_reservation memory(client_->context());
+    const auto       body = client_->read_all(remaining_until(deadline_), ec,
+                                              http_client::max_body_bytes, &memory);
     result_.attempt.retry_after = parse_retry_after(client_->head());
     const auto status           = std::to_string(client_->head().result_int());
     if (ec)
@@ -310,8 +313,10 @@
 
 void stage_caller::attempt_call::read_service_response()
 {
-    error_code ec;
-    const auto body = client_->read_all(remaining_until(deadline_), ec);
+    error_code       ec;
+    body_reservation memory(client_->context());
+    const auto       body = client_->read_all(remaining_until(deadline_), ec,
+                                              http_client::max_body_bytes, &memory);
     if (ec)
         fail_connection(ec);
     else
--- a/src/stage_scheduler.cpp
+++ b/src/stage_scheduler.cpp
@@ -1,5 +1,6 @@
 #include "stage_scheduler.hpp"
 
+#include "body_memory.hpp"
 #include "io_thread.hpp"
 #include "log.hpp"
 #include "notice_handler.hpp"
@@ -265,8 +266,9 @@
     const auto head = init_.codec.decode_response(lease->head());
     handle_notice(init_.targets, to, head,
                   {"stage call", pieces.front().source->attempt}, daemon_now());
-    const auto body =
-        lease->read_all(remaining_until(deadline), ec, max_response_bytes);
+    body_reservation memory(lease->context());
+    const auto       body = lease->read_all(remaining_until(deadline), ec,
+                                            max_response_bytes, &memory);
     if (ec) {
         log(log_level::warning, "stage response ended early",
             {{"target", call.target}, {"error", ec.message()}});
