Answer the requests that are open when a drain ends

Cause: requests did not know that the daemon stops. Change: from SIGTERM on they know when they will be ended, 0.6 s before the end of the grace. What would not be answered by then is refused as not run; what is still open then gets 503 if it was not sent, 502 if it may have run.

--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -89,6 +89,8 @@
     auto failure = resolve();
     if (!failure)
         failure = refuse_if_quarantined();
+    if (!failure)
+        failure = refuse_if_stopping();
     if (!failure)
         failure = refuse_if_closed();
     if (!failure)
@@ -112,6 +114,17 @@
 void forward_run::on_caller_gone()
 {
     caller_gone_ = true;
+    interrupt();
+}
+
+void forward_run::end()
+{
+    ended_ = true;
+    interrupt();
+}
+
+void forward_run::interrupt()
+{
     if (connection_)
         connection_->cancel();
     signal_->notify();
@@ -249,6 +262,17 @@
     return run_failure{refusal_reason::quarantined, execution::not_run, wait};
 }
 
+std::optional<run_failure> forward_run::refuse_if_stopping()
+{
+    if (!ended_ && (!parts_.ends_at ||
+                    daemon_now() + parts_.times.get(service_->name,
+                                                    default_first_event_time) <=
+                        *parts_.ends_at))
+        return std::nullopt;
+    return run_failure{refusal_reason::draining, execution::not_run,
+                       target_full_retry_after};
+}
+
 std::optional<run_failure> forward_run::admit()
 {
     // The owner of a single stage decides this itself, since it knows more
@@ -451,7 +475,7 @@
     completed_at_.resize(route_->stages.size());
     run_failure failure;
     const auto  settled = [this] {
-        return caller_gone_ ||
+        return interrupted() ||
                std::any_of(tickets_.begin(), tickets_.end(),
                             [](const auto& it) {
                                return it && it->state != order_state::waiting &&
@@ -475,7 +499,7 @@
         };
         const auto before = waiting();
         if (!signal_->wait_until(first_event_deadline_, [&] {
-                return caller_gone_ || waiting() != before;
+                return interrupted() || waiting() != before;
             }))
             return run_failure{refusal_reason::deadline_unreachable,
                                execution::not_run, target_full_retry_after};
@@ -483,11 +507,15 @@
         release_consumed_results();
         if (auto refused = refuse_if_quarantined())
             return refused;
+        if (auto refused = refuse_if_stopping())
+            return refused;
         if (!settled() && !submit_stages(failure))
             return failure;
     }
     if (caller_gone_)
         return std::nullopt;
+    if (auto refused = refuse_if_stopping())
+        return refused;
     for (const auto& it : tickets_) {
         if (it->state != order_state::done)
             return stage_failure(*it);
@@ -674,10 +702,10 @@
 bool forward_run::acquire_permit(const target& chosen, milliseconds max_wait)
 {
     permit_ = parts_.permits.acquire(chosen, max_wait);
-    if (!permit_->granted || caller_gone_)
+    if (!permit_->granted || interrupted())
         return false;
-    signal_->wait_until(permit_->call_at, [this] { return caller_gone_; });
-    return !caller_gone_;
+    signal_->wait_until(permit_->call_at, [this] { return interrupted(); });
+    return !interrupted();
 }
 
 bool forward_run::may_send(const target& chosen) const
@@ -709,7 +737,7 @@
             return std::nullopt;
         if (acquire_permit(chosen, short_permit_wait))
             return chosen;
-        if (caller_gone_)
+        if (interrupted())
             return std::nullopt;
     }
 }
@@ -722,7 +750,7 @@
     for (;;) {
         if (auto it = take_free_target())
             return it;
-        if (caller_gone_ || refuse_if_closed())
+        if (interrupted() || refuse_if_closed())
             return std::nullopt;
         const auto* first = first_to_open();
         if (!first)
@@ -742,13 +770,13 @@
         else if (!retry || *retry <= now) {
             return retry ? std::optional(chosen) : std::nullopt;
         }
-        signal_->wait_until(*retry, [this] { return caller_gone_; });
+        signal_->wait_until(*retry, [this] { return interrupted(); });
     }
 }
 
 bool forward_run::may_retry(attempt_result last) const
 {
-    if (caller_gone_ || deadline_passed() || attempts_ >= route_->max_attempts)
+    if (interrupted() || deadline_passed() || attempts_ >= route_->max_attempts)
         return false;
     if (last == attempt_result::not_run)
         return true;
@@ -779,6 +807,8 @@
         if (stream_started_ && !rerun_stages())
             break;
         refused = refuse_if_quarantined();
+        if (!refused)
+            refused = refuse_if_stopping();
         if (refused)
             break;
         const auto found = await_target();
@@ -829,7 +859,7 @@
 void forward_run::finish_call(const target& chosen, call_outcome how)
 {
     parts_.picker.finish(chosen.id, call_number_,
-                         caller_gone_ ? call_outcome::cancelled : how,
+                         interrupted() ? call_outcome::cancelled : how,
                          daemon_now());
 }
 
@@ -874,7 +904,7 @@
 forward_run::attempt_result forward_run::send(const target&     chosen,
                                               connection_lease& lease)
 {
-    if (caller_gone_ || deadline_passed()) {
+    if (interrupted() || deadline_passed()) {
         finish_call(chosen, call_outcome::cancelled);
         return attempt_result::not_run;
     }
@@ -958,7 +988,7 @@
 void forward_run::report_unanswered(const target& at, const error_code& ec)
 {
     namespace asio_error = boost::asio::error;
-    if (caller_gone_ || prompt_.shared.empty())
+    if (interrupted() || prompt_.shared.empty())
         return;
     const auto now = daemon_now();
     if (ec == http::error::end_of_stream ||
@@ -1138,7 +1168,7 @@
             wait = std::min(wait,
                             remaining_until(event_at + stream_silence_timeout));
         const auto text = from.read_some(wait, ec);
-        if (ec || caller_gone_)
+        if (ec || interrupted())
             return false;
         if (text.empty())
             return events.rest().empty();
@@ -1201,6 +1231,7 @@
              it.reason == refusal_reason::no_target ||
              it.reason == refusal_reason::not_ready ||
              it.reason == refusal_reason::quarantined ||
+             it.reason == refusal_reason::draining ||
              it.reason == refusal_reason::stage_failed ||
              it.reason == refusal_reason::deadline_unreachable)
         response.result(http::status::service_unavailable);
--- a/src/forward_run.hpp
+++ b/src/forward_run.hpp
@@ -61,6 +61,8 @@
     std::string           failure_domain;
     /// Daemons that share each target's connection limit, this one included.
     std::uint32_t daemons = 1;
+    /// When open requests are ended, since the daemon stops; set by a drain.
+    std::optional<time_point> ends_at = std::nullopt;
 };
 
 /// Reason and state in which a request ends without a response of a target.
@@ -79,6 +81,9 @@
     forward_run(request_dependencies& parts, http_exchange& exchange);
 
     void run();
+    /// Ends the request with an answer, since the daemon stops. Called on the
+    /// exchange's thread, not on its fiber.
+    void end();
 
 private:
     /// How one attempt at a target ended.
@@ -95,6 +100,8 @@
     /// Refuses a request with several stages that cannot be served in time.
     std::optional<run_failure> admit();
     std::optional<run_failure> refuse_if_closed();
+    /// Refuses a request that would not be answered before the daemon stops.
+    std::optional<run_failure> refuse_if_stopping();
     /// Refuses the request when a part of its prompt keeps it from all targets,
     /// unless it becomes the trial of that part.
     std::optional<run_failure> refuse_if_quarantined();
@@ -150,12 +157,15 @@
     bool skip_foreign_responses(const target& chosen, connection_lease& lease);
     void return_connection(connection_lease lease);
 
-    void          refuse(const run_failure& it);
-    void          release_results();
-    void          release_consumed_results();
-    bool          rerun_stages();
-    void          learn_stage_times();
-    void          on_caller_gone();
+    void refuse(const run_failure& it);
+    void release_results();
+    void release_consumed_results();
+    bool rerun_stages();
+    void learn_stage_times();
+    void on_caller_gone();
+    /// Ends what the request waits for: a response, stages or a target.
+    void          interrupt();
+    bool          interrupted() const { return caller_gone_ || ended_; }
     milliseconds  remaining_time() const;
     bool          deadline_passed() const;
     std::uint64_t result_bytes() const;
@@ -203,6 +213,7 @@
     /// Call that waits for its first event.
     std::unique_ptr<waiting_calls::entry> waiting_;
     bool                                  caller_gone_ = false;
+    bool ended_          = false; ///< By end(); takes no further attempt.
     bool stream_started_ = false; ///< The stream's head was sent.
     /// The latest attempt ended before its request was sent.
     bool request_unsent_ = false;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -25,6 +25,7 @@
 #include <chrono>
 #include <future>
 #include <random>
+#include <set>
 #include <thread>
 
 namespace arbutusgate::gateway {
@@ -40,6 +41,8 @@
 /// Part of the drain grace that is reserved for the exit of the process.
 constexpr milliseconds exit_margin{300};
 constexpr milliseconds drain_poll_interval{20};
+/// Requests that are open this long before the exit get an answer that says so.
+constexpr milliseconds answer_margin{300};
 /// Peers exchange their capacity in thousandths of a core.
 constexpr double capacity_per_core = 1000;
 /// Between requests for the state of other daemons while the store does not
@@ -104,6 +107,39 @@
                                             : min;
 }
 
+/// Counts a request as open during its lifetime.
+class open_request_count
+{
+public:
+    explicit open_request_count(std::atomic<std::uint32_t>& n) : n_(n) { ++n_; }
+    ~open_request_count() { --n_; }
+
+    open_request_count(const open_request_count&)            = delete;
+    open_request_count& operator=(const open_request_count&) = delete;
+
+private:
+    std::atomic<std::uint32_t>& n_;
+};
+
+/// Lists a run as open during its lifetime.
+class open_run
+{
+public:
+    open_run(std::set<forward_run*>& list, forward_run& run)
+        : list_(list), run_(run)
+    {
+        list_.insert(&run_);
+    }
+    ~open_run() { list_.erase(&run_); }
+
+    open_run(const open_run&)            = delete;
+    open_run& operator=(const open_run&) = delete;
+
+private:
+    std::set<forward_run*>& list_;
+    forward_run&            run_;
+};
+
 retry_limits retry_limits_of(const gateway_bounds& bounds)
 {
     return {bounds.retry_ratio, bounds.retry_slack, bounds.retry_window};
@@ -124,8 +160,12 @@
                                                       time_point& confirmed);
     follow_events                events();
     void                         configured(const route_table& table);
-    void       target_changed(const std::string& id, target_change change);
-    void       serve(http_exchange& exchange);
+    void target_changed(const std::string& id, target_change change);
+    void serve(http_exchange& exchange);
+    /// \param ends_at when open requests are ended.
+    void begin_drain(time_point ends_at);
+    /// Ends all open requests with an answer.
+    void       end_runs();
     void       serve_peer(http_exchange& exchange);
     void       serve_ready(http_exchange& exchange) const;
     void       serve_metrics(http_exchange& exchange) const;
@@ -172,8 +212,10 @@
     std::atomic<bool>          draining{false};
     std::atomic<bool>          stopping{false};
     std::atomic<std::uint32_t> open_requests{0};
-    std::promise<void>         follower_ended;
-    std::promise<void>         peer_follower_ended;
+    /// Requests of callers; used on the thread only.
+    std::set<forward_run*> open_runs;
+    std::promise<void>     follower_ended;
+    std::promise<void>     peer_follower_ended;
 };
 
 gateway::impl::impl(gateway_init init)
@@ -410,21 +452,36 @@
 
 void gateway::impl::serve(http_exchange& exchange)
 {
-    ++open_requests;
-    const auto daemons = peers->table().daemons();
-    parts->daemons     = std::max(1U, daemons);
+    const open_request_count count(open_requests);
+    const auto               daemons = peers->table().daemons();
+    parts->daemons                   = std::max(1U, daemons);
     budget.set_daemons(daemons);
-    forward_run(*parts, exchange).run();
-    --open_requests;
+    forward_run    run(*parts, exchange);
+    const open_run entry(open_runs, run);
+    run.run();
+}
+
+void gateway::impl::begin_drain(time_point ends_at)
+{
+    parts->ends_at = ends_at;
+    peers->announce_leaving();
+}
+
+void gateway::impl::end_runs()
+{
+    if (!open_runs.empty())
+        log(log_level::warning, "ending open requests at the end of the grace",
+            {{"requests", open_runs.size()}});
+    for (auto* it : open_runs)
+        it->end();
 }
 
 // A stage order of another daemon counts as an open request, so that this
 // daemon does not exit while the order is in its queue.
 void gateway::impl::serve_peer(http_exchange& exchange)
 {
-    ++open_requests;
+    const open_request_count count(open_requests);
     peers->serve(exchange);
-    --open_requests;
 }
 
 bool gateway::impl::ready() const
@@ -690,13 +747,20 @@
     impl_->caller_server->announce_close();
     log(log_level::info, "draining",
         {{"open_requests", impl_->open_requests.load()}});
-    impl_->thread.spawn([this] { impl_->peers->announce_leaving(); });
+    const auto ends_at = deadline - answer_margin;
+    impl_->thread.spawn([this, ends_at] { impl_->begin_drain(ends_at); });
     std::this_thread::sleep_for(drain_notice);
     impl_->caller_server->stop_accepting();
     // A connection without a request in progress may be about to carry one.
-    while (
-        (impl_->open_requests > 0 || impl_->caller_server->connections() > 0) &&
-        daemon_now() < deadline)
+    const auto busy = [this] {
+        return impl_->open_requests > 0 ||
+               impl_->caller_server->connections() > 0;
+    };
+    while (busy() && daemon_now() < ends_at)
+        std::this_thread::sleep_for(drain_poll_interval);
+    if (busy())
+        impl_->thread.spawn([this] { impl_->end_runs(); });
+    while (busy() && daemon_now() < deadline)
         std::this_thread::sleep_for(drain_poll_interval);
     log(log_level::info, "stopping",
         {{"open_requests", impl_->open_requests.load()}});
--- a/tests/gateway_fixture.cpp
+++ b/tests/gateway_fixture.cpp
@@ -55,18 +55,17 @@
                                  const std::string&       peer,
                                  std::vector<std::string> seeds)
 {
-    gateway_settings settings;
-    settings.node           = "n1";
-    settings.failure_domain = "d1";
-    settings.listen = settings.ready = settings.metrics = "127.0.0.1:0";
-    settings.peer                                       = peer;
-    settings.seeds                                      = std::move(seeds);
-    settings.store                                      = "127.0.0.1:1";
+    settings_.node           = "n1";
+    settings_.failure_domain = "d1";
+    settings_.listen = settings_.ready = settings_.metrics = "127.0.0.1:0";
+    settings_.peer                                         = peer;
+    settings_.seeds                                        = std::move(seeds);
+    settings_.store                                        = "127.0.0.1:1";
     // High enough not to limit retries: retry budgets have their own tests.
-    settings.bounds.retry_ratio = 10;
-    settings.bounds.retry_slack = 0;
-    gateway_                    = std::make_unique<gateway>(gateway_init{
-        settings, codec_, [targets](asio::io_context& io) {
+    settings_.bounds.retry_ratio = 10;
+    settings_.bounds.retry_slack = 0;
+    gateway_                     = std::make_unique<gateway>(gateway_init{
+        settings_, codec_, [targets](asio::io_context& io) {
             return std::make_unique<fixed_reader>(io, make_config(), targets);
         }});
     REQUIRE(gateway_->start().ok());
@@ -85,6 +84,15 @@
     }
 }
 
+void gateway_fixture::drain(milliseconds grace)
+{
+    settings_.bounds.drain_grace = grace;
+    gateway_->reload(settings_);
+    exchange("GET /readyz HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+             gateway_->ready_port());
+    gateway_->drain();
+}
+
 std::string gateway_fixture::request(const std::string& path,
                                      const std::string& body,
                                      const std::string& extra)
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -220,13 +220,17 @@
     std::string exchange(const std::string& text, std::uint16_t port = 0) const;
     /// A request of the caller with key "k".
     /// \param extra further header lines.
-    static std::string request(const std::string& path,
-                               const std::string& body  = "body",
-                               const std::string& extra = "");
-    std::uint16_t      port() const { return gateway_->port(); }
-    gateway&           daemon() { return *gateway_; }
+    static std::string      request(const std::string& path,
+                                    const std::string& body  = "body",
+                                    const std::string& extra = "");
+    std::uint16_t           port() const { return gateway_->port(); }
+    gateway&                daemon() { return *gateway_; }
+    const gateway_settings& settings() const { return settings_; }
+    /// Drains the daemon with a grace of the given time.
+    void drain(milliseconds grace);
 
 private:
+    gateway_settings         settings_;
     platform::http_codec     codec_;
     std::unique_ptr<gateway> gateway_;
 };
