Test responses that break off in their head

Beast's parser reports an error for each byte at which four responses were cut, which all callers of http_client pass on.

--- a/tests/gateway_fault_test.cpp
+++ b/tests/gateway_fault_test.cpp
@@ -267,3 +267,93 @@
     CHECK(out.ends_with("\r\n\r\n" + chunk("id: 1\ndata: a\n\n")));
     CHECK(count(out, "HTTP/1.1") == 1);
 }
+
+// Guards against a response that breaks off in its head and reaches the caller
+// as a success with an empty or a short body.
+TEST_CASE("a response that breaks off in its head is a failure",
+          "[gateway][sockets]")
+{
+    const std::string path   = GENERATE("/once/", "/again/", "/stream/");
+    const bool        resets = GENERATE(false, true);
+    const std::string whole =
+        path == "/stream/" ? stream_head() : answer("body of the target");
+    const auto head = whole.substr(0, whole.find("\r\n\r\n") + 4);
+    // In the status line, between lines, in a line and before the empty line.
+    for (const auto n : {head.find(' ') + 2, head.find("\r\n") + 2,
+                         head.size() / 2, head.size() - 2, head.size() - 1})
+    {
+        ending_target   t(head.substr(0, n), resets);
+        gateway_fixture g({make_target("i-1", t.server.address())});
+        const auto      out = g.exchange(g.request(path));
+        CAPTURE(path, resets, n, out);
+        CHECK(has(out, "HTTP/1.1 502"));
+        CHECK_FALSE(has(out, "Arbutusgate-Server-Signature"));
+    }
+}
+
+// Guards against a resumed stream that ends as if it were complete, since the
+// next target's response breaks off in its head.
+TEST_CASE("a stream whose continuation breaks off in its head is cut",
+          "[gateway][sockets]")
+{
+    const bool       resets = GENERATE(false, true);
+    const auto       head   = stream_head();
+    const auto       n      = GENERATE_COPY(values<std::size_t>(
+        {2, head.find("\r\n") + 2, head.size() / 2, head.size() - 2}));
+    std::atomic<int> calls{0};
+    const auto       script = [&](target_session& it) {
+        if (it.read().empty())
+            return;
+        if (++calls == 1) {
+            it.write(stream_head() + chunk("id: 1\ndata: a\n\n"));
+            it.reset();
+            return;
+        }
+        it.write(head.substr(0, n));
+        if (resets)
+            it.reset();
+    };
+    scripted_target one(script);
+    scripted_target two(script);
+    gateway_fixture g(
+        {make_target("i-1", one.address()), make_target("i-2", two.address())});
+    const auto out = g.exchange(g.request("/resume/"));
+    CAPTURE(n, out);
+    CHECK(calls == 2);
+    CHECK(out.ends_with("\r\n\r\n" + chunk("id: 1\ndata: a\n\n")));
+}
+
+// Guards against a stage call that is taken for answered, without results,
+// since its response breaks off in its head.
+TEST_CASE("a stage call that is answered with a part of a head has failed",
+          "[gateway][sockets]")
+{
+    const std::string whole = answer(R"({"items":[{"handle":"h/1"}]})");
+    const auto        n     = GENERATE_COPY(values<std::size_t>(
+        {2, whole.find("\r\n") + 2, whole.find("\r\n\r\n") + 2}));
+    std::atomic<int>  calls{0};
+    scripted_target   stage([&](target_session& it) {
+        for (auto text = it.read(); !text.empty(); text = it.read()) {
+            if (has(text, "/stage-free")) {
+                it.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                continue;
+            }
+            if (++calls == 1) {
+                it.write(whole.substr(0, n));
+                return;
+            }
+            it.write(whole);
+        }
+    });
+    scripted_target   engine([&](target_session& it) {
+        if (!it.read().empty())
+            it.write(answer("done"));
+    });
+    gateway_fixture   g({make_target("i-1", engine.address()),
+                         make_target("p-1", stage.address(), "p")});
+    CHECK(g.exchange(g.request("/staged/", "body",
+                               "Arbutusgate-Pieces: 1,0\r\n"
+                               "Arbutusgate-Piece-Key: kk\r\n"))
+              .ends_with("done"));
+    CHECK(calls == 2);
+}
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -1,3 +1,4 @@
+#include "gateway_fixture.hpp"
 #include "http_client.hpp"
 #include "http_server.hpp"
 #include "io_thread.hpp"
@@ -238,3 +239,36 @@
         std::this_thread::sleep_for(milliseconds{10});
     CHECK(server.connections() == 0);
 }
+
+// Guards against a response that is taken for whole though its connection ended
+// inside its head or its body. All calls to targets, other daemons and the
+// store read their responses this way.
+TEST_CASE("a response that ends early is an error at each byte")
+{
+    const std::string whole = GENERATE(
+        "HTTP/1.1 200 OK\r\nServer: a\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nServer: a\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "4\r\nbody\r\n0\r\nTrailer: a\r\n\r\n");
+    gateway::test::scripted_target server(
+        [&](gateway::test::target_session& it) {
+            const auto request = it.read();
+            const auto n       = request.find("\r\n\r\n") + 4;
+            it.write(whole.substr(0, std::stoul("0" + request.substr(n))));
+        });
+    io_thread thread;
+    for (std::size_t n = 0; n <= whole.size(); ++n) {
+        const bool read = run_on(thread, [&] {
+            http_client client(thread.io());
+            auto        ec = client.connect(server.address(), seconds{20});
+            if (!ec)
+                ec = client.send(post(std::to_string(n)), seconds{20});
+            if (!ec)
+                client.read_all(seconds{20}, ec);
+            return !ec;
+        });
+        CAPTURE(n);
+        CHECK(read == (n == whole.size()));
+    }
+}
