Keep the process when a header field would be too long

Cause: Beast throws for a header field of 64 KiB, and nothing catches that on a fiber or in a handler: handles of inputs joined to one field, the id of an event at which a stream is resumed, a field of a request. Change: the head of a request ends at 60,000 bytes, longer inputs are refused, and a stream is not resumed at such an id. An exception in the handler of a request is logged and ends only its connection.

--- a/include/arbutusgate/config.hpp
+++ b/include/arbutusgate/config.hpp
@@ -125,6 +125,8 @@
 /// when large ones take all memory.
 inline constexpr std::size_t unreserved_body = 16 * 1024; // bytes
 inline constexpr std::size_t request_header  = 16 * 1024; // bytes
+/// Bytes; Beast throws an exception for a header field of 64 KiB.
+inline constexpr std::size_t   max_header_field = 60'000;
 inline constexpr auto          request_read     = 10s;
 inline constexpr std::size_t   idempotency_key  = 200; // bytes
 inline constexpr std::uint32_t request_retries  = 2;
--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -65,6 +65,15 @@
 constexpr double        other_domain_penalty    = 0.02;
 constexpr std::uint32_t default_engine_priority = 5;
 
+/// \return nothing for an id that fits in no header field. A stream cannot be
+/// resumed at such an event.
+std::optional<std::string> usable_event_id(std::string id)
+{
+    if (id.size() > limits::max_header_field)
+        return std::nullopt;
+    return id;
+}
+
 /// How long the callers of a stream wait for its first event.
 milliseconds stream_caller_timeout(const route& it)
 {
@@ -520,6 +529,12 @@
         if (it->state != order_state::done)
             return stage_failure(*it);
     }
+    const auto inputs = final_inputs();
+    const auto bytes  = std::accumulate(
+         inputs.begin(), inputs.end(), std::size_t{0},
+         [](std::size_t n, const auto& it) { return n + it.size() + 1; });
+    if (bytes > limits::max_header_field)
+        return run_failure{refusal_reason::too_large};
     std::vector<std::uint32_t> all(tickets_.size());
     std::iota(all.begin(), all.end(), 0U);
     result_domain_ = main_result_domain(all);
@@ -1177,7 +1192,7 @@
         std::string batch;
         while (auto it = events.next()) {
             if (it->id)
-                last_event_id_ = it->id;
+                last_event_id_ = usable_event_id(std::move(*it->id));
             batch += it->text;
             event_at = daemon_now();
             if (events_++ == earlier_events_) {
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -3,6 +3,7 @@
 #include "fiber_token.hpp"
 #include "http_client.hpp"
 #include "io_thread.hpp"
+#include "log.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -16,6 +17,7 @@
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <condition_variable>
 #include <mutex>
@@ -114,6 +116,7 @@
 private:
     bool wait_for_request();
     bool read_request();
+    void run_handler();
     void refuse(error_code ec);
     void discard_request();
     void start_idle_timer(milliseconds time);
@@ -153,7 +156,7 @@
            wait_for_request() && read_request() && !broken_)
     {
         start_watching_client();
-        owner_->init.handler(*this);
+        run_handler();
         stop_watching_client();
         if (!responded_ || broken_ || !keep_alive_)
             break;
@@ -162,6 +165,20 @@
     stream_.close();
 }
 
+// An exception that leaves a fiber ends the process, and with it the requests
+// of all other clients.
+void http_connection::run_handler()
+{
+    try {
+        owner_->init.handler(*this);
+    }
+    catch (const std::exception& it) {
+        log(log_level::error, "a request failed with an exception",
+            {{"error", it.what()}});
+        close();
+    }
+}
+
 void http_connection::close()
 {
     broken_ = true;
@@ -237,7 +254,9 @@
 bool http_connection::read_request()
 {
     parser_.emplace();
-    parser_->header_limit(owner_->init.header_limit);
+    // No single field can be longer than the whole header.
+    parser_->header_limit(static_cast<std::uint32_t>(std::min<std::size_t>(
+        owner_->init.header_limit, limits::max_header_field)));
     parser_->body_limit(owner_->init.body_limit);
     responded_ = false;
     error_code ec;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -392,6 +392,61 @@
     CHECK(has(final_request, "Arbutusgate-Inputs: h/2\r\n"));
 }
 
+// Guards against a request that ends the process, since the handles of its
+// inputs do not fit in one header field.
+TEST_CASE("a request with too many inputs for a header field is refused",
+          "[gateway][sockets]")
+{
+    const std::string handle(10'000, 'h');
+    std::atomic<int>  results{0};
+    scripted_target   stage([&](target_session& session) {
+        for (auto text = session.read(); !text.empty(); text = session.read()) {
+            std::string items;
+            for (auto n = text.find("\"stage\""); n != std::string::npos;
+                 n      = text.find("\"stage\"", n + 1))
+                items += (items.empty() ? "" : ",") +
+                         (R"({"handle":")" + handle) +
+                         std::to_string(++results) + R"("})";
+            session.write(answer(R"({"items":[)" + items + "]}"));
+        }
+    });
+    scripted_target   last(always(stream_head() + "0\r\n\r\n"));
+    gateway_fixture   g({make_target("i-1", last.address()),
+                         make_target("p-1", stage.address(), "p")});
+    const auto        staged = [&](const std::string& pieces) {
+        return g.exchange(g.request("/staged-stream/", "body",
+                                           "Arbutusgate-Piece-Key: kk\r\n"
+                                                  "Arbutusgate-Pieces: " +
+                                               pieces + "\r\n"));
+    };
+    CHECK(has(staged("7"), "HTTP/1.1 413"));
+    CHECK(has(staged("2"), "HTTP/1.1 200"));
+}
+
+// Guards against an event's id that ends the process when the stream is
+// resumed, since it does not fit in a header field.
+TEST_CASE("a stream is not resumed at an id that fits in no header field",
+          "[gateway][sockets]")
+{
+    const std::string id(70'000, 'i');
+    std::atomic<int>  calls{0};
+    const auto        script = [&](target_session& session) {
+        if (session.read().empty())
+            return;
+        ++calls;
+        session.write(stream_head() + chunk("id: " + id + "\ndata: a\n\n"));
+        session.reset();
+    };
+    scripted_target one(script);
+    scripted_target two(script);
+    gateway_fixture g(
+        {make_target("i-1", one.address()), make_target("i-2", two.address())});
+    const auto out = g.exchange(g.request("/resume/"));
+    CHECK(has(out, "data: a"));
+    CHECK_FALSE(out.ends_with("0\r\n\r\n"));
+    CHECK(calls == 1);
+}
+
 // Guards against stage results that occupy the result memory of their targets
 // for the whole duration of a resumable stream, and against a resumed stream
 // without its inputs.
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -3,6 +3,9 @@
 #include "http_server.hpp"
 #include "io_thread.hpp"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/fiber/future/future.hpp>
 #include <boost/fiber/future/promise.hpp>
 
@@ -10,6 +13,7 @@
 
 #include <chrono>
 #include <future>
+#include <stdexcept>
 #include <thread>
 
 using namespace arbutusgate;
@@ -240,6 +244,75 @@
     CHECK(server.connections() == 0);
 }
 
+// Guards against a request that ends the process since one of its header fields
+// is longer than Beast can store, though the limits allow it.
+TEST_CASE("a header field of any length leaves the server running")
+{
+    auto init         = echo_init();
+    init.header_limit = 256 * 1024;
+    io_thread   server_thread;
+    io_thread   thread;
+    http_server server(std::move(init), {&server_thread});
+    REQUIRE(server.start().ok());
+    const auto address = "127.0.0.1:" + std::to_string(server.port());
+    const auto status  = [&](const std::string& text) {
+        return run_on(thread, [&] {
+            http_client client(thread.io());
+            auto        ec      = client.connect(address, seconds{20});
+            auto        request = post(text);
+            request.set("X-Text", text);
+            if (!ec)
+                ec = client.send(request, seconds{20});
+            return ec ? 0 : client.head().result_int();
+        });
+    };
+    CHECK(status(std::string(50'000, 'x')) == 200);
+    // Beast's request holds up to 65,533 bytes; with the name of the field,
+    // they exceed what the server reads.
+    CHECK(status(std::string(65'500, 'x')) == 400);
+    const auto raw = run_on(thread, [&] {
+        boost::asio::ip::tcp::socket socket(thread.io());
+        boost::system::error_code    ec;
+        socket.connect({boost::asio::ip::address_v4::loopback(), server.port()},
+                       ec);
+        boost::asio::write(socket,
+                           boost::asio::buffer("GET / HTTP/1.1\r\nX-Text: " +
+                                               std::string(70'000, 'x') +
+                                               "\r\n\r\n"),
+                           ec);
+        std::string text;
+        boost::asio::read(socket, boost::asio::dynamic_buffer(text), ec);
+        return text;
+    });
+    CHECK(raw.starts_with("HTTP/1.1 400"));
+    CHECK(status("x") == 200);
+}
+
+// Guards against an exception in the handler of one request that ends the
+// process, and with it all other requests.
+TEST_CASE("an exception in a handler ends only its connection")
+{
+    auto init    = echo_init();
+    init.handler = [echo = init.handler](http_exchange& it) {
+        if (it.request().body() == "throw")
+            throw std::length_error("field value too large");
+        echo(it);
+    };
+    io_thread   server_thread;
+    io_thread   thread;
+    http_server server(std::move(init), {&server_thread});
+    REQUIRE(server.start().ok());
+    const auto address = "127.0.0.1:" + std::to_string(server.port());
+    for (const auto* body : {"throw", "x"}) {
+        const bool answered = run_on(thread, [&] {
+            http_client client(thread.io());
+            return !client.connect(address, seconds{20}) &&
+                   !client.send(post(body), seconds{20});
+        });
+        CHECK(answered == (std::string_view(body) == "x"));
+    }
+}
+
 // Guards against a response that is taken for whole though its connection ended
 // inside its head or its body. All calls to targets, other daemons and the
 // store read their responses this way.
