Start without optional settings and while ports are in use

What was seen: the gateway did not start (status 2) with an empty value of the settings, no store, a processor share of 0, or less than 64 or more than a million descriptors; nor (status 1) while the port for metrics, which all processes at one address share by the template, or another port was in use. Change: a key without a value has its default; the ranges allow these values; metrics are not served while their port is taken; other ports are waited for.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -43,6 +43,9 @@
 constexpr milliseconds drain_poll_interval{20};
 /// Requests that are open this long before the exit get an answer that says so.
 constexpr milliseconds answer_margin{300};
+/// How long a start waits for a listening port that is in use.
+constexpr seconds      listen_retry_time{10};
+constexpr milliseconds listen_retry_interval{100};
 /// Peers exchange their capacity in thousandths of a core.
 constexpr double capacity_per_core = 1000;
 /// Between requests for the state of other daemons while the store does not
@@ -140,6 +143,18 @@
     forward_run&            run_;
 };
 
+/// The process before this one may still hold the port.
+absl::Status start_listening(http_server& server)
+{
+    const auto end    = daemon_now() + listen_retry_time;
+    auto       status = server.start();
+    while (!status.ok() && daemon_now() < end) {
+        std::this_thread::sleep_for(listen_retry_interval);
+        status = server.start();
+    }
+    return status;
+}
+
 retry_limits retry_limits_of(const gateway_bounds& bounds)
 {
     return {bounds.retry_ratio, bounds.retry_slack, bounds.retry_window};
@@ -699,11 +714,16 @@
     ready.get_future().wait();
     impl_->started = true;
     for (auto* server : {impl_->caller_server.get(), impl_->ready_server.get(),
-                         impl_->peer_server.get(), impl_->metrics_server.get()})
+                         impl_->peer_server.get()})
     {
-        if (auto status = server->start(); !status.ok())
+        if (auto status = start_listening(*server); !status.ok())
             return status;
     }
+    // Several daemons at one IP address share the metrics port; the first one
+    // gets it.
+    if (auto status = impl_->metrics_server->start(); !status.ok())
+        log(log_level::warning, "metrics are not served",
+            {{"error", status.ToString()}});
     return absl::OkStatus();
 }
 
--- a/src/gateway_settings.cpp
+++ b/src/gateway_settings.cpp
@@ -3,15 +3,19 @@
 #include "config_files.hpp"
 #include "settings_document.hpp"
 
+#include <limits>
+
 namespace arbutusgate::gateway {
 
 namespace {
 
-constexpr std::size_t   max_seeds            = 64;
-constexpr milliseconds  max_bound            = std::chrono::hours{1};
-constexpr std::uint32_t max_descriptor_limit = 1'000'000;
-constexpr double        max_retry_slack      = 1e6;
-constexpr double        max_processor_share  = 1024;
+constexpr std::size_t   max_seeds = 64;
+constexpr milliseconds  max_bound = std::chrono::hours{1};
+constexpr std::uint32_t max_descriptor_limit =
+    std::numeric_limits<std::uint32_t>::max();
+constexpr double max_retry_ratio     = 1000;
+constexpr double max_retry_slack     = 1e6;
+constexpr double max_processor_share = 1024;
 
 const choice_value<std::string> log_level_value{{{"trace", "trace"},
                                                  {"debug", "debug"},
@@ -56,7 +60,8 @@
         field<bounds>("target_drain_ms", &bounds::target_drain, ms,
                       presence::defaulted),
         field<bounds>("retry_ratio", &bounds::retry_ratio,
-                      number_value<double>{0, 1}, presence::defaulted),
+                      number_value<double>{0, max_retry_ratio},
+                      presence::defaulted),
         field<bounds>("retry_window_s", &bounds::retry_window, s,
                       presence::defaulted),
         field<bounds>("retry_slack", &bounds::retry_slack,
@@ -70,22 +75,24 @@
     using settings = gateway_settings;
     const address_value listen_address{.unique_as = "listening address"};
     static const schema<settings> keys{
-        field<settings>("node", &settings::node, text_value{}),
+        field<settings>("node", &settings::node, text_value{},
+                        presence::defaulted),
         field<settings>("failure_domain", &settings::failure_domain,
-                        text_value{}),
+                        text_value{}, presence::defaulted),
         field<settings>("listen", &settings::listen, listen_address),
         field<settings>("ready", &settings::ready, listen_address),
         field<settings>("peer", &settings::peer, listen_address),
         field<settings>("metrics", &settings::metrics, listen_address),
-        field<settings>("store", &settings::store, address_value{}),
+        field<settings>("store", &settings::store, address_value{},
+                        presence::defaulted),
         list_of("seeds", &settings::seeds, address_value{}, {0, max_seeds}),
         field<settings>("ready_path", &settings::ready_path, text_value{},
                         presence::defaulted),
         field<settings>("max_descriptors", &settings::max_descriptors,
-                        number_value<std::uint32_t>{64, max_descriptor_limit},
+                        number_value<std::uint32_t>{0, max_descriptor_limit},
                         presence::defaulted),
         field<settings>("processor_share", &settings::processor_share,
-                        number_value<double>{0.001, max_processor_share},
+                        number_value<double>{0, max_processor_share},
                         presence::defaulted),
         field<settings>("log_level", &settings::log_level, log_level_value,
                         presence::defaulted),
--- a/src/gateway_settings.hpp
+++ b/src/gateway_settings.hpp
@@ -30,14 +30,15 @@
 /// Settings of one daemon. Addresses are "IP:port".
 struct gateway_settings
 {
-    std::string              node;
-    std::string              failure_domain;
-    std::string              listen; ///< Listening address for callers.
-    std::string              ready; ///< Listening address for readiness checks.
-    std::string              peer;  ///< Listening address for other daemons.
-    std::string              metrics; ///< Listening address for metrics.
-    std::string              store;   ///< Address of the store.
-    std::vector<std::string> seeds;   ///< Peers to contact at start.
+    std::string node;
+    std::string failure_domain;
+    std::string listen;  ///< Listening address for callers.
+    std::string ready;   ///< Listening address for readiness checks.
+    std::string peer;    ///< Listening address for other daemons.
+    std::string metrics; ///< Listening address for metrics.
+    /// Address of the store; empty: the state is only learned from peers.
+    std::string              store;
+    std::vector<std::string> seeds; ///< Peers to contact at start.
     std::string              ready_path      = "/readyz";
     std::uint32_t            max_descriptors = 1024;
     double         processor_share = 1; ///< In cores; may be a fraction.
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -497,9 +497,12 @@
         acceptor.bind(endpoint, ec);
     if (!ec)
         acceptor.listen(asio::socket_base::max_listen_connections, ec);
-    if (ec)
-        return absl::UnavailableError(
-            "cannot listen on " + state_->init.address + ": " + ec.message());
+    if (ec) {
+        const auto error = ec.message();
+        acceptor.close(ec);
+        return absl::UnavailableError("cannot listen on " +
+                                      state_->init.address + ": " + error);
+    }
     state_->accept_running = true;
     state_->threads.front()->spawn(
         [state = state_] { state->accept_loop(state); });
--- a/src/http_server.hpp
+++ b/src/http_server.hpp
@@ -86,7 +86,8 @@
     http_server(const http_server&)            = delete;
     http_server& operator=(const http_server&) = delete;
 
-    /// \return Unavailable when the address cannot be bound.
+    /// \return Unavailable when the address cannot be bound; another call may
+    ///         succeed later.
     absl::Status  start();
     std::uint16_t port() const;
     /// Replaces the limits and timeouts for requests that are read from now on.
--- a/src/settings_document.hpp
+++ b/src/settings_document.hpp
@@ -14,7 +14,11 @@
 /// Converts the issues to an InvalidArgument status with one line for each.
 absl::Status issues_status(const std::vector<config_issue>& issues);
 
-/// Parses and checks the text of a settings file.
+/// Removes the keys without a value, at all depths.
+void remove_empty_values(config_node& from);
+
+/// Parses and checks the text of a settings file. A key without a value counts
+/// as absent: it was rendered from a template for a value that is not set.
 /// \param name precedes the line and column in each error message.
 /// \return InvalidArgument with one line for each error.
 template <class T>
@@ -25,6 +29,7 @@
     auto document = parse_document(name, text);
     if (!document.issues.empty())
         return issues_status(document.issues);
+    remove_empty_values(document.root);
     config_reader reader;
     T             out;
     read_mapping(reader, {document.root, ""}, keys, out);
--- a/tests/gateway_settings_test.cpp
+++ b/tests/gateway_settings_test.cpp
@@ -52,6 +52,33 @@
     CHECK(without_seeds->seeds.empty());
 }
 
+// Guards against a daemon that does not start since the platform's template
+// renders nothing for a value that is not set, or an unusual one.
+TEST_CASE("gateway settings without a value have their defaults", "[gateway]")
+{
+    const std::string line = GENERATE(
+        "node: front-gp-a-1", "failure_domain: gp-a", "store: 10.200.1.7:8624",
+        "ready_path: /readiness", "max_descriptors: 4100", "drain_grace_s: 7.5",
+        "config_in_force_ms: 2000", "target_drain_ms: 2000", "retry_ratio: 0.2",
+        "retry_window_s: 10", "retry_slack: 58");
+    const auto key = line.substr(0, line.find(' '));
+    CAPTURE(key);
+    CHECK(parse_gateway_settings(replaced(line, key), "s.yaml").ok());
+    CHECK(parse_gateway_settings(replaced(line, ""), "s.yaml").ok());
+    CHECK(parse_gateway_settings(replaced("4100", "50"), "s.yaml")
+              ->max_descriptors == 50);
+    CHECK(
+        parse_gateway_settings(replaced("4100", "1073741816"), "s.yaml").ok());
+    CHECK(parse_gateway_settings(
+              replaced("bounds:", "processor_share: 0\nbounds:"), "s.yaml")
+              .ok());
+    const auto without_slack =
+        parse_gateway_settings(replaced("slack: 58", "slack:"), "s.yaml");
+    REQUIRE(without_slack.ok());
+    CHECK(without_slack->bounds.retry_slack == 0);
+    CHECK(without_slack->bounds.retry_ratio == 0.2);
+}
+
 // Guards against invalid settings that are silently replaced by defaults.
 TEST_CASE("invalid gateway settings are rejected with their line", "[gateway]")
 {
