--- /dev/null
+++ b/tests/soak/gateway_soak.cpp
@@ -0,0 +1,778 @@
+/// Soak test of real gateway processes. A seed plans stops, restarts, reloads
+/// and configuration changes that overlap, and the clients' requests. Clients
+/// use their connections until these end.
+///
+/// Counts each connection that ends without a complete response to a request
+/// that the gateway had read, unless the platform's rules excuse it.
+///   arbutusgate-gateway-soak GATEWAY [--seed N] [--seconds N] [--gateways N]
+///     [--clients N] [--stops N] [--logs DIR]
+/// Exit status: 0 without a violation, 1 with one, 2 if it could not run.
+#include "kit.hpp"
+
+#include <atomic>
+#include <cmath>
+#include <functional>
+#include <iostream>
+#include <limits>
+#include <random>
+
+namespace {
+
+using namespace review;
+using generator = std::mt19937;
+
+constexpr double never = std::numeric_limits<double>::infinity();
+
+// Bounds of the platform, in ms.
+constexpr double grace            = 8000;
+constexpr double excused_arrival  = 3000; ///< After SIGTERM.
+constexpr double excused_work_end = grace * 5 / 6;
+constexpr double loss_slack       = 200;
+constexpr double answer_slack     = 500; ///< After a route's timeout.
+
+constexpr int caller_timeout_ms = 12'000;
+constexpr int slow_head_ms      = 2800; ///< Less than headerTimeoutMs.
+constexpr int event_interval_ms = 100;
+constexpr int silence_ms        = 1700;
+constexpr int stage_call_ms     = 60;
+
+struct options
+{
+    std::string gateway;
+    unsigned    seed     = 1;
+    int         seconds  = 60;
+    int         gateways = 3;
+    int         clients  = 45;
+    int         stops    = 2; ///< Gateways that stop at the same time.
+    std::string logs;         ///< Directory of the gateways' logs.
+};
+
+double now_ms()
+{
+    static const auto start = clock_type::now();
+    return std::chrono::duration<double, std::milli>(clock_type::now() - start)
+        .count();
+}
+
+int random_in(generator& random, int low, int high)
+{
+    return std::uniform_int_distribution(low, high)(random);
+}
+
+/// What targets saw of the requests.
+class run_log
+{
+public:
+    struct run
+    {
+        int    started       = 0;
+        int    active        = 0;
+        double last_ended_at = 0;
+
+        double ended_at() const { return active > 0 ? never : last_ended_at; }
+    };
+
+    void started(const std::string& id)
+    {
+        const std::lock_guard lock(mutex_);
+        auto&                 it = runs_[id];
+        ++it.started;
+        ++it.active;
+    }
+    void ended(const std::string& id)
+    {
+        const std::lock_guard lock(mutex_);
+        auto&                 it = runs_[id];
+        --it.active;
+        it.last_ended_at = now_ms();
+    }
+    run find(const std::string& id)
+    {
+        const std::lock_guard lock(mutex_);
+        return runs_[id];
+    }
+
+private:
+    std::mutex                 mutex_;
+    std::map<std::string, run> runs_;
+};
+
+/// The path of a request ends with the time of its work and the size of its
+/// response: ".../MS-BYTES".
+std::pair<int, std::size_t> work_of(const message& it)
+{
+    const auto target = it.target();
+    const auto slash  = target.rfind('/') + 1;
+    return {std::atoi(target.c_str() + slash),
+            std::stoul(target.substr(target.find('-', slash) + 1))};
+}
+
+std::string body_of(const std::string& id, std::size_t size)
+{
+    std::string out;
+    while (out.size() < size)
+        out += id + "\n";
+    return out;
+}
+
+void serve_plain(run_log& runs, connection& to, const message& it)
+{
+    const auto id          = it.header("arbutusgate-attempt-id");
+    const auto [ms, bytes] = work_of(it);
+    runs.started(id);
+    pause_for(ms);
+    runs.ended(id);
+    const auto body = body_of(id, bytes);
+    to.write(answer_head(it, "text/plain") + "Content-Length: " +
+             std::to_string(body.size()) + "\r\n\r\n" + body);
+}
+
+/// Sends an event every 100 ms; an odd size asks for one long silence.
+void serve_stream(run_log& runs, connection& to, const message& it)
+{
+    const auto id          = it.header("arbutusgate-attempt-id");
+    const auto [ms, bytes] = work_of(it);
+    const int  events      = std::max(2, ms / event_interval_ms);
+    const auto resumed     = it.header("last-event-id");
+    runs.started(id);
+    bool open = to.write(answer_head(it, "text/event-stream") +
+                         "Transfer-Encoding: chunked\r\n\r\n");
+    for (int n = 1 + std::atoi(resumed.c_str()); open && n <= events; ++n) {
+        const bool silent = bytes % 2 == 1 && n == events / 2;
+        pause_for(silent ? silence_ms : event_interval_ms);
+        open = to.write(
+            chunk("id: " + std::to_string(n) + "\ndata: " + id + "\n\n"));
+    }
+    runs.ended(id);
+    if (open)
+        to.write("0\r\n\r\n");
+    else
+        to.shut();
+}
+
+void serve_stage(connection& to, const message& it)
+{
+    static std::atomic<int> next_handle{0};
+    std::string             items;
+    if (it.target() == "/stage-run") {
+        pause_for(stage_call_ms);
+        for (auto at = it.body.find("\"piece\":"); at != std::string::npos;
+             at      = it.body.find("\"piece\":", at + 1))
+            items += (items.empty() ? "" : ",") +
+                     std::string("{\"handle\":\"") + it.header("host") + "/" +
+                     std::to_string(++next_handle) + "\"}";
+    }
+    to.write(json_answer("{\"items\":[" + items + "]}"));
+}
+
+/// Timeouts and ranks of the routes and the idle timeout vary by version.
+std::string configuration_of(int version, generator& random)
+{
+    const auto timeout = random_in(random, 9, 15) * 1000;
+    const auto idle    = random_in(random, 2, 15) * 1000;
+    const auto route   = [&](const std::string& name, const char* type,
+                           const char* service, const std::string& rest) {
+        return "{\"name\":\"" + name +
+               "\",\"host\":\"soak.example\",\"pathPrefix\":\"/" + name +
+               "/\",\"routeType\":\"" + type +
+               "\",\"timeoutMs\":" + std::to_string(timeout) +
+               ",\"targetLatencyMs\":3000,\"priority\":" +
+               std::to_string(random_in(random, 0, 3)) + ",\"service\":\"" +
+               service + "\"" + rest + "}";
+    };
+    const std::string stream =
+        ",\"maxAttempts\":2,\"sessionAffinity\":true,\"gapTargetMs\":250";
+    const std::string stages =
+        ",\"stages\":[{\"service\":\"pricing\",\"after\":[],\"bytes\":8000}]";
+    return "{\"version\":" + std::to_string(version) + ",\"routes\":[" +
+           route("once", "non_idempotent", "orders", ",\"maxAttempts\":1") +
+           "," + route("again", "idempotent", "orders", ",\"maxAttempts\":2") +
+           "," +
+           route("stream", "streaming", "llm",
+                 stream + ",\"streamResume\":false") +
+           "," +
+           route("resume", "streaming", "llm",
+                 stream + ",\"streamResume\":true") +
+           "," +
+           route("staged", "streaming", "llm",
+                 stream + ",\"streamResume\":true" + stages) +
+           R"(],"services":[
+{"name":"orders","healthCheck":"/health","maxConnections":630},
+{"name":"llm","healthCheck":"/health","maxConnections":630,
+ "engine":{"slots":128,"kvCapacity":600000}},
+{"name":"pricing","healthCheck":"/health","maxConnections":630,
+ "pieces":{"slots":4,"queue":4,"batch":10,"callMs":60,"itemMs":1,
+ "headroomMb":50,"handleS":4,"linkMbps":10000}}],
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,
+ "headerTimeoutMs":3000,"idleTimeoutMs":)" +
+           std::to_string(idle) + "}}";
+}
+
+/// The life of one process.
+struct incarnation
+{
+    std::atomic<double> stopped_at{never}; ///< SIGTERM.
+};
+
+/// One gateway. Used by the main thread, which also starts its processes: a
+/// process ends with the thread that started it.
+class gateway_process
+{
+public:
+    enum class state
+    {
+        running,
+        stopping,
+        down
+    };
+
+    gateway_process(std::string name, std::string zone)
+        : name_(std::move(name)), zone_(std::move(zone)), front_(free_port()),
+          ready_(free_port()), peer_(free_port()), metrics_(free_port())
+    {
+    }
+    ~gateway_process()
+    {
+        if (pid_ > 0) {
+            ::kill(pid_, SIGKILL);
+            ::waitpid(pid_, nullptr, 0);
+        }
+    }
+    gateway_process(const gateway_process&)            = delete;
+    gateway_process& operator=(const gateway_process&) = delete;
+
+    const std::string& name() const { return name_; }
+    int                front() const { return front_; }
+    int                peer() const { return peer_; }
+    state              now() const { return state_; }
+    double             stopped_at() const { return life()->stopped_at; }
+    bool               restart_due() const { return now_ms() >= restart_at_; }
+
+    std::shared_ptr<incarnation> life() const
+    {
+        const std::lock_guard lock(mutex_);
+        return life_;
+    }
+    void write_settings(const std::string& folder, const std::string& store,
+                        const std::string& seeds, int retry_slack)
+    {
+        settings_          = folder + "/" + name_ + ".yaml";
+        log_               = folder + "/" + name_ + ".log";
+        const auto    part = settings_ + ".part";
+        std::ofstream out(part);
+        out << "node: " << name_ << "\nfailure_domain: " << zone_
+            << "\nlisten: " << address_of(front_)
+            << "\nready: " << address_of(ready_)
+            << "\npeer: " << address_of(peer_)
+            << "\nmetrics: " << address_of(metrics_) << "\nstore: " << store
+            << "\nseeds: [" << seeds
+            << "]\nready_path: /readiness\nmax_descriptors: 4100\n"
+               "processor_share: 0.25\nbounds:\n  drain_grace_s: 8\n"
+               "  config_in_force_ms: 2000\n  target_drain_ms: 2000\n"
+               "  retry_ratio: 0.2\n  retry_window_s: 10\n  retry_slack: "
+            << retry_slack << "\n";
+        out.close();
+        // A process that starts meanwhile reads the old or the new settings.
+        ::rename(part.c_str(), settings_.c_str());
+    }
+    void start(const std::string& program)
+    {
+        {
+            const std::lock_guard lock(mutex_);
+            life_ = std::make_shared<incarnation>();
+        }
+        state_ = state::running;
+        pid_   = ::fork();
+        if (pid_ != 0)
+            return;
+        const int out =
+            ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+        ::dup2(out, 1);
+        ::dup2(out, 2);
+        ::signal(SIGPIPE, SIG_DFL);
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+        ::execl(program.c_str(), program.c_str(), "--settings",
+                settings_.c_str(), nullptr);
+        ::_exit(127);
+    }
+    void send(int signal) const { ::kill(pid_, signal); }
+    void stop()
+    {
+        life()->stopped_at = now_ms();
+        state_             = state::stopping;
+        send(SIGTERM);
+    }
+    /// Ends the process after the grace, and notices its end.
+    /// \return what it did wrong, or nothing.
+    std::string check(int restart_delay_ms)
+    {
+        const bool expired =
+            state_ == state::stopping && now_ms() > stopped_at() + grace;
+        if (expired)
+            send(SIGKILL);
+        int        status = 0;
+        const auto ended  = ::waitpid(pid_, &status, expired ? 0 : WNOHANG);
+        if (ended != pid_)
+            return "";
+        const bool planned = state_ == state::stopping;
+        pid_               = -1;
+        state_             = state::down;
+        restart_at_        = now_ms() + restart_delay_ms;
+        if (expired)
+            return "did not end within the grace";
+        if (planned && WIFEXITED(status) && WEXITSTATUS(status) == 0)
+            return "";
+        return "ended by itself, status " + std::to_string(status);
+    }
+    bool is_ready() const
+    {
+        return fleet::is_ready(
+            {zone_, front_, ready_, peer_, metrics_, pid_, ""});
+    }
+
+private:
+    std::string                  name_;
+    std::string                  zone_;
+    int                          front_;
+    int                          ready_;
+    int                          peer_;
+    int                          metrics_;
+    std::string                  settings_;
+    std::string                  log_;
+    pid_t                        pid_        = -1;
+    state                        state_      = state::down;
+    double                       restart_at_ = 0;
+    mutable std::mutex           mutex_;
+    std::shared_ptr<incarnation> life_ = std::make_shared<incarnation>();
+};
+
+/// Results of a run; thread-safe.
+class verdict
+{
+public:
+    void violation(const std::string& text)
+    {
+        const std::lock_guard lock(mutex_);
+        ++violations_;
+        std::cout << "violation at " << std::lround(now_ms()) << " ms: " << text
+                  << std::endl;
+    }
+    int violations()
+    {
+        const std::lock_guard lock(mutex_);
+        return violations_;
+    }
+
+    std::atomic<int> requests{0};
+    std::atomic<int> whole{0};   ///< Complete successes.
+    std::atomic<int> failed{0};  ///< Complete responses that are none.
+    std::atomic<int> unread{0};  ///< Ended with a connection, not read.
+    std::atomic<int> excused{0}; ///< Cut, as the rules allow.
+    std::atomic<int> overdue{0};
+
+private:
+    std::mutex mutex_;
+    int        violations_ = 0;
+};
+
+/// One attempt of a client.
+struct attempt
+{
+    std::string id;
+    std::string route;
+    int         work_ms = 0;
+    std::size_t bytes   = 0;
+    double      sent_at = never; ///< Last byte.
+};
+
+class client
+{
+public:
+    client(const std::vector<std::unique_ptr<gateway_process>>& gateways,
+           run_log& runs, verdict& out, unsigned seed, std::size_t home)
+        : gateways_(gateways), runs_(runs), out_(out), random_(seed),
+          at_(home % gateways.size()), name_(std::to_string(home))
+    {
+    }
+
+    void run(const std::atomic<bool>& stop)
+    {
+        while (!stop) {
+            const auto& gateway = *gateways_[at_];
+            const auto  to      = connection::open(gateway.front());
+            if (!to) {
+                at_ = (at_ + 1) % gateways_.size();
+                pause_for(20);
+                continue;
+            }
+            // May be the process before when this one has just started; its
+            // stop is then in the past, and nothing was sent to it.
+            life_ = gateway.life();
+            to->set_timeout(caller_timeout_ms + 2000);
+            while (!stop && send_request(*to, gateway.name()))
+                pause_for(random_in(random_, 0, 60));
+            at_ = (at_ + random_() % 2) % gateways_.size();
+        }
+    }
+
+private:
+    bool chance(int percent) { return random_in(random_, 1, 100) <= percent; }
+
+    attempt make_attempt()
+    {
+        static constexpr std::array routes{"once",   "again",  "stream",
+                                           "stream", "resume", "staged"};
+        attempt                     out;
+        out.id    = name_ + "a" + std::to_string(++next_);
+        out.route = routes[random_() % routes.size()];
+        if (out.route == "once" || out.route == "again") {
+            out.work_ms = random_in(random_, 10, chance(20) ? 5400 : 600);
+            out.bytes   = chance(5) ? 2'000'000 : 800;
+        }
+        else {
+            out.work_ms = random_in(random_, 200, chance(50) ? 6500 : 1500);
+            out.bytes   = chance(15) ? 1 : 0;
+        }
+        return out;
+    }
+    std::string text_of(const attempt& it) const
+    {
+        const std::string body(200, 'b');
+        return "POST /" + it.route + "/" + std::to_string(it.work_ms) + "-" +
+               std::to_string(it.bytes) +
+               " HTTP/1.1\r\nHost: soak.example\r\nArbutusgate-Attempt-Id: " +
+               it.id + "\r\nArbutusgate-Deadline-Ms: " +
+               std::to_string(caller_timeout_ms) +
+               "\r\nArbutusgate-Model: m\r\nArbutusgate-Token-Usage: 100,20\r\n"
+               "Arbutusgate-Prompt-Prefix: aa:50," +
+               it.id + ":50\r\n" +
+               (it.route == "staged" ? "Arbutusgate-Pieces: 1\r\n"
+                                       "Arbutusgate-Piece-Key: k" +
+                                           it.id + "\r\n"
+                                     : "") +
+               "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+               body;
+    }
+    /// Half of the requests arrive slowly, in parts.
+    bool write_slowly(connection& to, const std::string& text)
+    {
+        const int parts = chance(50) ? random_in(random_, 2, 4) : 1;
+        const int time  = parts > 1 ? random_in(random_, 100, slow_head_ms) : 0;
+        std::size_t done = 0;
+        for (int n = 1; n <= parts; ++n) {
+            const auto end = text.size() * n / parts;
+            if (!to.write(text.substr(done, end - done)))
+                return false;
+            done = end;
+            if (n < parts)
+                pause_for(time / (parts - 1));
+        }
+        return true;
+    }
+    /// \return whether the connection can carry another request.
+    bool send_request(connection& to, const std::string& gateway)
+    {
+        auto it = make_attempt();
+        ++out_.requests;
+        const auto began = now_ms();
+        if (!write_slowly(to, text_of(it))) {
+            ++out_.unread;
+            return false;
+        }
+        it.sent_at = now_ms();
+        message    answer;
+        const bool whole =
+            to.read_head(answer) && to.read_body(answer, [&](const auto& part) {
+                answer.body += part;
+            });
+        if (!whole) {
+            judge_cut(it, answer, began, gateway);
+            return false;
+        }
+        judge_answer(it, answer);
+        // Some clients do not heed "Connection: close".
+        return answer.header("connection") != "close" || chance(50);
+    }
+
+    void judge_answer(const attempt& it, const message& answer)
+    {
+        const auto run = runs_.find(it.id);
+        if (answer.status() == 200) {
+            ++out_.whole;
+            const bool plain = it.route == "once" || it.route == "again";
+            const bool right =
+                answer.has("arbutusgate-server-signature") &&
+                (plain ? answer.body == body_of(it.id, it.bytes)
+                       : answer.body.find(it.id) != std::string::npos);
+            if (!right)
+                out_.violation("wrong response to " + it.id);
+        }
+        else {
+            ++out_.failed;
+        }
+        if (it.route == "once" && run.started > 1)
+            out_.violation(it.id + " ran twice");
+        if (answer.status() == 503 && it.route == "once" && run.started > 0)
+            out_.violation(it.id + " ran and was refused");
+    }
+
+    void judge_cut(const attempt& it, const message& answer, double began,
+                   const std::string& gateway)
+    {
+        const auto now     = now_ms();
+        const auto run     = runs_.find(it.id);
+        const auto stopped = life_->stopped_at.load();
+        if (now - began >= caller_timeout_ms + answer_slack) {
+            ++out_.overdue;
+            out_.violation(it.id + " got no response in time from " + gateway);
+            return;
+        }
+        if (run.started == 0 && answer.start.empty() &&
+            now - it.sent_at <= loss_slack) {
+            ++out_.unread;
+            return;
+        }
+        // Versions of the configuration have route timeouts of 9 s or more.
+        constexpr double shortest_timeout = 9000;
+        if ((run.started > 0 && it.sent_at <= stopped + excused_arrival &&
+             run.ended_at() >= stopped + excused_work_end) ||
+            now - it.sent_at >= shortest_timeout)
+        {
+            ++out_.excused;
+            return;
+        }
+        out_.violation(
+            it.id + " (" + it.route + ", work " + std::to_string(it.work_ms) +
+            " ms) of " + gateway + " ended " +
+            std::to_string(std::lround(now - it.sent_at)) +
+            " ms after its last byte, sent " +
+            (stopped == never
+                 ? std::string("to a running gateway")
+                 : std::to_string(std::lround(it.sent_at - stopped)) +
+                       " ms after SIGTERM") +
+            ", runs " + std::to_string(run.started) + ", head \"" +
+            answer.start + "\", body bytes " +
+            std::to_string(answer.body.size()));
+    }
+
+    const std::vector<std::unique_ptr<gateway_process>>& gateways_;
+    run_log&                                             runs_;
+    verdict&                                             out_;
+    generator                                            random_;
+    std::size_t                                          at_;
+    std::string                                          name_;
+    int                                                  next_ = 0;
+    std::shared_ptr<incarnation>                         life_;
+};
+
+class soak
+{
+public:
+    explicit soak(options it) : options_(std::move(it)), random_(options_.seed)
+    {
+    }
+
+    int run()
+    {
+        for (int n = 0; n < 2; ++n) {
+            publish_target("orders", orders_[n], n, 128);
+            publish_target("llm", models_[n], n, 128);
+            publish_target("pricing", stages_[n], n, 4);
+        }
+        change_configuration();
+        for (int n = 0; n < options_.gateways; ++n)
+            gateways_.push_back(std::make_unique<gateway_process>(
+                "g" + std::to_string(n), zone_of(n)));
+        for (int n = 0; n < options_.gateways && n < 3; ++n)
+            seeds_ += (n > 0 ? ",\"" : "\"") +
+                      address_of(gateways_[n]->peer()) + "\"";
+        for (auto& it : gateways_) {
+            write_settings(*it);
+            it->start(options_.gateway);
+        }
+        for (const auto& it : gateways_) {
+            for (int n = 0; !it->is_ready(); ++n) {
+                if (n == 400)
+                    return could_not;
+                pause_for(50);
+            }
+        }
+        std::atomic<bool>        stop{false};
+        std::atomic<int>         active{options_.clients};
+        std::vector<std::thread> threads;
+        for (int n = 0; n < options_.clients; ++n)
+            threads.emplace_back([&, n] {
+                client(gateways_, runs_, out_, options_.seed * 10'007 + n, n)
+                    .run(stop);
+                --active;
+            });
+        disturb();
+        stop = true;
+        // Requests that still run get their responses.
+        while (active > 0) {
+            check_processes();
+            pause_for(5);
+        }
+        for (auto& it : threads)
+            it.join();
+        std::cout << "seed=" << options_.seed
+                  << " gateways=" << options_.gateways
+                  << " clients=" << options_.clients << " stops=" << stops_
+                  << " reloads=" << reloads_ << " changes=" << changes_
+                  << " requests=" << out_.requests << " whole=" << out_.whole
+                  << " failed=" << out_.failed << " unread=" << out_.unread
+                  << " excused=" << out_.excused
+                  << " violations=" << out_.violations() << std::endl;
+        if (out_.whole < options_.clients)
+            return could_not;
+        return out_.violations() > 0 ? broken : held;
+    }
+
+private:
+    static std::string zone_of(int n)
+    {
+        return std::string("z-") + static_cast<char>('a' + n % 3);
+    }
+    void publish_target(const std::string& service, server& it, int n,
+                        int slots)
+    {
+        state_.put(
+            "servers/" + service + "-" + std::to_string(n),
+            server_entry(service, it.port(), zone_of(n), slots, unix_ms()));
+    }
+    void change_configuration()
+    {
+        ++changes_;
+        state_.put("op/config", configuration_of(10 * changes_, random_));
+    }
+    void write_settings(gateway_process& it)
+    {
+        it.write_settings(options_.logs, state_.address(), seeds_,
+                          random_in(random_, 40, 80));
+    }
+    void reload(gateway_process& it)
+    {
+        ++reloads_;
+        write_settings(it);
+        it.send(SIGHUP);
+    }
+
+    /// Series of changes that overlap, each after a pause of up to 0.8 s.
+    void disturb()
+    {
+        const auto end  = now_ms() + 1000 * options_.seconds;
+        auto       next = now_ms();
+        while (now_ms() < end) {
+            check_processes();
+            if (now_ms() >= next) {
+                next = now_ms() + random_in(random_, 0, 800);
+                change_something();
+            }
+            pause_for(5);
+        }
+    }
+    void check_processes()
+    {
+        for (const auto& it : gateways_) {
+            if (it->now() == gateway_process::state::down) {
+                if (!it->restart_due())
+                    continue;
+                it->start(options_.gateway);
+                if (random_in(random_, 0, 1) == 0) {
+                    pause_for(random_in(random_, 0, 8));
+                    reload(*it);
+                }
+                continue;
+            }
+            const auto fault = it->check(random_in(random_, 50, 500));
+            if (!fault.empty())
+                out_.violation(it->name() + " " + fault);
+        }
+    }
+    void change_something()
+    {
+        auto&      it   = *gateways_[random_() % gateways_.size()];
+        const auto kind = random_() % 4;
+        if (kind == 0)
+            return change_configuration();
+        if (it.now() == gateway_process::state::down)
+            return;
+        if (kind == 1)
+            return reload(it);
+        const auto stopping = std::count_if(
+            gateways_.begin(), gateways_.end(), [](const auto& g) {
+                return g->now() != gateway_process::state::running;
+            });
+        if (it.now() == gateway_process::state::stopping)
+            it.send(SIGTERM);
+        else if (stopping < options_.stops) {
+            ++stops_;
+            it.stop();
+        }
+    }
+
+    options                                       options_;
+    generator                                     random_;
+    run_log                                       runs_;
+    verdict                                       out_;
+    store                                         state_;
+    std::string                                   seeds_;
+    std::vector<std::unique_ptr<gateway_process>> gateways_;
+    int                                           stops_   = 0;
+    int                                           reloads_ = 0;
+    int                                           changes_ = 0;
+    server orders_[2]{server([this](connection& to, const message& it) {
+                          serve_plain(runs_, to, it);
+                      }),
+                      server([this](connection& to, const message& it) {
+                          serve_plain(runs_, to, it);
+                      })};
+    server models_[2]{server([this](connection& to, const message& it) {
+                          serve_stream(runs_, to, it);
+                      }),
+                      server([this](connection& to, const message& it) {
+                          serve_stream(runs_, to, it);
+                      })};
+    server stages_[2]{server(serve_stage), server(serve_stage)};
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    options out;
+    for (int n = 1; n < argc; ++n) {
+        const std::string name = argv[n];
+        if (!name.starts_with("--")) {
+            out.gateway = name;
+            continue;
+        }
+        const std::string value = n + 1 < argc ? argv[++n] : "";
+        const auto        count = std::atoi(value.c_str());
+        if (name == "--seed")
+            out.seed = static_cast<unsigned>(count);
+        else if (name == "--seconds")
+            out.seconds = count;
+        else if (name == "--gateways")
+            out.gateways = count;
+        else if (name == "--clients")
+            out.clients = count;
+        else if (name == "--stops")
+            out.stops = count;
+        else if (name == "--logs")
+            out.logs = value;
+        else
+            out.gateway.clear();
+    }
+    if (out.gateway.empty() || out.logs.empty()) {
+        std::cerr << "usage: arbutusgate-gateway-soak GATEWAY --logs DIR "
+                     "[--seed N] [--seconds N] [--gateways N] [--clients N] "
+                     "[--stops N]\n";
+        return could_not;
+    }
+    ::signal(SIGPIPE, SIG_IGN);
+    soak* const run = new soak(out);
+    // The stand-ins' threads still run, so that their destructors may not.
+    const int code = run->run();
+    ::_exit(code);
+}
