Log and count connections that end before the response is complete

A response could end without a line in the log: an exception, a failed write or a timer closed the connection, and a cut stream did not say why no other target continued it. No decision changes.

--- a/include/arbutusgate/types.hpp
+++ b/include/arbutusgate/types.hpp
@@ -113,6 +113,21 @@
 /// \copydoc to_string(execution)
 std::string_view to_string(retry_reason);
 
+/// Why a connection ended before the response to its request was complete. Each
+/// reason has a counter.
+enum class response_loss
+{
+    client_left,     ///< The client closed the connection.
+    write_failed,    ///< The client's system reset or refused it.
+    write_timed_out, ///< The client did not read.
+    cut,             ///< The daemon could not complete the response.
+    handler_failed,  ///< By an exception.
+    stopped,         ///< The daemon closed all connections.
+    count,
+};
+
+std::string_view to_string(response_loss);
+
 } // namespace arbutusgate
 
 template <class Tag>
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -147,6 +147,13 @@
     caller_init.on_error = [this](http_error it) {
         return callers_->on_error(it);
     };
+    caller_init.on_lost = [this](const http_exchange&, response_loss why) {
+        metrics_.reasons().add(why);
+        log(why == response_loss::client_left ? log_level::info
+                                              : log_level::warning,
+            "connection ended before the response was complete",
+            {{"reason", to_string(why)}, {"draining", draining_.load()}});
+    };
     caller_server_ =
         std::make_unique<http_server>(caller_init, callers.threads);
 
--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -818,17 +818,24 @@
     auto                       last         = attempt_result::not_run;
     bool                       may_have_run = false;
     std::optional<run_failure> refused;
+    std::string_view           not_resumed = "attempts or retry budget";
     for (;;) {
-        if (stream_started_ && !rerun_stages())
+        if (stream_started_ && !rerun_stages()) {
+            not_resumed = "stages";
             break;
+        }
         refused = refuse_if_quarantined();
         if (!refused)
             refused = refuse_if_stopping();
-        if (refused)
+        if (refused) {
+            not_resumed = to_string(refused->reason);
             break;
+        }
         const auto found = await_target();
-        if (!found || deadline_passed())
+        if (!found || deadline_passed()) {
+            not_resumed = found ? "deadline" : "no target";
             break;
+        }
         const auto& chosen = *found;
         request_unsent_    = false;
         permit_lapsed_     = false;
@@ -855,6 +862,9 @@
                                             : retry_reason::target_failed);
     }
     if (stream_started_) {
+        log(log_level::warning, "stream cut",
+            {{"request", call_.attempt},
+             {"not_resumed", ended_ ? "draining" : not_resumed}});
         log_end("cut", 0);
         exchange_.abort();
         return std::nullopt;
@@ -1141,6 +1151,7 @@
          {"events", events_},
          {"parts", shared_parts()},
          {"client_gone", caller_gone_},
+         {"draining", ended_},
          {"error", ec.message()}});
     return stream_started_ ? attempt_result::cut : attempt_result::failed;
 }
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -177,6 +177,7 @@
     void                         configured(const route_table& table);
     void target_changed(const std::string& id, target_change change);
     void serve(http_exchange& exchange);
+    void response_lost(const http_exchange& exchange, response_loss why);
     /// \param ends_at when open requests are ended.
     void begin_drain(time_point ends_at);
     /// Ends all open requests with an answer.
@@ -476,6 +477,18 @@
     run.run();
 }
 
+void gateway::impl::response_lost(const http_exchange& exchange,
+                                  response_loss        why)
+{
+    counters.reasons().add(why);
+    log(why == response_loss::client_left ? log_level::info
+                                          : log_level::warning,
+        "connection ended before the response was complete",
+        {{"request", codec.decode_call(exchange.request()).attempt},
+         {"reason", arbutusgate::to_string(why)},
+         {"draining", draining.load()}});
+}
+
 void gateway::impl::begin_drain(time_point ends_at)
 {
     parts->ends_at = ends_at;
@@ -661,6 +674,9 @@
     const auto&             settings    = self->settings;
     auto                    caller_init = self->listener(
                            settings.listen, [self](http_exchange& e) { self->serve(e); });
+    caller_init.on_lost = [self](const http_exchange& e, response_loss why) {
+        self->response_lost(e, why);
+    };
     caller_init.max_connections =
         max_caller_connections(settings.max_descriptors);
     self->caller_server =
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -107,7 +107,7 @@
     void                begin_stream(http_response head) override;
     bool                write(std::string_view text) override;
     void                end_stream() override;
-    void                abort() override { close(); }
+    void                abort() override { fail(response_loss::cut); }
     void                on_client_gone(std::function<void()> action) override
     {
         client_gone_action_ = std::move(action);
@@ -123,6 +123,10 @@
     void start_read_timer();
     void prepare(http_response& response);
     void finish_response(error_code ec);
+    void check_write(error_code ec);
+    /// Closes the socket. Only the first reason is kept.
+    void fail(response_loss why);
+    void report_loss() const;
     void start_watching_client();
     void on_readable();
     void notify_client_gone();
@@ -138,8 +142,9 @@
     std::function<void()>                                  client_gone_action_;
     /// Points to this object until stop_watching_client() sets it to null.
     std::shared_ptr<http_connection*> watched_;
-    bool                              keep_alive_  = false;
-    bool                              responded_   = false;
+    bool                              keep_alive_ = false;
+    bool                              responded_  = false; ///< Completely.
+    std::optional<response_loss>      loss_; ///< Of the current request.
     bool                              broken_      = false;
     bool                              client_gone_ = false;
     bool                              idle_        = false;
@@ -158,6 +163,8 @@
         start_watching_client();
         run_handler();
         stop_watching_client();
+        if (!responded_)
+            report_loss();
         if (!responded_ || broken_ || !keep_alive_)
             break;
     }
@@ -175,10 +182,23 @@
     catch (const std::exception& it) {
         log(log_level::error, "a request failed with an exception",
             {{"error", it.what()}});
-        close();
+        fail(response_loss::handler_failed);
     }
 }
 
+void http_connection::fail(response_loss why)
+{
+    if (!loss_)
+        loss_ = client_gone_ ? response_loss::client_left : why;
+    close();
+}
+
+void http_connection::report_loss() const
+{
+    if (owner_->init.on_lost)
+        owner_->init.on_lost(*this, loss_.value_or(response_loss::cut));
+}
+
 void http_connection::close()
 {
     broken_ = true;
@@ -190,7 +210,7 @@
 // its deadline.
 void http_connection::close_and_notify()
 {
-    close();
+    fail(response_loss::stopped);
     notify_client_gone();
 }
 
@@ -259,6 +279,7 @@
         owner_->init.header_limit, limits::max_header_field)));
     parser_->body_limit(owner_->init.body_limit);
     responded_ = false;
+    loss_.reset();
     error_code ec;
     fresh_ = false;
     start_read_timer();
@@ -315,8 +336,16 @@
 
 void http_connection::finish_response(error_code ec)
 {
-    broken_    = broken_ || ec;
-    responded_ = true;
+    check_write(ec);
+    responded_ = !ec;
+}
+
+void http_connection::check_write(error_code ec)
+{
+    if (!ec)
+        return;
+    fail(ec == boost::beast::error::timeout ? response_loss::write_timed_out
+                                            : response_loss::write_failed);
 }
 
 void http_connection::respond(http_response response)
@@ -337,7 +366,7 @@
     http::response_serializer<http::empty_body> serializer(start);
     error_code                                  ec;
     http::async_write_header(stream_, serializer, fiber_token{ec});
-    broken_ = broken_ || ec;
+    check_write(ec);
 }
 
 bool http_connection::write(std::string_view text)
@@ -348,7 +377,7 @@
     stream_.expires_after(owner_->init.write_timeout);
     asio::async_write(stream_, http::make_chunk(asio::buffer(text)),
                       fiber_token{ec});
-    broken_ = broken_ || ec;
+    check_write(ec);
     return !broken_;
 }
 
--- a/src/http_server.hpp
+++ b/src/http_server.hpp
@@ -73,6 +73,9 @@
     std::function<void(http_exchange&)> handler;
     /// Returns the response to a request that could not be read.
     std::function<http_response(http_error)> on_error;
+    /// Called on the connection's fiber when it ends after a request was read
+    /// and before the response was complete. May be empty.
+    std::function<void(const http_exchange&, response_loss)> on_lost;
 };
 
 /// Accepts connections on the first thread and distributes them over all.
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -247,6 +247,9 @@
     write_header(out, "retries_total", "counter",
                  "Repeated attempts by reason.");
     write_reasons<retry_reason>(out, "retries_total", reasons_);
+    write_header(out, "responses_lost_total", "counter",
+                 "Connections that ended before the response was complete.");
+    write_reasons<response_loss>(out, "responses_lost_total", reasons_);
     write_header(out, "wrong_results_total", "counter",
                  "Results dropped because they belong to other work.");
     out << "arbutusgate_wrong_results_total " << wrong_results_ << '\n';
--- a/src/reason_counters.hpp
+++ b/src/reason_counters.hpp
@@ -1,4 +1,4 @@
-/// Counts refusals and retries by reason.
+/// Counts refusals, retries and lost responses by reason.
 #pragma once
 
 #include "arbutusgate/types.hpp"
@@ -9,15 +9,17 @@
 
 namespace arbutusgate {
 
-/// Number of refusals and of retries for each reason. Thread-safe.
+/// Number of refusals, retries and lost responses for each reason. Thread-safe.
 class reason_counters
 {
 public:
     void add(refusal_reason it) { ++refusals_[index(it)]; }
     void add(retry_reason it) { ++retries_[index(it)]; }
+    void add(response_loss it) { ++losses_[index(it)]; }
 
     std::uint64_t get(refusal_reason it) const { return refusals_[index(it)]; }
     std::uint64_t get(retry_reason it) const { return retries_[index(it)]; }
+    std::uint64_t get(response_loss it) const { return losses_[index(it)]; }
 
 private:
     template <class Reason>
@@ -32,6 +34,7 @@
 
     counters<refusal_reason> refusals_{};
     counters<retry_reason>   retries_{};
+    counters<response_loss>  losses_{};
 };
 
 } // namespace arbutusgate
--- a/src/types.cpp
+++ b/src/types.cpp
@@ -94,4 +94,25 @@
     return "unknown";
 }
 
+std::string_view to_string(response_loss it)
+{
+    switch (it) {
+    case response_loss::client_left:
+        return "client_left";
+    case response_loss::write_failed:
+        return "write_failed";
+    case response_loss::write_timed_out:
+        return "write_timed_out";
+    case response_loss::cut:
+        return "cut";
+    case response_loss::handler_failed:
+        return "handler_failed";
+    case response_loss::stopped:
+        return "stopped";
+    case response_loss::count:
+        break;
+    }
+    return "unknown";
+}
+
 } // namespace arbutusgate
