Soak of gateway processes: reload a process that parses its settings

SIGHUP a few milliseconds after fork() also hit the loader, where no program can handle it. Now a restarted process gets SIGHUP while it parses settings with a long comment, and other signals go to processes that handle them.

--- a/tests/soak/gateway_soak.cpp
+++ b/tests/soak/gateway_soak.cpp
@@ -11,6 +11,7 @@
 
 #include <atomic>
 #include <cmath>
+#include <filesystem>
 #include <functional>
 #include <iostream>
 #include <limits>
@@ -256,24 +257,20 @@
     void write_settings(const std::string& folder, const std::string& store,
                         const std::string& seeds, int retry_slack)
     {
-        settings_          = folder + "/" + name_ + ".yaml";
-        log_               = folder + "/" + name_ + ".log";
-        const auto    part = settings_ + ".part";
-        std::ofstream out(part);
-        out << "node: " << name_ << "\nfailure_domain: " << zone_
-            << "\nlisten: " << address_of(front_)
-            << "\nready: " << address_of(ready_)
-            << "\npeer: " << address_of(peer_)
-            << "\nmetrics: " << address_of(metrics_) << "\nstore: " << store
-            << "\nseeds: [" << seeds
-            << "]\nready_path: /readiness\nmax_descriptors: 4100\n"
-               "processor_share: 0.25\nbounds:\n  drain_grace_s: 8\n"
-               "  config_in_force_ms: 2000\n  target_drain_ms: 2000\n"
-               "  retry_ratio: 0.2\n  retry_window_s: 10\n  retry_slack: "
-            << retry_slack << "\n";
-        out.close();
-        // A process that starts meanwhile reads the old or the new settings.
-        ::rename(part.c_str(), settings_.c_str());
+        settings_ = folder + "/" + name_ + ".yaml";
+        log_      = folder + "/" + name_ + ".log";
+        text_     = "node: " + name_ + "\nfailure_domain: " + zone_ +
+                "\nlisten: " + address_of(front_) +
+                "\nready: " + address_of(ready_) +
+                "\npeer: " + address_of(peer_) +
+                "\nmetrics: " + address_of(metrics_) + "\nstore: " + store +
+                "\nseeds: [" + seeds +
+                "]\nready_path: /readiness\nmax_descriptors: 4100\n"
+                "processor_share: 0.25\nbounds:\n  drain_grace_s: 8\n"
+                "  config_in_force_ms: 2000\n  target_drain_ms: 2000\n"
+                "  retry_ratio: 0.2\n  retry_window_s: 10\n  retry_slack: " +
+                std::to_string(retry_slack) + "\n";
+        replace_settings(text_);
     }
     void start(const std::string& program)
     {
@@ -295,6 +292,44 @@
                 settings_.c_str(), nullptr);
         ::_exit(127);
     }
+    /// Starts a process that gets SIGHUP while it parses its settings, which a
+    /// long comment slows down.
+    void start_with_reload(const std::string& program)
+    {
+        std::string comment;
+        while (comment.size() < 1'000'000)
+            comment += "# A comment of some length, which is repeated.\n";
+        replace_settings(comment + text_);
+        start(program);
+        const auto io = "/proc/" + std::to_string(pid_) + "/io";
+        for (int n = 0; n < 2000; ++n) {
+            std::ifstream in(io);
+            std::string   name;
+            std::size_t   read = 0;
+            if (in >> name >> read && read > comment.size())
+                break;
+            pause_for(1);
+        }
+        send(SIGHUP);
+        replace_settings(text_);
+    }
+    /// True once the process handles signals, which all its threads block;
+    /// before, its loader runs. The main thread shows no mask while it waits.
+    bool takes_signals() const
+    {
+        const auto      tasks = "/proc/" + std::to_string(pid_) + "/task";
+        std::error_code ec;
+        for (const auto& it : std::filesystem::directory_iterator(tasks, ec)) {
+            std::ifstream in(it.path() / "status");
+            for (std::string line; std::getline(in, line);) {
+                if (line.starts_with("SigBlk:") &&
+                    (std::stoull(line.substr(7), nullptr, 16) >> (SIGHUP - 1)) &
+                        1U)
+                    return true;
+            }
+        }
+        return false;
+    }
     void send(int signal) const { ::kill(pid_, signal); }
     void stop()
     {
@@ -331,14 +366,23 @@
     }
 
 private:
+    /// A process that reads meanwhile gets the old or the new settings.
+    void replace_settings(const std::string& text) const
+    {
+        const auto part = settings_ + ".part";
+        std::ofstream(part) << text;
+        ::rename(part.c_str(), settings_.c_str());
+    }
+
     std::string                  name_;
     std::string                  zone_;
     int                          front_;
     int                          ready_;
     int                          peer_;
     int                          metrics_;
-    std::string                  settings_;
-    std::string                  log_;
+    std::string                  settings_; ///< Path.
+    std::string                  text_;     ///< Of the settings.
+    std::string                  log_;      ///< Path.
     pid_t                        pid_        = -1;
     state                        state_      = state::down;
     double                       restart_at_ = 0;
@@ -677,10 +721,12 @@
             if (it->now() == gateway_process::state::down) {
                 if (!it->restart_due())
                     continue;
-                it->start(options_.gateway);
                 if (random_in(random_, 0, 1) == 0) {
-                    pause_for(random_in(random_, 0, 8));
-                    reload(*it);
+                    ++reloads_;
+                    it->start_with_reload(options_.gateway);
+                }
+                else {
+                    it->start(options_.gateway);
                 }
                 continue;
             }
@@ -695,7 +741,7 @@
         const auto kind = random_() % 4;
         if (kind == 0)
             return change_configuration();
-        if (it.now() == gateway_process::state::down)
+        if (it.now() == gateway_process::state::down || !it.takes_signals())
             return;
         if (kind == 1)
             return reload(it);
