Refuse requests that a stop would cut

Callers saw streams end after a part of their events, 7.4 s after SIGTERM. A request whose head or body arrived slowly was read up to 3 s after the last connection was accepted, and sent if its first event was expected in time; the rest of a stream was not.

Now a request that is read after the daemon stopped accepting is sent only if its deadline precedes the end of open requests, else it gets 503 at once and the caller can go elsewhere. One that was read before is refused if whole streams of its route usually take longer than the rest of the stop.

--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -271,12 +271,22 @@
     return run_failure{refusal_reason::quarantined, execution::not_run, wait};
 }
 
+bool forward_run::completes_before(const drain_times& drain) const
+{
+    // Some clients are still sending their request when no connection is
+    // accepted any more. At that time a daemon that stays is the better place.
+    if (arrived_at_ > drain.accepts_until)
+        return deadline_ <= drain.ends_at;
+    const auto answer =
+        parts_.times.get(service_->name, default_first_event_time);
+    return daemon_now() + std::max(answer, parts_.stream_times.get(route_->name,
+                                                                   answer)) <=
+           drain.ends_at;
+}
+
 std::optional<run_failure> forward_run::refuse_if_stopping()
 {
-    if (!ended_ && (!parts_.ends_at ||
-                    daemon_now() + parts_.times.get(service_->name,
-                                                    default_first_event_time) <=
-                        *parts_.ends_at))
+    if (!ended_ && (!parts_.drain || completes_before(*parts_.drain)))
         return std::nullopt;
     return run_failure{refusal_reason::draining, execution::not_run,
                        target_full_retry_after};
@@ -1139,6 +1149,9 @@
         if (!stream_started_)
             begin_stream(*lease);
         exchange_.end_stream();
+        if (earlier_events_ == 0)
+            parts_.stream_times.add(route_->name,
+                                    daemon_now() - attempt_started_);
         log_end("answered", head_.status);
         return_connection(std::move(lease));
         return attempt_result::answered;
--- a/src/forward_run.hpp
+++ b/src/forward_run.hpp
@@ -39,6 +39,13 @@
 class time_estimates;
 class trial_source;
 
+/// Times of a planned stop.
+struct drain_times
+{
+    time_point accepts_until; ///< New connections.
+    time_point ends_at;       ///< When open requests are ended.
+};
+
 /// Dependencies that all requests of one daemon share. They are used only on
 /// the daemon's thread.
 struct request_dependencies
@@ -55,14 +62,14 @@
     trial_source&         trials;
     retry_budget&         budget;
     time_estimates&       times;
+    time_estimates&       stream_times; ///< Of whole streams, by route.
     prior_wait_estimator& prior_waits;
     metrics&              counters;
     std::mt19937_64&      random;
     std::string           failure_domain;
     /// Daemons that share each target's connection limit, this one included.
-    std::uint32_t daemons = 1;
-    /// When open requests are ended, since the daemon stops; set by a drain.
-    std::optional<time_point> ends_at = std::nullopt;
+    std::uint32_t              daemons = 1;
+    std::optional<drain_times> drain   = std::nullopt; ///< Set by a stop.
 };
 
 /// Reason and state in which a request ends without a response of a target.
@@ -102,6 +109,9 @@
     std::optional<run_failure> refuse_if_closed();
     /// Refuses a request that would not be answered before the daemon stops.
     std::optional<run_failure> refuse_if_stopping();
+    /// Whether the request is expected to be complete before open requests are
+    /// ended.
+    bool completes_before(const drain_times& drain) const;
     /// Refuses the request when a part of its prompt keeps it from all targets,
     /// unless it becomes the trial of that part.
     std::optional<run_failure> refuse_if_quarantined();
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -178,8 +178,7 @@
     void target_changed(const std::string& id, target_change change);
     void serve(http_exchange& exchange);
     void response_lost(const http_exchange& exchange, response_loss why);
-    /// \param ends_at when open requests are ended.
-    void begin_drain(time_point ends_at);
+    void begin_drain(const drain_times& times);
     /// Ends all open requests with an answer.
     void       end_runs();
     void       serve_peer(http_exchange& exchange);
@@ -206,6 +205,7 @@
     change_log           changes;
     retry_budget         budget;
     time_estimates       estimates;
+    time_estimates       stream_times;
     prior_wait_estimator prior_waits;
     std::mt19937_64      random{random_seed()};
     std::unique_ptr<state_follower>       state;
@@ -311,8 +311,8 @@
     });
     parts = std::make_unique<request_dependencies>(request_dependencies{
         codec, *state, targets, picker, *connections, *peers, peers->permits(),
-        quarantine, *crashes, peers->trials(), budget, estimates, prior_waits,
-        counters, random, settings.failure_domain});
+        quarantine, *crashes, peers->trials(), budget, estimates, stream_times,
+        prior_waits, counters, random, settings.failure_domain});
     spawn_fiber([this] {
         follow();
         follower_ended.set_value();
@@ -489,9 +489,9 @@
          {"draining", draining.load()}});
 }
 
-void gateway::impl::begin_drain(time_point ends_at)
+void gateway::impl::begin_drain(const drain_times& times)
 {
-    parts->ends_at = ends_at;
+    parts->drain = times;
     peers->announce_leaving();
 }
 
@@ -777,14 +777,17 @@
 
 void gateway::drain()
 {
+    const auto now = daemon_now();
     const auto deadline =
-        daemon_now() + impl_->settings.bounds.drain_grace - exit_margin;
+        now + impl_->settings.bounds.drain_grace - exit_margin;
     impl_->draining = true;
     impl_->caller_server->announce_close();
     log(log_level::info, "draining",
         {{"open_requests", impl_->open_requests.load()}});
     const auto ends_at = deadline - answer_margin;
-    impl_->thread.spawn([this, ends_at] { impl_->begin_drain(ends_at); });
+    impl_->thread.spawn([this, now, ends_at] {
+        impl_->begin_drain({now + drain_notice, ends_at});
+    });
     std::this_thread::sleep_for(drain_notice);
     impl_->caller_server->stop_accepting();
     // A connection without a request in progress may be about to carry one.
