Give a silent stream up only for a target that can continue it

Callers saw resumable streams end without their end although the target had only paused for over 1.2 s: the daemon closed its connection first and looked for another target, stages and retry budget afterwards. Where there was none, the stream was cut. A caller that read slowly for as long had the same effect, since the silence counted from the last event, not from when the daemon read again.

Now the target, the stages and the budget are ready before the stream is given up, and it is kept if it goes on meanwhile or has bytes waiting. Time in which the caller does not read is no silence.

Tests: "a silent stream is kept while no other target can continue it" (both cases failed before), "a slow reader does not make a stream silent" (failed before), "a pause of the daemon does not make a stream silent" (a guard; it passed before, too).

--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -494,7 +494,7 @@
     completed_at_.resize(route_->stages.size());
     run_failure failure;
     const auto  settled = [this] {
-        return interrupted() ||
+        return interrupted() || stream_continues() ||
                std::any_of(tickets_.begin(), tickets_.end(),
                             [](const auto& it) {
                                return it && it->state != order_state::waiting &&
@@ -518,7 +518,8 @@
         };
         const auto before = waiting();
         if (!signal_->wait_until(first_event_deadline_, [&] {
-                return interrupted() || waiting() != before;
+                return interrupted() || stream_continues() ||
+                       waiting() != before;
             }))
             return run_failure{refusal_reason::deadline_unreachable,
                                execution::not_run, target_full_retry_after};
@@ -830,7 +831,8 @@
     std::optional<run_failure> refused;
     std::string_view           not_resumed = "attempts or retry budget";
     for (;;) {
-        if (stream_started_ && !rerun_stages()) {
+        const bool prepared = std::exchange(resume_prepared_, false);
+        if (stream_started_ && !prepared && !rerun_stages()) {
             not_resumed = "stages";
             break;
         }
@@ -864,7 +866,8 @@
         }
         ++attempts_;
         if (!may_retry(last) ||
-            !parts_.budget.take(service_->name, daemon_now()))
+            (!resume_prepared_ &&
+             !parts_.budget.take(service_->name, daemon_now())))
             break;
         parts_.counters.reasons().add(
             last == attempt_result::not_run ? retry_reason::target_not_run
@@ -1192,21 +1195,69 @@
            parts_.budget.left(service_->name, daemon_now()) >= 1;
 }
 
+bool forward_run::stream_continues() const
+{
+    return silent_stream_ && silent_stream_->readable();
+}
+
+bool forward_run::await_events(const target& chosen, http_client& from,
+                               time_point& silent_at)
+{
+    while (stream_started_ && may_resume()) {
+        from.notify_readable(signal_);
+        if (signal_->wait_until(
+                std::min(deadline_, silent_at),
+                [&] { return interrupted() || from.readable(); }) ||
+            deadline_passed())
+            return true;
+        // After a pause of this process its timer may come before the events.
+        if (!from.idle_and_open())
+            return true;
+        silent_stream_      = &from;
+        const bool prepared = prepare_resume(chosen);
+        silent_stream_      = nullptr;
+        if (prepared)
+            return false;
+        silent_at = daemon_now() + stream_silence_timeout;
+    }
+    return true;
+}
+
+bool forward_run::prepare_resume(const target& chosen)
+{
+    tried_targets_.push_back(chosen.id);
+    const bool usable =
+        !refuse_if_stopping() && pick_target() && rerun_stages();
+    tried_targets_.pop_back();
+    const bool continues = stream_continues();
+    resume_prepared_     = usable && !interrupted() && !continues &&
+                       parts_.budget.take(service_->name, daemon_now());
+    if (!resume_prepared_)
+        release_results();
+    log(log_level::info,
+        resume_prepared_ ? "silent stream is given up"
+                         : "silent stream is kept",
+        {{"request", call_.attempt},
+         {"target", chosen.id},
+         {"events", events_},
+         {"continues", continues}});
+    return resume_prepared_;
+}
+
 /// \return true when the target ended the stream and all of it was relayed.
 bool forward_run::relay_events(const target& chosen, http_client& from,
                                error_code& ec)
 {
     event_splitter   events;
     body_reservation memory(from.context());
-    auto             event_at = daemon_now();
+    // Only whole events show that the target makes progress.
+    auto silent_at = daemon_now() + stream_silence_timeout;
     for (;;) {
-        // Only whole events show that the target makes progress. A silent
-        // stream is aborted only when another target may resume it.
-        auto wait = remaining_time();
-        if (stream_started_ && may_resume())
-            wait = std::min(wait,
-                            remaining_until(event_at + stream_silence_timeout));
-        const auto text = from.read_some(wait, ec);
+        if (!await_events(chosen, from, silent_at)) {
+            ec = boost::asio::error::timed_out;
+            return false;
+        }
+        const auto text = from.read_some(remaining_time(), ec);
         if (ec || interrupted())
             return false;
         if (text.empty())
@@ -1218,20 +1269,26 @@
             if (it->id)
                 last_event_id_ = usable_event_id(std::move(*it->id));
             batch += it->text;
-            event_at = daemon_now();
+            const auto now = daemon_now();
+            silent_at      = now + stream_silence_timeout;
             if (events_++ == earlier_events_) {
                 waiting_.reset();
-                parts_.quarantine.answered(prompt_, chosen, event_at);
+                parts_.quarantine.answered(prompt_, chosen, now);
             }
         }
         if (events.overflowed())
             ec = boost::asio::error::message_size;
         else if (!memory.grow_to(events.rest().size()))
             ec = boost::asio::error::no_buffer_space;
-        else if (deadline_passed() ||
-                 (stream_started_ && may_resume() &&
-                  daemon_now() >= event_at + stream_silence_timeout))
+        else if (deadline_passed())
             ec = boost::asio::error::timed_out;
+        else if (daemon_now() >= silent_at && stream_started_ && may_resume()) {
+            // The bytes that arrived complete no event.
+            if (prepare_resume(chosen))
+                ec = boost::asio::error::timed_out;
+            else
+                silent_at = daemon_now() + stream_silence_timeout;
+        }
         if (ec && batch.empty())
             return false;
         if (batch.empty())
@@ -1242,6 +1299,8 @@
             caller_gone_ = true;
             return false;
         }
+        // While the caller did not read, neither did this daemon.
+        silent_at = std::max(silent_at, daemon_now() + stream_silence_timeout);
         if (ec)
             return false;
     }
--- a/src/forward_run.hpp
+++ b/src/forward_run.hpp
@@ -155,6 +155,14 @@
     void           begin_stream(http_client& from);
     bool           relay_events(const target& chosen, http_client& from,
                                 boost::system::error_code& ec);
+    /// Waits for more of the stream. \return false when it was silent and is
+    /// given up for another target.
+    /// \param silent_at when it counts as silent; moved on if it is kept.
+    bool await_events(const target& chosen, http_client& from,
+                      time_point& silent_at);
+    /// Prepares the continuation of a silent stream. \return false when no
+    /// other target can take it, or when the stream has gone on meanwhile.
+    bool prepare_resume(const target& chosen);
     /// Records that a call ended without an event, or without the whole of a
     /// response that is no stream.
     void         report_unanswered(const target&                    at,
@@ -174,8 +182,10 @@
     void learn_stage_times();
     void on_caller_gone();
     /// Ends what the request waits for: a response, stages or a target.
-    void          interrupt();
-    bool          interrupted() const { return caller_gone_ || ended_; }
+    void interrupt();
+    bool interrupted() const { return caller_gone_ || ended_; }
+    /// True when the stream that was silent has gone on.
+    bool          stream_continues() const;
     milliseconds  remaining_time() const;
     bool          deadline_passed() const;
     std::uint64_t result_bytes() const;
@@ -220,6 +230,11 @@
     response_head head_;
     /// Connection in use; cancelled when the caller leaves.
     http_client* connection_ = nullptr;
+    /// Silent stream whose continuation is being prepared; null if it sends
+    /// bytes that complete no event.
+    http_client* silent_stream_ = nullptr;
+    /// The stages and the budget of the next attempt are ready.
+    bool resume_prepared_ = false;
     /// Call that waits for its first event.
     std::unique_ptr<waiting_calls::entry> waiting_;
     bool                                  caller_gone_ = false;
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "body_memory.hpp"
 #include "daemon_clock.hpp"
+#include "fiber_signal.hpp"
 #include "fiber_token.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -68,7 +69,9 @@
     bool                       writing = false; ///< A request is being written.
     bool                       connected = false;
     time_point                 connected_at{};
-    bool                       broken = false;
+    bool                       broken   = false;
+    bool                       readable = false;
+    bool watching = false; ///< Until the socket is readable.
 };
 
 namespace {
@@ -179,6 +182,25 @@
     return {};
 }
 
+void http_client::notify_readable(std::shared_ptr<fiber_signal> signal)
+{
+    impl_->readable = impl_->buffer.size() > 0;
+    if (impl_->readable || std::exchange(impl_->watching, true))
+        return;
+    impl_->stream.socket().async_wait(
+        tcp::socket::wait_read,
+        [state = impl_, signal = std::move(signal)](error_code) {
+            state->watching = false;
+            state->readable = true;
+            signal->notify();
+        });
+}
+
+bool http_client::readable() const
+{
+    return impl_->readable;
+}
+
 std::string http_client::read_all(milliseconds timeout, error_code& ec,
                                   std::size_t       max_bytes,
                                   body_reservation* memory)
--- a/src/http_client.hpp
+++ b/src/http_client.hpp
@@ -15,6 +15,7 @@
 namespace arbutusgate {
 
 class body_reservation;
+class fiber_signal;
 
 /// One connection. Used by one fiber of the io_context's thread at a time; only
 /// cancel() may be called by another fiber of that thread.
@@ -46,6 +47,11 @@
     /// Reads the next part of the body. An empty result without an error means
     /// the end of the body.
     std::string read_some(milliseconds timeout, boost::system::error_code& ec);
+    /// Notifies the signal once when more of the body, or the end of the
+    /// connection, can be read.
+    void notify_readable(std::shared_ptr<fiber_signal> signal);
+    /// True when that has happened since the latest call of notify_readable().
+    bool readable() const;
     /// Reads the remaining body.
     /// \param max_bytes a longer body fails with message_size.
     /// \param memory reserves the body's memory, if set; a body for which too
--- a/tests/gateway_fixture.cpp
+++ b/tests/gateway_fixture.cpp
@@ -65,8 +65,9 @@
     settings_.bounds.retry_ratio = 10;
     settings_.bounds.retry_slack = 0;
     gateway_                     = std::make_unique<gateway>(gateway_init{
-        settings_, codec_, [targets](asio::io_context& io) {
-            return std::make_unique<fixed_reader>(io, make_config(), targets);
+        settings_, codec_, [targets, pause = pause_](asio::io_context& io) {
+            return std::make_unique<fixed_reader>(io, make_config(), targets,
+                                                  pause);
         }});
     REQUIRE(gateway_->start().ok());
     asio::io_context io;
@@ -84,6 +85,13 @@
     }
 }
 
+void gateway_fixture::pause(milliseconds time)
+{
+    *pause_ = time;
+    while (pause_->load() != milliseconds{0})
+        std::this_thread::sleep_for(milliseconds{1});
+}
+
 void gateway_fixture::drain(milliseconds grace)
 {
     settings_.bounds.drain_grace = grace;
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -162,9 +162,13 @@
 class fixed_reader final : public state_reader
 {
 public:
+    using pause_time = std::shared_ptr<std::atomic<milliseconds>>;
+
+    /// \param pause the next watch() blocks its thread for so long, once.
     fixed_reader(asio::io_context& io, configuration config,
-                 std::vector<target> targets)
-        : io_(io), config_(std::move(config)), targets_(std::move(targets))
+                 std::vector<target> targets, pause_time pause = nullptr)
+        : io_(io), config_(std::move(config)), targets_(std::move(targets)),
+          pause_(std::move(pause))
     {
     }
 
@@ -183,6 +187,8 @@
     absl::StatusOr<state_changes> watch(std::uint64_t after, milliseconds wait,
                                         milliseconds) override
     {
+        if (pause_)
+            std::this_thread::sleep_for(pause_->exchange(milliseconds{0}));
         fiber_sleep(io_, wait);
         return state_changes{{}, after};
     }
@@ -196,6 +202,7 @@
     asio::io_context&   io_;
     configuration       config_;
     std::vector<target> targets_;
+    pause_time          pause_;
 };
 
 /// A gateway with the routes /once/, /again/, /stream/, /resume/, /staged/,
@@ -226,12 +233,16 @@
     std::uint16_t           port() const { return gateway_->port(); }
     gateway&                daemon() { return *gateway_; }
     const gateway_settings& settings() const { return settings_; }
+    /// Pauses the daemon's thread soon, and waits until the pause has begun.
+    void pause(milliseconds time);
     /// Drains the daemon with a grace of the given time.
     void drain(milliseconds grace);
 
 private:
     gateway_settings         settings_;
     platform::http_codec     codec_;
+    fixed_reader::pause_time pause_ =
+        std::make_shared<std::atomic<milliseconds>>(milliseconds{0});
     std::unique_ptr<gateway> gateway_;
 };
 
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -5,6 +5,8 @@
 #include "state_follower.hpp"
 #include "target_connections.hpp"
 
+#include <boost/asio/read.hpp>
+
 #include <catch2/catch.hpp>
 
 #include <future>
@@ -620,6 +622,123 @@
     CHECK(out.ends_with("0\r\n\r\n"));
 }
 
+// Guards against a caller that loses a stream although its target only paused:
+// the stream was given up before it was known that another target takes it.
+TEST_CASE("a silent stream is kept while no other target can continue it",
+          "[gateway][sockets]")
+{
+    const bool       staged = GENERATE(false, true);
+    std::atomic<int> stage_calls{0};
+    scripted_target  stage([&](target_session& session) {
+        for (auto text = session.read(); !text.empty(); text = session.read()) {
+            if (has(text, "/stage-free"))
+                session.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            else if (++stage_calls == 1)
+                session.write(answer(R"({"items":[{"handle":"h/1"}]})"));
+            else
+                session.write(answer(R"({"items":[{"reason":"error"}]})"));
+        }
+    });
+    std::atomic<int> calls{0};
+    const auto       script = [&](target_session& session) {
+        if (session.read().empty())
+            return;
+        ++calls;
+        session.write(stream_head() + chunk("id: 1\ndata: a\n\n"));
+        std::this_thread::sleep_for(milliseconds{1700});
+        session.write(chunk("id: 2\ndata: b\n\n"));
+        std::this_thread::sleep_for(milliseconds{1700});
+        session.write(chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n");
+    };
+    scripted_target     one(script);
+    scripted_target     two(script);
+    std::vector<target> targets{make_target("i-1", one.address()),
+                                make_target("p-1", stage.address(), "p")};
+    if (staged)
+        targets.push_back(make_target("i-2", two.address()));
+    gateway_fixture g(targets);
+    const auto out = staged ? g.exchange(g.request("/staged-stream/", "body",
+                                                   "Arbutusgate-Pieces: 1\r\n"
+                                                   "Arbutusgate-Piece-Key: "
+                                                   "kk\r\n"))
+                            : g.exchange(g.request("/resume/"));
+    CAPTURE(staged);
+    CHECK(calls == 1);
+    CHECK(has(out, "id: 3\ndata: c\n\n"));
+    CHECK(out.ends_with("0\r\n\r\n"));
+}
+
+// Guards against a stream that is given up as silent after a pause of the
+// daemon itself, when its events are there already.
+TEST_CASE("a pause of the daemon does not make a stream silent",
+          "[gateway][sockets]")
+{
+    std::promise<void> begun;
+    std::promise<void> paused;
+    auto               pause = paused.get_future().share();
+    std::atomic<int>   calls{0};
+    const auto         script = [&](target_session& session) {
+        if (session.read().empty())
+            return;
+        if (++calls > 1)
+            return;
+        session.write(stream_head() + chunk("id: 1\ndata: a\n\n"));
+        begun.set_value();
+        pause.wait();
+        session.write(chunk("id: 2\ndata: b\n\n"));
+        std::this_thread::sleep_for(milliseconds{1700});
+        session.write(chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n");
+    };
+    scripted_target one(script);
+    scripted_target two(script);
+    gateway_fixture g(
+        {make_target("i-1", one.address()), make_target("i-2", two.address())});
+    auto response = std::async(
+        std::launch::async, [&] { return g.exchange(g.request("/resume/")); });
+    begun.get_future().wait();
+    // Longer than the silence after which a stream is given up.
+    g.pause(milliseconds{1600});
+    paused.set_value();
+    const auto out = response.get();
+    CHECK(calls == 1);
+    CHECK(has(out, "id: 3\ndata: c\n\n"));
+}
+
+// Guards against a stream that is given up as silent while its caller, not its
+// target, is slow.
+TEST_CASE("a slow reader does not make a stream silent", "[gateway][sockets]")
+{
+    constexpr std::size_t events = 160; // More than all buffers hold.
+    const std::string     data(50'000, 'x');
+    std::atomic<int>      calls{0};
+    const auto            script = [&](target_session& session) {
+        if (session.read().empty() || ++calls > 1)
+            return;
+        session.write(stream_head());
+        for (std::size_t n = 1; n <= events; ++n)
+            session.write(
+                           chunk("id: " + std::to_string(n) + "\ndata: " + data + "\n\n"));
+        session.write("0\r\n\r\n");
+    };
+    scripted_target one(script);
+    scripted_target two(script);
+    gateway_fixture g(
+        {make_target("i-1", one.address()), make_target("i-2", two.address())});
+    asio::io_context io;
+    tcp::socket      socket(io);
+    socket.open(tcp::v4());
+    socket.set_option(asio::socket_base::receive_buffer_size(256 * 1024));
+    socket.connect({asio::ip::address_v4::loopback(), g.port()});
+    asio::write(socket, asio::buffer(g.request("/resume/")));
+    std::this_thread::sleep_for(milliseconds{1700});
+    std::string               out;
+    boost::system::error_code ec;
+    asio::read(socket, asio::dynamic_buffer(out), ec);
+    CHECK(calls == 1);
+    CHECK(has(out, "id: " + std::to_string(events) + "\n"));
+    CHECK(out.ends_with("0\r\n\r\n"));
+}
+
 // Guards against a daemon that exits with another daemon's order in its queue,
 // whose pieces would then have to be computed again elsewhere.
 TEST_CASE("a draining daemon finishes the orders of other daemons",
