Ignore timers of a connection that expire as its request arrives

A timer that expires together with the arrival of bytes has its handler queued; cancelling it comes too late. The idle timer then closed a connection whose request had arrived, and the caller got a reset instead of an answer. The read timer cancelled whatever the connection did next: the watch for the client or the write of its response.

Both handlers now check what they are for. Both daemons use this server.

Tests: "a request that has arrived keeps its connection from being idle" (failed before), "a read timer that expires late does not cut the response" (a guard: the order of handlers that cuts the response was not reached before the fix).

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -94,6 +94,8 @@
     void close();
     /// Closes the socket and notifies the handler that its client is gone.
     void close_and_notify();
+    /// True when no byte of a further request has arrived.
+    bool awaits_request();
     void close_if_idle();
     /// Closes an idle connection of a server that accepts no more. One that has
     /// carried no request yet is kept for a short time, as its request may be
@@ -149,6 +151,7 @@
     bool                              client_gone_ = false;
     bool                              idle_        = false;
     bool                              fresh_       = true; ///< No request yet.
+    bool                              reading_     = false;
     bool                              timed_out_   = false;
 };
 
@@ -214,16 +217,21 @@
     notify_client_gone();
 }
 
+bool http_connection::awaits_request()
+{
+    error_code ec;
+    return idle_ && stream_.socket().available(ec) == 0;
+}
+
 void http_connection::close_if_idle()
 {
-    if (idle_)
+    if (awaits_request())
         close();
 }
 
 void http_connection::close_unless_awaited()
 {
-    error_code ec;
-    if (!idle_ || stream_.socket().available(ec) > 0)
+    if (!awaits_request())
         return;
     if (fresh_)
         start_idle_timer(first_request_grace);
@@ -263,7 +271,8 @@
     timer_.expires_after(owner_->init.read_timeout);
     timer_.async_wait([self = weak_from_this()](error_code ec) {
         const auto it = self.lock();
-        if (ec || !it)
+        // The timer may have expired just before it was cancelled.
+        if (ec || !it || !it->reading_)
             return;
         it->timed_out_ = true;
         error_code ignored;
@@ -281,10 +290,12 @@
     responded_ = false;
     loss_.reset();
     error_code ec;
-    fresh_ = false;
+    fresh_   = false;
+    reading_ = true;
     start_read_timer();
     stream_.expires_never();
     http::async_read(stream_, buffer_, *parser_, fiber_token{ec});
+    reading_ = false;
     timer_.cancel();
     if (ec) {
         refuse(ec);
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/fiber/future/future.hpp>
 #include <boost/fiber/future/promise.hpp>
+#include <boost/fiber/operations.hpp>
 
 #include <catch2/catch.hpp>
 
@@ -15,6 +16,7 @@
 #include <future>
 #include <stdexcept>
 #include <thread>
+#include <vector>
 
 using namespace arbutusgate;
 
@@ -288,6 +290,127 @@
     CHECK(status("x") == 200);
 }
 
+namespace {
+
+namespace asio = boost::asio;
+using tcp      = asio::ip::tcp;
+
+/// Connection of a client that reads slowly.
+tcp::socket connect_slowly(asio::io_context& io, const http_server& server)
+{
+    tcp::socket out(io);
+    out.open(tcp::v4());
+    out.set_option(asio::socket_base::receive_buffer_size(16 * 1024));
+    out.connect({asio::ip::address_v4::loopback(), server.port()});
+    return out;
+}
+
+/// Body bytes that arrive until the server closes the connection.
+std::size_t body_bytes(tcp::socket& from, milliseconds pause = milliseconds{0})
+{
+    std::string               out;
+    boost::system::error_code ec;
+    std::vector<char>         part(256 * 1024);
+    while (!ec) {
+        const auto n = from.read_some(asio::buffer(part), ec);
+        out.append(part.data(), n);
+        std::this_thread::sleep_for(pause);
+    }
+    const auto head = out.find("\r\n\r\n");
+    return head == out.npos ? 0 : out.size() - head - 4;
+}
+
+constexpr std::size_t large_body = 16 * 1024 * 1024; ///< Exceeds all buffers.
+
+http_server_init large_response_init()
+{
+    auto init    = echo_init();
+    init.handler = [](http_exchange& it) {
+        http_response response(http::status::ok, 11);
+        response.body().assign(large_body, 'x');
+        it.respond(std::move(response));
+    };
+    return init;
+}
+
+/// Keeps a server's thread from all work until resume() is called.
+class held_thread
+{
+public:
+    explicit held_thread(io_thread& thread)
+    {
+        std::promise<void> held;
+        thread.spawn([&held, resumed = resume_.get_future().share()] {
+            held.set_value();
+            resumed.wait();
+        });
+        held.get_future().wait();
+    }
+    void resume() { resume_.set_value(); }
+
+private:
+    std::promise<void> resume_;
+};
+
+const std::string close_request =
+    "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+
+} // namespace
+
+// Guards against a response that is cut since the read timer expired together
+// with the arrival of the end of its request.
+TEST_CASE("a read timer that expires late does not cut the response")
+{
+    auto init         = large_response_init();
+    init.read_timeout = milliseconds{300};
+    io_thread   thread;
+    http_server server(std::move(init), {&thread});
+    REQUIRE(server.start().ok());
+    asio::io_context io;
+    auto             socket = connect_slowly(io, server);
+    const auto       half   = close_request.size() / 2;
+    asio::write(socket, asio::buffer(close_request.substr(0, half)));
+    std::this_thread::sleep_for(milliseconds{100});
+    held_thread held(thread);
+    asio::write(socket, asio::buffer(close_request.substr(half)));
+    std::this_thread::sleep_for(milliseconds{400});
+    held.resume();
+    std::this_thread::sleep_for(milliseconds{100});
+    CHECK(body_bytes(socket) == large_body);
+}
+
+// Guards against a request that arrives on an idle connection at the moment at
+// which the connection's idle timer expires, and is closed unread.
+TEST_CASE("a request that has arrived keeps its connection from being idle")
+{
+    auto init         = echo_init();
+    init.idle_timeout = milliseconds{300};
+    io_thread   thread;
+    http_server server(std::move(init), {&thread});
+    REQUIRE(server.start().ok());
+    asio::io_context io;
+    tcp::socket      socket(io);
+    socket.connect({asio::ip::address_v4::loopback(), server.port()});
+    std::atomic<bool> stop{false};
+    while (server.connections() == 0)
+        std::this_thread::sleep_for(milliseconds{1});
+    std::this_thread::sleep_for(milliseconds{50});
+    held_thread held(thread);
+    // With other fibers ready, all handlers run before the connection's fiber.
+    for (int n = 0; n < 32; ++n)
+        thread.spawn([&] {
+            for (int k = 0; k < 64; ++k)
+                boost::this_fiber::yield();
+        });
+    asio::write(socket, asio::buffer(close_request));
+    std::this_thread::sleep_for(milliseconds{400});
+    held.resume();
+    std::string               out;
+    boost::system::error_code ec;
+    asio::read(socket, asio::dynamic_buffer(out), ec);
+    CHECK(out.starts_with("HTTP/1.1 200"));
+}
+
 // Guards against an exception in the handler of one request that ends the
 // process, and with it all other requests.
 TEST_CASE("an exception in a handler ends only its connection")
