Apply the write timeout to each part of a response

The timeout of 30 s held for the whole response: a large one was cut although its client read all the time, only slowly.

Test, with a shorter timeout: "a response is not cut while its client reads" (failed before).

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -363,8 +363,12 @@
 {
     prepare(response);
     response.prepare_payload();
-    error_code ec;
-    http::async_write(stream_, response, fiber_token{ec});
+    http::response_serializer<http::string_body> serializer(response);
+    error_code                                   ec;
+    while (!ec && !serializer.is_done()) {
+        stream_.expires_after(owner_->init.write_timeout);
+        http::async_write_some(stream_, serializer, fiber_token{ec});
+    }
     finish_response(ec);
 }
 
--- a/src/http_server.hpp
+++ b/src/http_server.hpp
@@ -67,6 +67,7 @@
     std::uint32_t header_limit    = limits::request_header; ///< bytes
     milliseconds  read_timeout    = limits::request_read;
     milliseconds  idle_timeout    = seconds{60};
+    /// For each part of a response that the client's system accepts.
     milliseconds  write_timeout   = seconds{30};
     std::uint32_t max_connections = 10000;
     /// Called for each request on the fiber of its connection.
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -411,6 +411,21 @@
     CHECK(out.starts_with("HTTP/1.1 200"));
 }
 
+// Guards against a large response that is cut although its client reads it,
+// only slowly.
+TEST_CASE("a response is not cut while its client reads")
+{
+    auto init          = large_response_init();
+    init.write_timeout = milliseconds{1500};
+    io_thread   thread;
+    http_server server(std::move(init), {&thread});
+    REQUIRE(server.start().ok());
+    asio::io_context io;
+    auto             socket = connect_slowly(io, server);
+    asio::write(socket, asio::buffer(close_request));
+    CHECK(body_bytes(socket, milliseconds{8}) == large_body);
+}
+
 // Guards against an exception in the handler of one request that ends the
 // process, and with it all other requests.
 TEST_CASE("an exception in a handler ends only its connection")
