Read what a client sends after its last response

After a response with "Connection: close" the socket was closed at once. If bytes of the client were unread, the system reset the connection and dropped the part of the response that was still on its way. Only refused requests were read to their end. Now every connection with a last response is, for 2 s at most.

Where the response did not say "close", the reset stays: it tells the client that its next request was not read and may be sent again.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -34,7 +34,7 @@
 
 // Delay after a failed accept, for instance when no descriptor is free.
 constexpr milliseconds accept_retry_delay{20};
-// How long a refused client may continue to send its request.
+// How long a client may continue to send after its last response.
 constexpr seconds discard_timeout{2};
 // A connection carries its first request within this time.
 constexpr milliseconds first_request_grace{500};
@@ -120,7 +120,7 @@
     bool read_request();
     void run_handler();
     void refuse(error_code ec);
-    void discard_request();
+    void discard_input();
     void start_idle_timer(milliseconds time);
     void start_read_timer();
     void prepare(http_response& response);
@@ -172,6 +172,8 @@
             break;
     }
     stream_.socket().shutdown(tcp::socket::shutdown_send, ec);
+    if (responded_ && !broken_ && !keep_alive_)
+        discard_input();
     stream_.close();
 }
 
@@ -321,18 +323,17 @@
         return;
     keep_alive_ = false;
     respond(owner_->init.on_error(error));
-    discard_request();
 }
 
 // Closing a socket with unread data resets the connection, and the client could
-// lose the response before reading it.
-void http_connection::discard_request()
+// lose the response before reading it. Without "Connection: close", a reset is
+// right: it tells the client that its next request was not read.
+void http_connection::discard_input()
 {
     error_code                 ec;
     std::array<char, 8 * 1024> bytes;
-    stream_.socket().shutdown(tcp::socket::shutdown_send, ec);
     stream_.expires_after(discard_timeout);
-    while (!ec)
+    while (!ec && !owner_->stopping)
         stream_.async_read_some(asio::buffer(bytes), fiber_token{ec});
 }
 
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -411,6 +411,22 @@
     CHECK(out.starts_with("HTTP/1.1 200"));
 }
 
+// Guards against a response that a reset destroys on its way, since the client
+// had sent more than the server read.
+TEST_CASE("bytes that are not read do not cut the last response")
+{
+    io_thread   thread;
+    http_server server(large_response_init(), {&thread});
+    REQUIRE(server.start().ok());
+    asio::io_context io;
+    auto             socket = connect_slowly(io, server);
+    asio::write(socket, asio::buffer(close_request));
+    // The server does not read this one: it still writes its response.
+    std::this_thread::sleep_for(milliseconds{100});
+    asio::write(socket, asio::buffer(close_request));
+    CHECK(body_bytes(socket, milliseconds{2}) == large_body);
+}
+
 // Guards against a large response that is cut although its client reads it,
 // only slowly.
 TEST_CASE("a response is not cut while its client reads")
