Answer a request whose handler fails

An exception that left a handler closed the connection without a response.

The test "an exception in a handler ends only its connection" expected no response. It now expects the one that the server sends, and is called "... only its request".

--- a/src/caller_service.cpp
+++ b/src/caller_service.cpp
@@ -29,6 +29,8 @@
         return refusal_reason::too_large;
     case http_error::too_slow:
         return refusal_reason::too_slow;
+    case http_error::handler_failed:
+        return refusal_reason::internal;
     case http_error::malformed:
         break;
     }
@@ -98,8 +100,8 @@
     catch (const std::exception& it) {
         log(log_level::error, "request failed with an internal error",
             {{"request_id", request_id}, {"what", it.what()}});
-        init_.services.counts->reasons().add(refusal_reason::internal);
-        exchange.abort();
+        // The server answers if no response has begun.
+        throw;
     }
 }
 
@@ -152,7 +154,10 @@
 {
     const auto reason = reason_of(error);
     init_.services.counts->reasons().add(reason);
-    return problem_response(refusal(reason), make_request_id());
+    auto out = refusal(reason);
+    if (error == http_error::handler_failed)
+        out.result = execution::unknown;
+    return problem_response(out, make_request_id());
 }
 
 } // namespace arbutusgate
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -86,6 +86,8 @@
         return refusal_reason::header_too_large;
     case http_error::body_too_large:
         return refusal_reason::too_large;
+    case http_error::handler_failed:
+        return refusal_reason::internal;
     case http_error::too_slow:
         break;
     }
@@ -659,9 +661,13 @@
     out.on_error = [this](http_error error) {
         const auto reason = reason_of(error);
         counters.reasons().add(reason);
-        log(log_level::info, "failed to read a request",
-            {{"reason", arbutusgate::to_string(reason)}});
-        return problem_response(refusal(reason), "");
+        auto out = refusal(reason);
+        if (error == http_error::handler_failed)
+            out.result = execution::unknown;
+        else
+            log(log_level::info, "failed to read a request",
+                {{"reason", arbutusgate::to_string(reason)}});
+        return problem_response(out, "");
     };
     return out;
 }
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -147,6 +147,7 @@
     bool                              keep_alive_ = false;
     bool                              responded_  = false; ///< Completely.
     std::optional<response_loss>      loss_; ///< Of the current request.
+    bool                              begun_       = false; ///< The response.
     bool                              broken_      = false;
     bool                              client_gone_ = false;
     bool                              idle_        = false;
@@ -187,7 +188,10 @@
     catch (const std::exception& it) {
         log(log_level::error, "a request failed with an exception",
             {{"error", it.what()}});
-        fail(response_loss::handler_failed);
+        if (begun_ || broken_)
+            return fail(response_loss::handler_failed);
+        keep_alive_ = false;
+        respond(owner_->init.on_error(http_error::handler_failed));
     }
 }
 
@@ -290,6 +294,7 @@
         owner_->init.header_limit, limits::max_header_field)));
     parser_->body_limit(owner_->init.body_limit);
     responded_ = false;
+    begun_     = false;
     loss_.reset();
     error_code ec;
     fresh_   = false;
@@ -343,6 +348,7 @@
         keep_alive_ = false;
     response.version(11);
     response.keep_alive(keep_alive_);
+    begun_ = true;
     stream_.expires_after(owner_->init.write_timeout);
 }
 
--- a/src/http_server.hpp
+++ b/src/http_server.hpp
@@ -50,29 +50,31 @@
     virtual io_thread& thread() = 0;
 };
 
-/// Why a request was refused before it reached a handler.
+/// Why the server itself answers a request.
 enum class http_error
 {
     malformed,
     header_too_large,
     body_too_large,
     too_slow,
+    handler_failed, ///< By an exception; the request may have run.
 };
 
 /// Parameters of a server.
 struct http_server_init
 {
     std::string   address; ///< "IP:port"; port 0 lets the system choose.
-    std::uint32_t body_limit      = limits::request_body;   ///< bytes
-    std::uint32_t header_limit    = limits::request_header; ///< bytes
-    milliseconds  read_timeout    = limits::request_read;
-    milliseconds  idle_timeout    = seconds{60};
+    std::uint32_t body_limit   = limits::request_body;   ///< bytes
+    std::uint32_t header_limit = limits::request_header; ///< bytes
+    milliseconds  read_timeout = limits::request_read;
+    milliseconds  idle_timeout = seconds{60};
     /// For each part of a response that the client's system accepts.
     milliseconds  write_timeout   = seconds{30};
     std::uint32_t max_connections = 10000;
     /// Called for each request on the fiber of its connection.
     std::function<void(http_exchange&)> handler;
-    /// Returns the response to a request that could not be read.
+    /// Returns the response to a request that could not be read, or whose
+    /// handler failed before it began a response.
     std::function<http_response(http_error)> on_error;
     /// Called on the connection's fiber when it ends after a request was read
     /// and before the response was complete. May be empty.
--- a/src/standin_http.cpp
+++ b/src/standin_http.cpp
@@ -102,6 +102,9 @@
         return problem_response(http::status::payload_too_large, "too_large");
     case http_error::too_slow:
         return problem_response(http::status::request_timeout, "too_slow");
+    case http_error::handler_failed:
+        return problem_response(http::status::internal_server_error,
+                                "internal");
     case http_error::malformed:
         break;
     }
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -45,8 +45,11 @@
         response.body() = it.request().body();
         it.respond(std::move(response));
     };
-    init.on_error = [](http_error) {
-        return http_response(http::status::bad_request, 11);
+    init.on_error = [](http_error it) {
+        return http_response(it == http_error::handler_failed
+                                 ? http::status::bad_gateway
+                                 : http::status::bad_request,
+                             11);
     };
     return init;
 }
@@ -443,8 +446,9 @@
 }
 
 // Guards against an exception in the handler of one request that ends the
-// process, and with it all other requests.
-TEST_CASE("an exception in a handler ends only its connection")
+// process, and with it all other requests, or leaves its caller without an
+// answer.
+TEST_CASE("an exception in a handler ends only its request")
 {
     auto init    = echo_init();
     init.handler = [echo = init.handler](http_exchange& it) {
@@ -458,12 +462,13 @@
     REQUIRE(server.start().ok());
     const auto address = "127.0.0.1:" + std::to_string(server.port());
     for (const auto* body : {"throw", "x"}) {
-        const bool answered = run_on(thread, [&] {
+        const auto status = run_on(thread, [&] {
             http_client client(thread.io());
-            return !client.connect(address, seconds{20}) &&
-                   !client.send(post(body), seconds{20});
+            const bool  failed = client.connect(address, seconds{20}) ||
+                                client.send(post(body), seconds{20});
+            return failed ? 0 : client.head().result_int();
         });
-        CHECK(answered == (std::string_view(body) == "x"));
+        CHECK(status == (std::string_view(body) == "x" ? 200 : 502));
     }
 }
 
