Handle signals from the start of a process on

SIGHUP or SIGTERM ended a gateway that was still parsing its settings. Now they are blocked first and handled after the start. A start that waits for a port handles no signals, so callers are accepted last.

arbutusgated has no settings to reload, and SIGHUP ended it at any time, with all its requests.

Before main() a signal still ends the process; it has accepted nothing then.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -735,8 +735,9 @@
     });
     ready.get_future().wait();
     impl_->started = true;
-    for (auto* server : {impl_->caller_server.get(), impl_->ready_server.get(),
-                         impl_->peer_server.get()})
+    // Callers come last: a start that waits for a port does not handle signals.
+    for (auto* server : {impl_->peer_server.get(), impl_->ready_server.get(),
+                         impl_->caller_server.get()})
     {
         if (auto status = start_listening(*server); !status.ok())
             return status;
--- a/tools/arbutusgate-gateway.cpp
+++ b/tools/arbutusgate-gateway.cpp
@@ -43,15 +43,22 @@
     }
 }
 
-int run(const gateway::gateway_settings& settings, const std::string& path)
+/// Blocks the signals that watch_settings() waits for. Called before any thread
+/// starts, so that all threads inherit the mask, and before anything that takes
+/// time: a signal that arrives during the start is handled after it.
+sigset_t block_signals()
 {
     sigset_t signals;
     sigemptyset(&signals);
     for (const int signal : {SIGTERM, SIGINT, SIGHUP})
         sigaddset(&signals, signal);
-    // Block the signals before any thread starts, so that all threads inherit
-    // the mask.
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    return signals;
+}
+
+int run(const gateway::gateway_settings& settings, const std::string& path,
+        const sigset_t& signals)
+{
     // protobuf's own log lines have no fixed format and no length limit. The
     // gateway logs malformed messages itself.
     google::protobuf::SetLogHandler(nullptr);
@@ -78,6 +85,7 @@
 
 int main(int argc, char** argv)
 {
+    const auto   signals = block_signals();
     std::string  path;
     option_table options("Usage: arbutusgate-gateway --settings FILE");
     options.add_text("settings", "FILE", "settings of this daemon, in YAML",
@@ -95,7 +103,7 @@
         return exit_status::usage_error;
     }
     std::signal(SIGPIPE, SIG_IGN);
-    const int code = run(*settings, path);
+    const int code = run(*settings, path, signals);
     log(log_level::info, "stopped");
     stop_log();
     // Exit without joining the idle threads of log4cplus: at a normal exit its
--- a/tools/arbutusgated.cpp
+++ b/tools/arbutusgated.cpp
@@ -25,8 +25,8 @@
     "  --help             print this text\n"
     "  --version          print the version\n"
     "\n"
-    "SIGTERM and SIGINT drain the daemon. Exit status: 0 after a drain, 1 on\n"
-    "a failed start, 2 on a usage error.\n";
+    "SIGTERM and SIGINT drain the daemon; SIGHUP has no effect. Exit status:\n"
+    "0 after a drain, 1 on a failed start, 2 on a usage error.\n";
 
 struct options
 {
@@ -87,6 +87,9 @@
 
 int main(int argc, char** argv)
 {
+    // The settings are read once. By default SIGHUP would end the process and
+    // all its requests.
+    std::signal(SIGHUP, SIG_IGN);
     const auto arguments = parse_arguments(argc, argv);
     if (arguments.exit_code >= 0)
         return arguments.exit_code;
