End the gateway without waiting for the store

The soak saw a gateway killed at the end of its grace: its drain had ended after 7.4 s, but the destructor waited for open calls to the store and other daemons. The process now ends as soon as its requests have.

--- a/tools/arbutusgate-gateway.cpp
+++ b/tools/arbutusgate-gateway.cpp
@@ -56,8 +56,19 @@
     return signals;
 }
 
-int run(const gateway::gateway_settings& settings, const std::string& path,
-        const sigset_t& signals)
+/// Ends the process without destroying the daemon, whose destructor waits for
+/// calls to the store, and without joining the idle threads of log4cplus: at a
+/// normal exit its thread pool may block the process until it is killed, which
+/// also keeps a replacement from starting.
+[[noreturn]] void finish(int code)
+{
+    log(log_level::info, "stopped");
+    stop_log();
+    std::quick_exit(code);
+}
+
+[[noreturn]] void run(const gateway::gateway_settings& settings,
+                      const std::string& path, const sigset_t& signals)
 {
     // protobuf's own log lines have no fixed format and no length limit. The
     // gateway logs malformed messages itself.
@@ -70,7 +81,7 @@
          }});
     if (const auto status = daemon.start(); !status.ok()) {
         log(log_level::error, "cannot start", {{"error", status.ToString()}});
-        return exit_status::failed;
+        finish(exit_status::failed);
     }
     log(log_level::info, "started",
         {{"version", ARBUTUSGATE_VERSION},
@@ -78,7 +89,7 @@
          {"store", settings.store}});
     watch_settings(daemon, path, signals);
     daemon.drain();
-    return exit_status::ok;
+    finish(exit_status::ok);
 }
 
 } // namespace
@@ -103,11 +114,5 @@
         return exit_status::usage_error;
     }
     std::signal(SIGPIPE, SIG_IGN);
-    const int code = run(*settings, path, signals);
-    log(log_level::info, "stopped");
-    stop_log();
-    // Exit without joining the idle threads of log4cplus: at a normal exit its
-    // thread pool may block the process until it is killed, which also keeps a
-    // replacement from starting.
-    std::quick_exit(code);
+    run(*settings, path, signals);
 }
