Forget the action of a handler that failed

After an exception the server sends a response of its own, and the action for a client that leaves still referred to the handler's objects, which the exception had destroyed. A client that left meanwhile ran it.

Test: "a failed handler is not notified" (failed before).

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -188,6 +188,8 @@
     catch (const std::exception& it) {
         log(log_level::error, "a request failed with an exception",
             {{"error", it.what()}});
+        // The action refers to what the handler has destroyed.
+        client_gone_action_ = nullptr;
         if (begun_ || broken_)
             return fail(response_loss::handler_failed);
         keep_alive_ = false;
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -472,6 +472,37 @@
     }
 }
 
+// Guards against a handler that failed and is notified that its client has
+// left, though nothing of it exists any more.
+TEST_CASE("a failed handler is not notified")
+{
+    std::atomic<bool> notified{false};
+    auto              init = large_response_init();
+    init.on_error          = [respond = init.on_error](http_error it) {
+        auto out = respond(it);
+        out.body().assign(large_body, 'x');
+        return out;
+    };
+    init.handler = [&](http_exchange& it) {
+        it.on_client_gone([&] { notified = true; });
+        throw std::length_error("field value too large");
+    };
+    io_thread   thread;
+    http_server server(std::move(init), {&thread});
+    REQUIRE(server.start().ok());
+    asio::io_context io;
+    auto             socket = connect_slowly(io, server);
+    asio::write(socket, asio::buffer(close_request));
+    char byte = 0;
+    asio::read(socket, asio::buffer(&byte, 1));
+    socket.shutdown(tcp::socket::shutdown_send);
+    std::this_thread::sleep_for(milliseconds{100});
+    socket.close();
+    while (server.connections() > 0)
+        std::this_thread::sleep_for(milliseconds{1});
+    CHECK_FALSE(notified);
+}
+
 // Guards against a response that is taken for whole though its connection ended
 // inside its head or its body. All calls to targets, other daemons and the
 // store read their responses this way.
