Notice silence between the chunks of a stream

The parser keeps the end of a chunk until the head of the next one is complete. A stream of stated length counted as silent after its last event, while its connection stayed open.

Now only bytes that the parser can use count. Besides: stages of a resumed stream that were not submitted are no null ticket; the target is picked again after the stages; the first part of an event ends the silence; a resumed stream in a drain needs the time of its rest only; a connection is not awaited beyond the end of open requests.

--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -279,9 +279,12 @@
         return deadline_ <= drain.ends_at;
     const auto answer =
         parts_.times.get(service_->name, default_first_event_time);
-    return daemon_now() + std::max(answer, parts_.stream_times.get(route_->name,
-                                                                   answer)) <=
-           drain.ends_at;
+    // Of a stream that is resumed only a part is left.
+    const auto whole =
+        stream_started_
+            ? answer
+            : std::max(answer, parts_.stream_times.get(route_->name, answer));
+    return daemon_now() + whole <= drain.ends_at;
 }
 
 std::optional<run_failure> forward_run::refuse_if_stopping()
@@ -537,9 +540,12 @@
     if (auto refused = refuse_if_stopping())
         return refused;
     for (const auto& it : tickets_) {
-        if (it->state != order_state::done)
+        if (it && it->state != order_state::done)
             return stage_failure(*it);
     }
+    // Stages that were not submitted, since the silent stream has gone on.
+    if (!all_done())
+        return run_failure{refusal_reason::stage_failed};
     const auto inputs = final_inputs();
     const auto bytes  = std::accumulate(
          inputs.begin(), inputs.end(), std::size_t{0},
@@ -908,9 +914,12 @@
     call_number_ = parts_.picker.start(chosen.id, tokens, attempt_started_);
     parts_.targets.gate().sent(chosen.id, attempt_started_);
     error_code ec;
-    const auto most  = service_->max_connections / std::max(1U, parts_.daemons);
-    auto       lease = parts_.connections.open(
-              chosen, most, std::min(connect_timeout, remaining_time()), ec);
+    const auto most = service_->max_connections / std::max(1U, parts_.daemons);
+    auto       time_to_connect = std::min(connect_timeout, remaining_time());
+    if (parts_.drain)
+        time_to_connect =
+            std::min(time_to_connect, remaining_until(parts_.drain->ends_at));
+    auto lease     = parts_.connections.open(chosen, most, time_to_connect, ec);
     permit_lapsed_ = !may_send(chosen);
     if (lease && (parts_.targets.gate().refuses(chosen, daemon_now()) ||
                   permit_lapsed_ || quarantined_at(chosen)))
@@ -1226,8 +1235,9 @@
 bool forward_run::prepare_resume(const target& chosen)
 {
     tried_targets_.push_back(chosen.id);
-    const bool usable =
-        !refuse_if_stopping() && pick_target() && rerun_stages();
+    // The target may have gone while the stages ran.
+    const bool usable = !refuse_if_stopping() && pick_target() &&
+                        rerun_stages() && pick_target();
     tried_targets_.pop_back();
     const bool continues = stream_continues();
     resume_prepared_     = usable && !interrupted() && !continues &&
@@ -1263,6 +1273,10 @@
         if (text.empty())
             return events.rest().empty();
         parts_.crashes.heard(chosen, from.connected_at());
+        // The first part of an event ends the silence, further ones do not.
+        if (events.rest().empty())
+            silent_at =
+                std::max(silent_at, daemon_now() + stream_silence_timeout);
         events.add(text);
         std::string batch;
         while (auto it = events.next()) {
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -182,9 +182,31 @@
     return {};
 }
 
+namespace {
+
+/// The end of a chunk stays in the buffer until the head of the next one is
+/// complete. \return whether the text holds no more than a part of both.
+bool is_between_chunks(std::string_view text)
+{
+    constexpr std::string_view end = "\r\n";
+    if (!text.starts_with(end))
+        return end.starts_with(text);
+    constexpr std::size_t max_size_digits = 16;
+    text.remove_prefix(end.size());
+    return text.size() <= max_size_digits &&
+           text.find_first_not_of("0123456789abcdefABCDEF\r") == text.npos;
+}
+
+} // namespace
+
 void http_client::notify_readable(std::shared_ptr<fiber_signal> signal)
 {
-    impl_->readable = impl_->buffer.size() > 0;
+    const auto             bytes = impl_->buffer.data();
+    const std::string_view rest(static_cast<const char*>(bytes.data()),
+                                bytes.size());
+    impl_->readable =
+        impl_->parser->is_done() ||
+        (impl_->parser->chunked() ? !is_between_chunks(rest) : !rest.empty());
     if (impl_->readable || std::exchange(impl_->watching, true))
         return;
     impl_->stream.socket().async_wait(
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -668,6 +668,62 @@
     CHECK(out.ends_with("0\r\n\r\n"));
 }
 
+// Guards against a caller that waits for a stream whose target is frozen until
+// its deadline, though another target can continue it.
+TEST_CASE("a silent stream is continued by another target",
+          "[gateway][sockets]")
+{
+    std::atomic<int> calls{0};
+    const auto       script = [&](target_session& session) {
+        if (session.read().empty())
+            return;
+        if (++calls == 1) {
+            session.write(stream_head() + chunk("id: 1\ndata: a\n\n"));
+            return session.wait_closed();
+        }
+        session.write(stream_head() + chunk("id: 2\ndata: b\n\n") +
+                            "0\r\n\r\n");
+    };
+    scripted_target one(script);
+    scripted_target two(script);
+    gateway_fixture g(
+        {make_target("i-1", one.address()), make_target("i-2", two.address())});
+    const auto begin = std::chrono::steady_clock::now();
+    const auto out   = g.exchange(g.request("/resume/"));
+    CHECK(has(out, "id: 2\ndata: b\n\n"));
+    CHECK(out.ends_with("0\r\n\r\n"));
+    // Half of the request's deadline.
+    CHECK(std::chrono::steady_clock::now() - begin < milliseconds{7500});
+}
+
+// Guards against a stream that is given up as silent after its last event,
+// since its connection stays open.
+TEST_CASE("a stream of stated length is not silent at its end",
+          "[gateway][sockets]")
+{
+    const std::string events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    std::atomic<int>  calls{0};
+    const auto        script = [&](target_session& session) {
+        if (session.read().empty())
+            return;
+        ++calls;
+        const auto text =
+            answer(events, "200 OK", "Content-Type: text/event-stream\r\n");
+        session.write(text.substr(0, text.size() - 10));
+        std::this_thread::sleep_for(milliseconds{100});
+        session.write(text.substr(text.size() - 10));
+        session.wait_closed();
+    };
+    scripted_target one(script);
+    scripted_target two(script);
+    gateway_fixture g(
+        {make_target("i-1", one.address()), make_target("i-2", two.address())});
+    const auto out = g.exchange(g.request("/resume/"));
+    CHECK(calls == 1);
+    CHECK(has(out, "id: 2\ndata: b\n\n"));
+    CHECK(out.ends_with("0\r\n\r\n"));
+}
+
 // Guards against a stream that is given up as silent after a pause of the
 // daemon itself, when its events are there already.
 TEST_CASE("a pause of the daemon does not make a stream silent",
