Decode evacuations, regions, cold targets, slowdown and length hints

The two new deployments publish these and the gateway ignored them; it ignored a whole load report because of its fourth figure. The adapter and the types carry them now; nothing uses them yet.

--- a/src/gateway_types.hpp
+++ b/src/gateway_types.hpp
@@ -51,6 +51,8 @@
     bool                       may_be_resumed = false;
     std::vector<service_share> services;
     std::vector<stage_definition> stages;
+    /// Regions whose targets may run its requests; empty: all.
+    std::vector<std::string> regions{};
 
     /// True when the same call may safely run more than once.
     bool repeatable() const
@@ -78,8 +80,17 @@
 /// Capacity of the batching model engines of a service.
 struct engine_limits
 {
-    std::uint32_t slots          = 1; ///< Requests in flight at one target.
-    std::uint64_t cache_capacity = 0; ///< Tokens cached at one target.
+    std::uint32_t slots            = 1; ///< Requests in flight at one target.
+    std::uint64_t cache_capacity   = 0; ///< Tokens cached at one target.
+    std::uint32_t tokens_per_event = 1; ///< Output tokens in one event.
+};
+
+/// Limit on the calls to a target that is cold: slow after its start.
+struct cold_limits
+{
+    milliseconds time{0}; ///< From the start of a target.
+    /// Calls a second of all daemons together.
+    double calls_per_s = 0;
 };
 
 /// A pool of targets.
@@ -90,6 +101,7 @@
     std::uint32_t max_connections = 0; ///< To one target, of all daemons.
     std::optional<stage_limits>  stage;
     std::optional<engine_limits> engine;
+    std::optional<cold_limits>   cold{};
 };
 
 /// A client account and its keys.
@@ -98,6 +110,8 @@
     std::string                  name;
     std::vector<std::string>     keys;
     std::optional<std::uint32_t> rank; ///< Replaces the route's rank.
+    /// Regions whose targets may run its requests; empty: all.
+    std::vector<std::string> regions{};
 };
 
 /// Limits on the requests and connections of callers.
@@ -133,6 +147,8 @@
     /// Start time of the process; differs after a restart. 0: not published.
     std::int64_t started_at = 0;
     std::string  version{}; ///< Of its software; may be empty.
+    /// How long it stays cold, when the entry was published.
+    milliseconds cold_for{0};
 };
 
 /// Load that a target reports with a response.
@@ -141,6 +157,8 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots   = 0;
+    /// Time that work takes at the moment, relative to the usual time.
+    std::optional<double> slowdown{};
 };
 
 /// What a target announces with a response about its readiness for work.
@@ -155,6 +173,8 @@
     std::optional<double> call_limit;
     bool                  unreadable_limit =
         false; ///< The announced limit is not such a number.
+    /// How long the target stays cold.
+    std::optional<milliseconds> cold_for{};
 };
 
 /// Part of a prompt; requests with equal parts can share cached tokens.
--- a/src/state_reader.hpp
+++ b/src/state_reader.hpp
@@ -25,8 +25,16 @@
     std::string reason;
 };
 
+/// The operators evacuated a failure domain, or ended its evacuation. The
+/// targets of an evacuated domain get no new work.
+struct domain_evacuation
+{
+    std::string failure_domain;
+    bool        active = true;
+};
+
 using state_change = std::variant<configuration, target, target_removed,
-                                  configuration_unreadable>;
+                                  configuration_unreadable, domain_evacuation>;
 
 /// Changes in the order of their publication.
 struct state_changes
--- a/src/wire_codec.hpp
+++ b/src/wire_codec.hpp
@@ -25,8 +25,10 @@
     std::vector<prompt_part>    prompt;
     std::uint32_t               prompt_tokens = 0;
     std::uint32_t               output_tokens = 0; ///< Upper bound.
-    std::vector<std::uint32_t>  pieces; ///< Number of pieces of each stage.
-    std::string                 piece_key;
+    /// The client's estimate of the output tokens, which may be far off.
+    std::optional<std::uint32_t> length_hint{};
+    std::vector<std::uint32_t>   pieces; ///< Number of pieces of each stage.
+    std::string                  piece_key;
 };
 
 /// Fields that the gateway adds to a call when it forwards it.
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -293,6 +293,56 @@
     CHECK(relayed.find(http::field::keep_alive) == relayed.end());
 }
 
+// Guards against ignoring the load of a target that also reports how long work
+// takes at the moment, or that reports a figure that is no time.
+TEST_CASE("a target's momentary slowdown is decoded", "[platform]")
+{
+    const http_codec codec;
+    const auto       load = [&](const char* text) {
+        http::response_header<> in;
+        in.result(200);
+        in.set("Arbutusgate-Replica-Load", text);
+        return codec.decode_response(in).load;
+    };
+    CHECK(load("3,1,8")->slowdown == std::nullopt);
+    CHECK(load("3,1,8,250")->slowdown == 2.5);
+    CHECK(load("3,1,8,250")->running == 3);
+    CHECK(load("3,1,8,0")->slowdown == std::nullopt);
+    CHECK(load("3,1,8,x")->slowdown == std::nullopt);
+    CHECK_FALSE(load("3,1,8,100,1"));
+}
+
+// Guards against requests to targets that a route or account excludes, and
+// against cold targets that are taken for warm ones.
+TEST_CASE("regions, cold targets and evacuations are decoded", "[platform]")
+{
+    const auto config = decode_configuration(
+        R"({"version":1,"routes":[{"name":"r","host":"a","pathPrefix":"/",
+"routeType":"idempotent","service":"s","allowedRegions":["eu","us"]}],
+"services":[{"name":"s","coldStartS":3.0,"coldPerS":15.0},
+{"name":"t","coldStartS":0.0,"coldPerS":0.0}],
+"tenants":[{"name":"t","apiKeys":[],"allowedRegions":["eu"]}]})");
+    REQUIRE(config.ok());
+    CHECK(config->routes[0].regions == std::vector<std::string>{"eu", "us"});
+    CHECK(config->accounts[0].regions == std::vector<std::string>{"eu"});
+    REQUIRE(config->services[0].cold);
+    CHECK(config->services[0].cold->time == milliseconds{3000});
+    CHECK(config->services[0].cold->calls_per_s == 15);
+    CHECK_FALSE(config->services[1].cold);
+    const auto cold = decode_target(
+        "i", with_replacement(target_text, R"("coldRemainingMs":0)",
+                              R"("coldRemainingMs":1700)"));
+    CHECK(cold->cold_for == milliseconds{1700});
+    const auto changes = decode_changes(
+        R"({"events":[{"key":"op/evacuate/z","revision":5,"removed":true}],
+"currentRev":5})");
+    REQUIRE(changes->changes.size() == 1);
+    const auto* ended = std::get_if<domain_evacuation>(&changes->changes[0]);
+    REQUIRE(ended);
+    CHECK(ended->failure_domain == "z");
+    CHECK_FALSE(ended->active);
+}
+
 // Guards against missed or wrongly detected notices of a target: that it is
 // leaving, or that it asks for no work for some time.
 TEST_CASE("a target's notices in a response are decoded", "[platform]")
@@ -406,7 +456,12 @@
             const auto line = text.substr(0, text.find('\r'));
             if (line == "GET /kv-key?key=op/config HTTP/1.1")
                 it.write(reply("200 OK", item("op/config", config_text)));
-            else if (line == "GET /kv-range?pathPrefix=servers/ HTTP/1.1")
+            else if (line == "GET /kv-range?pathPrefix=op/evacuate/ HTTP/1.1")
+                it.write(reply(
+                     "200 OK", R"({"items":[)" + item("op/evacuate/gp-a", "{}") +
+                                   R"(],"morePages":false,"currentRev":7})"));
+            else if (line == "GET /kv-range?pathPrefix=servers/&after="
+                              "servers/ HTTP/1.1")
                 it.write(reply("200 OK",
                                 R"({"items":[)" +
                                     item("servers/i-1", target_text) +
@@ -427,7 +482,14 @@
         store_client           it(thread.io(), store.address());
         CHECK(it.read_configuration(limit)->config.version == 7);
         CHECK(it.read_configuration(limit)->revision == 530);
-        const auto page = it.read_targets("", limit);
+        const auto evacuated = it.read_targets("", limit);
+        REQUIRE(evacuated->entries.size() == 1);
+        const auto* first =
+            std::get_if<domain_evacuation>(&evacuated->entries[0]);
+        REQUIRE(first);
+        CHECK(first->failure_domain == "gp-a");
+        CHECK(first->active);
+        const auto page = it.read_targets(evacuated->next_page, limit);
         CHECK(page->entries.size() == 1);
         CHECK(absl::IsResourceExhausted(
             it.read_targets(page->next_page, limit).status()));
