Keep new work off evacuated failure domains

The state follower now keeps the evacuated domains, and the target directory leaves their targets out of the usable ones, so that choice, shards and admission follow. Copies and changes that peers relay carry evacuations. A chosen target is checked again on its open connection; results in the domain are not released. A request whose service has no usable target is refused before its stages.

--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -100,6 +100,8 @@
         failure = refuse_if_quarantined();
     if (!failure)
         failure = refuse_if_stopping();
+    if (!failure)
+        failure = refuse_without_target();
     if (!failure)
         failure = refuse_if_closed();
     if (!failure)
@@ -221,6 +223,17 @@
     return run_failure{refusal_reason::overloaded, execution::not_run, wait};
 }
 
+/// Refuses the request before its stages run in vain.
+std::optional<run_failure> forward_run::refuse_without_target() const
+{
+    if (!parts_.targets.usable(service_->name).empty())
+        return std::nullopt;
+    log(log_level::info, "request refused: its service has no target",
+        {{"request", call_.attempt}, {"service", service_->name}});
+    return run_failure{refusal_reason::no_target, execution::not_run,
+                       no_target_retry_after};
+}
+
 bool forward_run::quarantined_at(const target& it) const
 {
     const auto found =
@@ -922,7 +935,8 @@
     auto lease     = parts_.connections.open(chosen, most, time_to_connect, ec);
     permit_lapsed_ = !may_send(chosen);
     if (lease && (parts_.targets.gate().refuses(chosen, daemon_now()) ||
-                  permit_lapsed_ || quarantined_at(chosen)))
+                  parts_.targets.evacuated(chosen) || permit_lapsed_ ||
+                  quarantined_at(chosen)))
     {
         request_unsent_ = true;
         finish_call(chosen, call_outcome::cancelled);
--- a/src/forward_run.hpp
+++ b/src/forward_run.hpp
@@ -106,6 +106,7 @@
     std::optional<run_failure> resolve();
     /// Refuses a request with several stages that cannot be served in time.
     std::optional<run_failure> admit();
+    std::optional<run_failure> refuse_without_target() const;
     std::optional<run_failure> refuse_if_closed();
     /// Refuses a request that would not be answered before the daemon stops.
     std::optional<run_failure> refuse_if_stopping();
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -220,6 +220,7 @@
     std::vector<stage_shard> shards; ///< Of the version and generation below.
     std::uint64_t            shards_version    = 0; ///< Of the configuration.
     std::uint64_t            shards_generation = 0; ///< Of the usable targets.
+    std::uint64_t evacuation_changes = 0; ///< Begun and ended, since start.
 
     std::unique_ptr<http_server> caller_server;
     std::unique_ptr<http_server> ready_server;
@@ -252,6 +253,13 @@
     out.target_changed = [this](const std::string& id, target_change change) {
         target_changed(id, change);
     };
+    out.evacuation_changed = [this](const domain_evacuation& it) {
+        ++evacuation_changes;
+        log(log_level::info,
+            it.active ? "failure domain is evacuated"
+                      : "evacuation of a failure domain ended",
+            {{"failure_domain", it.failure_domain}});
+    };
     out.source_lost = [](const std::string& error) {
         log(log_level::warning, "store lost", {{"error", error}});
     };
@@ -556,6 +564,10 @@
          table ? n(table->version()) : 0},
         {"store_age_seconds", "Since the store last answered.", age},
         {"targets", "Targets that are known.", n(targets.size())},
+        {"evacuated_domains", "Failure domains that are evacuated.",
+         n(targets.evacuated().size())},
+        {"evacuation_changes_total", "Evacuations begun and ended.",
+         n(evacuation_changes)},
         {"daemons_alive", "Daemons believed alive, this one included.",
          n(peers->table().alive(now).size() + 1)},
         {"target_connections_opened_total", "Connections to targets.",
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -58,12 +58,20 @@
     out.set_leaving(it.leaving);
     out.set_started_at(it.started_at);
     out.set_version(it.version);
+    out.set_cold_ms(static_cast<std::uint32_t>(it.cold_for.count()));
 }
 
 target decode(const pb::GatewayTarget& it)
 {
-    return {it.id(),    it.service(), it.address(),    it.failure_domain(),
-            it.slots(), it.leaving(), it.started_at(), it.version()};
+    return {it.id(),
+            it.service(),
+            it.address(),
+            it.failure_domain(),
+            it.slots(),
+            it.leaving(),
+            it.started_at(),
+            it.version(),
+            milliseconds{it.cold_ms()}};
 }
 
 pb::OrderState encode(order_state it)
@@ -306,6 +314,8 @@
     out.set_configuration(it.document);
     for (const auto& entry : it.targets)
         encode(entry, *out.add_targets());
+    for (const auto& domain : it.evacuated)
+        out.add_evacuated(domain);
     return out.SerializeAsString();
 }
 
@@ -317,6 +327,7 @@
     state_copy out{in.revision(), in.configuration(), {}};
     for (const auto& it : in.targets())
         out.targets.push_back(decode(it));
+    out.evacuated.insert(in.evacuated().begin(), in.evacuated().end());
     return out;
 }
 
@@ -341,6 +352,12 @@
         else if (const auto* config = std::get_if<configuration>(&change)) {
             out.add_changes()->set_configuration(config->document);
         }
+        else if (const auto* evacuation =
+                     std::get_if<domain_evacuation>(&change)) {
+            auto& domain = *out.add_changes()->mutable_evacuation();
+            domain.set_failure_domain(evacuation->failure_domain);
+            domain.set_active(evacuation->active);
+        }
     }
     return out.SerializeAsString();
 }
@@ -361,6 +378,10 @@
             out.changes.changes.emplace_back(
                 target_removed{it.removed().id(), it.removed().unreadable()});
         }
+        else if (it.has_evacuation()) {
+            out.changes.changes.emplace_back(domain_evacuation{
+                it.evacuation().failure_domain(), it.evacuation().active()});
+        }
         else {
             configuration config;
             config.document = it.configuration();
--- a/src/stage_scheduler.cpp
+++ b/src/stage_scheduler.cpp
@@ -249,7 +249,7 @@
     // A response to another request may have closed or limited the target
     // meanwhile.
     if (init_.targets.gate().refuses(to, daemon_now()) ||
-        (lease && !may_send(to, *permit)))
+        init_.targets.evacuated(to) || (lease && !may_send(to, *permit)))
     {
         init_.connections.give_back(std::move(lease), std::nullopt);
         return {};
@@ -528,7 +528,8 @@
         // Without an id, the results were ordered by another daemon.
         const auto* holder = id.empty() ? init_.targets.find_by_address(address)
                                         : init_.targets.find(id);
-        if (!holder)
+        // Results in an evacuated domain expire by themselves.
+        if (!holder || init_.targets.evacuated(*holder))
             continue;
         const auto opens = init_.targets.opens_at(*holder, daemon_now());
         if ((opens && *opens > daemon_now()) ||
@@ -580,6 +581,10 @@
         init_.connections.open(to, max_stage_connections, connect_limit, ec);
     if (!lease)
         return;
+    if (init_.targets.evacuated(to)) {
+        init_.connections.give_back(std::move(lease), std::nullopt);
+        return;
+    }
     const fiber_group::use use(fibers_, *lease);
     const auto             sent_at = daemon_now();
     if (lease->send(init_.codec.encode_release(handles, to), release_limit))
--- a/src/state_follower.cpp
+++ b/src/state_follower.cpp
@@ -85,6 +85,7 @@
     phase_ = phase::pages;
     page_.clear();
     listed_.clear();
+    listed_evacuations_.clear();
 }
 
 void state_follower::on_page(absl::StatusOr<state_page> result, time_point now)
@@ -99,6 +100,8 @@
     for (auto& entry : result->entries) {
         if (auto* found = std::get_if<target>(&entry))
             listed_.push_back(std::move(*found));
+        else if (const auto* it = std::get_if<domain_evacuation>(&entry))
+            listed_evacuations_.insert(it->failure_domain);
     }
     page_ = result->next_page;
     if (page_.empty())
@@ -107,11 +110,32 @@
 
 void state_follower::finish_pages(time_point now)
 {
+    // First, so that no target of an evacuated domain is usable for a moment.
+    replace_evacuations(listed_evacuations_);
     replace_targets(std::exchange(listed_, {}), now);
     revision_ = first_revision_;
     phase_    = phase::watch;
 }
 
+void state_follower::replace_evacuations(
+    const std::set<std::string>& failure_domains)
+{
+    const auto before = targets_.evacuated();
+    for (const auto& it : failure_domains)
+        set_evacuated({it, true});
+    for (const auto& it : before) {
+        if (!failure_domains.contains(it))
+            set_evacuated({it, false});
+    }
+}
+
+void state_follower::set_evacuated(const domain_evacuation& it)
+{
+    if (targets_.set_evacuated(it.failure_domain, it.active) &&
+        events_.evacuation_changed)
+        events_.evacuation_changed(it);
+}
+
 void state_follower::replace_targets(std::vector<target> list, time_point now)
 {
     std::vector<std::pair<std::string, target_change>> added;
@@ -134,7 +158,7 @@
     if (!table_ || !targets_known_)
         return std::nullopt;
     return state_copy{revision_, table_->config().document,
-                      targets_.published()};
+                      targets_.published(), targets_.evacuated()};
 }
 
 bool state_follower::adopt(state_copy copy, configuration config,
@@ -143,6 +167,7 @@
     if (copy.revision <= revision())
         return false;
     apply_configuration(std::move(config));
+    replace_evacuations(copy.evacuated);
     replace_targets(std::move(copy.targets), now);
     revision_   = copy.revision;
     phase_      = phase::watch;
@@ -182,6 +207,10 @@
             events_.rejected(unreadable->reason);
         return;
     }
+    if (const auto* evacuation = std::get_if<domain_evacuation>(&published)) {
+        set_evacuated(*evacuation);
+        return;
+    }
     auto        change = target_change::none;
     std::string id;
     if (auto* put = std::get_if<target>(&published)) {
--- a/src/state_follower.hpp
+++ b/src/state_follower.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace arbutusgate::gateway {
@@ -64,6 +65,8 @@
     std::function<void(milliseconds outage)> source_restored;
     /// The published configuration could not be read or parsed.
     std::function<void(const std::string& error)> rejected;
+    /// A failure domain was evacuated, or its evacuation ended.
+    std::function<void(const domain_evacuation&)> evacuation_changed{};
 };
 
 /// Does no I/O: the owner makes the call that next() returns and passes in its
@@ -141,6 +144,8 @@
     void resynchronize();
     void finish_pages(time_point now);
     void replace_targets(std::vector<target> list, time_point now);
+    void replace_evacuations(const std::set<std::string>& failure_domains);
+    void set_evacuated(const domain_evacuation& it);
     void report_gone(const std::vector<std::string>& ids);
 
     follow_times                       times_;
@@ -150,7 +155,9 @@
     std::shared_ptr<const route_table> table_;
     std::string                        page_; ///< Next page to read.
     std::vector<target> listed_;              ///< Targets of the pages so far.
-    std::uint64_t       revision_ = 0;
+    /// Evacuated failure domains of the pages so far.
+    std::set<std::string> listed_evacuations_;
+    std::uint64_t         revision_ = 0;
     /// Revision at which the configuration was read; the first watch asks for
     /// the changes after it.
     std::uint64_t first_revision_ = 0;
--- a/src/state_reader.hpp
+++ b/src/state_reader.hpp
@@ -6,6 +6,7 @@
 
 #include "absl/status/statusor.h"
 
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -62,9 +63,10 @@
 /// The published state as a daemon knows it at a revision.
 struct state_copy
 {
-    std::uint64_t       revision = 0;
-    std::string         document; ///< Configuration, as published.
-    std::vector<target> targets;
+    std::uint64_t         revision = 0;
+    std::string           document; ///< Configuration, as published.
+    std::vector<target>   targets;
+    std::set<std::string> evacuated{}; ///< Failure domains.
 };
 
 /// Errors of all calls: OutOfRange when the store no longer has the requested
--- a/src/target_directory.cpp
+++ b/src/target_directory.cpp
@@ -83,6 +83,23 @@
     return out;
 }
 
+bool target_directory::set_evacuated(const std::string& failure_domain,
+                                     bool               active)
+{
+    const bool changed = active ? evacuated_.insert(failure_domain).second
+                                : evacuated_.erase(failure_domain) > 0;
+    if (!changed)
+        return false;
+    std::set<std::string> services;
+    for (const auto& [id, entry] : targets_) {
+        if (entry.value.failure_domain == failure_domain)
+            services.insert(entry.value.service);
+    }
+    for (const auto& it : services)
+        rebuild(it);
+    return true;
+}
+
 const target* target_directory::find(const std::string& id) const
 {
     const auto it = targets_.find(id);
@@ -167,7 +184,8 @@
     auto& list = usable_[service];
     list.clear();
     for (const auto& [id, entry] : targets_) {
-        if (entry.value.service == service && !entry.value.leaving)
+        if (entry.value.service == service && !entry.value.leaving &&
+            !evacuated(entry.value))
             list.push_back(&entry.value);
     }
 }
--- a/src/target_directory.hpp
+++ b/src/target_directory.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -57,6 +58,17 @@
     /// \return ids of the removed targets.
     std::vector<std::string> expire(time_point now);
 
+    /// Sets whether a failure domain is evacuated. Its targets get no new work,
+    /// including those that are published later.
+    /// \return false when nothing changed.
+    bool set_evacuated(const std::string& failure_domain, bool active);
+    /// \return the evacuated failure domains.
+    const std::set<std::string>& evacuated() const { return evacuated_; }
+    bool                         evacuated(const target& it) const
+    {
+        return evacuated_.contains(it.failure_domain);
+    }
+
     /// \return null when the target is unknown.
     const target* find(const std::string& id) const;
     /// \return the target last published with the address; null when there is
@@ -106,11 +118,12 @@
     void rebuild(const std::string& service);
     void erase(entry_map::iterator it);
 
-    milliseconds  lapse_grace_;
-    target_gate   gate_;
-    target_limits limits_;
-    time_point    lapse_until_{};
-    entry_map     targets_;
+    milliseconds          lapse_grace_;
+    target_gate           gate_;
+    target_limits         limits_;
+    time_point            lapse_until_{};
+    entry_map             targets_;
+    std::set<std::string> evacuated_; ///< Failure domains.
     /// Id of the latest target that was published with an address.
     std::map<std::string, std::string, std::less<>>             by_address_;
     std::uint64_t                                               generation_ = 0;
--- a/tests/gateway_follower_test.cpp
+++ b/tests/gateway_follower_test.cpp
@@ -1,5 +1,7 @@
 #include "state_follower.hpp"
 
+#include "peer_codec.hpp"
+
 #include <catch2/catch.hpp>
 
 using namespace arbutusgate;
@@ -267,3 +269,90 @@
         CHECK(times.watch_interval >= milliseconds{bound / 4});
     }
 }
+
+namespace {
+
+target in_domain(std::string id, std::string failure_domain)
+{
+    auto out           = make_target(std::move(id));
+    out.failure_domain = std::move(failure_domain);
+    return out;
+}
+
+} // namespace
+
+// Guards against work for the targets of a failure domain that the operators
+// have evacuated, and against a domain that stays unused after its evacuation.
+TEST_CASE("an evacuation is in force from the first page to its removal",
+          "[gateway]")
+{
+    fixture f;
+    f.synchronize(
+        0, {domain_evacuation{"a"}, in_domain("1", "a"), in_domain("2", "b")});
+    const auto usable = [&] {
+        return f.targets.usable("s").size();
+    };
+    CHECK(usable() == 1);
+    CHECK(f.targets.evacuated(*f.targets.find("1")));
+    // Targets that join later belong to the domain, too.
+    f.follower.on_changes(state_changes{{in_domain("3", "a")}, 101}, at(10));
+    CHECK(usable() == 1);
+    f.follower.on_changes(
+        state_changes{{domain_evacuation{"a", false}, domain_evacuation{"b"}},
+                      102},
+        at(20));
+    CHECK(usable() == 2);
+    CHECK_FALSE(f.targets.evacuated(*f.targets.find("1")));
+}
+
+// Guards against an evacuation that stays in force because it was ended while
+// the store did not answer, or had dropped its history.
+TEST_CASE("a new listing replaces the known evacuations", "[gateway]")
+{
+    fixture f;
+    f.synchronize(0, {domain_evacuation{"a"}, in_domain("1", "a")});
+    f.follower.on_changes(absl::OutOfRangeError("history"), at(10));
+    f.synchronize(20, {domain_evacuation{"c"}, in_domain("1", "a")});
+    CHECK(f.targets.usable("s").size() == 1);
+    CHECK(f.targets.evacuated() == std::set<std::string>{"c"});
+}
+
+// Guards against a daemon that starts while the store is down and sends work to
+// an evacuated domain, and against an older copy that revives an evacuation.
+TEST_CASE("copies of the state carry evacuations by revision", "[gateway]")
+{
+    fixture a;
+    a.synchronize(0, {domain_evacuation{"a"}, in_domain("1", "a")});
+    const auto sent = decode_state(encode(*a.follower.copy()));
+    REQUIRE(sent);
+    fixture b;
+    REQUIRE(b.follower.adopt(*sent, make_config(5), at(0)));
+    CHECK(b.targets.usable("s").empty());
+    b.follower.next(at(5));
+    b.follower.on_changes(
+        state_changes{{domain_evacuation{"a", false}}, sent->revision + 1},
+        at(10));
+    CHECK_FALSE(b.follower.adopt(*sent, make_config(5), at(20)));
+    CHECK(b.targets.usable("s").size() == 1);
+}
+
+// Guards against daemons that follow the state through another one and miss an
+// evacuation or its end.
+TEST_CASE("relayed changes carry evacuations", "[gateway]")
+{
+    relayed_changes changes;
+    changes.changes = {{domain_evacuation{"a"}, domain_evacuation{"b", false}},
+                       7};
+    const auto read = decode_changes(encode(std::optional(changes)));
+    REQUIRE(read);
+    REQUIRE(read->changes.changes.size() == 2);
+    const auto* began =
+        std::get_if<domain_evacuation>(&read->changes.changes[0]);
+    const auto* ended =
+        std::get_if<domain_evacuation>(&read->changes.changes[1]);
+    REQUIRE(began);
+    REQUIRE(ended);
+    CHECK(began->failure_domain == "a");
+    CHECK(began->active);
+    CHECK_FALSE(ended->active);
+}
