Keep requests in the regions of their route and account

Routes and accounts may name regions, which the gateway did not read. A request now reaches only targets in regions that both allow, its stage orders go to shards there, and one without such a target is refused before its stages. The settings name the region of each failure domain.

--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -10,6 +10,7 @@
 #include "permit_source.hpp"
 #include "prior_wait_estimator.hpp"
 #include "problem.hpp"
+#include "region_map.hpp"
 #include "retry_budget.hpp"
 #include "state_follower.hpp"
 #include "target_directory.hpp"
@@ -190,6 +191,9 @@
         return run_failure{refusal_reason::no_target, execution::not_run,
                            no_target_retry_after};
     parts_.budget.count_request(service_->name, arrived_at_);
+    permitted_domains_ = parts_.regions.permitted_domains(
+        route_->regions,
+        account_ ? account_->regions : std::vector<std::string>{});
     return std::nullopt;
 }
 
@@ -223,13 +227,35 @@
     return run_failure{refusal_reason::overloaded, execution::not_run, wait};
 }
 
+bool forward_run::permits(const target& it) const
+{
+    return !permitted_domains_ ||
+           permitted_domains_->contains(it.failure_domain);
+}
+
+bool forward_run::has_permitted_target(const std::string& service) const
+{
+    const auto& all = parts_.targets.usable(service);
+    return std::any_of(all.begin(), all.end(),
+                       [this](const auto* it) { return permits(*it); });
+}
+
 /// Refuses the request before its stages run in vain.
-std::optional<run_failure> forward_run::refuse_without_target() const
+std::optional<run_failure> forward_run::refuse_without_target()
 {
-    if (!parts_.targets.usable(service_->name).empty())
+    const std::string* without = nullptr;
+    if (!has_permitted_target(service_->name))
+        without = &service_->name;
+    for (std::uint32_t n = 0; n < route_->stages.size(); ++n) {
+        const auto& service = route_->stages[n].service;
+        if (n < call_.pieces.size() && call_.pieces[n] > 0 &&
+            !has_permitted_target(service))
+            without = &service;
+    }
+    if (!without)
         return std::nullopt;
-    log(log_level::info, "request refused: its service has no target",
-        {{"request", call_.attempt}, {"service", service_->name}});
+    log(log_level::info, "request refused: a service has no target for it",
+        {{"request", call_.attempt}, {"service", *without}});
     return run_failure{refusal_reason::no_target, execution::not_run,
                        no_target_retry_after};
 }
@@ -243,19 +269,24 @@
 
 const std::vector<const target*>& forward_run::usable_targets()
 {
-    const auto& all = parts_.targets.usable(service_->name);
-    if (!parts_.quarantine.active())
+    const auto& all        = parts_.targets.usable(service_->name);
+    const bool  quarantine = parts_.quarantine.active();
+    if (!quarantine && !permitted_domains_)
         return all;
     usable_.clear();
     std::copy_if(all.begin(), all.end(), std::back_inserter(usable_),
-                 [this](const auto* it) { return !quarantined_at(*it); });
+                 [&](const auto* it) {
+                     return permits(*it) &&
+                            !(quarantine && quarantined_at(*it));
+                 });
     return usable_;
 }
 
 std::optional<run_failure> forward_run::refuse_if_quarantined()
 {
     const auto& all = parts_.targets.usable(service_->name);
-    if (!parts_.quarantine.active() || all.empty() || !usable_targets().empty())
+    if (!parts_.quarantine.active() || !has_permitted_target(service_->name) ||
+        !usable_targets().empty())
         return std::nullopt;
     const auto now = daemon_now();
     const auto found =
@@ -440,12 +471,13 @@
     const auto& step  = route_->stages[stage];
     const auto  count = stage < call_.pieces.size() ? call_.pieces[stage] : 0;
     stage_order out;
-    out.service     = step.service;
-    out.group.count = count;
-    out.group.rank  = priority_;
-    const auto rest = time_after_stage(stage);
-    out.group.goal  = goal_at_ - rest;
-    out.group.limit = first_event_deadline_ - rest;
+    out.service           = step.service;
+    out.group.count       = count;
+    out.group.rank        = priority_;
+    out.permitted_domains = permitted_domains_;
+    const auto rest       = time_after_stage(stage);
+    out.group.goal        = goal_at_ - rest;
+    out.group.limit       = first_event_deadline_ - rest;
     out.group.limit = std::min(out.group.limit, input_read_deadline(stage));
     out.group.failure_domain = main_result_domain(step.after);
     for (const auto it : step.after)
--- a/src/forward_run.hpp
+++ b/src/forward_run.hpp
@@ -18,6 +18,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,7 @@
 class part_quarantine;
 class permit_source;
 class prior_wait_estimator;
+class region_map;
 class retry_budget;
 class route_table;
 class state_follower;
@@ -66,6 +68,7 @@
     prior_wait_estimator& prior_waits;
     metrics&              counters;
     std::mt19937_64&      random;
+    const region_map&     regions;
     std::string           failure_domain;
     /// Daemons that share each target's connection limit, this one included.
     std::uint32_t              daemons = 1;
@@ -106,7 +109,9 @@
     std::optional<run_failure> resolve();
     /// Refuses a request with several stages that cannot be served in time.
     std::optional<run_failure> admit();
-    std::optional<run_failure> refuse_without_target() const;
+    std::optional<run_failure> refuse_without_target();
+    bool                       permits(const target& it) const;
+    bool has_permitted_target(const std::string& service) const;
     std::optional<run_failure> refuse_if_closed();
     /// Refuses a request that would not be answered before the daemon stops.
     std::optional<run_failure> refuse_if_stopping();
@@ -248,7 +253,9 @@
     bool permit_lapsed_ = false;
     /// The next attempt is the trial of this part, which is in quarantine.
     std::optional<std::uint64_t> trial_part_;
-    /// Last result of usable_targets(), if some part is in quarantine.
+    /// Failure domains that may run the request; unset: all.
+    std::optional<std::set<std::string>> permitted_domains_;
+    /// Last result of usable_targets(), if that leaves targets out.
     std::vector<const target*> usable_;
     /// For the attempt; unset: the target named no limit when it was chosen.
     std::optional<call_permit> permit_;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -193,6 +193,7 @@
                                              std::function<void(http_exchange&)> handler);
 
     gateway_settings  settings;
+    const region_map  regions;
     const wire_codec& codec;
     std::function<std::unique_ptr<state_reader>(boost::asio::io_context&)>
         make_reader;
@@ -238,8 +239,8 @@
 };
 
 gateway::impl::impl(gateway_init init)
-    : settings(std::move(init.settings)), codec(init.codec),
-      make_reader(std::move(init.make_reader)),
+    : settings(std::move(init.settings)), regions(settings.regions),
+      codec(init.codec), make_reader(std::move(init.make_reader)),
       budget(retry_limits_of(settings.bounds))
 {
 }
@@ -322,7 +323,7 @@
     parts = std::make_unique<request_dependencies>(request_dependencies{
         codec, *state, targets, picker, *connections, *peers, peers->permits(),
         quarantine, *crashes, peers->trials(), budget, estimates, stream_times,
-        prior_waits, counters, random, settings.failure_domain});
+        prior_waits, counters, random, regions, settings.failure_domain});
     spawn_fiber([this] {
         follow();
         follower_ended.set_value();
@@ -470,7 +471,8 @@
     for (const auto& service : table->config().services) {
         if (!service.stage)
             continue;
-        auto list = split_service(service.name, targets.usable(service.name));
+        auto list = split_service(service.name, targets.usable(service.name),
+                                  regions.has_several());
         shards.insert(shards.end(), list.begin(), list.end());
     }
     return shards;
--- a/src/gateway_settings.cpp
+++ b/src/gateway_settings.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-constexpr std::size_t   max_seeds = 64;
-constexpr milliseconds  max_bound = std::chrono::hours{1};
+constexpr std::size_t   max_seeds   = 64;
+constexpr std::size_t   max_domains = 64;
+constexpr milliseconds  max_bound   = std::chrono::hours{1};
 constexpr std::uint32_t max_descriptor_limit =
     std::numeric_limits<std::uint32_t>::max();
 constexpr double max_retry_ratio     = 1000;
@@ -97,6 +98,9 @@
         field<settings>("log_level", &settings::log_level, log_level_value,
                         presence::defaulted),
         section("bounds", &settings::bounds, bounds_schema()),
+        scalars_by_name("regions", &settings::regions,
+                        &domain_region::failure_domain, &domain_region::region,
+                        text_value{}, {0, max_domains}),
     };
     return keys;
 }
--- a/src/gateway_settings.hpp
+++ b/src/gateway_settings.hpp
@@ -1,6 +1,8 @@
 /// Settings of one gateway daemon, parsed from its YAML file.
 #pragma once
 
+#include "region_map.hpp"
+
 #include "arbutusgate/types.hpp"
 
 #include "absl/status/statusor.h"
@@ -44,6 +46,8 @@
     double         processor_share = 1; ///< In cores; may be a fraction.
     std::string    log_level       = "info";
     gateway_bounds bounds;
+    /// Regions of the failure domains; a domain that is not named is in none.
+    std::vector<domain_region> regions;
 };
 
 /// Parses and validates the text of a settings file.
--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -481,7 +481,16 @@
 const stage_shard* peer_mesh::shard_for(const stage_order& order) const
 {
     std::vector<shard_candidate> candidates;
-    const auto                   list = shards_of(order.service, candidates);
+    auto                         list = shards_of(order.service, candidates);
+    if (order.permitted_domains) {
+        for (auto n = list.size(); n-- > 0;) {
+            if (order.permitted_domains->contains(list[n]->failure_domain))
+                continue;
+            const auto at = static_cast<std::ptrdiff_t>(n);
+            list.erase(list.begin() + at);
+            candidates.erase(candidates.begin() + at);
+        }
+    }
     if (list.empty())
         return nullptr;
     shard_preference preference;
@@ -576,6 +585,12 @@
 {
     const auto  now   = daemon_now();
     const auto* shard = shard_for(order);
+    if (!shard && order.permitted_domains) {
+        auto ticket     = std::make_shared<stage_ticket>();
+        ticket->state   = order_state::refused;
+        ticket->changed = std::move(changed);
+        return ticket;
+    }
     if (shard && shard->key() != shard->service) {
         order.shard = shard->key();
         // All targets of a shard are in its failure domain, so the domain of
--- a/src/stage_service.hpp
+++ b/src/stage_service.hpp
@@ -7,6 +7,8 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,6 +30,8 @@
     /// Input bytes that cross failure domains when the order runs in another
     /// domain than the group's.
     std::uint64_t cross_domain_bytes = 0;
+    /// Failure domains whose targets may execute it; unset: all.
+    std::optional<std::set<std::string>> permitted_domains{};
 
     /// \return key of the pool of targets that executes the order.
     const std::string& pool() const { return shard.empty() ? service : shard; }
--- a/src/stage_shards.cpp
+++ b/src/stage_shards.cpp
@@ -99,9 +99,10 @@
 
 std::vector<stage_shard>
 split_service(const std::string&                service,
-              const std::vector<const target*>& targets)
+              const std::vector<const target*>& targets, bool by_domain)
 {
-    if (targets.size() <= max_unsharded_targets)
+    if (targets.size() <= max_unsharded_targets &&
+        (!by_domain || targets.empty()))
         return {{service, "", 0, 1}};
     std::map<std::string, std::size_t> domains;
     for (const auto* it : targets)
--- a/src/stage_shards.hpp
+++ b/src/stage_shards.hpp
@@ -41,9 +41,11 @@
 /// Splits a service into shards: one for a small service, otherwise one or more
 /// for each failure domain.
 /// \param targets that may get work.
+/// \param by_domain splits a small service by failure domain, too.
 std::vector<stage_shard>
 split_service(const std::string&                service,
-              const std::vector<const target*>& targets);
+              const std::vector<const target*>& targets,
+              bool                              by_domain = false);
 
 /// A shard that an order may go to.
 struct shard_candidate
