Choose model targets by the expected cost of a request

Requests of one route differ 100-fold in work, but the choice counted calls and prompt tokens only: output, cached prompt parts, speeds of targets and the streams that a long prompt delays were ignored.

work_estimator learns the output of answers by route and account and combines it with the client's hint; target_work keeps the outstanding work, the speed and the reported slowdown of each target. For services with model engines target_picker compares expected costs in milliseconds and treats nearly equal ones as equal. Plain services multiply their score by the reported slowdown. The settings key work_estimates: false returns to the earlier choice.

--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -17,6 +17,7 @@
 #include "time_estimates.hpp"
 #include "time_left.hpp"
 #include "trial_source.hpp"
+#include "work_estimator.hpp"
 
 #include "arbutusgate/config.hpp"
 
@@ -190,6 +191,9 @@
         return run_failure{refusal_reason::no_target, execution::not_run,
                            no_target_retry_after};
     parts_.budget.count_request(service_->name, arrived_at_);
+    if (service_->engine)
+        work_ = parts_.work.estimate(
+            call_, *route_, account_ ? account_->name : "", *service_->engine);
     return std::nullopt;
 }
 
@@ -427,6 +431,7 @@
 {
     pick_hints hints;
     hints.affinity = affinity();
+    hints.work     = work();
     if (hints.affinity == 0)
         return "";
     const auto  now = daemon_now();
@@ -708,6 +713,7 @@
     }
     hints.affinity = affinity();
     hints.tokens   = call_.prompt_tokens;
+    hints.work     = work();
     const auto now = daemon_now();
     return parts_.picker.pick(parts_.targets.open(usable_targets(), now), hints,
                               now);
@@ -924,7 +930,8 @@
 {
     const auto tokens = call_.prompt_tokens;
     attempt_started_  = daemon_now();
-    call_number_ = parts_.picker.start(chosen.id, tokens, attempt_started_);
+    call_number_ =
+        parts_.picker.start(chosen.id, tokens, attempt_started_, work());
     parts_.targets.gate().sent(chosen.id, attempt_started_);
     error_code ec;
     const auto most = service_->max_connections / std::max(1U, parts_.daemons);
@@ -1175,6 +1182,8 @@
         if (!stream_started_)
             begin_stream(*lease);
         exchange_.end_stream();
+        if (work_)
+            parts_.work.completed(*work_, events_);
         if (earlier_events_ == 0)
             parts_.stream_times.add(route_->name,
                                     daemon_now() - attempt_started_);
@@ -1299,6 +1308,7 @@
             batch += it->text;
             const auto now = daemon_now();
             silent_at      = now + stream_silence_timeout;
+            parts_.picker.event(chosen.id, call_number_, now);
             if (events_++ == earlier_events_) {
                 waiting_.reset();
                 parts_.quarantine.answered(prompt_, chosen, now);
--- a/src/forward_run.hpp
+++ b/src/forward_run.hpp
@@ -4,6 +4,7 @@
 
 #include "body_memory.hpp"
 #include "call_permit.hpp"
+#include "call_work.hpp"
 #include "crash_report.hpp"
 #include "stage_service.hpp"
 #include "target_connections.hpp"
@@ -38,6 +39,7 @@
 class target_directory;
 class time_estimates;
 class trial_source;
+class work_estimator;
 
 /// Times of a planned stop.
 struct drain_times
@@ -64,6 +66,7 @@
     time_estimates&       times;
     time_estimates&       stream_times; ///< Of whole streams, by route.
     prior_wait_estimator& prior_waits;
+    work_estimator&       work;
     metrics&              counters;
     std::mt19937_64&      random;
     std::string           failure_domain;
@@ -186,13 +189,14 @@
     void interrupt();
     bool interrupted() const { return caller_gone_ || ended_; }
     /// True when the stream that was silent has gone on.
-    bool          stream_continues() const;
-    milliseconds  remaining_time() const;
-    bool          deadline_passed() const;
-    std::uint64_t result_bytes() const;
-    std::uint64_t affinity() const;
-    std::string   shared_parts() const;
-    void          log_end(std::string_view outcome, unsigned status);
+    bool             stream_continues() const;
+    milliseconds     remaining_time() const;
+    bool             deadline_passed() const;
+    std::uint64_t    result_bytes() const;
+    const call_work* work() const { return work_ ? &*work_ : nullptr; }
+    std::uint64_t    affinity() const;
+    std::string      shared_parts() const;
+    void             log_end(std::string_view outcome, unsigned status);
 
     request_dependencies&              parts_;
     http_exchange&                     exchange_;
@@ -214,6 +218,8 @@
     /// A caller without a first event is expected to leave at this time.
     time_point    first_event_deadline_{};
     std::uint32_t priority_ = 0; ///< 0 is the most urgent.
+    /// Of services with model engines.
+    std::optional<call_work> work_;
 
     std::vector<std::shared_ptr<stage_ticket>> tickets_; ///< By stage.
     std::vector<time_point> submitted_at_; ///< By stage; reset when learned.
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -19,6 +19,7 @@
 #include "target_directory.hpp"
 #include "text.hpp"
 #include "time_estimates.hpp"
+#include "work_estimator.hpp"
 
 #include <algorithm>
 #include <atomic>
@@ -209,6 +210,7 @@
     time_estimates       estimates;
     time_estimates       stream_times;
     prior_wait_estimator prior_waits;
+    work_estimator       work;
     std::mt19937_64      random{random_seed()};
     std::unique_ptr<state_follower>       state;
     std::unique_ptr<target_connections>   connections;
@@ -242,6 +244,7 @@
       make_reader(std::move(init.make_reader)),
       budget(retry_limits_of(settings.bounds))
 {
+    picker.use_work_estimates(settings.work_estimates);
 }
 
 follow_events gateway::impl::events()
@@ -322,7 +325,7 @@
     parts = std::make_unique<request_dependencies>(request_dependencies{
         codec, *state, targets, picker, *connections, *peers, peers->permits(),
         quarantine, *crashes, peers->trials(), budget, estimates, stream_times,
-        prior_waits, counters, random, settings.failure_domain});
+        prior_waits, work, counters, random, settings.failure_domain});
     spawn_fiber([this] {
         follow();
         follower_ended.set_value();
@@ -549,6 +552,7 @@
     const auto permits = peers->permits().stats();
     const auto issued  = peers->permits().issued();
     const auto table   = state->table();
+    const auto errors  = work.errors();
     const auto n       = [](auto count) {
         return static_cast<double>(count);
     };
@@ -633,6 +637,15 @@
         {"prompt_parts_forgotten_total",
          "Parts that were forgotten to make place for others.",
          n(parts.forgotten), true},
+        {"work_answers_total", "Complete streams with an estimate.",
+         n(errors.answers), true},
+        {"work_estimated_tokens_total", "Output that was expected of them.",
+         errors.estimated_tokens, true},
+        {"work_output_tokens_total", "Output that they had.",
+         errors.output_tokens, true},
+        {"work_error_tokens_total",
+         "Sum of the absolute differences between both.", errors.error_tokens,
+         true},
         {"stage_calls_total", "Calls to stage targets.", n(calls.calls), true},
         {"stage_pieces_total", "Pieces in these calls.", n(calls.pieces), true},
         {"stage_results_total", "Results of pieces.", n(calls.results), true},
@@ -774,6 +787,7 @@
     impl_->thread.spawn([this, settings] {
         impl_->settings.bounds = settings.bounds;
         impl_->settings.seeds  = settings.seeds;
+        impl_->picker.use_work_estimates(settings.work_estimates);
         impl_->budget.set_limits(retry_limits_of(settings.bounds));
         impl_->peers->set_seeds(settings.seeds);
     });
--- a/src/gateway_settings.cpp
+++ b/src/gateway_settings.cpp
@@ -96,6 +96,8 @@
                         presence::defaulted),
         field<settings>("log_level", &settings::log_level, log_level_value,
                         presence::defaulted),
+        field<settings>("work_estimates", &settings::work_estimates,
+                        bool_value{}, presence::defaulted),
         section("bounds", &settings::bounds, bounds_schema()),
     };
     return keys;
--- a/src/gateway_settings.hpp
+++ b/src/gateway_settings.hpp
@@ -41,8 +41,11 @@
     std::vector<std::string> seeds; ///< Peers to contact at start.
     std::string              ready_path      = "/readyz";
     std::uint32_t            max_descriptors = 1024;
-    double         processor_share = 1; ///< In cores; may be a fraction.
-    std::string    log_level       = "info";
+    double      processor_share = 1; ///< In cores; may be a fraction.
+    std::string log_level       = "info";
+    /// Model targets are chosen by the expected cost of the request, and
+    /// reported slowdowns count.
+    bool           work_estimates = true;
     gateway_bounds bounds;
 };
 
--- a/src/target_picker.cpp
+++ b/src/target_picker.cpp
@@ -67,25 +67,28 @@
         list.swap(fallback);
     if (list.empty())
         return nullptr;
+    if (uses_work_ && hints.work)
+        return pick_by_cost(list, hints, now);
     const auto          latency_limit_ms = normal_latency_limit(list);
     std::vector<double> scores;
     for (const auto* it : list)
         scores.push_back(score(*it, hints, latency_limit_ms, now));
     const auto lowest = std::min_element(scores.begin(), scores.end());
     if (hints.affinity != 0)
-        return pick_by_affinity(list, scores, hints.affinity, *lowest);
+        return pick_by_affinity(list, scores, hints.affinity,
+                                *lowest + tuning_.affinity_slack);
     return list[static_cast<std::size_t>(lowest - scores.begin())];
 }
 
 const target*
 target_picker::pick_by_affinity(const std::vector<const target*>& list,
                                 const std::vector<double>&        scores,
-                                std::uint64_t affinity, double lowest) const
+                                std::uint64_t affinity, double highest) const
 {
     const target* best      = nullptr;
     std::uint64_t best_hash = 0;
     for (std::size_t n = 0; n < list.size(); ++n) {
-        if (scores[n] > lowest + tuning_.affinity_slack)
+        if (scores[n] > highest)
             continue;
         const auto hash = XXH3_64bits_withSeed(list[n]->id.data(),
                                                list[n]->id.size(), affinity);
@@ -97,6 +100,40 @@
     return best;
 }
 
+std::vector<double> target_picker::costs(const std::vector<const target*>& list,
+                                         const pick_hints& hints,
+                                         time_point        now) const
+{
+    auto out = work_.costs(list, *hints.work, now);
+    for (std::size_t n = 0; n < list.size(); ++n) {
+        if (!hints.failure_domain.empty() &&
+            list[n]->failure_domain != hints.failure_domain)
+            out[n] += hints.domain_penalty * tuning_.ms_per_score;
+    }
+    return out;
+}
+
+const target*
+target_picker::pick_by_cost(const std::vector<const target*>& list,
+                            const pick_hints& hints, time_point now)
+{
+    const auto cost    = costs(list, hints, now);
+    const auto lowest  = *std::min_element(cost.begin(), cost.end());
+    const auto highest = lowest + std::max(tuning_.equal_cost_ms,
+                                           tuning_.equal_cost_share * lowest);
+    if (hints.affinity != 0)
+        return pick_by_affinity(list, cost, hints.affinity, highest);
+    const target* out   = nullptr;
+    std::size_t   equal = 0;
+    for (std::size_t n = 0; n < list.size(); ++n) {
+        // Each of them is drawn with the same probability.
+        if (cost[n] <= highest && std::uniform_int_distribution<std::size_t>(
+                                      0, equal++)(random_) == 0)
+            out = list[n];
+    }
+    return out;
+}
+
 double target_picker::score(const target& it, const pick_hints& hints,
                             double latency_limit_ms, time_point now)
 {
@@ -118,6 +155,8 @@
     out += tokens / tuning_.tokens_per_score;
     if (latency_limit_ms > 0)
         out *= std::max(1.0, observed_latency(entry, now) / latency_limit_ms);
+    if (uses_work_)
+        out *= work_.slowdown(it.id, now);
     if (!hints.failure_domain.empty() &&
         it.failure_domain != hints.failure_domain)
         out += hints.domain_penalty;
@@ -155,8 +194,10 @@
 }
 
 std::uint64_t target_picker::start(const std::string& id, std::uint32_t tokens,
-                                   time_point now)
+                                   time_point now, const call_work* work)
 {
+    if (work)
+        work_.started(id, next_call_, *work, now);
     states_[id].calls.push_back({next_call_, now, tokens, false});
     return next_call_++;
 }
@@ -164,6 +205,7 @@
 void target_picker::answered(const std::string& id, std::uint64_t call,
                              time_point now)
 {
+    work_.answered(id, call);
     auto& entry = states_[id];
     for (auto& it : entry.calls) {
         if (it.number != call || it.answered)
@@ -202,6 +244,8 @@
 void target_picker::finish(const std::string& id, std::uint64_t call,
                            call_outcome how, time_point now)
 {
+    work_.finished(
+        id, call, how == call_outcome::done || how == call_outcome::error, now);
     auto& entry = states_[id];
     std::erase_if(entry.calls,
                   [call](const auto& it) { return it.number == call; });
@@ -236,12 +280,19 @@
 void target_picker::load_reported(const std::string& id,
                                   const target_load& load, time_point now)
 {
+    work_.load_reported(id, load, now);
     auto& entry               = states_[id];
     entry.reported            = load;
     entry.reported_at         = now;
     entry.own_calls_at_report = static_cast<std::uint32_t>(entry.calls.size());
 }
 
+void target_picker::forget(const std::string& id)
+{
+    states_.erase(id);
+    work_.forget(id);
+}
+
 std::uint32_t target_picker::in_flight(const std::string& id) const
 {
     const auto it = states_.find(id);
--- a/src/target_picker.hpp
+++ b/src/target_picker.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "gateway_types.hpp"
+#include "target_work.hpp"
 
 #include <cstdint>
 #include <random>
@@ -38,6 +39,9 @@
     std::uint64_t affinity       = 0; ///< Hash of a prompt part; 0: none.
     std::uint32_t tokens         = 0; ///< Of the prompt.
     const std::vector<std::string>* tried = nullptr; ///< Ids to leave out.
+    /// Estimated work at a model engine; null: the targets are compared by
+    /// their numbers of calls.
+    const call_work* work = nullptr;
 };
 
 /// Tuning parameters of a picker.
@@ -57,6 +61,13 @@
     /// A target that is preferred for its cache is passed over when its score
     /// exceeds the lowest score by more than this.
     double affinity_slack = 0.3;
+    /// Expected costs that differ by less than the larger of both count as
+    /// equal: estimates are no better, and daemons with the same reports do not
+    /// all choose the same target.
+    double equal_cost_share = 0.15;
+    double equal_cost_ms    = 4;
+    /// Cost that corresponds to 1 in domain_penalty.
+    double ms_per_score = 500;
     /// Failed calls in a row that exclude a target. It is also excluded when
     /// too large a share of its recent calls failed.
     std::uint32_t broken_limit = 2;
@@ -81,15 +92,23 @@
     /// Records the start of a call. \return its number, for
     /// answered() and finish().
     std::uint64_t start(const std::string& id, std::uint32_t tokens,
-                        time_point now);
+                        time_point now, const call_work* work = nullptr);
     /// Records that the head of the call's response has arrived.
     void answered(const std::string& id, std::uint64_t call, time_point now);
+    /// Records an event of the call's stream.
+    void event(const std::string& id, std::uint64_t call, time_point now)
+    {
+        work_.event(id, call, now);
+    }
     void finish(const std::string& id, std::uint64_t call, call_outcome how,
                 time_point now);
     void load_reported(const std::string& id, const target_load& load,
                        time_point now);
     /// Drops the state of a target that is gone or was restarted.
-    void forget(const std::string& id) { states_.erase(id); }
+    void forget(const std::string& id);
+    /// Without them, estimates of work and reported slowdowns do not affect the
+    /// choice.
+    void use_work_estimates(bool use) { uses_work_ = use; }
 
     std::uint32_t in_flight(const std::string& id) const;
     bool          excluded(const std::string& id, time_point now) const;
@@ -125,14 +144,22 @@
     double normal_latency_limit(const std::vector<const target*>& list) const;
     double mean_errors_except(const state& excepted) const;
     void   exclude(state& it, time_point now);
+    std::vector<double> costs(const std::vector<const target*>& list,
+                              const pick_hints& hints, time_point now) const;
+    const target*       pick_by_cost(const std::vector<const target*>& list,
+                                     const pick_hints& hints, time_point now);
+    /// \param highest score of the targets that are preferred for the cache.
     const target* pick_by_affinity(const std::vector<const target*>& list,
                                    const std::vector<double>&        scores,
-                                   std::uint64_t affinity, double lowest) const;
+                                   std::uint64_t                     affinity,
+                                   double highest) const;
 
     std::mt19937_64                        random_;
     picker_tuning                          tuning_;
     std::uint64_t                          next_call_ = 1;
     std::unordered_map<std::string, state> states_;
+    target_work                            work_;
+    bool                                   uses_work_ = true;
 };
 
 } // namespace arbutusgate::gateway
--- a/tests/gateway_settings_test.cpp
+++ b/tests/gateway_settings_test.cpp
@@ -47,6 +47,11 @@
     CHECK(settings->bounds.retry_slack == 58);
     CHECK(settings->seeds.size() == 2);
     CHECK(settings->ready_path == "/readiness");
+    CHECK(settings->work_estimates);
+    CHECK_FALSE(
+        parse_gateway_settings(
+            replaced("bounds:", "work_estimates: false\nbounds:"), "s.yaml")
+            ->work_estimates);
     const auto without_seeds = parse_gateway_settings(
         replaced(R"(["10.1.0.41:8628","10.2.0.25:8628"])", "[]"), "s.yaml");
     CHECK(without_seeds->seeds.empty());
