Prefer the target that probably caches the shared parts of a prompt

The target that all daemons prefer for the affinity counts as caching four fifths of the shared prefix. The time to read a chunk follows the learned speed.

--- a/src/call_work.hpp
+++ b/src/call_work.hpp
@@ -43,9 +43,12 @@
     std::uint32_t   prompt_tokens = 0;
     /// Prefixes that other requests may share, from the shortest.
     std::vector<prompt_prefix> prefixes;
-    std::uint32_t              tokens_per_event = 1;
-    std::uint64_t              cache_capacity   = 0; ///< Of a target; tokens.
-    milliseconds               gap_goal{0};          ///< 0: none.
+    /// Id of the target that probably caches the longest of them, since all
+    /// daemons prefer it for requests with these parts; empty: none.
+    std::string   likely_cache;
+    std::uint32_t tokens_per_event = 1;
+    std::uint64_t cache_capacity   = 0; ///< Of a target; tokens.
+    milliseconds  gap_goal{0};          ///< 0: none.
 };
 
 } // namespace arbutusgate::gateway
--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -191,9 +191,14 @@
         return run_failure{refusal_reason::no_target, execution::not_run,
                            no_target_retry_after};
     parts_.budget.count_request(service_->name, arrived_at_);
-    if (service_->engine)
+    if (service_->engine) {
         work_ = parts_.work.estimate(
             call_, *route_, account_ ? account_->name : "", *service_->engine);
+        const auto* cache =
+            parts_.picker.preferred(usable_targets(), affinity());
+        if (cache)
+            work_->likely_cache = cache->id;
+    }
     return std::nullopt;
 }
 
--- a/src/target_picker.cpp
+++ b/src/target_picker.cpp
@@ -100,6 +100,16 @@
     return best;
 }
 
+const target* target_picker::preferred(const std::vector<const target*>& list,
+                                       std::uint64_t affinity) const
+{
+    if (affinity == 0)
+        return nullptr;
+    constexpr double any_score = 0;
+    return pick_by_affinity(list, std::vector<double>(list.size()), affinity,
+                            any_score);
+}
+
 std::vector<double> target_picker::costs(const std::vector<const target*>& list,
                                          const pick_hints& hints,
                                          time_point        now) const
@@ -117,15 +127,15 @@
 target_picker::pick_by_cost(const std::vector<const target*>& list,
                             const pick_hints& hints, time_point now)
 {
-    const auto cost    = costs(list, hints, now);
-    const auto lowest  = *std::min_element(cost.begin(), cost.end());
-    const auto highest = lowest + std::max(tuning_.equal_cost_ms,
-                                           tuning_.equal_cost_share * lowest);
-    if (hints.affinity != 0)
-        return pick_by_affinity(list, cost, hints.affinity, highest);
-    const target* out   = nullptr;
-    std::size_t   equal = 0;
+    const auto    cost    = costs(list, hints, now);
+    const auto    lowest  = *std::min_element(cost.begin(), cost.end());
+    const auto    highest = lowest + std::max(tuning_.equal_cost_ms,
+                                              tuning_.equal_cost_share * lowest);
+    const target* out     = nullptr;
+    std::size_t   equal   = 0;
     for (std::size_t n = 0; n < list.size(); ++n) {
+        if (cost[n] <= highest && list[n]->id == hints.work->likely_cache)
+            return list[n];
         // Each of them is drawn with the same probability.
         if (cost[n] <= highest && std::uniform_int_distribution<std::size_t>(
                                       0, equal++)(random_) == 0)
--- a/src/target_picker.hpp
+++ b/src/target_picker.hpp
@@ -89,6 +89,11 @@
     const target* pick(const std::vector<const target*>& candidates,
                        const pick_hints& hints, time_point now);
 
+    /// \return the target of the list that all daemons prefer for requests with
+    /// the same affinity; null when it is 0 or the list is empty.
+    const target* preferred(const std::vector<const target*>& list,
+                            std::uint64_t                     affinity) const;
+
     /// Records the start of a call. \return its number, for
     /// answered() and finish().
     std::uint64_t start(const std::string& id, std::uint32_t tokens,
--- a/src/target_work.cpp
+++ b/src/target_work.cpp
@@ -41,12 +41,11 @@
 
 /// Tokens of a prompt that are read between two steps of the running streams.
 constexpr double chunk_tokens = 2000;
-constexpr double chunk_ms     = 40;
 /// Time after the first event counts less: the goals are the time of the first
 /// event and the pauses.
 constexpr double output_weight = 0.1;
 /// Cost of a response that becomes late by a pause over its goal.
-constexpr double late_stream_ms = 100;
+constexpr double late_stream_ms = 300;
 /// A first event is overdue after twice its expected time and this.
 constexpr double overdue_margin_ms = 50;
 
@@ -54,6 +53,8 @@
 /// for this time and until the own calls read half of the capacity.
 constexpr double prefix_retention_ms = 20'000;
 constexpr double own_cache_share     = 0.5;
+/// Part of a shared prefix that is taken to be cached at its likely cache.
+constexpr double likely_cached_share = 0.8;
 
 double ms_between(time_point a, time_point b)
 {
@@ -77,11 +78,10 @@
 
 /// Longest pause between two events of a stream while prompts are read.
 double pause_ms(double prompt_tokens, std::uint32_t tokens_per_event,
-                double token_ms, double factor)
+                double token_ms, double read_ms)
 {
-    const auto chunks = std::min(prompt_tokens / chunk_tokens,
-                                 static_cast<double>(tokens_per_event));
-    return factor * chunks * chunk_ms + tokens_per_event * token_ms;
+    const auto read = std::min(prompt_tokens, chunk_tokens * tokens_per_event);
+    return read * read_ms + tokens_per_event * token_ms;
 }
 
 } // namespace
@@ -165,9 +165,8 @@
                 static_cast<double>(call.events) * call.tokens_per_event);
             continue;
         }
-        const auto age = ms_between(call.since, now);
-        const auto unread =
-            1 - age / std::max(1.0, call.expected_ms);
+        const auto age    = ms_between(call.since, now);
+        const auto unread = 1 - age / std::max(1.0, call.expected_ms);
         out.prompt += call.uncached * std::max(min_unread_share, unread);
         out.output += call.output.expected();
         if (!call.answered)
@@ -208,12 +207,11 @@
         const auto  busy  = outstanding_at(at, now);
         const auto  slots = static_cast<double>(std::max(1U, it->slots));
         const auto  uncached =
-            work.prompt_tokens - cached(hash_of(it->id), at, work, now);
+            work.prompt_tokens - expected_cached(it->id, at, work, now);
         const auto token_ms = speed.token * slow;
-        // Relative to the speed for which chunk_ms holds.
-        const auto factor = speed.token / default_token_ms * slow;
+        const auto read_ms  = speed.read * slow;
 
-        auto cost = (uncached + busy.prompt) * speed.read * slow;
+        auto cost = (uncached + busy.prompt) * read_ms;
         // Calls beyond the slots wait until others end.
         if (busy.calls >= slots)
             cost += (busy.calls - slots + 1) / slots * busy.output /
@@ -221,14 +219,13 @@
         cost += std::max(0.0, busy.overdue);
         cost += output_weight * token_ms *
                 (expected + (busy.output + expected) / slots);
-        cost += output_weight * busy.streams * factor * uncached /
-                chunk_tokens * chunk_ms;
+        cost += output_weight * busy.streams * uncached * read_ms;
         const auto goal = static_cast<double>(work.gap_goal.count());
         if (goal > 0 &&
-            pause_ms(busy.prompt, work.tokens_per_event, token_ms, factor) <=
+            pause_ms(busy.prompt, work.tokens_per_event, token_ms, read_ms) <=
                 goal &&
             pause_ms(busy.prompt + uncached, work.tokens_per_event, token_ms,
-                     factor) > goal)
+                     read_ms) > goal)
             cost += busy.streams * late_stream_ms;
         out.push_back(cost);
     }
@@ -259,6 +256,17 @@
     return out;
 }
 
+/// Like cached(), with what other daemons have probably sent to the target. One
+/// daemon of many sees too few requests to know its cache from its own calls.
+double target_work::expected_cached(const std::string& id, const state& it,
+                                    const call_work& work, time_point now) const
+{
+    auto out = cached(hash_of(id), it, work, now);
+    if (id == work.likely_cache && !work.prefixes.empty())
+        out = std::max(out, likely_cached_share * work.prefixes.back().tokens);
+    return out;
+}
+
 std::uint32_t target_work::cached_tokens(const std::string& id,
                                          const call_work&   work,
                                          time_point         now) const
@@ -303,7 +311,7 @@
     own_call   it;
     it.number   = number;
     it.since    = now;
-    it.uncached = work.prompt_tokens - cached(hash_of(id), at, work, now);
+    it.uncached = work.prompt_tokens - expected_cached(id, at, work, now);
     it.output   = work.output;
     it.tokens_per_event = work.tokens_per_event;
     const auto ahead    = it.uncached + busy.prompt;
--- a/src/target_work.hpp
+++ b/src/target_work.hpp
@@ -119,6 +119,8 @@
     static double slowdown(const state& it, time_point now);
     double cached(std::uint64_t target, const state& it, const call_work& work,
                   time_point now) const;
+    double expected_cached(const std::string& id, const state& it,
+                           const call_work& work, time_point now) const;
     void   learn_token_time(state& at, own_call& it, time_point now) const;
     void remember(const std::string& id, const state& it, const call_work& work,
                   time_point now);
--- a/tests/target_work_test.cpp
+++ b/tests/target_work_test.cpp
@@ -225,3 +225,22 @@
     }
     CHECK(it.prefixes() <= target_work::max_prefixes);
 }
+
+// Guards against daemons that each send the requests of one session to another
+// target, since none of them has seen enough requests to know its cache.
+TEST_CASE("daemons agree on the target that caches a session", "[gateway]")
+{
+    constexpr std::uint64_t session = 77;
+    fixture                 a(12);
+    fixture                 b(12);
+    auto                    work  = work_of(9000, 50, {{1, 2500}, {2, 6300}});
+    const auto*             cache = a.picker.preferred(a.list, session);
+    REQUIRE(cache);
+    work.likely_cache = cache->id;
+    CHECK(a.pick(0, &work, session) == cache->id);
+    CHECK(b.pick(0, &work, session) == cache->id);
+    // A queue of unread prompts there costs more than the cached part saves.
+    const auto long_prompt = work_of(30'000, 50);
+    a.picker.start(cache->id, 30'000, at(0), &long_prompt);
+    CHECK(a.pick(0, &work, session) != cache->id);
+}
