--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -18,6 +18,7 @@
 #include "time_estimates.hpp"
 #include "time_left.hpp"
 #include "trial_source.hpp"
+#include "work_estimator.hpp"
 
 #include "arbutusgate/config.hpp"
 
@@ -194,6 +195,14 @@
     permitted_domains_ = parts_.regions.permitted_domains(
         route_->regions,
         account_ ? account_->regions : std::vector<std::string>{});
+    if (service_->engine) {
+        work_ = parts_.work.estimate(
+            call_, *route_, account_ ? account_->name : "", *service_->engine);
+        const auto* cache =
+            parts_.picker.preferred(usable_targets(), affinity());
+        if (cache)
+            work_->likely_cache = cache->id;
+    }
     return std::nullopt;
 }
 
@@ -458,6 +467,7 @@
 {
     pick_hints hints;
     hints.affinity = affinity();
+    hints.work     = work();
     if (hints.affinity == 0)
         return "";
     const auto  now = daemon_now();
@@ -740,6 +750,7 @@
     }
     hints.affinity = affinity();
     hints.tokens   = call_.prompt_tokens;
+    hints.work     = work();
     const auto now = daemon_now();
     return parts_.picker.pick(parts_.targets.open(usable_targets(), now), hints,
                               now);
@@ -956,7 +967,8 @@
 {
     const auto tokens = call_.prompt_tokens;
     attempt_started_  = daemon_now();
-    call_number_ = parts_.picker.start(chosen.id, tokens, attempt_started_);
+    call_number_ =
+        parts_.picker.start(chosen.id, tokens, attempt_started_, work());
     parts_.targets.gate().sent(chosen.id, attempt_started_);
     error_code ec;
     const auto most = service_->max_connections / std::max(1U, parts_.daemons);
@@ -1207,6 +1219,8 @@
         if (!stream_started_)
             begin_stream(*lease);
         exchange_.end_stream();
+        if (work_)
+            parts_.work.completed(*work_, events_);
         if (earlier_events_ == 0)
             parts_.stream_times.add(route_->name,
                                     daemon_now() - attempt_started_);
@@ -1331,6 +1345,7 @@
             batch += it->text;
             const auto now = daemon_now();
             silent_at      = now + stream_silence_timeout;
+            parts_.picker.event(chosen.id, call_number_, now);
             if (events_++ == earlier_events_) {
                 waiting_.reset();
                 parts_.quarantine.answered(prompt_, chosen, now);
