Close connections after stage answers without results

Each caller of targets decided for itself whether a connection may be reused.

Change: reuse_check decides for requests, their refusals and stage calls, and target_connections::give_back takes its decision.

--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -940,7 +940,7 @@
     {
         request_unsent_ = true;
         finish_call(chosen, call_outcome::cancelled);
-        parts_.connections.give_back(std::move(lease), std::nullopt);
+        parts_.connections.give_back_unused(std::move(lease));
         return attempt_result::not_run;
     }
     if (!lease) {
@@ -1014,7 +1014,9 @@
 void forward_run::return_connection(connection_lease lease)
 {
     connection_ = nullptr;
-    parts_.connections.give_back(std::move(lease), head_.idle_time);
+    parts_.connections.give_back(
+        std::move(lease), reuse_check::after_request(head_, call_.attempt),
+        head_.idle_time);
 }
 
 // Reads up to the response to this request. A connection may still hold
@@ -1090,9 +1092,7 @@
         error_code ec;
         lease->read_all(remaining_time(), ec, max_discarded_body);
         finish_call(chosen, how);
-        // A second copy of a refusal without attempt id could not be told from
-        // the response to the next request on the connection.
-        if (!ec && !head_.attempt.empty())
+        if (!ec)
             return_connection(std::move(lease));
         return attempt_result::not_run;
     }
--- a/src/stage_scheduler.cpp
+++ b/src/stage_scheduler.cpp
@@ -35,8 +35,6 @@
 constexpr milliseconds min_retry_after{250};
 /// Time after which an order whose stage has no target may be retried.
 constexpr seconds no_target_retry_after{1};
-/// Latest responses of a target that a new one is compared with to find copies.
-constexpr std::size_t remembered_responses = 16;
 
 std::string_view address_of(std::string_view handle)
 {
@@ -251,7 +249,7 @@
     if (init_.targets.gate().refuses(to, daemon_now()) ||
         init_.targets.evacuated(to) || (lease && !may_send(to, *permit)))
     {
-        init_.connections.give_back(std::move(lease), std::nullopt);
+        init_.connections.give_back_unused(std::move(lease));
         return {};
     }
     outcome = call_outcome::target_failed;
@@ -283,8 +281,7 @@
                          daemon_now());
         log(log_level::info, "stage call refused",
             {{"target", call.target}, {"status", head.status}});
-        // The connection is closed: a second copy of the refusal could not be
-        // told from the response to the next call on it.
+        // A refusal does not name its call, so the connection is closed.
         return {};
     }
     auto results = init_.codec.decode_stage_results(body, pieces.size());
@@ -293,40 +290,21 @@
             {{"target", call.target}, {"error", results.status().ToString()}});
         return {};
     }
-    if (is_duplicate(call.target, *results)) {
+    const auto answer =
+        reuse_check_.check_results(call.target, *results, daemon_now());
+    if (answer == stage_answer::copy) {
         log(log_level::warning, "duplicate stage response dropped",
             {{"target", call.target}});
         return {};
     }
     handle_limit(init_.targets, to, head, source, sent_at, daemon_now());
-    // After a duplicate response, the connection is closed instead: the
-    // response to this call may still follow on it.
-    init_.connections.give_back(std::move(lease), head.idle_time);
+    init_.connections.give_back(std::move(lease),
+                                reuse_check::after_stage_call(answer),
+                                head.idle_time);
     outcome = call_outcome::answered;
     return *std::move(results);
 }
 
-/// A target may send a response twice; the copy is then read in place of the
-/// response to the next call. It is recognized by its first handle, since each
-/// result has a unique handle.
-bool stage_scheduler::is_duplicate(const std::string&               target,
-                                   const std::vector<piece_result>& results)
-{
-    const auto first =
-        std::find_if(results.begin(), results.end(),
-                     [](const auto& result) { return !result.handle.empty(); });
-    if (first == results.end())
-        return false;
-    auto& handles = latest_responses_[target];
-    if (std::find(handles.begin(), handles.end(), first->handle) !=
-        handles.end())
-        return true;
-    handles.push_back(first->handle);
-    if (handles.size() > remembered_responses)
-        handles.pop_front();
-    return false;
-}
-
 void stage_scheduler::run_call(const std::string& key, const stage_call& call)
 {
     const auto started = daemon_now();
@@ -582,7 +560,7 @@
     if (!lease)
         return;
     if (init_.targets.evacuated(to)) {
-        init_.connections.give_back(std::move(lease), std::nullopt);
+        init_.connections.give_back_unused(std::move(lease));
         return;
     }
     const fiber_group::use use(fibers_, *lease);
@@ -596,14 +574,15 @@
                      daemon_now());
     lease->read_all(release_limit, ec, max_response_bytes);
     if (!ec)
-        init_.connections.give_back(std::move(lease), head.idle_time);
+        init_.connections.give_back(std::move(lease), connection_reuse::yes,
+                                    head.idle_time);
 }
 
 void stage_scheduler::forget(const std::string& target)
 {
     for (auto& [key, pool] : pools_)
         pool->batcher.forget(target);
-    latest_responses_.erase(target);
+    reuse_check_.forget(target);
     std::erase_if(held_results_, [&](const auto& entry) {
         return entry.second.target == target;
     });
--- a/src/stage_scheduler.hpp
+++ b/src/stage_scheduler.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "call_permit.hpp"
+#include "reuse_check.hpp"
 #include "stage_batcher.hpp"
 #include "stage_service.hpp"
 #include "stage_shards.hpp"
@@ -13,7 +14,6 @@
 #include <boost/asio/io_context.hpp>
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -147,9 +147,6 @@
     std::optional<call_permit> acquire_permit(const target& to,
                                               milliseconds  max_wait);
     bool may_send(const target& to, const call_permit& permit) const;
-    /// Records the response, unless it is a copy of an earlier one.
-    bool is_duplicate(const std::string&               target,
-                      const std::vector<piece_result>& results);
     /// \return nothing when the order of a piece has ended.
     std::vector<stage_piece> collect_pieces(const stage_call& call,
                                             shard_pool&       pool) const;
@@ -178,8 +175,7 @@
     std::unordered_map<std::string, std::unique_ptr<shard_pool>> pools_;
     /// By handle.
     std::unordered_map<std::string, held_result> held_results_;
-    /// First handle of each of the latest responses, by target.
-    std::unordered_map<std::string, std::deque<std::string>> latest_responses_;
+    reuse_check                                  reuse_check_;
     using handle_lists =
         std::unordered_map<std::string, std::vector<std::string>>;
     /// Handles to be released, by the address of the target.
--- a/src/target_connections.cpp
+++ b/src/target_connections.cpp
@@ -83,9 +83,10 @@
 }
 
 void target_connections::give_back(connection_lease            lease,
+                                   connection_reuse            reuse,
                                    std::optional<milliseconds> idle_time)
 {
-    if (!lease)
+    if (!lease || reuse == connection_reuse::no)
         return;
     auto keep_for = milliseconds{limits::connection_idle};
     if (idle_time)
@@ -93,6 +94,11 @@
     pool_.put(lease.target_id_, std::move(lease.client_), keep_for);
 }
 
+void target_connections::give_back_unused(connection_lease lease)
+{
+    give_back(std::move(lease), connection_reuse::yes, std::nullopt);
+}
+
 void target_connections::on_lease_closed(const std::string& target_id)
 {
     const auto it = in_use_.find(target_id);
--- a/src/target_connections.hpp
+++ b/src/target_connections.hpp
@@ -4,6 +4,7 @@
 
 #include "connection_pool.hpp"
 #include "gateway_types.hpp"
+#include "reuse_check.hpp"
 
 #include <boost/system/error_code.hpp>
 
@@ -54,11 +55,14 @@
     /// \return an empty lease on failure, with the reason in \p ec.
     connection_lease open(const target& to, std::uint32_t max_in_use,
                           milliseconds timeout, boost::system::error_code& ec);
-    /// Keeps the connection for reuse if its state allows that.
+    /// Keeps the connection if its last response and its state allow that.
+    /// \param reuse decision of reuse_check on the last response.
     /// \param idle_time after which the target closes idle connections, if it
     /// stated one.
-    void give_back(connection_lease            lease,
+    void give_back(connection_lease lease, connection_reuse reuse,
                    std::optional<milliseconds> idle_time);
+    /// Keeps a connection on which nothing was sent since open().
+    void give_back_unused(connection_lease lease);
     /// Opens a new connection and closes it again.
     /// \return no error when the target accepts it.
     boost::system::error_code probe(const target& to, milliseconds timeout);
--- a/tests/gateway_fault_test.cpp
+++ b/tests/gateway_fault_test.cpp
@@ -233,6 +233,49 @@
     CHECK(later_calls == 0);
 }
 
+// Guards against results of a stage that go to other requests (review/2): an
+// answer without any handle comes twice, and each later answer on the
+// connection is then taken for the answer to the call after it.
+TEST_CASE("a stage answer without results ends its connection",
+          "[gateway][sockets]")
+{
+    std::atomic<int> calls{0};
+    std::atomic<int> later_calls{0};
+    scripted_target  stage([&](target_session& it) {
+        const std::string failed = answer(R"({"items":[{"reason":"error"}]})");
+        bool              failed_here = false;
+        for (auto text = it.read(); !text.empty(); text = it.read()) {
+            if (has(text, "/stage-free")) {
+                it.write(answer("{}"));
+                continue;
+            }
+            if (calls++ == 0) {
+                failed_here = true;
+                it.write(failed);
+                continue;
+            }
+            if (failed_here && later_calls++ == 0)
+                it.write(failed);
+            it.write(answer(R"({"items":[{"handle":"h/)" +
+                             std::to_string(calls) + R"("}]})"));
+        }
+    });
+    scripted_target  engine([&](target_session& it) {
+        if (!it.read().empty())
+            it.write(answer("done"));
+    });
+    gateway_fixture  g({make_target("i-1", engine.address()),
+                        make_target("p-1", stage.address(), "p")});
+    for (int n = 0; n < 3; ++n) {
+        CHECK(g.exchange(g.request("/staged/", "body",
+                                   "Arbutusgate-Pieces: 1,0\r\n"
+                                   "Arbutusgate-Piece-Key: kk\r\n"))
+                  .ends_with("done"));
+    }
+    CHECK(calls >= 4);
+    CHECK(later_calls == 0);
+}
+
 // Guards against a stream that broke off and into which the next target's
 // response is written, or which then ends as if it were complete.
 TEST_CASE("a stream is only continued by events", "[gateway][sockets]")
