Keep connections for releases apart from those for calls

Cause: the answer to a release bears neither attempt id nor handle, yet its connection was given back for calls.

Change: target_connections has two pools. A release connection is kept unless its answer bears a notice or is a 421. Releases at a limited target take a new connection: a copy without the limit would end it.

--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -932,7 +932,8 @@
     if (parts_.drain)
         time_to_connect =
             std::min(time_to_connect, remaining_until(parts_.drain->ends_at));
-    auto lease     = parts_.connections.open(chosen, most, time_to_connect, ec);
+    auto lease     = parts_.connections.open(chosen, connection_use::call, most,
+                                             time_to_connect, ec);
     permit_lapsed_ = !may_send(chosen);
     if (lease && (parts_.targets.gate().refuses(chosen, daemon_now()) ||
                   parts_.targets.evacuated(chosen) || permit_lapsed_ ||
--- a/src/reuse_check.cpp
+++ b/src/reuse_check.cpp
@@ -28,6 +28,16 @@
     return reuse_if(!attempt.empty() && head.attempt == attempt);
 }
 
+connection_reuse reuse_check::after_release(const response_head& head)
+{
+    const auto& notice = head.notice;
+    return reuse_if(
+        head.status !=
+            static_cast<unsigned>(http::status::misdirected_request) &&
+        !notice.leaving && !notice.closed_for && !notice.unreadable_time &&
+        !notice.call_limit && !notice.unreadable_limit && !notice.cold_for);
+}
+
 connection_reuse reuse_check::after_stage_call(stage_answer answer)
 {
     return reuse_if(answer == stage_answer::named);
--- a/src/reuse_check.hpp
+++ b/src/reuse_check.hpp
@@ -37,6 +37,10 @@
     /// \param attempt id of the request.
     static connection_reuse after_request(const response_head& head,
                                           std::string_view     attempt);
+    /// The connection is reused for releases only. Their responses matter only
+    /// by the notices in them, so a copy of one with a notice must not be read
+    /// later.
+    static connection_reuse after_release(const response_head& head);
     static connection_reuse after_stage_call(stage_answer answer);
 
     /// Records the results, unless they are a copy.
--- a/src/stage_scheduler.cpp
+++ b/src/stage_scheduler.cpp
@@ -242,8 +242,8 @@
     if (!permit || pieces.empty())
         return {};
     boost::system::error_code ec;
-    auto                      lease =
-        init_.connections.open(to, max_stage_connections, connect_limit, ec);
+    auto                      lease = init_.connections.open(
+                             to, connection_use::call, max_stage_connections, connect_limit, ec);
     // A response to another request may have closed or limited the target
     // meanwhile.
     if (init_.targets.gate().refuses(to, daemon_now()) ||
@@ -281,7 +281,10 @@
                          daemon_now());
         log(log_level::info, "stage call refused",
             {{"target", call.target}, {"status", head.status}});
-        // A refusal does not name its call, so the connection is closed.
+        init_.connections.give_back(
+            std::move(lease),
+            reuse_check::after_stage_call(stage_answer::unnamed),
+            head.idle_time);
         return {};
     }
     auto results = init_.codec.decode_stage_results(body, pieces.size());
@@ -295,6 +298,9 @@
     if (answer == stage_answer::copy) {
         log(log_level::warning, "duplicate stage response dropped",
             {{"target", call.target}});
+        init_.connections.give_back(std::move(lease),
+                                    reuse_check::after_stage_call(answer),
+                                    head.idle_time);
         return {};
     }
     handle_limit(init_.targets, to, head, source, sent_at, daemon_now());
@@ -555,8 +561,14 @@
                                    const std::vector<std::string>& handles)
 {
     boost::system::error_code ec;
-    auto                      lease =
-        init_.connections.open(to, max_stage_connections, connect_limit, ec);
+    // On a kept connection, the copy of an earlier response without a limit
+    // would be read as the end of the limit.
+    const auto choice = init_.targets.limits().find(to)
+                            ? connection_choice::only_new
+                            : connection_choice::idle_or_new;
+    auto       lease  = init_.connections.open(to, connection_use::release,
+                                               max_stage_connections, connect_limit,
+                                               ec, choice);
     if (!lease)
         return;
     if (init_.targets.evacuated(to)) {
@@ -574,8 +586,8 @@
                      daemon_now());
     lease->read_all(release_limit, ec, max_response_bytes);
     if (!ec)
-        init_.connections.give_back(std::move(lease), connection_reuse::yes,
-                                    head.idle_time);
+        init_.connections.give_back(
+            std::move(lease), reuse_check::after_release(head), head.idle_time);
 }
 
 void stage_scheduler::forget(const std::string& target)
--- a/src/target_connections.cpp
+++ b/src/target_connections.cpp
@@ -14,17 +14,18 @@
 
 } // namespace
 
-connection_lease::connection_lease(target_connections&          owner,
-                                   std::string                  target_id,
+connection_lease::connection_lease(target_connections& owner,
+                                   std::string target_id, connection_use use,
                                    std::unique_ptr<http_client> client)
-    : owner_(&owner), target_id_(std::move(target_id)),
+    : owner_(&owner), target_id_(std::move(target_id)), use_(use),
       client_(std::move(client))
 {
 }
 
 connection_lease::connection_lease(connection_lease&& other) noexcept
     : owner_(std::exchange(other.owner_, nullptr)),
-      target_id_(std::move(other.target_id_)), client_(std::move(other.client_))
+      target_id_(std::move(other.target_id_)), use_(other.use_),
+      client_(std::move(other.client_))
 {
 }
 
@@ -33,6 +34,7 @@
     close();
     owner_     = std::exchange(other.owner_, nullptr);
     target_id_ = std::move(other.target_id_);
+    use_       = other.use_;
     client_    = std::move(other.client_);
     return *this;
 }
@@ -49,10 +51,11 @@
         owner->on_lease_closed(target_id_);
 }
 
-connection_lease target_connections::open(const target&              to,
+connection_lease target_connections::open(const target& to, connection_use use,
                                           std::uint32_t              max_in_use,
                                           milliseconds               timeout,
-                                          boost::system::error_code& ec)
+                                          boost::system::error_code& ec,
+                                          connection_choice          choice)
 {
     ec = {};
     // Counted before connect(), which suspends the fiber: other fibers must see
@@ -62,10 +65,13 @@
         return {};
     }
     ++in_use_[to.id];
-    connection_lease lease(*this, to.id, pool_.take(to.id));
+    connection_lease lease(*this, to.id, use,
+                           choice == connection_choice::only_new
+                               ? nullptr
+                               : pool(use).take(to.id));
     if (lease)
         return lease;
-    lease.client_ = pool_.create();
+    lease.client_ = pool(use).create();
     ++opened_;
     ec = lease.client_->connect(to.address, timeout);
     if (!ec)
@@ -77,7 +83,7 @@
 boost::system::error_code target_connections::probe(const target& to,
                                                     milliseconds  timeout)
 {
-    const auto client = pool_.create();
+    const auto client = call_pool_.create();
     ++opened_;
     return client->connect(to.address, timeout);
 }
@@ -86,12 +92,16 @@
                                    connection_reuse            reuse,
                                    std::optional<milliseconds> idle_time)
 {
-    if (!lease || reuse == connection_reuse::no)
+    if (!lease)
         return;
+    if (reuse == connection_reuse::no) {
+        ++not_reused_;
+        return;
+    }
     auto keep_for = milliseconds{limits::connection_idle};
     if (idle_time)
         keep_for = std::min(keep_for, *idle_time - idle_margin);
-    pool_.put(lease.target_id_, std::move(lease.client_), keep_for);
+    pool(lease.use_).put(lease.target_id_, std::move(lease.client_), keep_for);
 }
 
 void target_connections::give_back_unused(connection_lease lease)
--- a/src/target_connections.hpp
+++ b/src/target_connections.hpp
@@ -17,6 +17,21 @@
 
 class target_connections;
 
+/// Connections that carried one kind are not used for the other: responses to
+/// releases do not name their call.
+enum class connection_use
+{
+    call, ///< A request or a stage call.
+    release,
+};
+
+/// Which connection is taken.
+enum class connection_choice
+{
+    idle_or_new,
+    only_new,
+};
+
 /// One connection in use. Its destructor closes the connection unless it was
 /// given back.
 class connection_lease
@@ -24,7 +39,7 @@
 public:
     connection_lease() = default;
     connection_lease(target_connections& owner, std::string target_id,
-                     std::unique_ptr<http_client> client);
+                     connection_use use, std::unique_ptr<http_client> client);
     connection_lease(connection_lease&& other) noexcept;
     connection_lease& operator=(connection_lease&& other) noexcept;
     ~connection_lease();
@@ -40,6 +55,7 @@
 
     target_connections*          owner_ = nullptr;
     std::string                  target_id_;
+    connection_use               use_ = connection_use::call;
     std::unique_ptr<http_client> client_;
 };
 
@@ -48,13 +64,18 @@
 class target_connections
 {
 public:
-    explicit target_connections(boost::asio::io_context& io) : pool_(io) {}
+    explicit target_connections(boost::asio::io_context& io)
+        : call_pool_(io), release_pool_(io)
+    {
+    }
 
     /// Takes an idle connection or opens a new one.
     /// \param max_in_use connections of this daemon to the target.
     /// \return an empty lease on failure, with the reason in \p ec.
-    connection_lease open(const target& to, std::uint32_t max_in_use,
-                          milliseconds timeout, boost::system::error_code& ec);
+    connection_lease
+    open(const target& to, connection_use use, std::uint32_t max_in_use,
+         milliseconds timeout, boost::system::error_code& ec,
+         connection_choice choice = connection_choice::idle_or_new);
     /// Keeps the connection if its last response and its state allow that.
     /// \param reuse decision of reuse_check on the last response.
     /// \param idle_time after which the target closes idle connections, if it
@@ -67,24 +88,40 @@
     /// \return no error when the target accepts it.
     boost::system::error_code probe(const target& to, milliseconds timeout);
     /// Closes the idle connections of a target that is gone.
-    void drop(const std::string& target_id) { pool_.drop(target_id); }
+    void drop(const std::string& target_id)
+    {
+        call_pool_.drop(target_id);
+        release_pool_.drop(target_id);
+    }
 
     /// \return idle connections to all targets.
-    std::size_t idle() const { return pool_.idle(); }
+    std::size_t idle() const
+    {
+        return call_pool_.idle() + release_pool_.idle();
+    }
     /// \return connection attempts since start, including failed ones.
     std::uint64_t opened() const { return opened_; }
     /// \return failed connection attempts since start.
     std::uint64_t failed() const { return failed_; }
+    /// \return connections closed since start since their last response does
+    /// not allow another call.
+    std::uint64_t not_reused() const { return not_reused_; }
 
 private:
     friend class connection_lease;
 
-    void on_lease_closed(const std::string& target_id);
+    void             on_lease_closed(const std::string& target_id);
+    connection_pool& pool(connection_use use)
+    {
+        return use == connection_use::release ? release_pool_ : call_pool_;
+    }
 
-    connection_pool                                pool_;
+    connection_pool                                call_pool_;
+    connection_pool                                release_pool_;
     std::unordered_map<std::string, std::uint32_t> in_use_; ///< By target.
-    std::uint64_t                                  opened_ = 0;
-    std::uint64_t                                  failed_ = 0;
+    std::uint64_t                                  opened_     = 0;
+    std::uint64_t                                  failed_     = 0;
+    std::uint64_t                                  not_reused_ = 0;
 };
 
 } // namespace arbutusgate::gateway
--- a/tests/gateway_fault_test.cpp
+++ b/tests/gateway_fault_test.cpp
@@ -276,6 +276,63 @@
     CHECK(later_calls == 0);
 }
 
+// Guards against a caller that is told "not run" of a request that runs
+// (review/3): the refusal of a release comes once more, in place of the
+// response to a request that is sent next to the same target. Also guards
+// against a new connection for each release.
+TEST_CASE("an answer to a release is not believed of a request",
+          "[gateway][sockets]")
+{
+    const bool        twice   = GENERATE(true, false);
+    const std::string refusal = "HTTP/1.1 503 Full\r\n"
+                                "Arbutusgate-Not-Executed: 1\r\n"
+                                "Content-Length: 0\r\n\r\n";
+    std::atomic<int>  results{0};
+    std::atomic<int>  releases{0};
+    std::atomic<int>  release_connections{0};
+    std::atomic<int>  calls_after_release{0};
+    scripted_target   stock([&](target_session& it) {
+        bool        released = false;
+        std::string copy;
+        for (auto text = it.read(); !text.empty(); text = it.read()) {
+            it.write(std::exchange(copy, ""));
+            if (has(text, "/stage-free")) {
+                release_connections += std::exchange(released, true) ? 0 : 1;
+                copy = twice ? refusal : "";
+                it.write(refusal);
+                ++releases;
+                continue;
+            }
+            calls_after_release += released ? 1 : 0;
+            it.write(has(text, "/order/")
+                           ? answer("ran")
+                           : answer(R"({"items":[{"handle":"h/)" +
+                                    std::to_string(++results) + R"("}]})"));
+        }
+    });
+    scripted_target   engine([&](target_session& it) {
+        if (!it.read().empty())
+            it.write(answer("done"));
+    });
+    gateway_fixture   g({make_target("i-1", engine.address()),
+                         make_target("p-1", stock.address(), "p")});
+    for (int n = 1; n <= 5; ++n) {
+        REQUIRE(g.exchange(g.request("/staged/", "body",
+                                     "Arbutusgate-Pieces: 1,0\r\n"
+                                     "Arbutusgate-Piece-Key: kk\r\n"))
+                    .ends_with("done"));
+        for (int k = 0; k < 1000 && releases < n; ++k)
+            std::this_thread::sleep_for(milliseconds{5});
+        REQUIRE(releases == n);
+        // Until the gateway has read the answer to the release.
+        std::this_thread::sleep_for(milliseconds{30});
+        CHECK(g.exchange(g.request("/order/")).ends_with("ran"));
+    }
+    CHECK(calls_after_release == 0);
+    if (!twice)
+        CHECK(release_connections == 1);
+}
+
 // Guards against a stream that broke off and into which the next target's
 // response is written, or which then ends as if it were complete.
 TEST_CASE("a stream is only continued by events", "[gateway][sockets]")
--- a/tests/gateway_fixture.cpp
+++ b/tests/gateway_fixture.cpp
@@ -30,12 +30,14 @@
                    make_route("/resume/", repeat_rule::stream, 2),
                    make_route("/staged/", repeat_rule::idempotent, 1),
                    make_route("/staged-stream/", repeat_rule::stream, 2),
-                   make_route("/quick/", repeat_rule::idempotent, 2)};
+                   make_route("/quick/", repeat_rule::idempotent, 2),
+                   make_route("/order/", repeat_rule::non_idempotent, 1)};
     out.routes[3].may_be_resumed = true;
     out.routes[4].stages         = {{"p", {}, 1000}, {"p", {0}, 1000}};
     out.routes[5].stages         = {{"p", {}, 1000}};
     out.routes[5].may_be_resumed = true;
     out.routes[6].latency_goal   = milliseconds{400};
+    out.routes[7].services       = {{"p", 1}};
     service plain{"s", "", 1000, {}, {}};
     service stage{"p", "", 1000, stage_limits{}, {}};
     stage.stage->batch            = 8;
--- a/tests/gateway_limit_test.cpp
+++ b/tests/gateway_limit_test.cpp
@@ -171,18 +171,23 @@
 }
 
 // Guards against stage calls, or releases of their results, that ignore the
-// limit of a stage target.
+// limit of a stage target. Also guards against a second release on a connection
+// while there is a limit: a late answer without the limit would end it.
 TEST_CASE("stage calls and releases keep a target's limit",
           "[gateway][sockets]")
 {
     call_times       calls;
     std::atomic<int> releases{0};
     std::atomic<int> results{0};
+    std::atomic<int> calls_after_release{0};
     scripted_target  stage([&](target_session& it) {
+        bool released = false;
         for (auto text = it.read(); !text.empty(); text = it.read()) {
             calls.add();
+            calls_after_release += released ? 1 : 0;
             if (has(text, "/stage-free")) {
                 ++releases;
+                released = true;
                 it.write("HTTP/1.1 200 OK\r\n" + limit_header("2") +
                           "Content-Length: 0\r\n\r\n");
                 continue;
@@ -215,6 +220,51 @@
     CHECK(calls.size() >= 3);
     CHECK(calls.most({}) <= allowed_calls(2));
     CHECK(releases > 0);
+    CHECK(calls_after_release == 0);
+}
+
+// Guards against a limit that ends too early: the answer to a release from
+// before the limit may come once more and be taken for the answer to a later
+// release.
+TEST_CASE("a release at a limited target uses a new connection",
+          "[gateway][sockets]")
+{
+    std::atomic<int>  results{0};
+    std::atomic<int>  releases{0};
+    std::atomic<int>  later_releases{0};
+    std::atomic<bool> limited{false};
+    scripted_target   stage([&](target_session& it) {
+        bool released = false;
+        for (auto text = it.read(); !text.empty(); text = it.read()) {
+            const auto limit = limited ? limit_header("50") : std::string();
+            if (has(text, "/stage-free")) {
+                later_releases += released && limited ? 1 : 0;
+                released = true;
+                it.write("HTTP/1.1 200 OK\r\n" + limit +
+                           "Content-Length: 0\r\n\r\n");
+                ++releases;
+                continue;
+            }
+            it.write(answer(R"({"items":[{"handle":"h/)" +
+                                  std::to_string(++results) + R"("}]})",
+                              "200 OK", limit));
+        }
+    });
+    recording_target  final_target(answer("x"));
+    gateway_fixture   g({make_target("i-1", final_target.server.address()),
+                         make_target("p-1", stage.address(), "p")});
+    for (int n = 1; n <= 2; ++n) {
+        g.exchange(g.request("/staged/", "body",
+                             "Arbutusgate-Pieces: 1,0\r\n"
+                             "Arbutusgate-Piece-Key: k\r\n"));
+        for (int k = 0; k < 1000 && releases < n; ++k)
+            std::this_thread::sleep_for(milliseconds{5});
+        REQUIRE(releases == n);
+        // Until the gateway has read the answer to the release.
+        std::this_thread::sleep_for(milliseconds{30});
+        limited = true;
+    }
+    CHECK(later_releases == 0);
 }
 
 // Guards against requests that wait for a permit until they are late, or that
--- a/tests/reuse_check_test.cpp
+++ b/tests/reuse_check_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <array>
+
 using namespace arbutusgate;
 using namespace arbutusgate::gateway;
 
@@ -62,3 +64,23 @@
     head.attempt = "9c41";
     CHECK(reuse_check::after_request(head, "9c41") == connection_reuse::yes);
 }
+
+// Guards against a notice that is believed again when the answer to a release
+// comes twice, and against a new connection after each release that is shed.
+TEST_CASE("a connection is kept for releases after answers without a notice",
+          "[gateway]")
+{
+    for (const unsigned status : {200U, 500U, 503U}) {
+        response_head head;
+        head.status = status;
+        CHECK(reuse_check::after_release(head) == connection_reuse::yes);
+    }
+    std::array<response_head, 5> heads;
+    heads[0].status            = 421;
+    heads[1].notice.leaving    = true;
+    heads[2].notice.closed_for = milliseconds{100};
+    heads[3].notice.call_limit = 2;
+    heads[4].notice.cold_for   = milliseconds{100};
+    for (const auto& it : heads)
+        CHECK(reuse_check::after_release(it) == connection_reuse::no);
+}
