--- a/src/stage_caller.cpp
+++ b/src/stage_caller.cpp
@@ -184,16 +184,17 @@
                 daemon_now() - sent_at_);
             work_.on_load(*load);
         }
-        const auto head_status = head.result();
-        if (head_status != http::status::ok)
+        if (head.result() != http::status::ok)
             read_error_response();
         else if (work_.stage->kind == stage_kind::generate)
             read_stream();
         else
             read_service_response();
-        // A second copy of an error response, which names no request, could not
-        // be told from the response to the next call.
-        if (head_status == http::status::ok && client_->reusable())
+        // Only a complete result names its request: a second copy of another
+        // response could not be told from the response to the next call, and
+        // after a response to another request, that to this one may follow.
+        if (result_.attempt.status == attempt_status::done &&
+            client_->reusable())
             owner_.pool_.put(work_.target->address, std::move(client_));
         return std::move(result_);
     }
--- a/tests/caller_test.cpp
+++ b/tests/caller_test.cpp
@@ -207,6 +207,23 @@
     CHECK(eventually([&] { return target.connections() == 0; }));
 }
 
+// Guards against calls that each read the response to the one before: a
+// response to another request, after which the call's own one follows, is left
+// on a connection that is used again.
+TEST_CASE("a connection is not used again after a response to another request")
+{
+    fake_target target([](http_exchange& it, int) {
+        auto body          = service_response(request_json(it));
+        body["request_id"] = "someone-else";
+        it.respond(make_json_response(body));
+    });
+    front_end   front(
+          one_stage_deployment(stage_kind::service, true, {target.address()}));
+    CHECK(front.call(front.request()).status != 200);
+    CHECK(target.calls() > 0);
+    CHECK(eventually([&] { return target.connections() == 0; }));
+}
+
 namespace {
 
 /// Records what the requests report.
