--- a/src/stage_scheduler.cpp
+++ b/src/stage_scheduler.cpp
@@ -35,8 +35,6 @@
 constexpr milliseconds min_retry_after{250};
 /// Time after which an order whose stage has no target may be retried.
 constexpr seconds no_target_retry_after{1};
-/// Latest responses of a target that a new one is compared with to find copies.
-constexpr std::size_t remembered_responses = 16;
 
 std::string_view address_of(std::string_view handle)
 {
@@ -244,14 +242,14 @@
     if (!permit || pieces.empty())
         return {};
     boost::system::error_code ec;
-    auto                      lease =
-        init_.connections.open(to, max_stage_connections, connect_limit, ec);
+    auto                      lease = init_.connections.open(
+                             to, connection_use::call, max_stage_connections, connect_limit, ec);
     // A response to another request may have closed or limited the target
     // meanwhile.
     if (init_.targets.gate().refuses(to, daemon_now()) ||
         init_.targets.evacuated(to) || (lease && !may_send(to, *permit)))
     {
-        init_.connections.give_back(std::move(lease), std::nullopt);
+        init_.connections.give_back_unused(std::move(lease));
         return {};
     }
     outcome = call_outcome::target_failed;
@@ -283,8 +281,10 @@
                          daemon_now());
         log(log_level::info, "stage call refused",
             {{"target", call.target}, {"status", head.status}});
-        // The connection is closed: a second copy of the refusal could not be
-        // told from the response to the next call on it.
+        init_.connections.give_back(
+            std::move(lease),
+            reuse_check::after_stage_call(stage_answer::unnamed),
+            head.idle_time);
         return {};
     }
     auto results = init_.codec.decode_stage_results(body, pieces.size());
@@ -293,40 +293,24 @@
             {{"target", call.target}, {"error", results.status().ToString()}});
         return {};
     }
-    if (is_duplicate(call.target, *results)) {
+    const auto answer =
+        reuse_check_.check_results(call.target, *results, daemon_now());
+    if (answer == stage_answer::copy) {
         log(log_level::warning, "duplicate stage response dropped",
             {{"target", call.target}});
+        init_.connections.give_back(std::move(lease),
+                                    reuse_check::after_stage_call(answer),
+                                    head.idle_time);
         return {};
     }
     handle_limit(init_.targets, to, head, source, sent_at, daemon_now());
-    // After a duplicate response, the connection is closed instead: the
-    // response to this call may still follow on it.
-    init_.connections.give_back(std::move(lease), head.idle_time);
+    init_.connections.give_back(std::move(lease),
+                                reuse_check::after_stage_call(answer),
+                                head.idle_time);
     outcome = call_outcome::answered;
     return *std::move(results);
 }
 
-/// A target may send a response twice; the copy is then read in place of the
-/// response to the next call. It is recognized by its first handle, since each
-/// result has a unique handle.
-bool stage_scheduler::is_duplicate(const std::string&               target,
-                                   const std::vector<piece_result>& results)
-{
-    const auto first =
-        std::find_if(results.begin(), results.end(),
-                     [](const auto& result) { return !result.handle.empty(); });
-    if (first == results.end())
-        return false;
-    auto& handles = latest_responses_[target];
-    if (std::find(handles.begin(), handles.end(), first->handle) !=
-        handles.end())
-        return true;
-    handles.push_back(first->handle);
-    if (handles.size() > remembered_responses)
-        handles.pop_front();
-    return false;
-}
-
 void stage_scheduler::run_call(const std::string& key, const stage_call& call)
 {
     const auto started = daemon_now();
@@ -577,12 +561,18 @@
                                    const std::vector<std::string>& handles)
 {
     boost::system::error_code ec;
-    auto                      lease =
-        init_.connections.open(to, max_stage_connections, connect_limit, ec);
+    // On a kept connection, the copy of an earlier response without a limit
+    // would be read as the end of the limit.
+    const auto choice = init_.targets.limits().find(to)
+                            ? connection_choice::only_new
+                            : connection_choice::idle_or_new;
+    auto       lease  = init_.connections.open(to, connection_use::release,
+                                               max_stage_connections, connect_limit,
+                                               ec, choice);
     if (!lease)
         return;
     if (init_.targets.evacuated(to)) {
-        init_.connections.give_back(std::move(lease), std::nullopt);
+        init_.connections.give_back_unused(std::move(lease));
         return;
     }
     const fiber_group::use use(fibers_, *lease);
@@ -596,14 +586,15 @@
                      daemon_now());
     lease->read_all(release_limit, ec, max_response_bytes);
     if (!ec)
-        init_.connections.give_back(std::move(lease), head.idle_time);
+        init_.connections.give_back(
+            std::move(lease), reuse_check::after_release(head), head.idle_time);
 }
 
 void stage_scheduler::forget(const std::string& target)
 {
     for (auto& [key, pool] : pools_)
         pool->batcher.forget(target);
-    latest_responses_.erase(target);
+    reuse_check_.forget(target);
     std::erase_if(held_results_, [&](const auto& entry) {
         return entry.second.target == target;
     });
