Compare the costs of some model targets only

Daemons with the same report of one target that is much better than all others chose it at once: 75 of 75 pickers for one idle target among 90.

--- a/src/target_picker.cpp
+++ b/src/target_picker.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
+#include <utility>
 
 namespace arbutusgate::gateway {
 
@@ -14,6 +16,10 @@
 constexpr double error_sample_weight   = 0.1;
 /// A target is excluded when a larger share of its recent calls failed.
 constexpr double max_broken_share = 0.4;
+/// Targets whose costs are compared, in the preferred domain and outside. A
+/// target that looks much better than all others would get the next request of
+/// every daemon if all were compared.
+constexpr std::size_t max_compared = 8;
 
 double ms_between(time_point a, time_point b)
 {
@@ -25,6 +31,45 @@
     return list && std::find(list->begin(), list->end(), id) != list->end();
 }
 
+/// Draws the targets whose costs are compared: those that cache a part of the
+/// prompt and some others, by rendezvous hash if there is an affinity.
+std::vector<const target*> draw(const std::vector<const target*>& list,
+                                const pick_hints&                 hints,
+                                const target_work&                work,
+                                std::mt19937_64& random, time_point now)
+{
+    if (list.size() <= max_compared)
+        return list;
+    using ranked = std::pair<std::uint64_t, const target*>;
+    std::vector<const target*> out;
+    std::vector<ranked>        near;
+    std::vector<ranked>        far;
+    for (const auto* it : list) {
+        if (!hints.work->prefixes.empty() &&
+            work.cached_tokens(it->id, *hints.work, now) > 0)
+        {
+            out.push_back(it);
+            continue;
+        }
+        const auto rank =
+            hints.affinity == 0
+                ? random()
+                : XXH3_64bits_withSeed(it->id.data(), it->id.size(),
+                                       hints.affinity);
+        (it->failure_domain == hints.failure_domain ? near : far)
+            .emplace_back(rank, it);
+    }
+    for (auto* group : {&near, &far}) {
+        const auto n = std::min(group->size(), max_compared);
+        std::partial_sort(group->begin(),
+                          group->begin() + static_cast<std::ptrdiff_t>(n),
+                          group->end(), std::greater<>{});
+        for (std::size_t k = 0; k < n; ++k)
+            out.push_back((*group)[k].second);
+    }
+    return out;
+}
+
 } // namespace
 
 std::string_view to_string(call_outcome it)
@@ -113,10 +158,11 @@
     return out;
 }
 
-const target*
-target_picker::pick_by_cost(const std::vector<const target*>& list,
-                            const pick_hints& hints, time_point now)
+const target* target_picker::pick_by_cost(const std::vector<const target*>& all,
+                                          const pick_hints& hints,
+                                          time_point        now)
 {
+    const auto list    = draw(all, hints, work_, random_, now);
     const auto cost    = costs(list, hints, now);
     const auto lowest  = *std::min_element(cost.begin(), cost.end());
     const auto highest = lowest + std::max(tuning_.equal_cost_ms,
--- a/src/target_work.cpp
+++ b/src/target_work.cpp
@@ -165,9 +165,8 @@
                 static_cast<double>(call.events) * call.tokens_per_event);
             continue;
         }
-        const auto age = ms_between(call.since, now);
-        const auto unread =
-            1 - age / std::max(1.0, call.expected_ms);
+        const auto age    = ms_between(call.since, now);
+        const auto unread = 1 - age / std::max(1.0, call.expected_ms);
         out.prompt += call.uncached * std::max(min_unread_share, unread);
         out.output += call.output.expected();
         if (!call.answered)
--- a/tests/target_work_test.cpp
+++ b/tests/target_work_test.cpp
@@ -160,6 +160,19 @@
     }
     CHECK(count.size() == 8);
     CHECK(count["a"] < 25);
+
+    // One that is much better than 25 others does not get all calls either.
+    count.clear();
+    for (std::uint64_t n = 0; n < 75; ++n) {
+        fixture f{26};
+        f.picker = target_picker{n};
+        for (const auto& it : f.all)
+            f.picker.load_reported(it.id, {it.id == "a" ? 0U : 8U, 0, 10},
+                                   at(0));
+        ++count[f.pick(200, &work)];
+    }
+    CHECK(count["a"] < 38);
+    CHECK(count["a"] > 10);
 }
 
 // Failure: a long prompt makes the pauses of many streams longer than their
