Update the candidates with each heartbeat

Cause: a small fleet updated them only when they were used, so that a change long ago counted as recent at the first permit of a limit, and the owner gave out half of the rate for 4 s, which is longer than a target stays cold. Change: each heartbeat updates them, after forgotten members were removed.

--- a/src/peer_table.cpp
+++ b/src/peer_table.cpp
@@ -123,12 +123,15 @@
     const auto forgotten    = [&](const entry* it) {
         return now - it->last_heartbeat > params_.forget_after;
     };
-    if (std::none_of(by_address_.begin(), by_address_.end(), forgotten))
-        return;
-    ranking_changed_ = true;
-    std::erase_if(by_address_, forgotten);
-    std::erase_if(peers_,
-                  [&](const auto& it) { return forgotten(&it.second); });
+    if (std::any_of(by_address_.begin(), by_address_.end(), forgotten)) {
+        ranking_changed_ = true;
+        std::erase_if(by_address_, forgotten);
+        std::erase_if(peers_,
+                      [&](const auto& it) { return forgotten(&it.second); });
+    }
+    // A change that is only noticed when the candidates are used counts as
+    // recent then: the first permits of a limit would come at half the rate.
+    update_candidates(now);
 }
 
 peer_table::entry& peer_table::entry_of(const std::string& address)
