--- a/src/change_log.cpp
+++ b/src/change_log.cpp
@@ -16,15 +16,27 @@
            a.leaving == b.leaving && a.started_at == b.started_at;
 }
 
+/// \return the cold time that remains of \p cold_for at \p now.
+milliseconds cold_left(milliseconds cold_for, time_point since, time_point now)
+{
+    return std::max(milliseconds{0},
+                    std::chrono::ceil<milliseconds>(cold_for - (now - since)));
+}
+
 } // namespace
 
-bool change_log::update_targets(const state_change& change)
+bool change_log::update_targets(const state_change& change,
+                                time_point          confirmed)
 {
     if (const auto* put = std::get_if<target>(&change)) {
         auto& known = targets_[put->id];
-        if (known.id == put->id && same_entry(known, *put))
+        // A later heartbeat of a cold target states the rest of the time that
+        // was relayed; a longer time means that it became cold again.
+        if (known.value.id == put->id && same_entry(known.value, *put) &&
+            put->cold_for <=
+                cold_left(known.value.cold_for, known.confirmed, confirmed))
             return false;
-        known = *put;
+        known = {*put, confirmed};
     }
     else if (const auto* removed = std::get_if<target_removed>(&change)) {
         targets_.erase(removed->id);
@@ -43,8 +55,8 @@
     revision_  = std::max(after, response.revision);
     confirmed_ = confirmed;
     for (const auto& change : response.changes) {
-        if (update_targets(change))
-            entries_.push_back({revision_, change});
+        if (update_targets(change, confirmed))
+            entries_.push_back({revision_, change, confirmed});
     }
     while (entries_.size() > max_entries) {
         start_ = entries_.front().revision;
@@ -61,8 +73,13 @@
     out.changes.revision = revision_;
     out.age = std::chrono::duration_cast<milliseconds>(now - confirmed_);
     for (const auto& entry : entries_) {
-        if (entry.revision > revision)
-            out.changes.changes.push_back(entry.change);
+        if (entry.revision <= revision)
+            continue;
+        auto& change = out.changes.changes.emplace_back(entry.change);
+        // As of confirmed_, from which the receiver counts the age.
+        if (auto* put = std::get_if<target>(&change))
+            put->cold_for =
+                cold_left(put->cold_for, entry.confirmed, confirmed_);
     }
     return out;
 }
--- a/src/change_log.hpp
+++ b/src/change_log.hpp
@@ -45,20 +45,27 @@
     {
         std::uint64_t revision = 0; ///< Of the response that contained it.
         state_change  change;
+        time_point    confirmed{}; ///< Of that response.
     };
 
     /// Updates targets_.
     /// \return false for a target whose published fields are the same as
     /// before.
-    bool update_targets(const state_change& change);
+    bool update_targets(const state_change& change, time_point confirmed);
 
     std::uint64_t     start_ = 0; ///< The log holds all changes after this one.
     std::uint64_t     revision_ = 0; ///< Last revision of the log; 0: empty.
     time_point        confirmed_{};
     std::deque<entry> entries_;
+    struct known_target
+    {
+        target     value;
+        time_point confirmed{}; ///< Of the response that contained it.
+    };
+
     /// Targets as last logged, by id. The store reports an entry as changed
     /// with each heartbeat of its target.
-    std::unordered_map<std::string, target> targets_;
+    std::unordered_map<std::string, known_target> targets_;
 };
 
 } // namespace arbutusgate::gateway
--- a/src/crash_check.cpp
+++ b/src/crash_check.cpp
@@ -119,7 +119,8 @@
         return false;
     if (ec == boost::asio::error::connection_refused)
         return true;
-    const auto witnesses = reachability_witnesses(targets_.published(), it);
+    const auto witnesses =
+        reachability_witnesses(targets_.published(daemon_now()), it);
     const bool reachable = accepts_any(witnesses);
     // A cut may have ended in between.
     const bool ended = reachable && connections_.probe(it, connect_timeout);
--- a/src/fleet_permits.cpp
+++ b/src/fleet_permits.cpp
@@ -20,15 +20,14 @@
 
 call_permit fleet_permits::acquire(const target& to, milliseconds max_wait)
 {
-    const auto* limit = limits_.find(to);
-    if (!limit)
+    const auto request = request_permit(limits_, to, max_wait, daemon_now());
+    if (!request)
         return {.granted = true, .call_at = daemon_now(), .rate = no_limit};
-    const permit_request request{*limit, max_wait};
-    const auto           owner    = issuer_.owner(to.id, daemon_now());
-    const auto           response = owner == peers_.self().address
-                                        ? issuer_.issue(request, daemon_now())
-                                        : ask(owner, request);
-    const auto           now      = daemon_now();
+    const auto owner    = issuer_.owner(to.id, daemon_now());
+    const auto response = owner == peers_.self().address
+                              ? issuer_.issue(*request, daemon_now())
+                              : ask(owner, *request);
+    const auto now      = daemon_now();
     if (!response) {
         log(log_level::info, "no permit: the owner of the limit did not answer",
             {{"target", to.id}, {"owner", owner}});
@@ -39,7 +38,7 @@
         limits_.merge(*response->limit, now);
     if (!response->granted)
         limits_.hold(to.id, now + response->wait);
-    const auto* current = limits_.find(to);
+    const auto* current = limits_.find(to, now);
     return {.granted   = response->granted,
             .undecided = response->undecided,
             .call_at   = now + response->wait,
--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -696,7 +696,7 @@
     return out;
 }
 
-const target* forward_run::pick_target()
+const target* forward_run::pick_target(bool limited)
 {
     pick_hints hints;
     hints.tried          = &tried_targets_;
@@ -706,11 +706,14 @@
         hints.failure_domain = result_domain_;
         hints.domain_penalty = large_result_penalty;
     }
-    hints.affinity = affinity();
-    hints.tokens   = call_.prompt_tokens;
-    const auto now = daemon_now();
-    return parts_.picker.pick(parts_.targets.open(usable_targets(), now), hints,
-                              now);
+    hints.affinity     = affinity();
+    hints.tokens       = call_.prompt_tokens;
+    const auto now     = daemon_now();
+    auto&      targets = parts_.targets;
+    return parts_.picker.pick(
+        limited ? targets.open(usable_targets(), now)
+                : targets.open_without_limit(usable_targets(), now),
+        hints, now);
 }
 
 std::optional<time_point>
@@ -755,14 +758,15 @@
 
 bool forward_run::may_send(const target& chosen) const
 {
-    return permit_ ? permit_->covers(parts_.targets.limits().find(chosen),
-                                     daemon_now())
-                   : !limits_calls(chosen);
+    const auto now = daemon_now();
+    return permit_
+               ? permit_->covers(parts_.targets.limits().find(chosen, now), now)
+               : !limits_calls(chosen);
 }
 
 bool forward_run::limits_calls(const target& it) const
 {
-    return parts_.targets.limits().find(it) != nullptr;
+    return parts_.targets.limits().find(it, daemon_now()) != nullptr;
 }
 
 /// Picks a target that takes the request now. One that limits its calls is left
@@ -772,14 +776,14 @@
 {
     for (std::uint32_t asked = 0;; ++asked) {
         permit_.reset();
-        const auto* found = pick_target();
+        // Many cold targets that look idle must not keep the request waiting
+        // for permits while others are free.
+        const auto* found = pick_target(asked < max_permit_requests);
         if (!found)
             return std::nullopt;
         const auto chosen = *found;
         if (!limits_calls(chosen))
             return chosen;
-        if (asked == max_permit_requests)
-            return std::nullopt;
         if (acquire_permit(chosen, short_permit_wait))
             return chosen;
         if (interrupted())
--- a/src/forward_run.hpp
+++ b/src/forward_run.hpp
@@ -134,11 +134,12 @@
     run_failure  stage_failure(const stage_ticket& it) const;
 
     std::optional<run_failure> call_targets();
-    const target*              pick_target();
-    bool                       limits_calls(const target& it) const;
-    std::optional<target>      take_free_target();
-    std::optional<target>      await_target();
-    const target*              first_to_open();
+    /// \param limited whether targets that limit their calls may be picked.
+    const target*         pick_target(bool limited = true);
+    bool                  limits_calls(const target& it) const;
+    std::optional<target> take_free_target();
+    std::optional<target> await_target();
+    const target*         first_to_open();
     bool         acquire_permit(const target& chosen, milliseconds max_wait);
     bool         may_send(const target& chosen) const;
     milliseconds time_until_goal() const;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -178,6 +178,8 @@
     follow_events                events();
     void                         configured(const route_table& table);
     void target_changed(const std::string& id, target_change change);
+    /// \param period null: the cold time of the target ended.
+    void log_cold(const std::string& id, const cold_period* period) const;
     void serve(http_exchange& exchange);
     void response_lost(const http_exchange& exchange, response_loss why);
     void begin_drain(const drain_times& times);
@@ -300,6 +302,21 @@
     stages->forget(id);
 }
 
+void gateway::impl::log_cold(const std::string& id,
+                             const cold_period* period) const
+{
+    if (!period) {
+        log(log_level::info, "target is no longer cold", {{"target", id}});
+        return;
+    }
+    const auto left =
+        std::chrono::ceil<milliseconds>(period->until - daemon_now());
+    log(log_level::info, "target is cold",
+        {{"target", id},
+         {"calls_per_s", period->rate},
+         {"for_ms", left.count()}});
+}
+
 void gateway::impl::start_on_thread()
 {
     auto& io = thread.io();
@@ -315,7 +332,11 @@
     stages->set_permits(&peers->permits());
     reader = make_reader(io);
     quarantine.on_verdict(log_verdict);
-    peers->set_state([this] { return state->copy(); });
+    targets.limits().on_cold(
+        [this](const std::string& id, const cold_period* period) {
+            log_cold(id, period);
+        });
+    peers->set_state([this] { return state->copy(daemon_now()); });
     peers->set_changes([this](std::uint64_t revision) {
         return changes.since(revision, daemon_now());
     });
@@ -597,6 +618,12 @@
         {"target_limits_unreadable_total",
          "Responses with a limit that is no number of calls.",
          n(limit.unreadable), true},
+        {"targets_cold", "Targets that are cold, which limits their calls.",
+         n(targets.limits().cold_size(now))},
+        {"targets_turned_cold_total", "Targets that became cold.",
+         n(limit.turned_cold), true},
+        {"targets_turned_warm_total", "Targets whose cold time ended.",
+         n(limit.turned_warm), true},
         {"call_permits_granted_total",
          "Calls to limited targets that this daemon gave out.",
          n(issued.granted), true},
--- a/src/notice_handler.cpp
+++ b/src/notice_handler.cpp
@@ -48,6 +48,8 @@
             {{"target", from.id},
              {"status", head.status},
              {"request", source.request}});
+    if (notice.cold_for)
+        targets.note_cold(from, *notice.cold_for, now);
     switch (targets.limits().apply(from, notice, sent_at, now)) {
     case limit_change::none:
         break;
--- a/src/notice_handler.hpp
+++ b/src/notice_handler.hpp
@@ -25,7 +25,8 @@
                    const response_head& head, const notice_source& source,
                    time_point now);
 
-/// Applies and logs what the response says about the target's limit on calls.
+/// Applies and logs what the response says about the target's limit on calls,
+/// and applies how long the target stays cold.
 /// Must be called with every response that certainly comes from the target and
 /// answers the call: one without a limit ends the limit that was named before.
 /// \param sent_at when the call was sent.
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -234,6 +234,12 @@
     pb::CallPermitRequest out;
     encode(it.limit, now, *out.mutable_limit());
     out.set_max_wait_ms(to_wire(it.max_wait));
+    if (it.cold) {
+        auto& cold = *out.mutable_cold();
+        cold.set_started_at(it.cold->started_at);
+        cold.set_rate(it.cold->rate);
+        cold.set_remaining_ms(to_wire(remaining(it.cold->until, now)));
+    }
     return out.SerializeAsString();
 }
 
@@ -244,9 +250,18 @@
     if (!in.ParseFromString(bytes))
         return std::nullopt;
     auto limit = decode(in.limit(), now);
-    if (!limit || !limit->rate || limit->target.empty())
+    if (!limit || limit->target.empty() || !(limit->rate || in.has_cold()))
+        return std::nullopt;
+    permit_request out{*std::move(limit), milliseconds{in.max_wait_ms()}};
+    if (!in.has_cold())
+        return out;
+    const auto& cold = in.cold();
+    if (!std::isfinite(cold.rate()) || cold.rate() <= 0)
         return std::nullopt;
-    return permit_request{*std::move(limit), milliseconds{in.max_wait_ms()}};
+    out.cold = {cold.started_at(), cold.rate(),
+                now + std::min(milliseconds{cold.remaining_ms()},
+                               target_limits::max_cold_time)};
+    return out;
 }
 
 std::string encode(const permit_response& it, time_point now)
--- a/src/permit_issuer.cpp
+++ b/src/permit_issuer.cpp
@@ -3,6 +3,7 @@
 #include "peer_table.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace arbutusgate::gateway {
 
@@ -11,20 +12,43 @@
 /// A schedule without calls for this long is dropped.
 constexpr seconds schedule_retention{60};
 
+/// Age of the report that stands for no report: receivers ignore it.
+constexpr milliseconds no_report_age{3'600'000};
+
 } // namespace
 
+std::optional<permit_request> request_permit(const target_limits& limits,
+                                             const target&        to,
+                                             milliseconds         max_wait,
+                                             time_point           now)
+{
+    if (!limits.find(to, now))
+        return std::nullopt;
+    permit_request out{{to.id, to.started_at, {}, now - no_report_age},
+                       max_wait};
+    const auto*    named = limits.latest(to.id);
+    if (named && named->started_at >= to.started_at)
+        out.limit = *named;
+    if (const auto* cold = limits.cold(to.id, to.started_at, now))
+        out.cold = *cold;
+    return out;
+}
+
 std::string permit_issuer::owner(const std::string& target,
                                  time_point         now) const
 {
     return peers_.steady_owner_of("limit of " + target, now);
 }
 
-double permit_issuer::usable_rate(double limit, time_point now) const
+double permit_issuer::usable_rate(double named, double cold,
+                                  time_point now) const
 {
-    auto part = params_.usable_part * peers_.live_share(now);
+    auto part = peers_.live_share(now);
     if (!peers_.agreed(now))
         part *= params_.disputed_part;
-    return std::max(params_.min_rate, limit * part);
+    return std::max(params_.min_rate,
+                    part * std::min(named * params_.usable_part,
+                                    cold * params_.usable_cold_part));
 }
 
 /// A new schedule has no call to give out yet: this daemon may own the limit
@@ -51,17 +75,25 @@
 {
     if (!peers_.resuming(now))
         limits_.merge(asked.limit, now);
+    const auto& id = asked.limit.target;
+    // Carries its remaining time, so that a late message only makes it longer.
+    if (asked.cold)
+        limits_.set_cold(id, *asked.cold, now);
     permit_response out;
     // Without a report of its own, or with an older one, the issuer goes by the
     // request: the asking daemon may know a limit that was not confirmed
     // lately.
     auto limit = asked.limit;
-    if (const auto* known = limits_.latest(asked.limit.target)) {
+    if (const auto* known = limits_.latest(id)) {
         out.limit = *known;
         if (known->started_at >= limit.started_at)
             limit = *known;
     }
-    if (!limit.rate) {
+    constexpr auto no_limit = std::numeric_limits<double>::infinity();
+    const auto*    cold     = limits_.cold(id, limit.started_at, now);
+    const auto     rate     = usable_rate(limit.rate.value_or(no_limit),
+                                  cold ? cold->rate : no_limit, now);
+    if (!limit.rate && !cold) {
         out.granted = true;
         return out;
     }
@@ -75,7 +107,7 @@
     }
     expire(now);
     const auto interval = std::chrono::duration_cast<microseconds>(
-        std::chrono::duration<double>(1 / usable_rate(*limit.rate, now)));
+        std::chrono::duration<double>(1 / rate));
     auto& it = schedule_of(limit, interval, now);
     // After a rise of the rate, calls that were given out at the lower one must
     // not keep the target idle.
--- a/src/permit_issuer.hpp
+++ b/src/permit_issuer.hpp
@@ -20,10 +20,20 @@
 /// Request of a daemon for a permit to send a target one call.
 struct permit_request
 {
-    target_limit limit;       ///< As known to the daemon; it has a rate.
+    /// As known to the daemon; it has a rate, or the target is cold.
+    target_limit limit;
     milliseconds max_wait{0}; ///< A permit for a later time is of no use.
+    /// Of the target, if it is cold: the owner may not have heard of it.
+    std::optional<cold_period> cold{};
 };
 
+/// \return the request for a call to the target; nothing when the target has no
+/// limit.
+std::optional<permit_request> request_permit(const target_limits& limits,
+                                             const target&        to,
+                                             milliseconds         max_wait,
+                                             time_point           now);
+
 /// Answer to a permit_request.
 struct permit_response
 {
@@ -39,6 +49,11 @@
     /// permit's validity after their time, and for moments two daemons may own
     /// a limit.
     double usable_part = 0.9;
+    /// The same of the limit of a cold target, which has to hold in every
+    /// second. An owner and a new one that it does not know give out, with the
+    /// permits' validity and a burst each, 1.25 x 0.8 x 1.5 of the rate and 4
+    /// calls; the bound is 1.5 of the rate and 5 calls.
+    double usable_cold_part = 0.8;
     /// Part of the usable rate while other daemons may still know another
     /// owner.
     double disputed_part = 0.5;
@@ -90,7 +105,8 @@
     };
 
     /// Calls a second that this daemon may give out.
-    double    usable_rate(double limit, time_point now) const;
+    /// \param named, cold the limits; infinite: none.
+    double    usable_rate(double named, double cold, time_point now) const;
     schedule& schedule_of(const target_limit& limit, microseconds interval,
                           time_point now);
     void      expire(time_point now);
--- a/src/stage_scheduler.cpp
+++ b/src/stage_scheduler.cpp
@@ -119,10 +119,11 @@
     const auto& limits = init_.targets.limits();
     if (limits.empty())
         return list.size();
+    const auto now   = daemon_now();
     const auto call  = pool.batcher.full_call_time();
     double     total = 0;
     for (const auto* it : list) {
-        const auto* limit = limits.find(*it);
+        const auto* limit = limits.find(*it, now);
         total +=
             limit
                 ? std::min(1.0, *limit->rate *
@@ -136,7 +137,7 @@
 stage_scheduler::acquire_permit(const target& to, milliseconds max_wait)
 {
     auto& limits = init_.targets.limits();
-    if (!limits.find(to))
+    if (!limits.find(to, daemon_now()))
         return call_permit{};
     if (!permits_) {
         limits.hold(to.id, daemon_now() + no_permit_source_hold);
@@ -149,7 +150,8 @@
 bool stage_scheduler::may_send(const target&      to,
                                const call_permit& permit) const
 {
-    return permit.covers(init_.targets.limits().find(to), daemon_now());
+    const auto now = daemon_now();
+    return permit.covers(init_.targets.limits().find(to, now), now);
 }
 
 std::shared_ptr<stage_ticket>
@@ -533,7 +535,7 @@
             continue;
         const auto opens = init_.targets.opens_at(*holder, daemon_now());
         if ((opens && *opens > daemon_now()) ||
-            init_.targets.limits().find(*holder))
+            init_.targets.limits().find(*holder, daemon_now()))
             defer_release(*holder, std::move(handles));
         else
             fibers_.spawn([this, to = *holder, handles = std::move(handles)] {
--- a/src/state_follower.cpp
+++ b/src/state_follower.cpp
@@ -111,28 +111,31 @@
 void state_follower::finish_pages(time_point now)
 {
     // First, so that no target of an evacuated domain is usable for a moment.
-    replace_evacuations(listed_evacuations_);
+    replace_evacuations(listed_evacuations_, now);
     replace_targets(std::exchange(listed_, {}), now);
     revision_ = first_revision_;
     phase_    = phase::watch;
 }
 
 void state_follower::replace_evacuations(
-    const std::set<std::string>& failure_domains)
+    const std::set<std::string>& failure_domains, time_point now)
 {
     const auto before = targets_.evacuated();
     for (const auto& it : failure_domains)
-        set_evacuated({it, true});
+        set_evacuated({it, true}, now);
     for (const auto& it : before) {
         if (!failure_domains.contains(it))
-            set_evacuated({it, false});
+            set_evacuated({it, false}, now);
     }
 }
 
-void state_follower::set_evacuated(const domain_evacuation& it)
+void state_follower::set_evacuated(const domain_evacuation& it, time_point now)
 {
-    if (targets_.set_evacuated(it.failure_domain, it.active) &&
-        events_.evacuation_changed)
+    if (!targets_.set_evacuated(it.failure_domain, it.active))
+        return;
+    if (!it.active)
+        targets_.note_evacuation_end(it.failure_domain, now);
+    if (events_.evacuation_changed)
         events_.evacuation_changed(it);
 }
 
@@ -140,6 +143,7 @@
 {
     std::vector<std::pair<std::string, target_change>> added;
     for (const auto& item : list) {
+        targets_.note_cold(item, item.cold_for, now);
         if (!targets_.find(item.id))
             added.emplace_back(item.id, item.leaving ? target_change::leaving
                                                      : target_change::joined);
@@ -153,12 +157,12 @@
     targets_known_ = true;
 }
 
-std::optional<state_copy> state_follower::copy() const
+std::optional<state_copy> state_follower::copy(time_point now) const
 {
     if (!table_ || !targets_known_)
         return std::nullopt;
     return state_copy{revision_, table_->config().document,
-                      targets_.published(), targets_.evacuated()};
+                      targets_.published(now), targets_.evacuated()};
 }
 
 bool state_follower::adopt(state_copy copy, configuration config,
@@ -167,7 +171,7 @@
     if (copy.revision <= revision())
         return false;
     apply_configuration(std::move(config));
-    replace_evacuations(copy.evacuated);
+    replace_evacuations(copy.evacuated, now);
     replace_targets(std::move(copy.targets), now);
     revision_   = copy.revision;
     phase_      = phase::watch;
@@ -208,13 +212,14 @@
         return;
     }
     if (const auto* evacuation = std::get_if<domain_evacuation>(&published)) {
-        set_evacuated(*evacuation);
+        set_evacuated(*evacuation, now);
         return;
     }
     auto        change = target_change::none;
     std::string id;
     if (auto* put = std::get_if<target>(&published)) {
-        id     = put->id;
+        id = put->id;
+        targets_.note_cold(*put, put->cold_for, now);
         change = targets_.put(std::move(*put));
     }
     else if (const auto* removed = std::get_if<target_removed>(&published)) {
@@ -230,6 +235,12 @@
 {
     if (table_ && config.version <= table_->version())
         return;
+    std::map<std::string, cold_limits, std::less<>> cold;
+    for (const auto& it : config.services) {
+        if (it.cold)
+            cold.emplace(it.name, *it.cold);
+    }
+    targets_.set_cold_limits(std::move(cold));
     table_ = std::make_shared<const route_table>(std::move(config));
     if (events_.configured)
         events_.configured(*table_);
--- a/src/state_follower.hpp
+++ b/src/state_follower.hpp
@@ -113,7 +113,7 @@
     }
     /// The known state, for other daemons.
     /// \return nothing before configuration and targets were read once.
-    std::optional<state_copy> copy() const;
+    std::optional<state_copy> copy(time_point now) const;
     /// Replaces the known state by that of another daemon if that is newer.
     /// \param config the configuration parsed from the document of the copy.
     /// \return false when the copy is not newer.
@@ -144,8 +144,9 @@
     void resynchronize();
     void finish_pages(time_point now);
     void replace_targets(std::vector<target> list, time_point now);
-    void replace_evacuations(const std::set<std::string>& failure_domains);
-    void set_evacuated(const domain_evacuation& it);
+    void replace_evacuations(const std::set<std::string>& failure_domains,
+                             time_point                   now);
+    void set_evacuated(const domain_evacuation& it, time_point now);
     void report_gone(const std::vector<std::string>& ids);
 
     follow_times                       times_;
--- a/src/target_directory.cpp
+++ b/src/target_directory.cpp
@@ -100,6 +100,31 @@
     return true;
 }
 
+void target_directory::note_cold(const target& it, milliseconds time,
+                                 time_point now)
+{
+    const auto found = cold_limits_.find(it.service);
+    if (found == cold_limits_.end() || time <= milliseconds{0})
+        return;
+    limits_.set_cold(it.id,
+                     {it.started_at, found->second.calls_per_s,
+                      now + std::min(time, target_limits::max_cold_time)},
+                     now);
+}
+
+void target_directory::note_evacuation_end(const std::string& failure_domain,
+                                           time_point         now)
+{
+    for (const auto& [id, entry] : targets_) {
+        const auto& it = entry.value;
+        if (it.failure_domain != failure_domain)
+            continue;
+        const auto found = cold_limits_.find(it.service);
+        if (found != cold_limits_.end())
+            note_cold(it, found->second.time, now);
+    }
+}
+
 const target* target_directory::find(const std::string& id) const
 {
     const auto it = targets_.find(id);
@@ -120,12 +145,16 @@
     targets_.erase(it);
 }
 
-std::vector<target> target_directory::published() const
+std::vector<target> target_directory::published(time_point now) const
 {
     std::vector<target> out;
     for (const auto& [id, entry] : targets_) {
-        if (!entry.lapsed)
-            out.push_back(entry.value);
+        if (entry.lapsed)
+            continue;
+        auto&       it   = out.emplace_back(entry.value);
+        const auto* cold = limits_.cold(id, it.started_at, now);
+        it.cold_for = cold ? std::chrono::ceil<milliseconds>(cold->until - now)
+                           : milliseconds{0};
     }
     return out;
 }
@@ -157,6 +186,20 @@
     return open_;
 }
 
+const std::vector<const target*>&
+target_directory::open_without_limit(const std::vector<const target*>& all,
+                                     time_point                        now)
+{
+    if (limits_.empty())
+        return open(all, now);
+    open_.clear();
+    std::copy_if(all.begin(), all.end(), std::back_inserter(open_),
+                 [&](const auto* it) {
+                     return gate_.admits(*it, now) && !limits_.find(*it, now);
+                 });
+    return open_;
+}
+
 std::optional<time_point>
 target_directory::opens_at(const std::vector<const target*>& all,
                            time_point                        now) const
--- a/src/target_directory.hpp
+++ b/src/target_directory.hpp
@@ -69,6 +69,19 @@
         return evacuated_.contains(it.failure_domain);
     }
 
+    /// Sets the limits of cold targets by service.
+    void
+    set_cold_limits(std::map<std::string, cold_limits, std::less<>> by_service)
+    {
+        cold_limits_ = std::move(by_service);
+    }
+    /// Applies that a target is cold for a time. Without limits for cold
+    /// targets of its service, nothing changes.
+    void note_cold(const target& it, milliseconds time, time_point now);
+    /// Applies that the evacuation of a failure domain ended: its targets may
+    /// have restarted meanwhile, or become cold.
+    void note_evacuation_end(const std::string& failure_domain, time_point now);
+
     /// \return null when the target is unknown.
     const target* find(const std::string& id) const;
     /// \return the target last published with the address; null when there is
@@ -86,6 +99,9 @@
     /// the gate holds back no target.
     const std::vector<const target*>&
     open(const std::vector<const target*>& all, time_point now);
+    /// As open(), without targets that limit their calls.
+    const std::vector<const target*>&
+    open_without_limit(const std::vector<const target*>& all, time_point now);
     /// Earliest time, not before \p now, at which a target of \p all may get
     /// work.
     /// \return nullopt when all are leaving or the list is empty.
@@ -103,8 +119,9 @@
     std::size_t          size() const { return targets_.size(); }
     /// Increases with each change of the usable targets.
     std::uint64_t generation() const { return generation_; }
-    /// All targets whose entries have not lapsed.
-    std::vector<target> published() const;
+    /// \return all targets whose entries have not lapsed, with the cold times
+    /// that remain.
+    std::vector<target> published(time_point now) const;
 
 private:
     struct entry
@@ -124,6 +141,8 @@
     time_point            lapse_until_{};
     entry_map             targets_;
     std::set<std::string> evacuated_; ///< Failure domains.
+    /// By service.
+    std::map<std::string, cold_limits, std::less<>> cold_limits_;
     /// Id of the latest target that was published with an address.
     std::map<std::string, std::string, std::less<>>             by_address_;
     std::uint64_t                                               generation_ = 0;
--- a/src/target_limits.cpp
+++ b/src/target_limits.cpp
@@ -110,23 +110,102 @@
     return it == entries_.end() ? nullptr : &it->second.latest;
 }
 
-const target_limit* target_limits::find(const target& of) const
+void target_limits::make_cold_place()
 {
-    const auto* known = latest(of.id);
-    return known && known->rate && of.started_at <= known->started_at ? known
-                                                                      : nullptr;
+    if (cold_.size() < params_.max_entries)
+        return;
+    end_cold(std::min_element(cold_.begin(), cold_.end(),
+                              [](const auto& a, const auto& b) {
+                                  return a.second.period.until <
+                                         b.second.period.until;
+                              })
+                 ->first);
+}
+
+void target_limits::end_cold(const std::string& id)
+{
+    const auto it = cold_.extract(id);
+    ++stats_.turned_warm;
+    if (cold_changed_)
+        cold_changed_(it.key(), nullptr);
+}
+
+void target_limits::set_cold(const std::string& id, const cold_period& period,
+                             time_point now)
+{
+    if (period.until <= now || period.rate <= 0)
+        return;
+    auto found = cold_.find(id);
+    if (found != cold_.end()) {
+        auto& known = found->second.period;
+        if (period.started_at < known.started_at)
+            return;
+        if (period.started_at == known.started_at && now < known.until) {
+            known.until              = std::max(known.until, period.until);
+            known.rate               = period.rate;
+            found->second.limit.rate = period.rate;
+            return;
+        }
+        end_cold(id);
+    }
+    make_cold_place();
+    cold_[id] = {period, {id, period.started_at, period.rate, now}, {}};
+    ++stats_.turned_cold;
+    if (cold_changed_)
+        cold_changed_(id, &period);
+}
+
+const target_limits::cold_entry*
+target_limits::find_cold(const std::string& id, std::int64_t started_at,
+                         time_point now) const
+{
+    const auto it = cold_.find(id);
+    return it != cold_.end() && now < it->second.period.until &&
+                   started_at <= it->second.period.started_at
+               ? &it->second
+               : nullptr;
+}
+
+const cold_period* target_limits::cold(const std::string& id,
+                                       std::int64_t       started_at,
+                                       time_point         now) const
+{
+    const auto* found = find_cold(id, started_at, now);
+    return found ? &found->period : nullptr;
+}
+
+const target_limit* target_limits::find(const target& of, time_point now) const
+{
+    const auto* named = latest(of.id);
+    if (named && (!named->rate || of.started_at > named->started_at))
+        named = nullptr;
+    const auto* cold = find_cold(of.id, of.started_at, now);
+    if (!cold)
+        return named;
+    return named && *named->rate <= *cold->limit.rate ? named : &cold->limit;
 }
 
 void target_limits::hold(const std::string& id, time_point until)
 {
-    const auto it = entries_.find(id);
-    if (it != entries_.end())
+    if (const auto it = entries_.find(id); it != entries_.end())
+        it->second.held_until = until;
+    if (const auto it = cold_.find(id); it != cold_.end())
         it->second.held_until = until;
 }
 
 time_point target_limits::opens_at(const target& to, time_point now) const
 {
-    return find(to) ? std::max(now, entries_.at(to.id).held_until) : now;
+    const auto* limit = find(to, now);
+    if (!limit)
+        return now;
+    const auto named = entries_.find(to.id);
+    const auto cold  = cold_.find(to.id);
+    auto       out   = now;
+    if (named != entries_.end())
+        out = std::max(out, named->second.held_until);
+    if (cold != cold_.end())
+        out = std::max(out, cold->second.held_until);
+    return out;
 }
 
 std::vector<target_limit> target_limits::reports(std::size_t most,
@@ -158,6 +237,21 @@
         return now - latest.named_at >=
                (latest.rate ? params_.retention : params_.ended_retention);
     });
+    std::vector<std::string> warm;
+    for (const auto& [id, it] : cold_) {
+        if (it.period.until <= now)
+            warm.push_back(id);
+    }
+    for (const auto& id : warm)
+        end_cold(id);
+}
+
+std::size_t target_limits::cold_size(time_point now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(cold_.begin(), cold_.end(), [now](const auto& it) {
+            return now < it.second.period.until;
+        }));
 }
 
 std::size_t target_limits::size() const
--- a/src/target_limits.hpp
+++ b/src/target_limits.hpp
@@ -1,5 +1,5 @@
-/// Limits that targets name on the calls that all daemons together send them,
-/// as far as one daemon knows them.
+/// Limits on the calls that all daemons together send to targets, as far as one
+/// daemon knows them: those that targets name, and those of cold targets.
 #pragma once
 
 #include "gateway_types.hpp"
@@ -24,6 +24,15 @@
     time_point            named_at{}; ///< When the response arrived.
 };
 
+/// Limit on the calls to a target while it is cold.
+struct cold_period
+{
+    std::int64_t started_at = 0; ///< Identifies the lifetime of the target.
+    /// Calls a second of all daemons together.
+    double     rate = 0;
+    time_point until{}; ///< The limit ends by itself.
+};
+
 /// What a report changed.
 enum class limit_change
 {
@@ -47,23 +56,29 @@
     milliseconds ended_retention{60'000};
     /// A limit that no response has confirmed for this long is forgotten.
     milliseconds retention{600'000};
-    /// The longest unconfirmed limit makes place for a new one.
+    /// The longest unconfirmed limit makes place for a new one, and the cold
+    /// time that ends first for a new one.
     std::size_t max_entries = 1024;
 };
 
 /// Counts since start.
 struct target_limit_stats
 {
-    std::uint64_t named      = 0;
-    std::uint64_t changed    = 0;
-    std::uint64_t ended      = 0;
-    std::uint64_t unreadable = 0; ///< Responses with an unreadable limit.
+    std::uint64_t named       = 0;
+    std::uint64_t changed     = 0;
+    std::uint64_t ended       = 0;
+    std::uint64_t unreadable  = 0; ///< Responses with an unreadable limit.
+    std::uint64_t turned_cold = 0; ///< Targets that became cold.
+    std::uint64_t turned_warm = 0; ///< Targets whose cold time ended.
 };
 
 /// Belongs to one thread; does no I/O and reads no clock.
 class target_limits
 {
 public:
+    /// Longer cold times are reduced to this, so that a bad figure ends.
+    static constexpr milliseconds max_cold_time{60'000};
+
     explicit target_limits(target_limit_params params = {}) : params_(params) {}
 
     /// Applies what a response of the target said, or did not say, about its
@@ -76,10 +91,21 @@
     /// Applies the report of another daemon.
     limit_change merge(target_limit report, time_point now);
 
-    /// \return the limit in force; null when the target has none.
-    const target_limit* find(const target& of) const;
-    /// \return the latest report about the target, also of the end of its
-    /// limit; null when there is none.
+    /// Applies that a target is cold. Nothing shortens the cold time of one
+    /// lifetime: what is known later may be older.
+    void set_cold(const std::string& id, const cold_period& period,
+                  time_point now);
+    /// \return null when the target is not known to be cold in this or a later
+    /// lifetime.
+    const cold_period* cold(const std::string& id, std::int64_t started_at,
+                            time_point now) const;
+
+    /// \return the limit in force, which is the lower one of the named limit
+    /// and that of a cold target; null when the target has none. Valid until
+    /// the next change of the limits.
+    const target_limit* find(const target& of, time_point now) const;
+    /// \return the latest report about the named limit of the target, also of
+    /// its end; null when there is none.
     const target_limit* latest(const std::string& id) const;
 
     /// Records that the target takes no call of this daemon before a time.
@@ -100,13 +126,21 @@
         std::function<void(limit_change, const target_limit&, source)>;
     /// Sets the function that is called after each change.
     void on_change(change_handler changed) { changed_ = std::move(changed); }
+    /// \param period null: the cold time of the target ended.
+    using cold_handler =
+        std::function<void(const std::string& id, const cold_period* period)>;
+    /// Sets the function that is called when a target turns cold, and by
+    /// expire() when its cold time has ended.
+    void on_cold(cold_handler changed) { cold_changed_ = std::move(changed); }
     /// Removes entries whose retention has passed.
     void expire(time_point now);
 
-    /// \return true when no report is remembered.
-    bool empty() const { return entries_.empty(); }
-    /// \return number of targets with a limit.
-    std::size_t        size() const;
+    /// \return true when no report and no cold target is remembered.
+    bool empty() const { return entries_.empty() && cold_.empty(); }
+    /// \return number of targets that name a limit.
+    std::size_t size() const;
+    /// \return number of cold targets.
+    std::size_t        cold_size(time_point now) const;
     target_limit_stats stats() const { return stats_; }
 
 private:
@@ -117,16 +151,30 @@
         time_point   held_until{};
     };
 
+    struct cold_entry
+    {
+        cold_period  period;
+        target_limit limit; ///< As find() returns it.
+        time_point   held_until{};
+    };
+
     bool         supersedes(const target_limit& report,
                             const target_limit& known) const;
     limit_change store(target_limit report, source from, time_point now);
     void         make_place();
-
-    target_limit_params          params_;
-    std::map<std::string, entry> entries_;       ///< By target.
-    std::string                  last_reported_; ///< Target; for reports().
-    change_handler               changed_;
-    target_limit_stats           stats_;
+    void         make_cold_place();
+    void         end_cold(const std::string& id);
+    /// \return the entry of cold(); null likewise.
+    const cold_entry* find_cold(const std::string& id, std::int64_t started_at,
+                                time_point now) const;
+
+    target_limit_params               params_;
+    std::map<std::string, entry>      entries_; ///< By target.
+    std::map<std::string, cold_entry> cold_;    ///< By target.
+    std::string        last_reported_;          ///< Target; for reports().
+    change_handler     changed_;
+    cold_handler       cold_changed_;
+    target_limit_stats stats_;
 };
 
 } // namespace arbutusgate::gateway
--- a/tests/change_log_test.cpp
+++ b/tests/change_log_test.cpp
@@ -106,3 +106,33 @@
     CHECK_FALSE(decode_changes(encode(std::optional<relayed_changes>{})));
     CHECK_FALSE(decode_changes("\xff\xff"));
 }
+
+// Guards against followers of another daemon that do not hear that a target
+// became cold, against a change for each heartbeat of a cold target, and
+// against a cold time that starts anew with each relay.
+TEST_CASE("a target that becomes cold is relayed with the remaining time",
+          "[gateway][cold]")
+{
+    const auto cold = [](int ms) {
+        auto out     = make_target("a");
+        out.cold_for = milliseconds{ms};
+        return out;
+    };
+    change_log changes;
+    changes.append(10, {{cold(0)}, 11}, at(0));
+    changes.append(11, {{cold(3000)}, 12}, at(1000));
+    changes.append(12, {{cold(2000)}, 13}, at(2000));
+    const auto relayed = changes.since(11, at(2100));
+    REQUIRE(relayed->changes.changes.size() == 1);
+    // As of the last response; the age comes on top.
+    CHECK(std::get<target>(relayed->changes.changes[0]).cold_for ==
+          milliseconds{2000});
+    CHECK(changes.since(12, at(2100))->changes.changes.empty());
+    changes.append(13, {{cold(0)}, 14}, at(4500));
+    CHECK(changes.since(13, at(4500))->changes.changes.empty());
+    changes.append(14, {{cold(2500)}, 15}, at(9000));
+    CHECK(changes.since(14, at(9000))->changes.changes.size() == 1);
+    const auto late = changes.since(10, at(9000));
+    CHECK(std::get<target>(late->changes.changes.at(1)).cold_for ==
+          milliseconds{0});
+}
--- a/tests/gateway_fixture.cpp
+++ b/tests/gateway_fixture.cpp
@@ -30,20 +30,24 @@
                    make_route("/resume/", repeat_rule::stream, 2),
                    make_route("/staged/", repeat_rule::idempotent, 1),
                    make_route("/staged-stream/", repeat_rule::stream, 2),
-                   make_route("/quick/", repeat_rule::idempotent, 2)};
+                   make_route("/quick/", repeat_rule::idempotent, 2),
+                   make_route("/cold/", repeat_rule::idempotent, 2)};
     out.routes[3].may_be_resumed = true;
     out.routes[4].stages         = {{"p", {}, 1000}, {"p", {0}, 1000}};
     out.routes[5].stages         = {{"p", {}, 1000}};
     out.routes[5].may_be_resumed = true;
     out.routes[6].latency_goal   = milliseconds{400};
+    out.routes[7].latency_goal   = milliseconds{400};
+    out.routes[7].services       = {{"c", 1}};
     service plain{"s", "", 1000, {}, {}};
+    service cold{"c", "", 1000, {}, {}, cold_limits{milliseconds{3000}, 15}};
     service stage{"p", "", 1000, stage_limits{}, {}};
     stage.stage->batch            = 8;
     stage.stage->call_time        = milliseconds{10};
     stage.stage->piece_time       = milliseconds{1};
     stage.stage->result_memory    = 1'000'000;
     stage.stage->result_retention = milliseconds{60'000};
-    out.services                  = {plain, stage};
+    out.services                  = {plain, stage, cold};
     out.accounts                  = {{"acc", {"k"}, {}}};
     out.has_accounts              = true;
     return out;
--- a/tests/gateway_follower_test.cpp
+++ b/tests/gateway_follower_test.cpp
@@ -212,7 +212,7 @@
 TEST_CASE("a daemon adopts newer state of another one", "[gateway]")
 {
     fixture f;
-    CHECK_FALSE(f.follower.copy());
+    CHECK_FALSE(f.follower.copy(at(0)));
     f.follower.on_configuration(absl::UnavailableError("down"), at(10));
     CHECK_FALSE(f.follower.source_failing(at(700)));
     CHECK(f.follower.source_failing(at(900)));
@@ -221,7 +221,7 @@
     CHECK(f.follower.table()->version() == 7);
     CHECK(f.follower.targets_known());
     CHECK(f.targets.usable("s").size() == 2);
-    CHECK(f.follower.copy()->revision == 50);
+    CHECK(f.follower.copy(at(0))->revision == 50);
     CHECK_FALSE(f.follower.adopt(copy, make_config(8), at(30)));
     CHECK(f.follower.table()->version() == 7);
     // The store is asked for the changes after the adopted state.
@@ -323,7 +323,7 @@
 {
     fixture a;
     a.synchronize(0, {domain_evacuation{"a"}, in_domain("1", "a")});
-    const auto sent = decode_state(encode(*a.follower.copy()));
+    const auto sent = decode_state(encode(*a.follower.copy(at(0))));
     REQUIRE(sent);
     fixture b;
     REQUIRE(b.follower.adopt(*sent, make_config(5), at(0)));
@@ -356,3 +356,93 @@
     CHECK(began->active);
     CHECK_FALSE(ended->active);
 }
+
+namespace {
+
+/// A configuration whose service limits the calls to cold targets.
+configuration_read cold_config()
+{
+    auto    out = read_at(5, 90);
+    service s;
+    s.name              = "s";
+    s.cold              = cold_limits{milliseconds{3000}, 15};
+    out.config.services = {s};
+    return out;
+}
+
+target in_cold_domain(const std::string& id, milliseconds cold_for,
+                      std::int64_t started_at = 1)
+{
+    auto out           = make_target(id);
+    out.failure_domain = "a";
+    out.started_at     = started_at;
+    out.cold_for       = cold_for;
+    return out;
+}
+
+} // namespace
+
+// Guards against cold targets that get an unlimited number of calls: entries
+// and changes say that they are cold, also after a restart.
+TEST_CASE("targets are cold by their entries", "[gateway][cold]")
+{
+    fixture f;
+    f.follower.on_configuration(cold_config(), at(0));
+    f.follower.on_page(state_page{{in_cold_domain("1", milliseconds{2000}),
+                                   in_cold_domain("2", milliseconds{0})},
+                                  100,
+                                  ""},
+                       at(0));
+    const auto cold = [&](const std::string& id, int ms) {
+        return f.targets.limits().find(*f.targets.find(id), at(ms)) != nullptr;
+    };
+    CHECK(cold("1", 1999));
+    CHECK_FALSE(cold("1", 2000));
+    CHECK_FALSE(cold("2", 0));
+    // An unchanged entry but for its coldness.
+    f.follower.on_changes(
+        state_changes{{in_cold_domain("2", milliseconds{1500})}, 101}, at(100));
+    CHECK(cold("2", 1599));
+    f.follower.on_changes(
+        state_changes{{in_cold_domain("1", milliseconds{3000}, 2)}, 102},
+        at(500));
+    CHECK(cold("1", 3499));
+    CHECK_FALSE(cold("1", 3500));
+    // A copy carries what remains, not what was published.
+    const auto copied = decode_state(encode(*f.follower.copy(at(1500))));
+    REQUIRE(copied);
+    for (const auto& it : copied->targets)
+        CHECK(it.cold_for == milliseconds{it.id == "1" ? 2000 : 100});
+}
+
+// Guards against targets that became cold during an evacuation, and against
+// limits of services that state none.
+TEST_CASE("targets count as cold after an evacuation", "[gateway][cold]")
+{
+    const bool relisted = GENERATE(false, true);
+    const bool limited  = GENERATE(false, true);
+    fixture    f;
+    f.follower.on_configuration(limited ? cold_config() : read_at(5, 90),
+                                at(0));
+    f.follower.on_page(state_page{{in_cold_domain("1", milliseconds{0}),
+                                   domain_evacuation{"a"}},
+                                  100,
+                                  ""},
+                       at(0));
+    const auto cold = [&](int ms) {
+        return f.targets.limits().find(*f.targets.find("1"), at(ms)) != nullptr;
+    };
+    CHECK_FALSE(cold(0));
+    if (relisted) {
+        f.follower.on_changes(absl::OutOfRangeError("history"), at(9000));
+        f.synchronize(10'000, {in_cold_domain("1", milliseconds{0})});
+    }
+    else {
+        f.follower.on_changes(
+            state_changes{{domain_evacuation{"a", false}}, 101}, at(10'000));
+    }
+    CHECK(f.targets.usable("s").size() == 1);
+    CHECK(cold(10'000) == limited);
+    CHECK(cold(12'999) == limited);
+    CHECK_FALSE(cold(13'000));
+}
--- a/tests/gateway_limit_test.cpp
+++ b/tests/gateway_limit_test.cpp
@@ -33,7 +33,8 @@
     }
 
     /// \return most calls in a window, of those from a time on.
-    std::size_t most(clock_type::time_point from) const
+    std::size_t most(clock_type::time_point from,
+                     seconds                window = limit_window) const
     {
         std::lock_guard lock(mutex_);
         std::size_t     out = 0;
@@ -42,7 +43,7 @@
                 continue;
             out = std::max<std::size_t>(
                 out, std::count_if(calls_.begin(), calls_.end(), [&](auto it) {
-                    return it >= first && it < first + limit_window;
+                    return it >= first && it < first + window;
                 }));
         }
         return out;
@@ -335,3 +336,46 @@
         CHECK(clock_type::now() - begin < milliseconds{1500});
     }
 }
+
+// Guards against daemons that together send a cold target more calls than it
+// takes, as its entry or its responses say, and against requests that wait
+// beyond their goal or are refused without a time when all targets are cold.
+TEST_CASE("daemons together keep the limit of a cold target",
+          "[gateway][sockets][cold]")
+{
+    const bool       published = GENERATE(true, false);
+    recording_target one(answer(
+        "x", "200 OK", published ? "" : "Arbutusgate-Cold-Ms: 4000\r\n"));
+    auto             it = make_target("i-1", one.server.address());
+    it.service          = "c";
+    it.cold_for         = milliseconds{published ? 6000 : 0};
+    auto fleet          = make_fleet(3, {it});
+    // Each daemon hears of it in its first response.
+    for (auto& daemon : fleet)
+        daemon->exchange(daemon->request("/cold/"));
+    std::this_thread::sleep_for(milliseconds{500});
+    const auto               told = clock_type::now();
+    std::vector<std::thread> callers;
+    std::atomic<int>         refused{0};
+    std::atomic<int>         untrue{0};
+    for (std::size_t n = 0; n < 24; ++n) {
+        callers.emplace_back([&, &daemon = fleet[n % 3]] {
+            const auto out = send_for(*daemon, milliseconds{3000},
+                                      daemon->request("/cold/"));
+            for (const auto& text : out) {
+                if (has(text, "HTTP/1.1 200"))
+                    continue;
+                ++refused;
+                untrue +=
+                    !has(text, "HTTP/1.1 503") || !has(text, "Retry-After: ");
+            }
+        });
+    }
+    for (auto& caller : callers)
+        caller.join();
+    // 1.5 of the 15 calls a second, and 5.
+    CHECK(one.calls.most(told, seconds{1}) <= 27);
+    CHECK(one.calls.size() >= 15);
+    CHECK(refused > 0);
+    CHECK(untrue == 0);
+}
--- a/tests/gateway_peer_test.cpp
+++ b/tests/gateway_peer_test.cpp
@@ -408,6 +408,20 @@
     CHECK(decoded_request->limit.rate == 1.6);
     CHECK(decoded_request->limit.named_at == at(5100));
     CHECK(decoded_request->max_wait == milliseconds{700});
+    CHECK_FALSE(decoded_request->cold);
+    // A cold target need not name a limit.
+    permit_request cold{{"i-1", 12, {}, at(100)}, milliseconds{700}};
+    CHECK_FALSE(decode_permit_request(encode(cold, at(350)), at(5350)));
+    cold.cold = cold_period{13, 15, at(1350)};
+    const auto decoded_cold =
+        decode_permit_request(encode(cold, at(350)), at(5350));
+    REQUIRE(decoded_cold);
+    CHECK_FALSE(decoded_cold->limit.rate);
+    CHECK(decoded_cold->cold->started_at == 13);
+    CHECK(decoded_cold->cold->rate == 15);
+    CHECK(decoded_cold->cold->until == at(6350));
+    cold.cold->rate = -1;
+    CHECK_FALSE(decode_permit_request(encode(cold, at(350)), at(5350)));
     const permit_response response{true, true, milliseconds{9},
                                    target_limit{"i-1", 12, {}, at(0)}};
     const auto            decoded_response =
--- a/tests/limit_fleet.hpp
+++ b/tests/limit_fleet.hpp
@@ -85,7 +85,7 @@
     {
         std::size_t out = 0;
         for (std::size_t k = 0; k < size(); ++k) {
-            const auto* known = knowledge_[k].limits->find(target_);
+            const auto* known = knowledge_[k].limits->find(target_, now());
             out += at(k).alive && (known ? known->rate : std::nullopt) == limit;
         }
         return out;
@@ -191,7 +191,7 @@
 
     void want_call(std::size_t k)
     {
-        const auto* limit = limits(k).find(target_);
+        const auto* limit = limits(k).find(target_, now());
         if (!limit) {
             send_call(k, std::nullopt);
             return;
@@ -229,7 +229,7 @@
             limits(k).hold(target_.id, now() + response.wait);
             return;
         }
-        const auto*       limit = limits(k).find(target_);
+        const auto*       limit = limits(k).find(target_, now());
         const call_permit permit{true, false, now() + response.wait,
                                  limit ? *limit->rate : 1e9};
         // A connection is opened meanwhile.
@@ -241,7 +241,7 @@
 
     void send_call(std::size_t k, const std::optional<call_permit>& permit)
     {
-        const auto* limit = limits(k).find(target_);
+        const auto* limit = limits(k).find(target_, now());
         if (limit && (!permit || !permit->covers(limit, now())))
             return;
         const auto sent_at = now();
--- a/tests/permit_issuer_test.cpp
+++ b/tests/permit_issuer_test.cpp
@@ -4,6 +4,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <vector>
+
 using namespace arbutusgate;
 using namespace arbutusgate::gateway;
 
@@ -186,3 +189,37 @@
     CHECK_FALSE(it.covers(&lower, at(100)));
     CHECK_FALSE(call_permit{}.covers(&limit, at(100)));
 }
+
+// Guards against permits beyond what a cold target takes in any second: 1.5 of
+// the rate and 5 calls, when an old owner and a new one that does not know of
+// it both give out calls, and permits are used at the end of their validity.
+TEST_CASE("the calls of a cold target are given out at its rate",
+          "[gateway][cold]")
+{
+    fixture    f;
+    const auto ask = [&](int ms) {
+        f.peers.advance_heartbeat(at(ms));
+        permit_request asked{{"i-1", 1, {}, at(-3'600'000)}, milliseconds{0}};
+        asked.cold = cold_period{1, 15, at(20'000)};
+        return f.issuer.issue(asked, at(ms)).granted;
+    };
+    CHECK_FALSE(ask(0));
+    std::vector<int> granted;
+    for (int ms = 5000; ms < 10'000; ++ms) {
+        if (ask(ms))
+            granted.push_back(ms);
+    }
+    std::size_t most = 0;
+    for (std::size_t n = 0; n < granted.size(); ++n)
+        most = std::max<std::size_t>(
+            most, std::count_if(granted.begin(), granted.end(), [&](int it) {
+                return it >= granted[n] && it < granted[n] + 1250;
+            }));
+    // The new owner gives out half of it, in the worst case.
+    CHECK(most + most / 2 + 1 <= 27);
+    CHECK(granted.size() >= 0.75 * 15 * 5);
+    // The limit is no named one: it ends with the cold time.
+    CHECK_FALSE(f.limits.latest("i-1"));
+    CHECK(f.limits.cold("i-1", 1, at(19'999)));
+    CHECK_FALSE(f.limits.cold("i-1", 1, at(20'000)));
+}
--- a/tests/target_limits_test.cpp
+++ b/tests/target_limits_test.cpp
@@ -43,12 +43,12 @@
     CHECK(it.empty());
     CHECK(it.apply(a, limit(1.6), at(0), at(0)) == limit_change::named);
     CHECK(it.apply(a, limit(1.6), at(1000), at(1000)) == limit_change::none);
-    REQUIRE(it.find(a));
-    CHECK(it.find(a)->rate == 1.6);
+    REQUIRE(it.find(a, at(0)));
+    CHECK(it.find(a, at(0))->rate == 1.6);
     CHECK(it.apply(a, limit(5), at(2000), at(2000)) == limit_change::changed);
-    CHECK(it.find(a)->rate == 5);
+    CHECK(it.find(a, at(0))->rate == 5);
     CHECK(it.apply(a, limit({}), at(3000), at(3000)) == limit_change::ended);
-    CHECK_FALSE(it.find(a));
+    CHECK_FALSE(it.find(a, at(0)));
     CHECK(it.size() == 0);
     CHECK(it.apply(a, limit(2), at(4000), at(4000)) == limit_change::named);
     CHECK(it.stats().named == 2);
@@ -66,8 +66,8 @@
     it.apply(make_target(), limit(3), at(1000), at(1000));
     CHECK(it.apply(make_target(), unreadable(), at(9000), at(9000)) ==
           limit_change::none);
-    REQUIRE(it.find(make_target()));
-    CHECK(it.find(make_target())->rate == 3);
+    REQUIRE(it.find(make_target(), at(0)));
+    CHECK(it.find(make_target(), at(0))->rate == 3);
     CHECK(it.stats().unreadable == 2);
 }
 
@@ -79,7 +79,7 @@
           limit_change::none);
     CHECK(it.apply(make_target(), limit(0), at(1000), at(1000)) ==
           limit_change::named);
-    CHECK(it.find(make_target())->rate == 0);
+    CHECK(it.find(make_target(), at(0))->rate == 0);
     CHECK(it.apply(make_target(), limit(1e300), at(2000), at(2000)) ==
           limit_change::ended);
 }
@@ -90,14 +90,14 @@
 {
     target_limits it;
     it.apply(make_target(1), limit(1), at(0), at(0));
-    CHECK_FALSE(it.find(make_target(2)));
+    CHECK_FALSE(it.find(make_target(2), at(0)));
     CHECK(it.apply(make_target(2), limit(4), at(1000), at(1000)) ==
           limit_change::named);
     CHECK(it.apply(make_target(1), limit(1), at(2000), at(2000)) ==
           limit_change::none);
-    CHECK(it.find(make_target(2))->rate == 4);
+    CHECK(it.find(make_target(2), at(0))->rate == 4);
     CHECK(it.merge({"a", 1, 0.5, at(2500)}, at(2500)) == limit_change::none);
-    CHECK(it.find(make_target(2))->rate == 4);
+    CHECK(it.find(make_target(2), at(0))->rate == 4);
 }
 
 // Guards against responses that overtake each other: a response that was made
@@ -116,8 +116,8 @@
         it.apply(make_target(), limit({}), at(1100), at(1100));
         it.merge({"a", 1, 2, at(1000)}, at(1150));
     }
-    REQUIRE(it.find(make_target()));
-    CHECK(it.find(make_target())->rate == 2);
+    REQUIRE(it.find(make_target(), at(0)));
+    CHECK(it.find(make_target(), at(0))->rate == 2);
     CHECK(it.apply(make_target(), limit({}), at(1300), at(1300)) ==
           limit_change::ended);
 }
@@ -130,7 +130,7 @@
     it.apply(make_target(), limit(2), at(0), at(0));
     it.apply(make_target(), limit({}), at(10'000), at(10'000));
     CHECK(it.merge({"a", 1, 2, at(9000)}, at(10'500)) == limit_change::none);
-    CHECK_FALSE(it.find(make_target()));
+    CHECK_FALSE(it.find(make_target(), at(0)));
     // A daemon that was cut off reports what it knew when the end is forgotten.
     it.expire(at(80'000));
     CHECK(it.empty());
@@ -199,7 +199,60 @@
     it.apply(a, limit(2), at(900), at(1000));
     CHECK(it.apply(a, limit({}), at(700), at(5000)) == limit_change::none);
     CHECK(it.apply(a, limit(50), at(1100), at(5000)) == limit_change::none);
-    REQUIRE(it.find(a));
-    CHECK(it.find(a)->rate == 2);
+    REQUIRE(it.find(a, at(0)));
+    CHECK(it.find(a, at(0))->rate == 2);
     CHECK(it.apply(a, limit({}), at(1300), at(5100)) == limit_change::ended);
 }
+
+// Guards against a cold limit that a response without a named limit ends, that
+// replaces a lower named one, or that does not end by itself.
+TEST_CASE("the lower one of the named limit and the cold limit is in force",
+          "[gateway][cold]")
+{
+    target_limits            it;
+    std::vector<std::string> log;
+    it.on_cold([&](const std::string& id, const cold_period* period) {
+        log.push_back(id + (period ? " cold" : " warm"));
+    });
+    const auto a = make_target();
+    it.set_cold("a", {1, 15, at(3000)}, at(0));
+    CHECK_FALSE(it.empty());
+    REQUIRE(it.find(a, at(0)));
+    CHECK(it.find(a, at(0))->rate == 15);
+    CHECK(it.size() == 0);
+    CHECK(it.reports(10, at(0)).empty());
+    it.apply(a, limit({}), at(100), at(100));
+    CHECK(it.find(a, at(100)));
+    it.apply(a, limit(2), at(200), at(200));
+    CHECK(it.find(a, at(200))->rate == 2);
+    it.apply(a, limit(40), at(900), at(900));
+    CHECK(it.find(a, at(900))->rate == 15);
+    it.hold("a", at(1500));
+    CHECK(it.opens_at(a, at(900)) == at(1500));
+    CHECK(it.find(a, at(2999))->rate == 15);
+    CHECK(it.find(a, at(3000))->rate == 40);
+    it.expire(at(3000));
+    CHECK(log == std::vector<std::string>{"a cold", "a warm"});
+    CHECK(it.stats().turned_cold == 1);
+    CHECK(it.stats().turned_warm == 1);
+}
+
+// Guards against an older entry that shortens a cold time, and against a cold
+// time of an earlier lifetime that holds back a target after its restart.
+TEST_CASE("a cold time is only lengthened, and belongs to one lifetime",
+          "[gateway][cold]")
+{
+    target_limits it;
+    it.set_cold("a", {2, 15, at(3000)}, at(0));
+    it.set_cold("a", {2, 15, at(1000)}, at(100));
+    it.set_cold("a", {1, 15, at(9000)}, at(100));
+    CHECK(it.find(make_target(2), at(2999)));
+    CHECK(it.find(make_target(1), at(2999)));
+    CHECK_FALSE(it.find(make_target(3), at(100)));
+    CHECK_FALSE(it.find(make_target(2), at(3000)));
+    it.set_cold("a", {3, 15, at(5000)}, at(3500));
+    CHECK(it.find(make_target(3), at(4000)));
+    CHECK(it.cold_size(at(4000)) == 1);
+    CHECK(it.cold_size(at(5000)) == 0);
+    CHECK(it.stats().turned_cold == 2);
+}
