--- a/src/gateway_settings.cpp
+++ b/src/gateway_settings.cpp
@@ -13,9 +13,10 @@
 constexpr milliseconds  max_bound = std::chrono::hours{1};
 constexpr std::uint32_t max_descriptor_limit =
     std::numeric_limits<std::uint32_t>::max();
-constexpr double max_retry_ratio     = 1000;
-constexpr double max_retry_slack     = 1e6;
-constexpr double max_processor_share = 1024;
+constexpr std::uint32_t max_memory_mb       = 1024 * 1024;
+constexpr double        max_retry_ratio     = 1000;
+constexpr double        max_retry_slack     = 1e6;
+constexpr double        max_processor_share = 1024;
 
 const choice_value<std::string> log_level_value{{{"trace", "trace"},
                                                  {"debug", "debug"},
@@ -94,6 +95,9 @@
         field<settings>("processor_share", &settings::processor_share,
                         number_value<double>{0, max_processor_share},
                         presence::defaulted),
+        field<settings>("memory_mb", &settings::memory_mb,
+                        number_value<std::uint32_t>{0, max_memory_mb},
+                        presence::defaulted),
         field<settings>("log_level", &settings::log_level, log_level_value,
                         presence::defaulted),
         section("bounds", &settings::bounds, bounds_schema()),
--- a/src/gateway_settings.hpp
+++ b/src/gateway_settings.hpp
@@ -41,8 +41,10 @@
     std::vector<std::string> seeds; ///< Peers to contact at start.
     std::string              ready_path      = "/readyz";
     std::uint32_t            max_descriptors = 1024;
-    double         processor_share = 1; ///< In cores; may be a fraction.
-    std::string    log_level       = "info";
+    double processor_share = 1; ///< In cores; may be a fraction.
+    /// Memory of the machine for this process, in MiB; 0: the default.
+    std::uint32_t  memory_mb = 0;
+    std::string    log_level = "info";
     gateway_bounds bounds;
 };
 
--- a/tests/gateway_settings_test.cpp
+++ b/tests/gateway_settings_test.cpp
@@ -17,6 +17,7 @@
 seeds: ["10.1.0.41:8628","10.2.0.25:8628"]
 ready_path: /readiness
 max_descriptors: 4100
+memory_mb: 120
 bounds:
   drain_grace_s: 7.5
   config_in_force_ms: 2000
@@ -47,6 +48,7 @@
     CHECK(settings->bounds.retry_slack == 58);
     CHECK(settings->seeds.size() == 2);
     CHECK(settings->ready_path == "/readiness");
+    CHECK(settings->memory_mb == 120);
     const auto without_seeds = parse_gateway_settings(
         replaced(R"(["10.1.0.41:8628","10.2.0.25:8628"])", "[]"), "s.yaml");
     CHECK(without_seeds->seeds.empty());
@@ -58,7 +60,7 @@
 {
     const std::string line = GENERATE(
         "node: front-gp-a-1", "failure_domain: gp-a", "store: 10.200.1.7:8624",
-        "ready_path: /readiness", "max_descriptors: 4100", "drain_grace_s: 7.5",
+        "ready_path: /readiness", "max_descriptors: 4100", "memory_mb: 120", "drain_grace_s: 7.5",
         "config_in_force_ms: 2000", "target_drain_ms: 2000", "retry_ratio: 0.2",
         "retry_window_s: 10", "retry_slack: 58");
     const auto key = line.substr(0, line.find(' '));
