Bound the memory of request bodies, trailers and chunk extensions

Request bodies were limited one by one and not in their sum, a stated length was reserved before the body came, and trailers and chunk extensions had no limit. Charge bodies over 16 KiB to one budget (a quarter of memory_mb) as they grow, evict the incomplete ones that hold most with 503, end trailers and extensions at the header limit with 431, and parse at most 16 KiB before other connections have their turn.

--- a/src/caller_service.cpp
+++ b/src/caller_service.cpp
@@ -24,7 +24,11 @@
 {
     switch (error) {
     case http_error::header_too_large:
+    case http_error::trailer_too_large:
+    case http_error::chunk_extension_too_large:
         return refusal_reason::header_too_large;
+    case http_error::no_memory:
+        return refusal_reason::overloaded;
     case http_error::body_too_large:
         return refusal_reason::too_large;
     case http_error::too_slow:
@@ -32,6 +36,7 @@
     case http_error::handler_failed:
         return refusal_reason::internal;
     case http_error::malformed:
+    case http_error::count:
         break;
     }
     return refusal_reason::bad_request;
@@ -154,9 +159,12 @@
 {
     const auto reason = reason_of(error);
     init_.services.counts->reasons().add(reason);
-    auto out = refusal(reason);
+    auto out   = refusal(reason);
+    out.detail = limit_of(error);
     if (error == http_error::handler_failed)
         out.result = execution::unknown;
+    if (error == http_error::no_memory)
+        out.retry_after = unavailable_retry_after;
     return problem_response(out, make_request_id());
 }
 
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -1,5 +1,6 @@
 #include "gateway.hpp"
 
+#include "body_memory.hpp"
 #include "change_log.hpp"
 #include "crash_check.hpp"
 #include "forward_run.hpp"
@@ -11,6 +12,7 @@
 #include "peer_mesh.hpp"
 #include "prior_wait_estimator.hpp"
 #include "problem.hpp"
+#include "read_errors.hpp"
 #include "retry_budget.hpp"
 #include "stage_scheduler.hpp"
 #include "stage_shards.hpp"
@@ -83,12 +85,17 @@
     case http_error::malformed:
         return refusal_reason::bad_request;
     case http_error::header_too_large:
+    case http_error::trailer_too_large:
+    case http_error::chunk_extension_too_large:
         return refusal_reason::header_too_large;
+    case http_error::no_memory:
+        return refusal_reason::overloaded;
     case http_error::body_too_large:
         return refusal_reason::too_large;
     case http_error::handler_failed:
         return refusal_reason::internal;
     case http_error::too_slow:
+    case http_error::count:
         break;
     }
     return refusal_reason::too_slow;
@@ -112,6 +119,24 @@
                                             : min;
 }
 
+/// Memory of all bodies of a process: a quarter of what it may use. The rest is
+/// for the program, connections and their buffers, small bodies, the state and
+/// what the allocator does not give back.
+std::size_t body_memory_of(const gateway_settings& settings)
+{
+    constexpr std::size_t mib               = 1024 * 1024;
+    constexpr std::size_t default_memory_mb = 128;
+    constexpr std::size_t divisor           = 4;
+    // One body of the largest size that users configure, twice.
+    constexpr std::size_t min = 8 * mib;
+    const std::size_t     total =
+        settings.memory_mb > 0 ? settings.memory_mb : default_memory_mb;
+    return std::max(min, total * mib / divisor);
+}
+
+/// Clients whose request did not fit may try again after this time.
+constexpr seconds no_memory_retry_after{1};
+
 /// Counts a request as open during its lifetime.
 class open_request_count
 {
@@ -200,6 +225,10 @@
     io_thread thread;
     metrics   counters;
 
+    // Used on that thread only.
+    body_memory& bodies{boost::asio::use_service<body_memory>(thread.io())};
+    read_errors  unread;
+
     // Used on that thread only.
     target_directory     targets{lapse_grace, target_gate{random_seed()}};
     target_picker        picker{random_seed()};
@@ -600,6 +629,20 @@
         {"call_permits_granted_total",
          "Calls to limited targets that this daemon gave out.",
          n(issued.granted), true},
+        {"body_memory_bytes", "Memory that bodies take.", n(bodies.used())},
+        {"body_memory_limit_bytes", "Memory that bodies may take.",
+         n(bodies.limit())},
+        {"request_bodies_evicted_total",
+         "Incomplete request bodies that made room for others.",
+         n(bodies.evicted()), true},
+        {"requests_without_memory_total",
+         "Requests refused since no memory was left for their bodies.",
+         n(unread.count(http_error::no_memory)), true},
+        {"request_trailers_too_large_total", "Requests refused for trailers.",
+         n(unread.count(http_error::trailer_too_large)), true},
+        {"request_chunk_extensions_too_large_total",
+         "Requests refused for chunk extensions.",
+         n(unread.count(http_error::chunk_extension_too_large)), true},
         {"call_permits_refused_total",
          "Requests for such a call that came too early.", n(issued.refused),
          true},
@@ -673,12 +716,18 @@
     out.on_error = [this](http_error error) {
         const auto reason = reason_of(error);
         counters.reasons().add(reason);
-        auto out = refusal(reason);
+        auto out   = refusal(reason);
+        out.detail = limit_of(error);
+        if (error == http_error::no_memory)
+            out.retry_after = no_memory_retry_after;
+        const auto lines = unread.add(error, daemon_now());
         if (error == http_error::handler_failed)
             out.result = execution::unknown;
-        else
+        else if (lines > 0)
             log(log_level::info, "failed to read a request",
-                {{"reason", arbutusgate::to_string(reason)}});
+                {{"reason", arbutusgate::to_string(reason)},
+                 {"limit", limit_of(error)},
+                 {"requests", lines}});
         return problem_response(out, "");
     };
     return out;
@@ -699,14 +748,17 @@
         max_caller_connections(settings.max_descriptors);
     self->caller_server =
         std::make_unique<http_server>(std::move(caller_init), threads);
+    self->bodies.set_limit(body_memory_of(settings));
     self->ready_server = std::make_unique<http_server>(
         self->listener(settings.ready,
                        [self](http_exchange& e) { self->serve_ready(e); }),
         threads);
-    self->peer_server = std::make_unique<http_server>(
-        self->listener(settings.peer,
-                       [self](http_exchange& e) { self->serve_peer(e); }),
-        threads);
+    // Callers must not keep a daemon from the messages of others.
+    auto peer_init = self->listener(
+        settings.peer, [self](http_exchange& e) { self->serve_peer(e); });
+    peer_init.charge_bodies = false;
+    self->peer_server =
+        std::make_unique<http_server>(std::move(peer_init), threads);
     self->metrics_server = std::make_unique<http_server>(
         self->listener(settings.metrics,
                        [self](http_exchange& e) { self->serve_metrics(e); }),
@@ -774,6 +826,7 @@
     impl_->thread.spawn([this, settings] {
         impl_->settings.bounds = settings.bounds;
         impl_->settings.seeds  = settings.seeds;
+        impl_->bodies.set_limit(body_memory_of(settings));
         impl_->budget.set_limits(retry_limits_of(settings.bounds));
         impl_->peers->set_seeds(settings.seeds);
     });
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -1,5 +1,7 @@
 #include "http_server.hpp"
 
+#include "body_memory.hpp"
+#include "charged_body.hpp"
 #include "fiber_token.hpp"
 #include "http_client.hpp"
 #include "io_thread.hpp"
@@ -13,7 +15,6 @@
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/serializer.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -38,6 +39,16 @@
 constexpr seconds discard_timeout{2};
 // A connection carries its first request within this time.
 constexpr milliseconds first_request_grace{500};
+// Bytes read and parsed before other connections have their turn. Each
+// connection keeps its buffer, so heads are read in small parts.
+constexpr std::size_t head_read_bytes = 4 * 1024;
+constexpr std::size_t body_read_bytes = 16 * 1024;
+// A read whose chunks are smaller than this on average is followed by a small
+// one, since each chunk takes processor time of its own.
+constexpr std::size_t small_chunk = 64; // bytes
+// Chunk extensions up to this size are not counted: a body in small chunks may
+// have many.
+constexpr std::size_t free_extension = 16; // bytes
 
 } // namespace
 
@@ -74,16 +85,24 @@
     bool accept_running = false;
 };
 
+/// A complete request and the memory that its body takes.
+struct held_request
+{
+    http_request     message;
+    body_reservation memory;
+};
+
 /// Serves the requests of one connection in sequence.
 class http_connection final
     : public http_exchange,
+      public incomplete_body,
       public std::enable_shared_from_this<http_connection>
 {
 public:
     http_connection(std::shared_ptr<http_server_state> owner, io_thread& thread,
                     tcp::socket socket)
         : owner_(std::move(owner)), thread_(thread), stream_(std::move(socket)),
-          timer_(thread.io())
+          timer_(thread.io()), memory_(thread.io())
     {
     }
 
@@ -102,22 +121,37 @@
     /// under way.
     void close_unless_awaited();
 
-    const http_request& request() const override { return *request_; }
-    io_thread&          thread() override { return thread_; }
-    bool                client_gone() const override { return client_gone_; }
-    void                respond(http_response response) override;
-    void                begin_stream(http_response head) override;
-    bool                write(std::string_view text) override;
-    void                end_stream() override;
-    void                abort() override { fail(response_loss::cut); }
-    void                on_client_gone(std::function<void()> action) override
+    const http_request& request() const override { return request_->message; }
+    std::shared_ptr<const http_request> shared_request() const override
+    {
+        return {request_, &request_->message};
+    }
+    io_thread& thread() override { return thread_; }
+    bool       client_gone() const override { return client_gone_; }
+    void       respond(http_response response) override;
+    void       begin_stream(http_response head) override;
+    bool       write(std::string_view text) override;
+    void       end_stream() override;
+    void       abort() override { fail(response_loss::cut); }
+    void       on_client_gone(std::function<void()> action) override
     {
         client_gone_action_ = std::move(action);
     }
+    std::size_t held() const override { return memory_.bytes(); }
+    void        evict() override;
 
 private:
+    using parser = http::request_parser<charged_body>;
+
     bool wait_for_request();
     bool read_request();
+    /// Reads and parses until the request is complete. Sets refusal_ when a
+    /// limit of this server ends it.
+    error_code read_message();
+    error_code read_more(std::size_t bytes);
+    /// Checks the part of a chunk's header, or of the trailers, that has
+    /// arrived: the parser keeps it until it is complete.
+    void check_unparsed();
     void run_handler();
     void refuse(error_code ec);
     void discard_input();
@@ -134,14 +168,16 @@
     void notify_client_gone();
     void stop_watching_client();
 
-    std::shared_ptr<http_server_state>                     owner_;
-    io_thread&                                             thread_;
-    boost::beast::tcp_stream                               stream_;
-    asio::steady_timer                                     timer_;
-    boost::beast::flat_buffer                              buffer_;
-    std::optional<http::request_parser<http::string_body>> parser_;
-    std::optional<http_request>                            request_;
-    std::function<void()>                                  client_gone_action_;
+    std::shared_ptr<http_server_state> owner_;
+    io_thread&                         thread_;
+    boost::beast::tcp_stream           stream_;
+    asio::steady_timer                 timer_;
+    boost::beast::flat_buffer          buffer_;
+    std::optional<parser>              parser_;
+    body_reservation              memory_; ///< Of a body that is being read.
+    std::shared_ptr<held_request> request_;
+    std::optional<http_error>     refusal_; ///< Of the request being read.
+    std::function<void()>         client_gone_action_;
     /// Points to this object until stop_watching_client() sets it to null.
     std::shared_ptr<http_connection*> watched_;
     bool                              keep_alive_ = false;
@@ -169,6 +205,8 @@
         stop_watching_client();
         if (!responded_)
             report_loss();
+        // An idle connection holds no body.
+        request_.reset();
         if (!responded_ || broken_ || !keep_alive_)
             break;
     }
@@ -261,6 +299,7 @@
 {
     if (buffer_.size() > 0)
         return true;
+    buffer_ = {};
     error_code ec;
     idle_ = true;
     start_idle_timer(owner_->accepting ? owner_->init.idle_timeout
@@ -295,30 +334,131 @@
     parser_->header_limit(static_cast<std::uint32_t>(std::min<std::size_t>(
         owner_->init.header_limit, limits::max_header_field)));
     parser_->body_limit(owner_->init.body_limit);
+    parser_->eager(true);
+    auto& body = parser_->get().body();
+    body.limit = owner_->init.body_limit;
+    if (owner_->init.charge_bodies) {
+        body.memory = &memory_;
+        memory_.begin_incomplete(*this);
+    }
     responded_ = false;
     begun_     = false;
     loss_.reset();
-    error_code ec;
+    refusal_.reset();
     fresh_   = false;
     reading_ = true;
     start_read_timer();
     stream_.expires_never();
-    http::async_read(stream_, buffer_, *parser_, fiber_token{ec});
-    reading_ = false;
+    const auto ec = read_message();
+    reading_      = false;
     timer_.cancel();
-    if (ec) {
+    memory_.end_incomplete();
+    if (ec || refusal_) {
+        parser_.reset();
+        memory_.release();
         refuse(ec);
         return false;
     }
-    request_    = parser_->release();
-    keep_alive_ = request_->keep_alive();
+    auto message = parser_->release();
+    parser_.reset();
+    request_    = std::make_shared<held_request>(held_request{
+        http_request(std::move(message.base()), std::move(message.body().text)),
+        std::move(memory_)});
+    keep_alive_ = request_->message.keep_alive();
     return true;
 }
 
+// Asio's reads return to the event loop even when bytes have arrived, so that
+// other connections have their turn after each part.
+error_code http_connection::read_message()
+{
+    std::size_t extensions = 0;
+    std::size_t chunks     = 0;
+    auto        on_chunk   = [&](std::uint64_t, boost::beast::string_view text,
+                        error_code& ec) {
+        ++chunks;
+        extensions += std::max(text.size(), free_extension) - free_extension;
+        if (extensions <= owner_->init.header_limit)
+            return;
+        refusal_ = http_error::chunk_extension_too_large;
+        ec       = http::error::bad_chunk_extension;
+    };
+    parser_->on_chunk_header(on_chunk);
+    error_code ec;
+    while (true) {
+        const auto chunks_before = chunks;
+        while (buffer_.size() > 0 && !parser_->is_done()) {
+            buffer_.consume(parser_->put(buffer_.data(), ec));
+            if (ec)
+                break;
+        }
+        if (parser_->is_done() && !ec)
+            return ec;
+        if (ec && ec != http::error::need_more) {
+            if (parser_->get().body().refused)
+                refusal_ = http_error::no_memory;
+            return ec;
+        }
+        check_unparsed();
+        if (refusal_)
+            return ec;
+        // The previous read may have completed before it could be cancelled.
+        if (timed_out_)
+            return asio::error::operation_aborted;
+        const bool in_body = parser_->is_header_done();
+        const bool costly =
+            (chunks - chunks_before) * small_chunk > head_read_bytes;
+        ec = read_more(in_body && !costly ? body_read_bytes : head_read_bytes);
+        if (ec == asio::error::eof) {
+            if (!parser_->got_some())
+                return http::error::end_of_stream;
+            parser_->put_eof(ec);
+            return ec;
+        }
+        if (ec || refusal_)
+            return ec;
+    }
+}
+
+error_code http_connection::read_more(std::size_t bytes)
+{
+    error_code ec;
+    const auto n =
+        stream_.async_read_some(buffer_.prepare(bytes), fiber_token{ec});
+    buffer_.commit(n);
+    return ec;
+}
+
+void http_connection::check_unparsed()
+{
+    if (!parser_->is_header_done() ||
+        buffer_.size() <= owner_->init.header_limit)
+        return;
+    // The line break that ends the previous chunk may come first.
+    constexpr std::size_t  line_break = 2;
+    const auto             bytes      = buffer_.cdata();
+    const std::string_view text(static_cast<const char*>(bytes.data()),
+                                bytes.size());
+    refusal_ = text.find("\r\n", line_break) == text.npos
+                   ? http_error::chunk_extension_too_large
+                   : http_error::trailer_too_large;
+}
+
+void http_connection::evict()
+{
+    refusal_                   = http_error::no_memory;
+    parser_->get().body().text = std::string();
+    memory_.release();
+    error_code ignored;
+    stream_.socket().cancel(ignored);
+}
+
 void http_connection::refuse(error_code ec)
 {
     auto error = http_error::malformed;
-    if (timed_out_)
+    if (refusal_)
+        error = *refusal_;
+    else if (timed_out_)
         error = http_error::too_slow;
     else if (ec == http::error::header_limit)
         error = http_error::header_too_large;
@@ -522,6 +662,29 @@
 
 } // namespace detail
 
+std::string limit_of(http_error error)
+{
+    switch (error) {
+    case http_error::header_too_large:
+        return "size of the header";
+    case http_error::body_too_large:
+        return "size of the body";
+    case http_error::trailer_too_large:
+        return "size of the trailers";
+    case http_error::chunk_extension_too_large:
+        return "size of the chunk extensions";
+    case http_error::no_memory:
+        return "memory of all bodies";
+    case http_error::too_slow:
+        return "time to read a request";
+    case http_error::malformed:
+    case http_error::handler_failed:
+    case http_error::count:
+        break;
+    }
+    return {};
+}
+
 http_server::http_server(http_server_init init, std::vector<io_thread*> threads)
     : state_(std::make_shared<detail::http_server_state>(std::move(init),
                                                          std::move(threads)))
--- a/src/http_server.hpp
+++ b/src/http_server.hpp
@@ -9,6 +9,7 @@
 #include "absl/status/status.h"
 
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -31,6 +32,9 @@
     virtual ~http_exchange() = default;
 
     virtual const http_request& request() const = 0;
+    /// The request, for users that may outlive the exchange, such as a call
+    /// that is still being written.
+    virtual std::shared_ptr<const http_request> shared_request() const = 0;
     /// Sends a complete response; at most one response per exchange.
     virtual void respond(http_response response) = 0;
     /// Starts a chunked response; write() sends its body.
@@ -56,10 +60,18 @@
     malformed,
     header_too_large,
     body_too_large,
+    trailer_too_large,         ///< Trailers over the header limit.
+    chunk_extension_too_large, ///< Chunk extensions over the header limit.
+    no_memory, ///< The memory of all bodies is in use; the request did not run.
     too_slow,
     handler_failed, ///< By an exception; the request may have run.
+    count,
 };
 
+/// The limit that a request exceeded, for error messages; empty for errors
+/// that are no limit.
+std::string limit_of(http_error error);
+
 /// Parameters of a server.
 struct http_server_init
 {
@@ -71,6 +83,9 @@
     /// For each part of a response that the client's system accepts.
     milliseconds  write_timeout   = seconds{30};
     std::uint32_t max_connections = 10000;
+    /// Request bodies are charged to the body_memory of their thread, and
+    /// refused with no_memory when it is in use.
+    bool charge_bodies = true;
     /// Called for each request on the fiber of its connection.
     std::function<void(http_exchange&)> handler;
     /// Returns the response to a request that could not be read, or whose
--- a/src/standin_http.cpp
+++ b/src/standin_http.cpp
@@ -96,16 +96,22 @@
 {
     switch (error) {
     case http_error::header_too_large:
+    case http_error::trailer_too_large:
+    case http_error::chunk_extension_too_large:
         return problem_response(http::status::request_header_fields_too_large,
                                 "header_too_large");
     case http_error::body_too_large:
         return problem_response(http::status::payload_too_large, "too_large");
+    case http_error::no_memory:
+        return problem_response(http::status::service_unavailable,
+                                "overloaded");
     case http_error::too_slow:
         return problem_response(http::status::request_timeout, "too_slow");
     case http_error::handler_failed:
         return problem_response(http::status::internal_server_error,
                                 "internal");
     case http_error::malformed:
+    case http_error::count:
         break;
     }
     return problem_response(http::status::bad_request, "bad_request");
