--- a/tests/gateway_settings_test.cpp
+++ b/tests/gateway_settings_test.cpp
@@ -60,9 +60,10 @@
 {
     const std::string line = GENERATE(
         "node: front-gp-a-1", "failure_domain: gp-a", "store: 10.200.1.7:8624",
-        "ready_path: /readiness", "max_descriptors: 4100", "memory_mb: 120", "drain_grace_s: 7.5",
-        "config_in_force_ms: 2000", "target_drain_ms: 2000", "retry_ratio: 0.2",
-        "retry_window_s: 10", "retry_slack: 58");
+        "ready_path: /readiness", "max_descriptors: 4100", "memory_mb: 120",
+        "drain_grace_s: 7.5", "config_in_force_ms: 2000",
+        "target_drain_ms: 2000", "retry_ratio: 0.2", "retry_window_s: 10",
+        "retry_slack: 58");
     const auto key = line.substr(0, line.find(' '));
     CAPTURE(key);
     CHECK(parse_gateway_settings(replaced(line, key), "s.yaml").ok());
