--- a/src/stage_scheduler.cpp
+++ b/src/stage_scheduler.cpp
@@ -565,7 +565,7 @@
     boost::system::error_code ec;
     // On a kept connection, the copy of an earlier response without a limit
     // would be read as the end of the limit.
-    const auto choice = init_.targets.limits().find(to)
+    const auto choice = init_.targets.limits().find(to, daemon_now())
                             ? connection_choice::only_new
                             : connection_choice::idle_or_new;
     auto       lease  = init_.connections.open(to, connection_use::release,
