Send a caller's body to the target without copying it

A body was held three times while a call was written: by the request, by the call and by its serializer, and the copies were not charged to the memory of bodies, so that seven complete bodies of 4 MiB at once could exceed a VM of 120 MB. The call is encoded without a body, and the client sends that of the caller's request.

--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -1037,8 +1037,9 @@
     sent_at_        = daemon_now();
     earlier_events_ = events_;
     // Ends at the first event, which may come long before the call does.
-    waiting_      = parts_.crashes.watch(prompt_, chosen);
-    const auto ec = lease->send(request, remaining_time());
+    waiting_ = parts_.crashes.watch(prompt_, chosen);
+    const auto ec =
+        lease->send(request, exchange_.shared_request(), remaining_time());
     if (ec) {
         report_unanswered(chosen, ec);
         log(log_level::warning, "no response from the target",
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -623,7 +623,7 @@
         {"evacuated_domains", "Failure domains that are evacuated.",
          n(targets.evacuated().size())},
         {"evacuation_changes_total", "Evacuations begun and ended.",
-         n(evacuation_changes)},
+         n(evacuation_changes), true},
         {"daemons_alive", "Daemons believed alive, this one included.",
          n(peers->table().alive(now).size() + 1)},
         {"target_connections_opened_total", "Connections to targets.",
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <array>
@@ -56,10 +57,14 @@
     return parse_listen_address(text, host, port) && port != 0;
 }
 
-struct http_client::impl
+struct http_client::impl : std::enable_shared_from_this<impl>
 {
     explicit impl(asio::io_context& io) : stream(io) {}
 
+    /// Writes a request; the caller reads the response meanwhile.
+    template <class Pending>
+    void write(std::shared_ptr<Pending> out, milliseconds timeout);
+
     using parser_type = http::response_parser<http::buffer_body>;
 
     boost::beast::tcp_stream   stream;
@@ -89,6 +94,25 @@
     http::request_serializer<http::string_body> serializer;
 };
 
+/// The same with the body of a request that others hold, too.
+struct pending_shared_request
+{
+    using body = http::span_body<const char>;
+
+    pending_shared_request(const http_request&                 head,
+                           std::shared_ptr<const http_request> it)
+        : owner(std::move(it)),
+          message(head.base(),
+                  body::value_type(owner->body().data(), owner->body().size())),
+          serializer(message)
+    {
+    }
+
+    std::shared_ptr<const http_request> owner;
+    http::request<body>                 message;
+    http::request_serializer<body>      serializer;
+};
+
 } // namespace
 
 http_client::http_client(asio::io_context& io)
@@ -122,21 +146,37 @@
     return {};
 }
 
-error_code http_client::send(const http_request& request, milliseconds timeout)
+template <class Pending>
+void http_client::impl::write(std::shared_ptr<Pending> out,
+                              milliseconds             timeout)
 {
-    impl_->stream.expires_after(timeout);
-    impl_->request_started = true;
-    impl_->writing         = true;
-    auto  out              = std::make_shared<pending_request>(request);
-    auto& serializer       = out->serializer;
+    stream.expires_after(timeout);
+    request_started  = true;
+    writing          = true;
+    auto& serializer = out->serializer;
     // The target may respond before it has read the whole request and then
     // stop reading. So the response is read while the write is in progress.
-    http::async_write(
-        impl_->stream, serializer,
-        [state = impl_, out = std::move(out)](error_code ec, std::size_t) {
-            state->writing = false;
-            state->broken  = state->broken || ec;
-        });
+    http::async_write(stream, serializer,
+                      [state = shared_from_this(),
+                       out   = std::move(out)](error_code ec, std::size_t) {
+                          state->writing = false;
+                          state->broken  = state->broken || ec;
+                      });
+}
+
+error_code http_client::send(const http_request& request, milliseconds timeout)
+{
+    impl_->write(std::make_shared<pending_request>(request), timeout);
+    return read_head(timeout);
+}
+
+error_code http_client::send(const http_request&                 head,
+                             std::shared_ptr<const http_request> body_of,
+                             milliseconds                        timeout)
+{
+    impl_->write(
+        std::make_shared<pending_shared_request>(head, std::move(body_of)),
+        timeout);
     return read_head(timeout);
 }
 
--- a/src/http_client.hpp
+++ b/src/http_client.hpp
@@ -39,6 +39,11 @@
     /// \param timeout for both together.
     boost::system::error_code send(const http_request& request,
                                    milliseconds        timeout);
+    /// The same with the body of another request, which is not copied.
+    /// \param head its Content-Length is that of the body.
+    boost::system::error_code send(const http_request&                 head,
+                                   std::shared_ptr<const http_request> body_of,
+                                   milliseconds                        timeout);
     /// Reads the head of a further response, after the previous response was
     /// read completely.
     boost::system::error_code read_head(milliseconds timeout);
--- a/src/wire_codec.hpp
+++ b/src/wire_codec.hpp
@@ -100,8 +100,9 @@
     virtual ~wire_codec() = default;
 
     virtual request_head decode_call(const http_request& it) const = 0;
-    /// Builds the request to the target from the caller's request. Method, path
-    /// and body are unchanged.
+    /// Builds the request to the target from the caller's request, with the
+    /// length of its body and without the body, which is not copied. Method and
+    /// path are unchanged.
     virtual http_request encode_call(const http_request& it,
                                      const call_context& context) const = 0;
     virtual response_head
