--- a/src/target_work.cpp
+++ b/src/target_work.cpp
@@ -112,6 +112,14 @@
                    faded(ms_between(it.reported_at, now), slowdown_fade_ms);
 }
 
+bool target_work::reports_slowdown(const std::vector<const target*>& list) const
+{
+    return std::any_of(list.begin(), list.end(), [this](const auto* it) {
+        const auto* at = find(it->id);
+        return at && at->reported.slowdown.has_value();
+    });
+}
+
 double target_work::slowdown(const std::string& id, time_point now) const
 {
     const auto* it = find(id);
--- a/src/target_work.hpp
+++ b/src/target_work.hpp
@@ -38,6 +38,9 @@
     /// Expected cost in milliseconds of \p work at each target of the list.
     std::vector<double> costs(const std::vector<const target*>& list,
                               const call_work& work, time_point now) const;
+    /// \return whether a target of the list reports its momentary slowdown:
+    /// only then do costs differ enough to choose by them.
+    bool reports_slowdown(const std::vector<const target*>& list) const;
     /// Reported slowdown, which loses its weight within half a second.
     double slowdown(const std::string& id, time_point now) const;
     /// Prompt tokens that the target has probably cached.
--- a/tests/target_work_test.cpp
+++ b/tests/target_work_test.cpp
@@ -42,6 +42,8 @@
                            "10.0.0.1:1", "d1", 10, false, 0});
         for (const auto& it : all)
             list.push_back(&it);
+        // Costs are compared where targets report their slowdown.
+        picker.load_reported("a", target_load{0, 0, 10, 1.0}, at(-60'000));
     }
 
     std::string pick(double ms, const call_work* work,
@@ -154,7 +156,7 @@
         fixture f{8};
         f.picker = target_picker{n};
         for (const auto& it : f.all)
-            f.picker.load_reported(it.id, {it.id == "a" ? 3U : 4U, 0, 10},
+            f.picker.load_reported(it.id, {it.id == "a" ? 3U : 4U, 0, 10, 1.0},
                                    at(0));
         ++count[f.pick(200, &work)];
     }
@@ -167,7 +169,7 @@
         fixture f{26};
         f.picker = target_picker{n};
         for (const auto& it : f.all)
-            f.picker.load_reported(it.id, {it.id == "a" ? 0U : 8U, 0, 10},
+            f.picker.load_reported(it.id, {it.id == "a" ? 0U : 8U, 0, 10, 1.0},
                                    at(0));
         ++count[f.pick(200, &work)];
     }
@@ -257,3 +259,19 @@
     a.picker.start(cache->id, 30'000, at(0), &long_prompt);
     CHECK(a.pick(0, &work, session) != cache->id);
 }
+
+// Guards against a new choice on deployments whose targets do not report their
+// slowdown: there it sent requests away from the domain of their inputs.
+TEST_CASE("without reported slowdowns the choice counts calls", "[gateway]")
+{
+    fixture    f(2);
+    const auto work = work_of(9000, 50);
+    f.picker.load_reported("a", {0, 0, 10}, at(0));
+    const auto long_prompt = work_of(3000, 50);
+    f.picker.start("a", 3000, at(0), &long_prompt);
+    f.picker.start("b", 100, at(0));
+    f.picker.start("b", 100, at(0));
+    CHECK(f.pick(0, &work) == "a");
+    f.picker.load_reported("a", {0, 0, 10, 1.0}, at(0));
+    CHECK(f.pick(0, &work) == "b");
+}
