Move the selection of a request's targets out of forward_run, and mend regions

A review of evacuations and regions by another reader found: requests bound to the only region of a deployment were refused at their stages, since a small service was one shard without a domain; deployments with two regions cut other shards without any restricted route; a region that is no text lifted the restriction; queued orders of an evacuated domain waited for their limit; releases to it counted as done or took permits; and a service without targets was refused earlier than before where nothing new is configured.

--- a/src/crash_report.hpp
+++ b/src/crash_report.hpp
@@ -5,6 +5,7 @@
 #include "gateway_types.hpp"
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace arbutusgate::gateway {
@@ -17,6 +18,9 @@
 };
 
 prompt_key make_prompt_key(const std::vector<prompt_part>& prompt);
+/// \return ids of the parts that other requests may share, for the log: the
+/// last few, separated by commas.
+std::string shared_part_ids(const std::vector<prompt_part>& prompt);
 /// \return the prompt with few of its shared parts, which differ from request
 /// to request: a bound on what one request leaves behind.
 prompt_key sample_parts(const prompt_key& prompt);
--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -87,8 +87,9 @@
 } // namespace
 
 forward_run::forward_run(request_dependencies& parts, http_exchange& exchange)
-    : parts_(parts), exchange_(exchange), arrived_at_(daemon_now()),
-      signal_(std::make_shared<fiber_signal>())
+    : parts_(parts), exchange_(exchange),
+      filter_(parts.targets, parts.quarantine, prompt_),
+      arrived_at_(daemon_now()), signal_(std::make_shared<fiber_signal>())
 {
 }
 
@@ -192,14 +193,14 @@
         return run_failure{refusal_reason::no_target, execution::not_run,
                            no_target_retry_after};
     parts_.budget.count_request(service_->name, arrived_at_);
-    permitted_domains_ = parts_.regions.permitted_domains(
+    filter_.permit_domains(parts_.regions.permitted_domains(
         route_->regions,
-        account_ ? account_->regions : std::vector<std::string>{});
+        account_ ? account_->regions : std::vector<std::string>{}));
     if (service_->engine) {
         work_ = parts_.work.estimate(
             call_, *route_, account_ ? account_->name : "", *service_->engine);
-        const auto* cache =
-            parts_.picker.preferred(usable_targets(), affinity());
+        const auto* cache = parts_.picker.preferred(
+            filter_.usable(service_->name, daemon_now()), affinity());
         if (cache)
             work_->likely_cache = cache->id;
     }
@@ -224,11 +225,12 @@
 {
     if (parts_.targets.gate().empty() && parts_.targets.limits().empty())
         return std::nullopt;
-    const auto opens = opens_at(tried_targets_);
-    const auto now   = daemon_now();
-    if (!opens || *opens <= now + time_until_goal())
+    const auto now = daemon_now();
+    const auto [first, opens] =
+        filter_.first_to_open(service_->name, tried_targets_, now);
+    if (!first || opens <= now + time_until_goal())
         return std::nullopt;
-    const auto wait = remaining_until(*opens, now);
+    const auto wait = remaining_until(opens, now);
     log(log_level::info, "request refused: all targets are closed",
         {{"request", call_.attempt},
          {"service", service_->name},
@@ -236,31 +238,14 @@
     return run_failure{refusal_reason::overloaded, execution::not_run, wait};
 }
 
-bool forward_run::permits(const target& it) const
-{
-    return !permitted_domains_ ||
-           permitted_domains_->contains(it.failure_domain);
-}
-
-bool forward_run::has_permitted_target(const std::string& service) const
-{
-    const auto& all = parts_.targets.usable(service);
-    return std::any_of(all.begin(), all.end(),
-                       [this](const auto* it) { return permits(*it); });
-}
-
-/// Refuses the request before its stages run in vain.
+/// Refuses a request that an evacuation or its regions leave no target, before
+/// its stages run in vain.
 std::optional<run_failure> forward_run::refuse_without_target()
 {
-    const std::string* without = nullptr;
-    if (!has_permitted_target(service_->name))
-        without = &service_->name;
-    for (std::uint32_t n = 0; n < route_->stages.size(); ++n) {
-        const auto& service = route_->stages[n].service;
-        if (n < call_.pieces.size() && call_.pieces[n] > 0 &&
-            !has_permitted_target(service))
-            without = &service;
-    }
+    if (parts_.targets.evacuated().empty() && !filter_.permitted_domains())
+        return std::nullopt;
+    const auto* without =
+        filter_.service_without_target(*service_, *route_, call_.pieces);
     if (!without)
         return std::nullopt;
     log(log_level::info, "request refused: a service has no target for it",
@@ -269,43 +254,21 @@
                        no_target_retry_after};
 }
 
-bool forward_run::quarantined_at(const target& it) const
-{
-    const auto found =
-        parts_.quarantine.find(prompt_, crash_scope(it), daemon_now());
-    return found && found->part != trial_part_;
-}
-
-const std::vector<const target*>& forward_run::usable_targets()
-{
-    const auto& all        = parts_.targets.usable(service_->name);
-    const bool  quarantine = parts_.quarantine.active();
-    if (!quarantine && !permitted_domains_)
-        return all;
-    usable_.clear();
-    std::copy_if(all.begin(), all.end(), std::back_inserter(usable_),
-                 [&](const auto* it) {
-                     return permits(*it) &&
-                            !(quarantine && quarantined_at(*it));
-                 });
-    return usable_;
-}
-
 std::optional<run_failure> forward_run::refuse_if_quarantined()
 {
-    const auto& all = parts_.targets.usable(service_->name);
-    if (!parts_.quarantine.active() || !has_permitted_target(service_->name) ||
-        !usable_targets().empty())
+    const auto* any = filter_.any_permitted(service_->name);
+    if (!parts_.quarantine.active() || !any ||
+        !filter_.usable(service_->name, daemon_now()).empty())
         return std::nullopt;
-    const auto now = daemon_now();
-    const auto found =
-        parts_.quarantine.find(prompt_, crash_scope(*all.front()), now);
+    const auto now   = daemon_now();
+    const auto found = parts_.quarantine.find(prompt_, crash_scope(*any), now);
     if (!found)
         return std::nullopt;
     if (found->next_trial_at <= now && parts_.trials.acquire(found->part)) {
-        trial_part_ = found->part;
+        filter_.set_trial(found->part);
         log(log_level::info, "request is the trial of a quarantined part",
-            {{"request", call_.attempt}, {"parts", shared_parts()}});
+            {{"request", call_.attempt},
+             {"parts", shared_part_ids(call_.prompt)}});
         return std::nullopt;
     }
     const auto age =
@@ -315,7 +278,7 @@
     log(log_level::info,
         "request refused: a part of its prompt crashes targets",
         {{"request", call_.attempt},
-         {"parts", shared_parts()},
+         {"parts", shared_part_ids(call_.prompt)},
          {"part", to_hex(found->part)},
          {"crashes", found->crashes},
          {"requests", found->requests},
@@ -472,7 +435,8 @@
         return "";
     const auto  now = daemon_now();
     const auto* it  = parts_.picker.pick(
-         parts_.targets.open(usable_targets(), now), hints, now);
+         parts_.targets.open(filter_.usable(service_->name, daemon_now()), now),
+         hints, now);
     return it ? it->failure_domain : "";
 }
 
@@ -484,7 +448,7 @@
     out.service           = step.service;
     out.group.count       = count;
     out.group.rank        = priority_;
-    out.permitted_domains = permitted_domains_;
+    out.permitted_domains = filter_.permitted_domains();
     const auto rest       = time_after_stage(stage);
     out.group.goal        = goal_at_ - rest;
     out.group.limit       = first_event_deadline_ - rest;
@@ -727,17 +691,6 @@
     return XXH3_64bits(it.id.data(), it.id.size()) | 1;
 }
 
-/// Ids of the parts of the prompt that other requests may share, for the log.
-std::string forward_run::shared_parts() const
-{
-    constexpr std::size_t max_logged = 8;
-    std::string           out;
-    const auto n = call_.prompt.empty() ? 0 : call_.prompt.size() - 1;
-    for (auto k = n - std::min(n, max_logged); k < n; ++k)
-        out += (out.empty() ? "" : ",") + call_.prompt[k].id;
-    return out;
-}
-
 const target* forward_run::pick_target(bool limited)
 {
     pick_hints hints;
@@ -754,40 +707,13 @@
     const auto now     = daemon_now();
     auto&      targets = parts_.targets;
     return parts_.picker.pick(
-        limited ? targets.open(usable_targets(), now)
-                : targets.open_without_limit(usable_targets(), now),
+        limited
+            ? targets.open(filter_.usable(service_->name, daemon_now()), now)
+            : targets.open_without_limit(
+                  filter_.usable(service_->name, daemon_now()), now),
         hints, now);
 }
 
-std::optional<time_point>
-forward_run::opens_at(const std::vector<std::string>& tried)
-{
-    auto list = usable_targets();
-    std::erase_if(list, [&](const auto* it) {
-        return std::find(tried.begin(), tried.end(), it->id) != tried.end();
-    });
-    return parts_.targets.opens_at(list, daemon_now());
-}
-
-/// The target that opens first, of those that the request has not tried.
-const target* forward_run::first_to_open()
-{
-    const target*             out = nullptr;
-    std::optional<time_point> out_at;
-    const auto                now = daemon_now();
-    for (const auto* it : usable_targets()) {
-        if (std::find(tried_targets_.begin(), tried_targets_.end(), it->id) !=
-            tried_targets_.end())
-            continue;
-        const auto at = parts_.targets.opens_at(*it, now);
-        if (at && (!out_at || *at < *out_at)) {
-            out    = it;
-            out_at = at;
-        }
-    }
-    return out;
-}
-
 /// Gets a permit for one call to the target and waits until it may be sent.
 /// \return false without a permit, or when the caller has left meanwhile.
 bool forward_run::acquire_permit(const target& chosen, milliseconds max_wait)
@@ -844,11 +770,12 @@
             return it;
         if (interrupted() || refuse_if_closed())
             return std::nullopt;
-        const auto* first = first_to_open();
+        const auto  now = daemon_now();
+        const auto* first =
+            filter_.first_to_open(service_->name, tried_targets_, now).first;
         if (!first)
             return std::nullopt;
         const auto chosen = *first;
-        const auto now    = daemon_now();
         auto       retry  = parts_.targets.opens_at(chosen, now);
         if (limits_calls(chosen) && parts_.targets.gate().admits(chosen, now)) {
             if (acquire_permit(chosen, time_until_goal()))
@@ -879,8 +806,10 @@
 run_failure forward_run::attempt_failure(attempt_result last)
 {
     if (last == attempt_result::not_run) {
-        const auto opens = opens_at({});
-        const auto wait  = opens ? remaining_until(*opens) : milliseconds{0};
+        const auto now = daemon_now();
+        const auto [first, opens] =
+            filter_.first_to_open(service_->name, {}, now);
+        const auto wait = first ? remaining_until(opens, now) : milliseconds{0};
         return {refusal_reason::overloaded, execution::not_run,
                 std::max(target_full_retry_after, wait)};
     }
@@ -924,7 +853,7 @@
             tried_targets_.push_back(chosen.id);
         may_have_run = may_have_run || last != attempt_result::not_run;
         if (!request_unsent_)
-            trial_part_.reset();
+            filter_.set_trial(std::nullopt);
         if (request_unsent_) {
             if (++connects >= max_connect_attempts || deadline_passed())
                 break;
@@ -985,7 +914,7 @@
     permit_lapsed_ = !may_send(chosen);
     if (lease && (parts_.targets.gate().refuses(chosen, daemon_now()) ||
                   parts_.targets.evacuated(chosen) || permit_lapsed_ ||
-                  quarantined_at(chosen)))
+                  filter_.is_quarantined(chosen, daemon_now())))
     {
         request_unsent_ = true;
         finish_call(chosen, call_outcome::cancelled);
@@ -1046,7 +975,7 @@
             {{"request", call_.attempt},
              {"target", chosen.id},
              {"error", ec.message()},
-             {"parts", shared_parts()},
+             {"parts", shared_part_ids(call_.prompt)},
              {"client_gone", caller_gone_}});
         finish_call(chosen, call_outcome::broken);
         return stream_started_ ? attempt_result::cut : attempt_result::failed;
@@ -1240,7 +1169,7 @@
         {{"request", call_.attempt},
          {"target", chosen.id},
          {"events", events_},
-         {"parts", shared_parts()},
+         {"parts", shared_part_ids(call_.prompt)},
          {"client_gone", caller_gone_},
          {"draining", ended_},
          {"error", ec.message()}});
--- a/src/forward_run.hpp
+++ b/src/forward_run.hpp
@@ -8,6 +8,7 @@
 #include "crash_report.hpp"
 #include "stage_service.hpp"
 #include "target_connections.hpp"
+#include "target_filter.hpp"
 #include "target_picker.hpp"
 #include "waiting_calls.hpp"
 #include "wire_codec.hpp"
@@ -19,7 +20,6 @@
 #include <memory>
 #include <optional>
 #include <random>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -113,8 +113,6 @@
     /// Refuses a request with several stages that cannot be served in time.
     std::optional<run_failure> admit();
     std::optional<run_failure> refuse_without_target();
-    bool                       permits(const target& it) const;
-    bool has_permitted_target(const std::string& service) const;
     std::optional<run_failure> refuse_if_closed();
     /// Refuses a request that would not be answered before the daemon stops.
     std::optional<run_failure> refuse_if_stopping();
@@ -124,16 +122,12 @@
     /// Refuses the request when a part of its prompt keeps it from all targets,
     /// unless it becomes the trial of that part.
     std::optional<run_failure> refuse_if_quarantined();
-    bool                       quarantined_at(const target& it) const;
-    /// Targets of the service that may get new work and at which no part of the
-    /// prompt is in quarantine.
-    const std::vector<const target*>& usable_targets();
-    std::optional<run_failure>        run_stages();
-    bool                              submit_stages(run_failure& failure);
-    stage_order                       make_order(std::uint32_t stage);
-    std::string                       prompt_cache_domain();
-    std::vector<std::string>          inputs_of(std::uint32_t stage) const;
-    std::vector<std::string>          final_inputs() const;
+    std::optional<run_failure> run_stages();
+    bool                       submit_stages(run_failure& failure);
+    stage_order                make_order(std::uint32_t stage);
+    std::string                prompt_cache_domain();
+    std::vector<std::string>   inputs_of(std::uint32_t stage) const;
+    std::vector<std::string>   final_inputs() const;
     std::string
          main_result_domain(const std::vector<std::uint32_t>& stages) const;
     bool stage_ready(std::uint32_t stage) const;
@@ -147,15 +141,10 @@
     bool                  limits_calls(const target& it) const;
     std::optional<target> take_free_target();
     std::optional<target> await_target();
-    const target*         first_to_open();
-    bool         acquire_permit(const target& chosen, milliseconds max_wait);
-    bool         may_send(const target& chosen) const;
-    milliseconds time_until_goal() const;
-    /// \param tried ids of targets to leave out.
-    /// \return earliest time at which a target of the service may get work;
-    /// nullopt when none will.
-    std::optional<time_point> opens_at(const std::vector<std::string>& tried);
-    attempt_result            attempt(const target& chosen);
+    bool           acquire_permit(const target& chosen, milliseconds max_wait);
+    bool           may_send(const target& chosen) const;
+    milliseconds   time_until_goal() const;
+    attempt_result attempt(const target& chosen);
     attempt_result send(const target& chosen, connection_lease& lease);
     attempt_result handle_response(const target&     chosen,
                                    connection_lease& lease);
@@ -201,13 +190,13 @@
     std::uint64_t    result_bytes() const;
     const call_work* work() const { return work_ ? &*work_ : nullptr; }
     std::uint64_t    affinity() const;
-    std::string      shared_parts() const;
     void             log_end(std::string_view outcome, unsigned status);
 
     request_dependencies&              parts_;
     http_exchange&                     exchange_;
     request_head                       call_;
     prompt_key                         prompt_;
+    target_filter                      filter_;
     std::shared_ptr<const route_table> table_;
     const route*                       route_   = nullptr;
     const account*                     account_ = nullptr;
@@ -258,12 +247,6 @@
     /// The attempt was not sent because its permit was too old by then, or
     /// because the target had named a limit meanwhile.
     bool permit_lapsed_ = false;
-    /// The next attempt is the trial of this part, which is in quarantine.
-    std::optional<std::uint64_t> trial_part_;
-    /// Failure domains that may run the request; unset: all.
-    std::optional<std::set<std::string>> permitted_domains_;
-    /// Last result of usable_targets(), if that leaves targets out.
-    std::vector<const target*> usable_;
     /// For the attempt; unset: the target named no limit when it was chosen.
     std::optional<call_permit> permit_;
     std::optional<std::string> last_event_id_; ///< For resuming.
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -525,7 +525,7 @@
         if (!service.stage)
             continue;
         auto list = split_service(service.name, targets.usable(service.name),
-                                  regions.has_several());
+                                  restricts_regions(table->config()));
         shards.insert(shards.end(), list.begin(), list.end());
     }
     return shards;
--- a/src/part_quarantine.cpp
+++ b/src/part_quarantine.cpp
@@ -46,6 +46,16 @@
 
 } // namespace
 
+std::string shared_part_ids(const std::vector<prompt_part>& prompt)
+{
+    constexpr std::size_t max_ids = 8;
+    std::string           out;
+    const auto            n = prompt.empty() ? 0 : prompt.size() - 1;
+    for (auto k = n - std::min(n, max_ids); k < n; ++k)
+        out += (out.empty() ? "" : ",") + prompt[k].id;
+    return out;
+}
+
 prompt_key make_prompt_key(const std::vector<prompt_part>& prompt)
 {
     prompt_key out;
--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -28,6 +28,8 @@
 constexpr std::string_view reader_work = "published state";
 
 constexpr milliseconds connect_timeout{300};
+/// Retry-After of an order whose permitted domains have no shard.
+constexpr milliseconds no_shard_retry_after{1000};
 constexpr milliseconds gossip_timeout{500};
 constexpr milliseconds release_timeout{1000};
 constexpr milliseconds state_timeout{500};
@@ -586,9 +588,10 @@
     const auto  now   = daemon_now();
     const auto* shard = shard_for(order);
     if (!shard && order.permitted_domains) {
-        auto ticket     = std::make_shared<stage_ticket>();
-        ticket->state   = order_state::refused;
-        ticket->changed = std::move(changed);
+        auto ticket         = std::make_shared<stage_ticket>();
+        ticket->state       = order_state::refused;
+        ticket->retry_after = no_shard_retry_after;
+        ticket->changed     = std::move(changed);
         return ticket;
     }
     if (shard && shard->key() != shard->service) {
--- a/src/region_map.cpp
+++ b/src/region_map.cpp
@@ -14,11 +14,13 @@
 
 } // namespace
 
-bool region_map::has_several() const
+bool restricts_regions(const configuration& it)
 {
-    return std::any_of(domains_.begin(), domains_.end(), [&](const auto& it) {
-        return it.region != domains_.front().region;
-    });
+    const auto restricted = [](const auto& entry) {
+        return !entry.regions.empty();
+    };
+    return std::any_of(it.routes.begin(), it.routes.end(), restricted) ||
+           std::any_of(it.accounts.begin(), it.accounts.end(), restricted);
 }
 
 std::optional<std::set<std::string>> region_map::permitted_domains(
--- a/src/region_map.hpp
+++ b/src/region_map.hpp
@@ -5,6 +5,8 @@
 /// target of one of its stages, in another region.
 #pragma once
 
+#include "gateway_types.hpp"
+
 #include <optional>
 #include <set>
 #include <string>
@@ -20,6 +22,11 @@
     std::string region;
 };
 
+/// \return whether some route or account restricts its regions. The shards of
+/// stage services then follow the failure domains; all daemons decide this by
+/// the configuration alone, so that they cut the same shards.
+bool restricts_regions(const configuration& it);
+
 class region_map
 {
 public:
@@ -28,8 +35,6 @@
     {
     }
 
-    /// \return whether the failure domains lie in more than one region.
-    bool has_several() const;
     /// Both lists of regions restrict the request; an empty one does not.
     /// \return the failure domains that may run the request, which may be none;
     /// nullopt: all. A domain without a known region is in no region.
--- a/src/stage_batcher.hpp
+++ b/src/stage_batcher.hpp
@@ -97,6 +97,12 @@
     /// Drops groups whose limit has passed while pieces wait.
     /// \return their ids.
     std::vector<std::uint64_t> expire(time_point now);
+    /// Drops groups of which pieces wait, whatever their limit.
+    /// \return their ids.
+    std::vector<std::uint64_t> drop_waiting()
+    {
+        return expire(time_point::max());
+    }
     /// Drops late groups that cannot be completed before their limit with the
     /// capacity that groups on time leave. Failure: a burst leaves a queue of
     /// late requests that never run: they wait until their callers disconnect,
--- a/src/stage_scheduler.cpp
+++ b/src/stage_scheduler.cpp
@@ -436,6 +436,15 @@
 /// delay of the remaining late orders as their retry_after.
 void stage_scheduler::refuse_unmeetable(shard_pool& pool, time_point now)
 {
+    // The orders of an evacuated domain would wait for their limit in vain.
+    if (init_.targets.evacuated().contains(pool.shard.failure_domain)) {
+        for (const auto id : pool.batcher.drop_waiting()) {
+            if (const auto it = pool.groups.find(id); it != pool.groups.end())
+                it->second.ticket->retry_after = min_retry_after;
+            finish_order(pool, id, order_state::refused);
+        }
+        return;
+    }
     const auto available = availability_of(pool, now);
     if (!available)
         return;
@@ -505,8 +514,11 @@
             if (found == held_results_.end())
                 continue;
             id = found->second.target;
+            // What is not released takes result memory until it expires.
+            const auto* target = init_.targets.find(id);
+            const bool  kept   = target && init_.targets.evacuated(*target);
             if (const auto pool = pools_.find(found->second.pool);
-                pool != pools_.end())
+                !kept && pool != pools_.end())
                 pool->second->batcher.released(id, found->second.bytes,
                                                daemon_now());
             held_results_.erase(found);
@@ -540,7 +552,10 @@
     if (!first)
         return;
     fibers_.spawn([this, to] {
-        for (auto now = daemon_now(); !fibers_.stopping(); now = daemon_now()) {
+        for (auto now = daemon_now();
+             !fibers_.stopping() && !init_.targets.evacuated(to);
+             now = daemon_now())
+        {
             const auto opens = init_.targets.opens_at(to, now);
             if (opens && *opens > now) {
                 fibers_.sleep_until(*opens);
@@ -562,6 +577,8 @@
 void stage_scheduler::send_release(const target&                   to,
                                    const std::vector<std::string>& handles)
 {
+    if (init_.targets.evacuated(to))
+        return;
     boost::system::error_code ec;
     // On a kept connection, the copy of an earlier response without a limit
     // would be read as the end of the limit.
--- a/src/target_directory.cpp
+++ b/src/target_directory.cpp
@@ -13,7 +13,8 @@
     if (known != targets_.end()) {
         const auto& old = known->second.value;
         if (old.started_at == it.started_at && old.address == it.address &&
-            old.service == it.service && !known->second.lapsed)
+            old.service == it.service &&
+            old.failure_domain == it.failure_domain && !known->second.lapsed)
         {
             if (old.leaving == it.leaving && old.slots == it.slots)
                 return target_change::none;
--- a/src/target_picker.cpp
+++ b/src/target_picker.cpp
@@ -112,7 +112,7 @@
         list.swap(fallback);
     if (list.empty())
         return nullptr;
-    if (uses_work_ && hints.work && work_.reports_slowdown(list))
+    if (uses_work_ && hints.work && work_.reports_slowdown(candidates))
         return pick_by_cost(list, hints, now);
     const auto          latency_limit_ms = normal_latency_limit(list);
     std::vector<double> scores;
--- a/tests/gateway_settings_test.cpp
+++ b/tests/gateway_settings_test.cpp
@@ -59,6 +59,24 @@
     CHECK(without_seeds->seeds.empty());
 }
 
+// Guards against a daemon that does not start where the platform names no
+// failure domains, and against regions that are lost.
+TEST_CASE("the regions of failure domains may be absent", "[gateway]")
+{
+    const auto regions = [](const std::string& section) {
+        return parse_gateway_settings(
+            replaced("bounds:", section + "\nbounds:"), "s.yaml");
+    };
+    const auto none = regions("regions:\n");
+    REQUIRE(none.ok());
+    CHECK(none->regions.empty());
+    const auto two = regions("regions:\n\n  a: eu\n\n  b: us\n");
+    REQUIRE(two.ok());
+    REQUIRE(two->regions.size() == 2);
+    CHECK(two->regions[1].failure_domain == "b");
+    CHECK(two->regions[1].region == "us");
+}
+
 // Guards against a daemon that does not start since the platform's template
 // renders nothing for a value that is not set, or an unusual one.
 TEST_CASE("gateway settings without a value have their defaults", "[gateway]")
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -326,6 +326,11 @@
     REQUIRE(config.ok());
     CHECK(config->routes[0].regions == std::vector<std::string>{"eu", "us"});
     CHECK(config->accounts[0].regions == std::vector<std::string>{"eu"});
+    // A restriction that cannot be read must not be lifted.
+    CHECK_FALSE(decode_configuration(
+                    R"({"version":1,"routes":[],"services":[],
+"tenants":[{"name":"t","apiKeys":[],"allowedRegions":[null]}]})")
+                    .ok());
     REQUIRE(config->services[0].cold);
     CHECK(config->services[0].cold->time == milliseconds{3000});
     CHECK(config->services[0].cold->calls_per_s == 15);
--- a/tests/region_map_test.cpp
+++ b/tests/region_map_test.cpp
@@ -11,7 +11,6 @@
 {
     using names = std::set<std::string>;
     const region_map map({{"a", "eu"}, {"b", "eu"}, {"c", "us"}, {"d", "in"}});
-    CHECK(map.has_several());
     CHECK_FALSE(map.permitted_domains({}, {}));
     CHECK(map.permitted_domains({"eu"}, {}) == names{"a", "b"});
     CHECK(map.permitted_domains({}, {"us", "in"}) == names{"c", "d"});
@@ -19,13 +18,23 @@
     // No domain is permitted, which is not the same as no restriction.
     CHECK(map.permitted_domains({"eu"}, {"us"}) == names{});
     CHECK(region_map{}.permitted_domains({"eu"}, {}) == names{});
-    CHECK_FALSE(region_map({{"a", "eu"}, {"b", "eu"}}).has_several());
 }
 
-// Guards against a shard that holds targets of several regions: an order that
-// is restricted to one of them would reach the others.
-TEST_CASE("a small service is split by domain across regions", "[gateway]")
+// Guards against a shard that holds targets of several domains where a route or
+// an account is restricted, also to the only region: its orders would reach
+// targets that they may not use, or find no shard.
+TEST_CASE("a small service is split by domain for restricted requests",
+          "[gateway]")
 {
+    configuration config;
+    config.routes.emplace_back();
+    config.accounts.emplace_back();
+    CHECK_FALSE(restricts_regions(config));
+    config.accounts[0].regions = {"eu"};
+    CHECK(restricts_regions(config));
+    config.accounts[0].regions.clear();
+    config.routes[0].regions = {"eu"};
+    CHECK(restricts_regions(config));
     target a;
     a.id             = "1";
     a.service        = "s";
