--- a/tests/gateway_batcher_test.cpp
+++ b/tests/gateway_batcher_test.cpp
@@ -585,3 +585,17 @@
     CHECK(on_time >= 0.9 * 20 * 12);
     CHECK(f.batcher.state(2, at(20'000)).waiting == 0);
 }
+
+// Guards against orders that wait for their limit in a domain that is
+// evacuated, and against dropping those whose calls still run there.
+TEST_CASE("only groups with waiting pieces are dropped", "[gateway]")
+{
+    fixture f;
+    f.batcher.add(make_group(1, 10, 5000, 9000), at(0));
+    REQUIRE(f.batcher.next(f.one, at(0)));
+    f.batcher.add(make_group(2, 3, 5000, 9000), at(10));
+    CHECK(f.batcher.drop_waiting() == std::vector<std::uint64_t>{2});
+    CHECK(f.batcher.drop_waiting().empty());
+    CHECK(f.batcher.state(1, at(20)).waiting == 0);
+    CHECK(f.batcher.state(1, at(20)).calls == 1);
+}
--- a/tests/gateway_fault_test.cpp
+++ b/tests/gateway_fault_test.cpp
@@ -457,3 +457,27 @@
               .ends_with("done"));
     CHECK(calls == 2);
 }
+
+// Guards against a body that does not reach the target whole, or not again with
+// a retry: it is written from the caller's request, not from a copy.
+TEST_CASE("each attempt sends the whole body of the request",
+          "[gateway][sockets]")
+{
+    std::string body;
+    while (body.size() < 300'000)
+        body += std::to_string(body.size()) + ";";
+    std::atomic<int> whole{0};
+    const auto       script = [&](target_session& session) {
+        const auto text = session.read();
+        if (text.ends_with("\r\n\r\n" + body))
+            ++whole;
+        session.reset();
+    };
+    scripted_target a(script);
+    scripted_target b(script);
+    gateway_fixture g(
+        {make_target("i-1", a.address()), make_target("i-2", b.address())});
+    const auto out = g.exchange(g.request("/again/", body));
+    CHECK(out.starts_with("HTTP/1.1 502 "));
+    CHECK(whole == 2);
+}
--- a/tests/target_work_test.cpp
+++ b/tests/target_work_test.cpp
@@ -254,6 +254,10 @@
     work.likely_cache = cache->id;
     CHECK(a.pick(0, &work, session) == cache->id);
     CHECK(b.pick(0, &work, session) == cache->id);
+    // Half as many unread tokens there as it saves do not move the request.
+    const auto short_prompt = work_of(2500, 50);
+    b.picker.start(cache->id, 2500, at(0), &short_prompt);
+    CHECK(b.pick(0, &work, session) == cache->id);
     // A queue of unread prompts there costs more than the cached part saves.
     const auto long_prompt = work_of(30'000, 50);
     a.picker.start(cache->id, 30'000, at(0), &long_prompt);
