Use settings only when their file is complete

Callers got no answer: the platform writes the settings file at each start and change. A process that read it meanwhile ended at its start (missing or empty file, exit 2), started with defaults for the keys after the cut, or reloaded the part. With a stated grace of 5 s and a file cut behind "drain_grace_s:", SIGTERM left a request of 6 s running for the default grace, and the process was killed at 5 s with the request open.

Cause: any text that parses counted as the whole file.

A start waits up to 10 s for a complete file and heeds SIGTERM meanwhile; a reload keeps the previous settings and logs why.

--- a/src/gateway_settings.cpp
+++ b/src/gateway_settings.cpp
@@ -1,6 +1,5 @@
 #include "gateway_settings.hpp"
 
-#include "config_files.hpp"
 #include "settings_document.hpp"
 
 #include <limits>
@@ -120,12 +119,4 @@
                                                      settings_schema());
 }
 
-absl::StatusOr<gateway_settings> load_gateway_settings(const std::string& path)
-{
-    auto text = read_file(path);
-    if (!text.ok())
-        return text.status();
-    return parse_gateway_settings(*text, path);
-}
-
 } // namespace arbutusgate::gateway
--- a/src/gateway_settings.hpp
+++ b/src/gateway_settings.hpp
@@ -61,9 +61,4 @@
 absl::StatusOr<gateway_settings>
 parse_gateway_settings(const std::string& text, const std::string& name);
 
-/// Reads, parses and validates a settings file.
-/// \return errors of parse_gateway_settings; NotFound or DataLoss when the
-/// file cannot be read.
-absl::StatusOr<gateway_settings> load_gateway_settings(const std::string& path);
-
 } // namespace arbutusgate::gateway
--- a/tools/arbutusgate-gateway.cpp
+++ b/tools/arbutusgate-gateway.cpp
@@ -1,12 +1,15 @@
 #include "config_files.hpp"
+#include "daemon_clock.hpp"
 #include "gateway.hpp"
 #include "http_codec.hpp"
 #include "log.hpp"
 #include "option_table.hpp"
+#include "settings_file.hpp"
 #include "store_client.hpp"
 
 #include <google/protobuf/stubs/logging.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -16,30 +19,71 @@
 using namespace arbutusgate;
 
 /// How often the settings file is checked for changes without a signal.
-constexpr timespec settings_poll_interval{5, 0};
+constexpr milliseconds settings_poll_interval{5000};
+/// The same while the file is incomplete.
+constexpr milliseconds incomplete_poll_interval{100};
+/// How long a start waits for a complete settings file.
+constexpr milliseconds settings_start_timeout{10'000};
+
+using reading_state = gateway::settings_reading::state;
+
+/// \return the signal that arrived within the time; 0: none.
+int wait_for_signal(const sigset_t& signals, milliseconds time)
+{
+    const auto     s  = std::chrono::duration_cast<seconds>(time);
+    const auto     ns = std::chrono::nanoseconds(time - s).count();
+    const timespec timeout{s.count(), ns};
+    return std::max(0, sigtimedwait(&signals, nullptr, &timeout));
+}
+
+bool ends_process(int signal)
+{
+    return signal == SIGTERM || signal == SIGINT;
+}
+
+/// Waits until the settings file is complete: the platform may still be writing
+/// it when the process starts.
+/// \return the outcome rejected or accepted; incomplete after the timeout;
+/// unchanged after SIGTERM or SIGINT.
+gateway::settings_reading read_first_settings(gateway::settings_file& file,
+                                              const std::string&      path,
+                                              const sigset_t&         signals)
+{
+    const auto deadline = daemon_now() + settings_start_timeout;
+    for (;;) {
+        auto out = file.update(read_file(path), daemon_now());
+        if (out.outcome != reading_state::incomplete ||
+            daemon_now() >= deadline)
+            return out;
+        if (ends_process(wait_for_signal(signals, incomplete_poll_interval)))
+            return {};
+    }
+}
 
 /// Reloads the settings after SIGHUP and when the text of their file has
 /// changed. Returns after SIGTERM or SIGINT.
-void watch_settings(gateway::gateway& daemon, const std::string& path,
-                    const sigset_t& signals)
+void watch_settings(gateway::gateway& daemon, gateway::settings_file& file,
+                    const std::string& path, const sigset_t& signals)
 {
-    auto current = read_file(path);
+    std::string last_error;
     for (;;) {
-        const int signal =
-            sigtimedwait(&signals, nullptr, &settings_poll_interval);
-        const bool forced = signal == SIGHUP;
-        if (signal > 0 && !forced)
+        const int signal = wait_for_signal(
+            signals, file.settling(daemon_now()) ? incomplete_poll_interval
+                                                 : settings_poll_interval);
+        if (ends_process(signal))
             return;
-        auto text = read_file(path);
-        if (!text.ok() || (!forced && current.ok() && *text == *current))
-            continue;
-        current             = text;
-        const auto settings = gateway::parse_gateway_settings(*text, path);
-        if (settings.ok())
-            daemon.reload(*settings);
-        else
-            log(log_level::error, "invalid settings; keeping the previous ones",
-                {{"error", std::string(settings.status().message())}});
+        const auto it =
+            file.update(read_file(path), daemon_now(), signal == SIGHUP);
+        if (it.outcome == reading_state::accepted)
+            daemon.reload(*it.settings);
+        else if (!it.error.empty() && it.error != last_error)
+            log(log_level::error,
+                it.outcome == reading_state::rejected
+                    ? "invalid settings; keeping the previous ones"
+                    : "incomplete settings; keeping the previous ones",
+                {{"error", it.error}});
+        if (it.outcome != reading_state::unchanged)
+            last_error = it.error;
     }
 }
 
@@ -68,7 +112,8 @@
 }
 
 [[noreturn]] void run(const gateway::gateway_settings& settings,
-                      const std::string& path, const sigset_t& signals)
+                      gateway::settings_file& file, const std::string& path,
+                      const sigset_t& signals)
 {
     // protobuf's own log lines have no fixed format and no length limit. The
     // gateway logs malformed messages itself.
@@ -87,7 +132,7 @@
         {{"version", ARBUTUSGATE_VERSION},
          {"listen", settings.listen},
          {"store", settings.store}});
-    watch_settings(daemon, path, signals);
+    watch_settings(daemon, file, path, signals);
     daemon.drain();
     finish(exit_status::ok);
 }
@@ -103,16 +148,20 @@
                      path);
     if (const auto status = options.parse(argc, argv))
         return *status;
-    const auto settings = gateway::load_gateway_settings(path);
-    if (!settings.ok()) {
-        std::cerr << settings.status().message() << '\n';
+    gateway::settings_file file(path);
+    const auto             read = read_first_settings(file, path, signals);
+    if (read.outcome == reading_state::unchanged)
+        return exit_status::ok;
+    if (!read.settings) {
+        std::cerr << read.error << '\n';
         return exit_status::usage_error;
     }
-    if (!start_log(settings->log_level, log_output::bounded_output,
-                   settings->node)) {
-        std::cerr << "unknown log level: " << settings->log_level << '\n';
+    const auto& settings = *read.settings;
+    if (!start_log(settings.log_level, log_output::bounded_output,
+                   settings.node)) {
+        std::cerr << "unknown log level: " << settings.log_level << '\n';
         return exit_status::usage_error;
     }
     std::signal(SIGPIPE, SIG_IGN);
-    run(*settings, path, signals);
+    run(settings, file, path, signals);
 }
