Ignore unknown keys of the gateway's settings with a warning

A process did not start (exit 2) when its settings had a key that its version does not know, as when a newer template is in place for an older program. The platform announces that new fields may come and are to be ignored.

Each unknown key is now logged with its line, and the nearest known key. A misspelled required key still ends the start, as it is then missing. The settings of arbutusgated, which operators write themselves, stay strict.

--- a/src/config_reader.cpp
+++ b/src/config_reader.cpp
@@ -77,6 +77,15 @@
     return out;
 }
 
+void config_reader::report_unknown_key(const source_position& at,
+                                       std::string            message)
+{
+    if (unknown_ == unknown_key::error)
+        error(at, std::move(message));
+    else
+        add_issue(ignored_keys_, at, std::move(message));
+}
+
 void config_reader::error(const source_position& at, std::string message)
 {
     add_issue(issues_, at, std::move(message));
--- a/src/config_reader.hpp
+++ b/src/config_reader.hpp
@@ -39,15 +39,31 @@
 public:
     using name_map = std::map<std::string, std::uint32_t, std::less<>>;
 
+    /// What a key means that the schema does not have.
+    enum class unknown_key
+    {
+        error,
+        ignored, ///< It is listed in ignored_keys().
+    };
+
     /// \param keep_values when false, values are checked but not recorded. This
     /// takes half the time and suits a daemon, which needs only the issues and
     /// the deployment.
-    explicit config_reader(bool keep_values = true) : keep_values_(keep_values)
+    explicit config_reader(bool        keep_values = true,
+                           unknown_key unknown     = unknown_key::error)
+        : keep_values_(keep_values), unknown_(unknown)
     {
     }
 
     bool keeps_values() const { return keep_values_; }
 
+    /// Handles a key that the schema does not have.
+    void report_unknown_key(const source_position& at, std::string message);
+    const std::vector<config_issue>& ignored_keys() const
+    {
+        return ignored_keys_;
+    }
+
     void error(const source_position& at, std::string message);
     /// Reports an error at the position of the value, prefixed with its path.
     void error(const located_node& at, std::string_view message);
@@ -75,7 +91,9 @@
 
 private:
     bool                                         keep_values_;
+    unknown_key                                  unknown_;
     std::vector<config_issue>                    issues_;
+    std::vector<config_issue>                    ignored_keys_;
     std::vector<config_value>                    values_;
     std::map<std::string, name_map, std::less<>> names_;
     std::map<std::string, std::unordered_map<std::string, std::string>,
--- a/src/config_schema.cpp
+++ b/src/config_schema.cpp
@@ -6,8 +6,9 @@
                         const std::string& path, std::string_view key,
                         const std::vector<std::string_view>& known)
 {
-    reader.error(at, concat(path, path.empty() ? "" : ": ", "unknown key ",
-                            quote_text(key), suggest(key, known)));
+    reader.report_unknown_key(at, concat(path, path.empty() ? "" : ": ",
+                                         "unknown key ", quote_text(key),
+                                         suggest(key, known)));
 }
 
 bool require_mapping(config_reader& reader, const located_node& at)
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -135,6 +135,13 @@
     return std::max(min, total * mib / divisor);
 }
 
+void log_ignored_keys(const gateway_settings& settings)
+{
+    for (const auto& it : settings.ignored_keys)
+        log(log_level::warning, "ignoring a key of the settings",
+            {{"reason", it}});
+}
+
 /// Clients whose request did not fit may try again after this time.
 constexpr seconds no_memory_retry_after{1};
 
@@ -837,6 +844,7 @@
 
 absl::Status gateway::start()
 {
+    log_ignored_keys(impl_->settings);
     std::promise<void> ready;
     impl_->thread.spawn([this, &ready] {
         impl_->start_on_thread();
@@ -861,6 +869,7 @@
 
 void gateway::reload(const gateway_settings& settings)
 {
+    log_ignored_keys(settings);
     const auto& old = impl_->settings;
     const bool  restart =
         settings.listen != old.listen || settings.ready != old.ready ||
--- a/src/gateway_settings.cpp
+++ b/src/gateway_settings.cpp
@@ -115,8 +115,12 @@
 absl::StatusOr<gateway_settings> parse_gateway_settings(const std::string& text,
                                                         const std::string& name)
 {
-    return parse_settings_document<gateway_settings>(text, name,
-                                                     settings_schema());
+    std::vector<std::string> ignored_keys;
+    auto                     out = parse_settings_document<gateway_settings>(
+        text, name, settings_schema(), &ignored_keys);
+    if (out.ok())
+        out->ignored_keys = std::move(ignored_keys);
+    return out;
 }
 
 } // namespace arbutusgate::gateway
--- a/src/gateway_settings.hpp
+++ b/src/gateway_settings.hpp
@@ -53,6 +53,9 @@
     gateway_bounds bounds;
     /// Regions of the failure domains; a domain that is not named is in none.
     std::vector<domain_region> regions;
+    /// A line for each unknown key of the file, which has no effect: a newer
+    /// template may have keys that this version does not know.
+    std::vector<std::string> ignored_keys;
 };
 
 /// Parses and validates the text of a settings file.
--- a/src/settings_document.hpp
+++ b/src/settings_document.hpp
@@ -20,21 +20,28 @@
 /// Parses and checks the text of a settings file. A key without a value counts
 /// as absent: it was rendered from a template for a value that is not set.
 /// \param name precedes the line and column in each error message.
+/// \param ignored_keys receives a line for each unknown key; if null, unknown
+/// keys are errors.
 /// \return InvalidArgument with one line for each error.
 template <class T>
-absl::StatusOr<T> parse_settings_document(const std::string& text,
-                                          const std::string& name,
-                                          const schema<T>&   keys)
+absl::StatusOr<T>
+parse_settings_document(const std::string& text, const std::string& name,
+                        const schema<T>&          keys,
+                        std::vector<std::string>* ignored_keys = nullptr)
 {
-    auto document = parse_document(name, text);
+    using unknown_key = config_reader::unknown_key;
+    auto document     = parse_document(name, text);
     if (!document.issues.empty())
         return issues_status(document.issues);
     remove_empty_values(document.root);
-    config_reader reader;
+    config_reader reader(true, ignored_keys ? unknown_key::ignored
+                                            : unknown_key::error);
     T             out;
     read_mapping(reader, {document.root, ""}, keys, out);
     if (!reader.issues().empty())
         return issues_status(reader.issues());
+    for (const auto& it : reader.ignored_keys())
+        ignored_keys->push_back(to_string(it));
     return out;
 }
 
