Ignore signals for which the daemons have no use

SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO and SIGPWR each ended a gateway at once, and with it its open requests (measured with one process, seven of seven). Such signals come from log rotation, profilers and other tools that act on all processes of a machine.

Both daemons ignore them from their first line on.

--- a/tools/arbutusgate-gateway.cpp
+++ b/tools/arbutusgate-gateway.cpp
@@ -4,6 +4,7 @@
 #include "http_codec.hpp"
 #include "log.hpp"
 #include "option_table.hpp"
+#include "process_signals.hpp"
 #include "settings_file.hpp"
 #include "store_client.hpp"
 
@@ -141,7 +142,8 @@
 
 int main(int argc, char** argv)
 {
-    const auto   signals = block_signals();
+    const auto signals = block_signals();
+    ignore_unused_signals();
     std::string  path;
     option_table options("Usage: arbutusgate-gateway --settings FILE");
     options.add_text("settings", "FILE", "settings of this daemon, in YAML",
@@ -162,6 +164,5 @@
         std::cerr << "unknown log level: " << settings.log_level << '\n';
         return exit_status::usage_error;
     }
-    std::signal(SIGPIPE, SIG_IGN);
     run(settings, file, path, signals);
 }
--- a/tools/arbutusgated.cpp
+++ b/tools/arbutusgated.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon.hpp"
 #include "log.hpp"
+#include "process_signals.hpp"
 
 #include <getopt.h>
 
@@ -90,6 +91,7 @@
     // The settings are read once. By default SIGHUP would end the process and
     // all its requests.
     std::signal(SIGHUP, SIG_IGN);
+    arbutusgate::ignore_unused_signals();
     const auto arguments = parse_arguments(argc, argv);
     if (arguments.exit_code >= 0)
         return arguments.exit_code;
@@ -104,7 +106,6 @@
         std::cerr << "unknown log level: " << level << '\n';
         return exit_usage;
     }
-    std::signal(SIGPIPE, SIG_IGN);
     const int code = run(*settings);
     arbutusgate::stop_log();
     return code;
