Read whole numbers of the gateway's settings with a decimal point

A process did not start (exit 2) when the platform rendered a whole number as "4100.0". max_descriptors and memory_mb now take it, and reject a fraction.

--- a/src/gateway_settings.cpp
+++ b/src/gateway_settings.cpp
@@ -2,6 +2,7 @@
 
 #include "settings_document.hpp"
 
+#include <cmath>
 #include <limits>
 
 namespace arbutusgate::gateway {
@@ -48,6 +49,33 @@
     }
 };
 
+/// Value type of a whole number that may be written with a decimal point: the
+/// platform may render 4100 as 4100.0.
+struct decimal_integer
+{
+    std::uint32_t max;
+
+    std::optional<std::string> read(config_reader&      reader,
+                                    const located_node& at,
+                                    std::uint32_t&      out) const
+    {
+        double n    = 0;
+        auto   text = number_value<double>{0, static_cast<double>(max)}.read(
+              reader, at, n);
+        if (text && n != std::floor(n)) {
+            report_wrong_value(reader, at, "a whole number");
+            return std::nullopt;
+        }
+        if (text)
+            out = static_cast<std::uint32_t>(n);
+        return text;
+    }
+    std::string print(std::uint32_t value) const
+    {
+        return number_value<std::uint32_t>{}.print(value);
+    }
+};
+
 schema<gateway_bounds> bounds_schema()
 {
     using bounds = gateway_bounds;
@@ -90,14 +118,13 @@
         field<settings>("ready_path", &settings::ready_path, text_value{},
                         presence::defaulted),
         field<settings>("max_descriptors", &settings::max_descriptors,
-                        number_value<std::uint32_t>{0, max_descriptor_limit},
+                        decimal_integer{max_descriptor_limit},
                         presence::defaulted),
         field<settings>("processor_share", &settings::processor_share,
                         number_value<double>{0, max_processor_share},
                         presence::defaulted),
         field<settings>("memory_mb", &settings::memory_mb,
-                        number_value<std::uint32_t>{0, max_memory_mb},
-                        presence::defaulted),
+                        decimal_integer{max_memory_mb}, presence::defaulted),
         field<settings>("log_level", &settings::log_level, log_level_value,
                         presence::defaulted),
         field<settings>("work_estimates", &settings::work_estimates,
--- a/tests/gateway_settings_test.cpp
+++ b/tests/gateway_settings_test.cpp
@@ -143,3 +143,20 @@
     CHECK(nested->ignored_keys[0].find("s.yaml:16:") == 0);
     CHECK(parse_gateway_settings(text, "s.yaml")->ignored_keys.empty());
 }
+
+// Guards against a daemon that does not start because the platform renders a
+// whole number with a decimal point.
+TEST_CASE("whole numbers of the gateway settings may have a decimal point",
+          "[gateway][settings]")
+{
+    const auto settings = parse_gateway_settings(
+        replaced("4100\nmemory_mb: 120", "4100.0\nmemory_mb: 1.2e2"), "s.yaml");
+    REQUIRE(settings.ok());
+    CHECK(settings->max_descriptors == 4100);
+    CHECK(settings->memory_mb == 120);
+    for (const auto* wrong : {"4100.5", "-1.0", "5e9", "nan", "\"4100\""}) {
+        CAPTURE(wrong);
+        CHECK_FALSE(
+            parse_gateway_settings(replaced("4100", wrong), "s.yaml").ok());
+    }
+}
