Soak gateways with kills, unused signals and settings in two parts

The soak replaced the settings file at once, stated a grace equal to the default one, and sent SIGTERM and SIGHUP only: it could not see a reload of a part of the settings, nor a signal that ends a process.

A seed now also writes a part of the settings in place, with and without SIGHUP, and the whole up to 0.4 s later; sends the signals that the daemons have no use for; and kills processes.

--- a/tests/soak/gateway_soak.cpp
+++ b/tests/soak/gateway_soak.cpp
@@ -1,11 +1,12 @@
-/// Soak test of real gateway processes. A seed plans stops, restarts, reloads
-/// and configuration changes that overlap, and the clients' requests. Clients
-/// use their connections until these end.
+/// Soak test of real gateway processes. A seed plans stops, kills, restarts,
+/// reloads, signals and configuration changes that overlap, and the clients'
+/// requests. Settings are also written in place, in two parts. Clients use
+/// their connections until these end.
 ///
 /// Counts each connection that ends without a complete response to a request
 /// that the gateway had read, unless the platform's rules excuse it.
 ///   arbutusgate-gateway-soak GATEWAY [--seed N] [--seconds N] [--gateways N]
-///     [--clients N] [--stops N] [--logs DIR]
+///     [--clients N] [--stops N] [--grace SECONDS] [--logs DIR]
 /// Exit status: 0 without a violation, 1 with one, 2 if it could not run.
 #include "kit.hpp"
 
@@ -25,11 +26,9 @@
 constexpr double never = std::numeric_limits<double>::infinity();
 
 // Bounds of the platform, in ms.
-constexpr double grace            = 8000;
-constexpr double excused_arrival  = 3000; ///< After SIGTERM.
-constexpr double excused_work_end = grace * 5 / 6;
-constexpr double loss_slack       = 200;
-constexpr double answer_slack     = 500; ///< After a route's timeout.
+constexpr double excused_arrival = 3000; ///< After SIGTERM.
+constexpr double loss_slack      = 200;
+constexpr double answer_slack    = 500; ///< After a route's timeout.
 
 constexpr int caller_timeout_ms = 12'000;
 constexpr int slow_head_ms      = 2800; ///< Less than headerTimeoutMs.
@@ -45,9 +44,21 @@
     int         gateways = 3;
     int         clients  = 45;
     int         stops    = 2; ///< Gateways that stop at the same time.
+    int         grace    = 8; ///< From SIGTERM to SIGKILL, in seconds.
     std::string logs;         ///< Directory of the gateways' logs.
 };
 
+double grace_ms(const options& it)
+{
+    return 1000.0 * it.grace;
+}
+
+/// Time after SIGTERM until which a request is not excused by its work.
+double excused_work_end(const options& it)
+{
+    return grace_ms(it) * 5 / 6;
+}
+
 double now_ms()
 {
     static const auto start = clock_type::now();
@@ -231,6 +242,7 @@
 struct incarnation
 {
     std::atomic<double> stopped_at{never}; ///< SIGTERM.
+    std::atomic<bool>   killed{false};     ///< By this program, in its run.
 };
 
 /// One gateway. Used by the main thread, which also starts its processes: a
@@ -245,9 +257,10 @@
         down
     };
 
-    gateway_process(std::string name, std::string zone)
-        : name_(std::move(name)), zone_(std::move(zone)), front_(free_port()),
-          ready_(free_port()), peer_(free_port()), metrics_(free_port())
+    gateway_process(std::string name, std::string zone, const options& run)
+        : name_(std::move(name)), zone_(std::move(zone)), run_(run),
+          front_(free_port()), ready_(free_port()), peer_(free_port()),
+          metrics_(free_port())
     {
     }
     ~gateway_process()
@@ -284,13 +297,21 @@
                 "\nmetrics: " + address_of(metrics_) + "\nstore: " + store +
                 "\nseeds: [" + seeds +
                 "]\nready_path: /readiness\nmax_descriptors: 4100\n"
-                "processor_share: 0.25\nbounds:\n  drain_grace_s: 8\n"
-                "  config_in_force_ms: 2000\n  target_drain_ms: 2000\n"
+                "processor_share: 0.25\nbounds:\n  drain_grace_s: " +
+                std::to_string(run_.grace) +
+                "\n  config_in_force_ms: 2000\n  target_drain_ms: 2000\n"
                 "  retry_ratio: 0.2\n  retry_window_s: 10\n  retry_slack: " +
-                std::to_string(retry_slack) + "\n";
+                std::to_string(retry_slack) + "\n...\n";
         replace_settings(text_);
     }
-    void start(const std::string& program)
+    /// Overwrites the settings file with a part of the settings.
+    void write_part(std::size_t size) const
+    {
+        std::ofstream(settings_) << text_.substr(0, size);
+    }
+    void        write_whole() const { std::ofstream(settings_) << text_; }
+    std::size_t settings_size() const { return text_.size(); }
+    void        start(const std::string& program)
     {
         {
             const std::lock_guard lock(mutex_);
@@ -355,12 +376,17 @@
         state_             = state::stopping;
         send(SIGTERM);
     }
+    void kill()
+    {
+        life()->killed = true;
+        send(SIGKILL);
+    }
     /// Ends the process after the grace, and notices its end.
     /// \return what it did wrong, or nothing.
     std::string check(int restart_delay_ms)
     {
-        const bool expired =
-            state_ == state::stopping && now_ms() > stopped_at() + grace;
+        const bool expired = state_ == state::stopping &&
+                             now_ms() > stopped_at() + grace_ms(run_);
         if (expired)
             send(SIGKILL);
         int        status = 0;
@@ -371,6 +397,8 @@
         pid_               = -1;
         state_             = state::down;
         restart_at_        = now_ms() + restart_delay_ms;
+        if (life()->killed)
+            return "";
         if (expired)
             return "did not end within the grace";
         if (planned && WIFEXITED(status) && WEXITSTATUS(status) == 0)
@@ -394,6 +422,7 @@
 
     std::string                  name_;
     std::string                  zone_;
+    const options&               run_;
     int                          front_;
     int                          ready_;
     int                          peer_;
@@ -451,8 +480,9 @@
 {
 public:
     client(const std::vector<std::unique_ptr<gateway_process>>& gateways,
-           run_log& runs, verdict& out, unsigned seed, std::size_t home)
-        : gateways_(gateways), runs_(runs), out_(out), random_(seed),
+           run_log& runs, verdict& out, const options& run, std::size_t home)
+        : gateways_(gateways), runs_(runs), out_(out), run_options_(run),
+          random_(run.seed * 10'007 + static_cast<unsigned>(home)),
           at_(home % gateways.size()), name_(std::to_string(home))
     {
     }
@@ -594,11 +624,12 @@
             ++out_.unread;
             return;
         }
-        const bool by_stop =
-            stopped != never && now >= stopped + excused_work_end &&
-            run.started > 0 && it.sent_at <= stopped + excused_arrival &&
-            run.ended_at() >= stopped + excused_work_end;
-        if (by_stop || now - it.sent_at >= caller_timeout_ms) {
+        const auto work_end = stopped + excused_work_end(run_options_);
+        const bool by_stop  = stopped != never && now >= work_end &&
+                             run.started > 0 &&
+                             it.sent_at <= stopped + excused_arrival &&
+                             run.ended_at() >= work_end;
+        if (life_->killed || by_stop || now - it.sent_at >= caller_timeout_ms) {
             ++out_.excused;
             return;
         }
@@ -619,6 +650,7 @@
     const std::vector<std::unique_ptr<gateway_process>>& gateways_;
     run_log&                                             runs_;
     verdict&                                             out_;
+    const options&                                       run_options_;
     generator                                            random_;
     std::size_t                                          at_;
     std::string                                          name_;
@@ -643,7 +675,7 @@
         change_configuration();
         for (int n = 0; n < options_.gateways; ++n)
             gateways_.push_back(std::make_unique<gateway_process>(
-                "g" + std::to_string(n), zone_of(n)));
+                "g" + std::to_string(n), zone_of(n), options_));
         for (int n = 0; n < options_.gateways && n < 3; ++n)
             seeds_ += (n > 0 ? ",\"" : "\"") +
                       address_of(gateways_[n]->peer()) + "\"";
@@ -663,8 +695,7 @@
         std::vector<std::thread> threads;
         for (int n = 0; n < options_.clients; ++n)
             threads.emplace_back([&, n] {
-                client(gateways_, runs_, out_, options_.seed * 10'007 + n, n)
-                    .run(stop);
+                client(gateways_, runs_, out_, options_, n).run(stop);
                 --active;
             });
         disturb();
@@ -672,6 +703,7 @@
         // Requests that still run get their responses.
         while (active > 0) {
             check_processes();
+            complete_settings();
             pause_for(5);
         }
         for (auto& it : threads)
@@ -679,10 +711,11 @@
         std::cout << "seed=" << options_.seed
                   << " gateways=" << options_.gateways
                   << " clients=" << options_.clients << " stops=" << stops_
-                  << " reloads=" << reloads_ << " changes=" << changes_
-                  << " requests=" << out_.requests << " whole=" << out_.whole
-                  << " failed=" << out_.failed << " unread=" << out_.unread
-                  << " excused=" << out_.excused
+                  << " kills=" << kills_ << " reloads=" << reloads_
+                  << " parts=" << parts_ << " signals=" << signals_
+                  << " changes=" << changes_ << " requests=" << out_.requests
+                  << " whole=" << out_.whole << " failed=" << out_.failed
+                  << " unread=" << out_.unread << " excused=" << out_.excused
                   << " violations=" << out_.violations() << std::endl;
         if (out_.whole < options_.clients)
             return could_not;
@@ -718,6 +751,33 @@
         it.send(SIGHUP);
     }
 
+    /// Reloads a part of the settings, which are whole soon after. Some parts
+    /// are at the start of a process, which then waits for the rest.
+    void reload_part(gateway_process& it)
+    {
+        ++parts_;
+        it.write_part(random_() % (it.settings_size() - 1));
+        if (random_in(random_, 0, 3) > 0)
+            it.send(SIGHUP);
+        incomplete_.emplace_back(&it, now_ms() + random_in(random_, 0, 400));
+    }
+    void complete_settings()
+    {
+        std::erase_if(incomplete_, [](const auto& it) {
+            if (now_ms() < it.second)
+                return false;
+            it.first->write_whole();
+            return true;
+        });
+    }
+    void send_unused_signal(const gateway_process& it)
+    {
+        static constexpr std::array all{SIGUSR1,   SIGUSR2, SIGALRM,
+                                        SIGVTALRM, SIGPROF, SIGIO};
+        ++signals_;
+        it.send(all[random_() % all.size()]);
+    }
+
     /// Series of changes that overlap, each after a pause of up to 0.8 s.
     void disturb()
     {
@@ -725,6 +785,7 @@
         auto       next = now_ms();
         while (now_ms() < end) {
             check_processes();
+            complete_settings();
             if (now_ms() >= next) {
                 next = now_ms() + random_in(random_, 0, 800);
                 change_something();
@@ -755,20 +816,30 @@
     void change_something()
     {
         auto&      it   = *gateways_[random_() % gateways_.size()];
-        const auto kind = random_() % 4;
+        const auto kind = random_() % 8;
         if (kind == 0)
             return change_configuration();
         if (it.now() == gateway_process::state::down || !it.takes_signals())
             return;
         if (kind == 1)
             return reload(it);
+        if (kind == 2)
+            return reload_part(it);
+        if (kind == 3)
+            return send_unused_signal(it);
         const auto stopping = std::count_if(
             gateways_.begin(), gateways_.end(), [](const auto& g) {
                 return g->now() != gateway_process::state::running;
             });
         if (it.now() == gateway_process::state::stopping)
             it.send(SIGTERM);
-        else if (stopping < options_.stops) {
+        else if (stopping >= options_.stops)
+            return;
+        else if (kind == 4) {
+            ++kills_;
+            it.kill();
+        }
+        else {
             ++stops_;
             it.stop();
         }
@@ -781,9 +852,14 @@
     store                                         state_;
     std::string                                   seeds_;
     std::vector<std::unique_ptr<gateway_process>> gateways_;
-    int                                           stops_   = 0;
-    int                                           reloads_ = 0;
-    int                                           changes_ = 0;
+    /// Settings files that hold a part, and when they become whole.
+    std::vector<std::pair<gateway_process*, double>> incomplete_;
+    int                                              stops_   = 0;
+    int                                              kills_   = 0;
+    int                                              parts_   = 0;
+    int                                              signals_ = 0;
+    int                                              reloads_ = 0;
+    int                                              changes_ = 0;
     server orders_[2]{server([this](connection& to, const message& it) {
                           serve_plain(runs_, to, it);
                       }),
@@ -822,6 +898,8 @@
             out.clients = count;
         else if (name == "--stops")
             out.stops = count;
+        else if (name == "--grace")
+            out.grace = count;
         else if (name == "--logs")
             out.logs = value;
         else
@@ -830,7 +908,7 @@
     if (out.gateway.empty() || out.logs.empty()) {
         std::cerr << "usage: arbutusgate-gateway-soak GATEWAY --logs DIR "
                      "[--seed N] [--seconds N] [--gateways N] [--clients N] "
-                     "[--stops N]\n";
+                     "[--stops N] [--grace SECONDS]\n";
         return could_not;
     }
     ::signal(SIGPIPE, SIG_IGN);
