Order published states by the era of the store, then by revision

A store that is restored from an older copy gives out its latest revisions again. The follower compared revisions alone: its watch from a revision that was given out again succeeded, and every change between the copy and that revision was missed until the next full read. Copies of other daemons were compared the same way, so that the older state replaced the newer one, and a list could be put together from pages before and after the restoration.

The store names its era in each response. It is now part of state_revision, the one type in which all states are ordered, and of the messages between daemons. A follower that gets a response of a later era reads everything anew and serves by what it knows meanwhile; it fails responses of an earlier one. Where an era is not known, as from a daemon of an older version, only numbers are compared, and the next response of the store leads to a full read. A log line and three metrics show the era and revision.

--- a/src/change_log.cpp
+++ b/src/change_log.cpp
@@ -44,19 +44,19 @@
     return true;
 }
 
-void change_log::append(std::uint64_t after, const state_changes& response,
-                        time_point confirmed)
+void change_log::append(const state_revision& after,
+                        const state_changes& response, time_point confirmed)
 {
     if (after != revision_) {
         entries_.clear();
         targets_.clear();
-        start_ = after;
+        start_ = after.number;
     }
-    revision_  = std::max(after, response.revision);
+    revision_  = newer(response.revision, after) ? response.revision : after;
     confirmed_ = confirmed;
     for (const auto& change : response.changes) {
         if (update_targets(change, confirmed))
-            entries_.push_back({revision_, change, confirmed});
+            entries_.push_back({revision_.number, change, confirmed});
     }
     while (entries_.size() > max_entries) {
         start_ = entries_.front().revision;
@@ -64,16 +64,16 @@
     }
 }
 
-std::optional<relayed_changes> change_log::since(std::uint64_t revision,
-                                                 time_point    now) const
+std::optional<relayed_changes> change_log::since(const state_revision& revision,
+                                                 time_point now) const
 {
-    if (revision_ == 0 || revision < start_)
+    if (revision_.number == 0 || revision.number < start_)
         return std::nullopt;
     relayed_changes out;
     out.changes.revision = revision_;
     out.age = std::chrono::duration_cast<milliseconds>(now - confirmed_);
     for (const auto& entry : entries_) {
-        if (entry.revision <= revision)
+        if (entry.revision <= revision.number)
             continue;
         auto& change = out.changes.changes.emplace_back(entry.change);
         // As of confirmed_, from which the receiver counts the age.
--- a/src/change_log.hpp
+++ b/src/change_log.hpp
@@ -33,12 +33,12 @@
     /// of the log, changes are missing in between and the log starts anew.
     /// \param confirmed when the store reported that there are no further
     /// changes.
-    void append(std::uint64_t after, const state_changes& response,
+    void append(const state_revision& after, const state_changes& response,
                 time_point confirmed);
     /// Returns all changes after a revision.
     /// \return nothing when the log does not reach back to the revision.
-    std::optional<relayed_changes> since(std::uint64_t revision,
-                                         time_point    now) const;
+    std::optional<relayed_changes> since(const state_revision& revision,
+                                         time_point            now) const;
 
 private:
     struct entry
@@ -54,7 +54,7 @@
     bool update_targets(const state_change& change, time_point confirmed);
 
     std::uint64_t     start_ = 0; ///< The log holds all changes after this one.
-    std::uint64_t     revision_ = 0; ///< Last revision of the log; 0: empty.
+    state_revision    revision_{}; ///< Last one of the log; number 0: empty.
     time_point        confirmed_{};
     std::deque<entry> entries_;
     struct known_target
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -201,16 +201,16 @@
 {
     explicit impl(gateway_init init);
 
-    void                         start_on_thread();
-    void                         follow();
-    follow_times                 store_follow_times() const;
-    void                         follow_peers();
-    std::optional<state_changes> ask_peer_for_changes(std::uint64_t       after,
-                                                      const follow_times& times,
-                                                      time_point& confirmed);
-    follow_events                events();
-    void                         configured(const route_table& table);
-    void target_changed(const std::string& id, target_change change);
+    void         start_on_thread();
+    void         follow();
+    follow_times store_follow_times() const;
+    void         follow_peers();
+    std::optional<state_changes>
+    ask_peer_for_changes(const state_revision& after, const follow_times& times,
+                         time_point& confirmed);
+    follow_events events();
+    void          configured(const route_table& table);
+    void          target_changed(const std::string& id, target_change change);
     /// \param period null: the cold time of the target ended.
     void log_cold(const std::string& id, const cold_period* period) const;
     void serve(http_exchange& exchange);
@@ -262,6 +262,7 @@
     std::uint64_t            shards_version    = 0; ///< Of the configuration.
     std::uint64_t            shards_generation = 0; ///< Of the usable targets.
     std::uint64_t evacuation_changes = 0; ///< Begun and ended, since start.
+    std::uint64_t era_changes        = 0; ///< Of the published state.
 
     std::unique_ptr<http_server> caller_server;
     std::unique_ptr<http_server> ready_server;
@@ -308,6 +309,16 @@
     out.source_restored = [](milliseconds outage) {
         log(log_level::info, "store regained", {{"away_ms", outage.count()}});
     };
+    out.era_changed = [this](const state_revision& known,
+                             const state_revision& published) {
+        ++era_changes;
+        log(log_level::warning,
+            "the published state is of another era; reading it again",
+            {{"era", published.era},
+             {"revision", published.number},
+             {"known_era", known.era},
+             {"known_revision", known.number}});
+    };
     out.rejected = [](const std::string& error) {
         log(log_level::warning, "failed to load the configuration",
             {{"error", error}});
@@ -377,7 +388,7 @@
             log_cold(id, period);
         });
     peers->set_state([this] { return state->copy(daemon_now()); });
-    peers->set_changes([this](std::uint64_t revision) {
+    peers->set_changes([this](const state_revision& revision) {
         return changes.since(revision, daemon_now());
     });
     parts = std::make_unique<request_dependencies>(request_dependencies{
@@ -417,7 +428,8 @@
             continue;
         peers->set_ready(ready());
         log(log_level::info, "adopted the published state of a peer",
-            {{"revision", revision},
+            {{"revision", revision.number},
+             {"era", revision.era},
              {"version", state->table()->version()},
              {"targets", targets.size()}});
     }
@@ -431,8 +443,10 @@
 
 /// Asks the daemon that reads the store for this failure domain for changes.
 /// \return nothing when this daemon has to ask the store itself.
-std::optional<state_changes> gateway::impl::ask_peer_for_changes(
-    std::uint64_t after, const follow_times& times, time_point& confirmed)
+std::optional<state_changes>
+gateway::impl::ask_peer_for_changes(const state_revision& after,
+                                    const follow_times&   times,
+                                    time_point&           confirmed)
 {
     auto relayed = peers->fetch_changes(after);
     if (!relayed || relayed->age > times.max_relay_age)
@@ -489,7 +503,7 @@
                 result = *std::move(relayed);
             }
             else {
-                result    = reader->watch(step.after, times.wait,
+                result    = reader->watch(step.after.number, times.wait,
                                           times.wait + times.timeout);
                 confirmed = daemon_now();
             }
@@ -626,6 +640,13 @@
         {"config_version", "Version in force; 0: none.",
          table ? n(table->version()) : 0},
         {"store_age_seconds", "Since the store last answered.", age},
+        {"store_era", "Of the known state; 0: not known.",
+         n(state->revision().era)},
+        {"store_revision", "Of the known state; 0: none.",
+         n(state->revision().number)},
+        {"store_era_changes_total",
+         "Times that the published state was of another era.", n(era_changes),
+         true},
         {"targets", "Targets that are known.", n(targets.size())},
         {"evacuated_domains", "Failure domains that are evacuated.",
          n(targets.evacuated().size())},
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -325,7 +325,8 @@
 std::string encode(const state_copy& it)
 {
     pb::GatewayState out;
-    out.set_revision(it.revision);
+    out.set_revision(it.revision.number);
+    out.set_era(it.revision.era);
     out.set_configuration(it.document);
     for (const auto& entry : it.targets)
         encode(entry, *out.add_targets());
@@ -339,7 +340,7 @@
     pb::GatewayState in;
     if (!in.ParseFromString(bytes))
         return std::nullopt;
-    state_copy out{in.revision(), in.configuration(), {}};
+    state_copy out{{in.revision(), in.era()}, in.configuration(), {}};
     for (const auto& it : in.targets())
         out.targets.push_back(decode(it));
     out.evacuated.insert(in.evacuated().begin(), in.evacuated().end());
@@ -352,7 +353,8 @@
     out.set_known(it.has_value());
     if (!it)
         return out.SerializeAsString();
-    out.set_revision(it->changes.revision);
+    out.set_revision(it->changes.revision.number);
+    out.set_era(it->changes.revision.era);
     out.set_age_ms(
         static_cast<std::uint32_t>(std::max<std::int64_t>(0, it->age.count())));
     for (const auto& change : it->changes.changes) {
@@ -383,7 +385,7 @@
     if (!in.ParseFromString(bytes) || !in.known())
         return std::nullopt;
     relayed_changes out;
-    out.changes.revision = in.revision();
+    out.changes.revision = {in.revision(), in.era()};
     out.age              = milliseconds{in.age_ms()};
     for (const auto& it : in.changes()) {
         if (it.has_target()) {
@@ -406,19 +408,20 @@
     return out;
 }
 
-std::string encode_state_query(std::uint64_t revision)
+std::string encode_state_query(const state_revision& revision)
 {
     pb::GatewayStateQuery out;
-    out.set_revision(revision);
+    out.set_revision(revision.number);
+    out.set_era(revision.era);
     return out.SerializeAsString();
 }
 
-std::optional<std::uint64_t> decode_state_query(const std::string& bytes)
+std::optional<state_revision> decode_state_query(const std::string& bytes)
 {
     pb::GatewayStateQuery in;
     if (!in.ParseFromString(bytes))
         return std::nullopt;
-    return in.revision();
+    return state_revision{in.revision(), in.era()};
 }
 
 std::string encode(const stage_order& it, time_point now)
--- a/src/peer_codec.hpp
+++ b/src/peer_codec.hpp
@@ -87,8 +87,8 @@
 std::string               encode(const state_copy& it);
 std::optional<state_copy> decode_state(const std::string& bytes);
 /// \param revision that the querying daemon already has.
-std::string                  encode_state_query(std::uint64_t revision);
-std::optional<std::uint64_t> decode_state_query(const std::string& bytes);
+std::string encode_state_query(const state_revision& revision);
+std::optional<state_revision> decode_state_query(const std::string& bytes);
 
 std::string encode(const std::optional<relayed_changes>& it);
 /// \return nothing also when the sender does not know the changes.
--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -862,14 +862,14 @@
     exchange.respond(std::move(out));
 }
 
-std::optional<state_copy> peer_mesh::fetch_state(std::uint64_t revision)
+std::optional<state_copy> peer_mesh::fetch_state(const state_revision& revision)
 {
     for (const auto& it : table_.random_alive(max_state_queries, daemon_now()))
     {
         const auto body =
             call(it, state_path, encode_state_query(revision), state_timeout);
         auto found = body ? decode_state(*body) : std::nullopt;
-        if (found && found->revision > revision)
+        if (found && newer(found->revision, revision))
             return found;
     }
     return std::nullopt;
@@ -891,8 +891,8 @@
     if (!asked)
         out.result(http::status::bad_request);
     else
-        out.body() =
-            encode(known && known->revision > *asked ? *known : state_copy{});
+        out.body() = encode(
+            known && newer(known->revision, *asked) ? *known : state_copy{});
     exchange.respond(std::move(out));
 }
 
@@ -908,7 +908,8 @@
            store_reader() != table_.self().address;
 }
 
-std::optional<relayed_changes> peer_mesh::fetch_changes(std::uint64_t revision)
+std::optional<relayed_changes>
+peer_mesh::fetch_changes(const state_revision& revision)
 {
     if (!has_reader())
         return std::nullopt;
--- a/src/peer_mesh.hpp
+++ b/src/peer_mesh.hpp
@@ -67,8 +67,8 @@
 
     /// Requests the published state from other daemons that are alive.
     /// \param revision that this daemon already has.
-    /// \return nothing if no daemon responds with a newer revision.
-    std::optional<state_copy> fetch_state(std::uint64_t revision);
+    /// \return nothing if no daemon responds with newer state.
+    std::optional<state_copy> fetch_state(const state_revision& revision);
     /// \param copy returns this daemon's copy of the published state, for the
     /// requests of other daemons.
     void set_state(std::function<std::optional<state_copy>()> copy)
@@ -80,11 +80,13 @@
     /// daemon that reads the store on behalf of this failure domain.
     /// \return nothing when this daemon has to read the store itself: the fleet
     /// is small, this daemon is the reader, or the reader gave no changes.
-    std::optional<relayed_changes> fetch_changes(std::uint64_t revision);
+    std::optional<relayed_changes>
+    fetch_changes(const state_revision& revision);
     /// \param changes returns the changes after a revision as known to this
     /// daemon, for the requests of other daemons.
     void set_changes(
-        std::function<std::optional<relayed_changes>(std::uint64_t)> changes)
+        std::function<std::optional<relayed_changes>(const state_revision&)>
+            changes)
     {
         changes_ = std::move(changes);
     }
@@ -199,13 +201,14 @@
     /// Address of the daemon that reads the store for this failure domain.
     std::string store_reader() const;
 
-    peer_table                                                   table_;
-    stage_scheduler&                                             scheduler_;
-    target_directory&                                            targets_;
-    part_quarantine&                                             quarantine_;
-    std::function<const std::vector<stage_shard>&()>             shards_;
-    std::function<std::optional<state_copy>()>                   copy_state_;
-    std::function<std::optional<relayed_changes>(std::uint64_t)> changes_;
+    peer_table                                       table_;
+    stage_scheduler&                                 scheduler_;
+    target_directory&                                targets_;
+    part_quarantine&                                 quarantine_;
+    std::function<const std::vector<stage_shard>&()> shards_;
+    std::function<std::optional<state_copy>()>       copy_state_;
+    std::function<std::optional<relayed_changes>(const state_revision&)>
+        changes_;
     /// The reader is not queried before this time, because a query failed.
     time_point                            reader_retry_at_{};
     connection_pool                       pool_;
--- a/src/state_follower.cpp
+++ b/src/state_follower.cpp
@@ -51,13 +51,13 @@
 {
     report_gone(targets_.expire(now));
     if (now < next_call_at_)
-        return {step_kind::sleep, next_call_at_, "", 0};
+        return {step_kind::sleep, next_call_at_, "", {}};
     superseded_ = false;
     switch (phase_) {
     case phase::configuration:
-        return {step_kind::read_configuration, {}, "", 0};
+        return {step_kind::read_configuration, {}, "", {}};
     case phase::pages:
-        return {step_kind::read_targets, {}, page_, 0};
+        return {step_kind::read_targets, {}, page_, {}};
     case phase::watch:
         break;
     }
@@ -75,9 +75,12 @@
         on_failure(result.status(), now);
         return;
     }
+    if (fail_outdated(result->revision, now))
+        return;
     on_response(now);
     if (superseded_)
         return;
+    note_era(result->revision);
     // Configuration and pages are no snapshot: the first watch asks for all
     // changes since this revision.
     first_revision_ = result->revision;
@@ -94,9 +97,16 @@
         on_failure(result.status(), now);
         return;
     }
+    if (fail_outdated(result->revision, now))
+        return;
     on_response(now);
     if (superseded_)
         return;
+    if (!same_history(result->revision, first_revision_)) {
+        note_era(result->revision);
+        resynchronize();
+        return;
+    }
     for (auto& entry : result->entries) {
         if (auto* found = std::get_if<target>(&entry))
             listed_.push_back(std::move(*found));
@@ -168,8 +178,9 @@
 bool state_follower::adopt(state_copy copy, configuration config,
                            time_point now)
 {
-    if (copy.revision <= revision())
+    if (!newer(copy.revision, revision()))
         return false;
+    note_era(copy.revision);
     apply_configuration(std::move(config));
     replace_evacuations(copy.evacuated, now);
     replace_targets(std::move(copy.targets), now);
@@ -191,12 +202,22 @@
         on_failure(result.status(), now);
         return;
     }
+    if (fail_outdated(result->revision, now))
+        return;
     on_response(now);
     if (superseded_)
         return;
+    // The changes of another era are not those after the known revision.
+    if (!same_history(result->revision, revision_)) {
+        note_era(result->revision);
+        resynchronize();
+        next_call_at_ = now;
+        return;
+    }
     for (auto& change : result->changes)
         apply(std::move(change), now);
-    revision_ = std::max(revision_, result->revision);
+    if (newer(result->revision, revision_))
+        revision_ = result->revision;
 }
 
 void state_follower::apply(state_change published, time_point now)
@@ -272,6 +293,27 @@
     next_call_at_ = now + backoff_;
 }
 
+bool state_follower::fail_outdated(const state_revision& at, time_point now)
+{
+    if (!earlier_era(at, {0, era_}))
+        return false;
+    on_failure(absl::UnavailableError(
+                   "the response is of an earlier era than the known state"),
+               now);
+    return true;
+}
+
+void state_follower::note_era(const state_revision& at)
+{
+    if (at.era == era_)
+        return;
+    era_ = at.era;
+    if (!targets_known_)
+        return;
+    if (events_.era_changed)
+        events_.era_changed(revision_, at);
+}
+
 void state_follower::resynchronize()
 {
     phase_ = phase::configuration;
--- a/src/state_follower.hpp
+++ b/src/state_follower.hpp
@@ -67,6 +67,11 @@
     std::function<void(const std::string& error)> rejected;
     /// A failure domain was evacuated, or its evacuation ended.
     std::function<void(const domain_evacuation&)> evacuation_changed{};
+    /// The published state is of another era than the known one, which is read
+    /// anew.
+    std::function<void(const state_revision& known,
+                       const state_revision& published)>
+        era_changed{};
 };
 
 /// Does no I/O: the owner makes the call that next() returns and passes in its
@@ -84,10 +89,10 @@
 
     struct step
     {
-        step_kind     kind = step_kind::sleep;
-        time_point    wake_at{};
-        std::string   page;
-        std::uint64_t after = 0;
+        step_kind      kind = step_kind::sleep;
+        time_point     wake_at{};
+        std::string    page;
+        state_revision after{};
     };
 
     state_follower(follow_times times, follow_events events,
@@ -118,8 +123,11 @@
     /// \param config the configuration parsed from the document of the copy.
     /// \return false when the copy is not newer.
     bool adopt(state_copy copy, configuration config, time_point now);
-    /// Revision of the known state; 0: none is known.
-    std::uint64_t revision() const { return targets_known_ ? revision_ : 0; }
+    /// Revision of the known state; number 0: none is known.
+    state_revision revision() const
+    {
+        return targets_known_ ? revision_ : state_revision{};
+    }
 
     /// The configuration in force; null until one was read.
     std::shared_ptr<const route_table> table() const { return table_; }
@@ -141,6 +149,11 @@
     void apply_configuration(configuration config);
     void on_response(time_point now);
     void on_failure(const absl::Status& error, time_point now);
+    /// Fails a response of an earlier era than the known state.
+    /// \return whether it was one.
+    bool fail_outdated(const state_revision& at, time_point now);
+    /// Applies that the published state is of this revision's era.
+    void note_era(const state_revision& at);
     void resynchronize();
     void finish_pages(time_point now);
     void replace_targets(std::vector<target> list, time_point now);
@@ -158,16 +171,17 @@
     std::vector<target> listed_;              ///< Targets of the pages so far.
     /// Evacuated failure domains of the pages so far.
     std::set<std::string> listed_evacuations_;
-    std::uint64_t         revision_ = 0;
+    state_revision        revision_{};
     /// Revision at which the configuration was read; the first watch asks for
     /// the changes after it.
-    std::uint64_t first_revision_ = 0;
-    time_point    next_call_at_{}; ///< No call before this time.
-    time_point    answered_at_;
-    milliseconds  backoff_{0}; ///< Delay after the latest failure; 0: none.
-    bool          targets_known_ = false;
-    bool          lost_          = false;
-    bool          unavailable_ = false; ///< The latest failure was no refusal.
+    state_revision first_revision_{};
+    std::uint64_t  era_ = 0;        ///< Of the published state; 0: not known.
+    time_point     next_call_at_{}; ///< No call before this time.
+    time_point     answered_at_;
+    milliseconds   backoff_{0}; ///< Delay after the latest failure; 0: none.
+    bool           targets_known_ = false;
+    bool           lost_          = false;
+    bool           unavailable_ = false; ///< The latest failure was no refusal.
     /// State was adopted during the current call, whose response is thus older.
     bool superseded_ = false;
 };
--- a/src/state_reader.hpp
+++ b/src/state_reader.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "gateway_types.hpp"
+#include "state_revision.hpp"
 
 #include "absl/status/statusor.h"
 
@@ -41,7 +42,7 @@
 struct state_changes
 {
     std::vector<state_change> changes;
-    std::uint64_t             revision = 0; ///< Continue after this one.
+    state_revision            revision{}; ///< Continue after this one.
 };
 
 /// Part of the published state. The pages of one listing may stem from
@@ -49,21 +50,21 @@
 struct state_page
 {
     std::vector<state_change> entries;
-    std::uint64_t revision = 0; ///< Revision of the store at its response.
-    std::string   next_page;    ///< Token of the next page; empty: none.
+    state_revision revision{}; ///< Revision of the store at its response.
+    std::string    next_page;  ///< Token of the next page; empty: none.
 };
 
 /// The configuration and the revision at which it was read.
 struct configuration_read
 {
-    configuration config;
-    std::uint64_t revision = 0; ///< Revision of the store at its response.
+    configuration  config;
+    state_revision revision{}; ///< Revision of the store at its response.
 };
 
 /// The published state as a daemon knows it at a revision.
 struct state_copy
 {
-    std::uint64_t         revision = 0;
+    state_revision        revision{};
     std::string           document; ///< Configuration, as published.
     std::vector<target>   targets;
     std::set<std::string> evacuated{}; ///< Failure domains.
@@ -85,7 +86,8 @@
     virtual absl::StatusOr<state_page> read_targets(const std::string& page,
                                                     milliseconds timeout) = 0;
     /// Returns the changes of the configuration and of targets after a
-    /// revision.
+    /// revision. The revision of the response may be of a later era; then
+    /// changes are missing.
     /// \param wait time after which the store responds even without a change.
     virtual absl::StatusOr<state_changes>
     watch(std::uint64_t after, milliseconds wait, milliseconds timeout) = 0;
--- a/tests/gateway_follower_test.cpp
+++ b/tests/gateway_follower_test.cpp
@@ -329,9 +329,9 @@
     REQUIRE(b.follower.adopt(*sent, make_config(5), at(0)));
     CHECK(b.targets.usable("s").empty());
     b.follower.next(at(5));
-    b.follower.on_changes(
-        state_changes{{domain_evacuation{"a", false}}, sent->revision + 1},
-        at(10));
+    b.follower.on_changes(state_changes{{domain_evacuation{"a", false}},
+                                        sent->revision.number + 1},
+                          at(10));
     CHECK_FALSE(b.follower.adopt(*sent, make_config(5), at(20)));
     CHECK(b.targets.usable("s").size() == 1);
 }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -509,3 +509,29 @@
         return true;
     });
 }
+
+// Guards against an era of the store that is not read, so that a store that was
+// restored from an older copy goes unnoticed.
+TEST_CASE("the store client reads the era of each response", "[platform][era]")
+{
+    using namespace arbutusgate::gateway::test;
+    std::atomic<int> responses{0};
+    scripted_target  store([&](target_session& it) {
+        const std::array<std::string, 4> eras{
+            "Store-Era: 3\r\n", "Store-Era: 4\r\n", "", "Store-Era: x\r\n"};
+        const std::string body = R"({"events":[],"currentRev":7})";
+        while (!it.read().empty())
+            it.write("HTTP/1.1 200 OK\r\n" + eras.at(responses++) +
+                      "Content-Length: " + std::to_string(body.size()) +
+                      "\r\n\r\n" + body);
+    });
+    io_thread        thread;
+    run_on(thread, [&] {
+        constexpr milliseconds limit{20'000};
+        store_client           it(thread.io(), store.address());
+        for (const std::uint64_t era : {3, 4, 4, 4})
+            CHECK(it.watch(7, limit, limit)->revision ==
+                  state_revision(7, era));
+        return true;
+    });
+}
