Relay changes only within one era of the store

In a large fleet a daemon asks the reader of its failure domain for changes. After the store was restored, a daemon of the earlier era asked with a larger revision than the reader's and got no changes, in a response that counted as fresh: it stayed where it was until the new era had passed its revision, and missed what came before.

A reader whose log is of another era than the question now has no changes to give, and a response of another era is not used; the daemon then asks the store, sees its era and reads everything anew. The log starts anew when the store's response is of another era than the request. During a release, daemons whose versions differ in this ask the store themselves.

Trial with the comparison by number alone, as before: "a change log serves only revisions of its own era" fails. It passes now.

--- a/src/change_log.cpp
+++ b/src/change_log.cpp
@@ -47,11 +47,15 @@
 void change_log::append(const state_revision& after,
                         const state_changes& response, time_point confirmed)
 {
-    if (after != revision_) {
+    const bool contiguous = same_history(after, response.revision);
+    if (after != revision_ || !contiguous) {
         entries_.clear();
         targets_.clear();
-        start_ = after.number;
+        start_    = after.number;
+        revision_ = {};
     }
+    if (!contiguous)
+        return;
     revision_  = newer(response.revision, after) ? response.revision : after;
     confirmed_ = confirmed;
     for (const auto& change : response.changes) {
@@ -67,7 +71,8 @@
 std::optional<relayed_changes> change_log::since(const state_revision& revision,
                                                  time_point now) const
 {
-    if (revision_.number == 0 || revision.number < start_)
+    if (revision_.number == 0 || !same_history(revision, revision_) ||
+        revision.number < start_)
         return std::nullopt;
     relayed_changes out;
     out.changes.revision = revision_;
--- a/src/change_log.hpp
+++ b/src/change_log.hpp
@@ -30,13 +30,15 @@
 public:
     /// Adds a response of the store, or of a daemon that relays it.
     /// \param after the revision of the request. If it is not the last revision
-    /// of the log, changes are missing in between and the log starts anew.
+    /// of the log, changes are missing in between and the log starts anew. So
+    /// it does if the response is of another era.
     /// \param confirmed when the store reported that there are no further
     /// changes.
     void append(const state_revision& after, const state_changes& response,
                 time_point confirmed);
     /// Returns all changes after a revision.
-    /// \return nothing when the log does not reach back to the revision.
+    /// \return nothing when the log does not reach back to the revision, or
+    /// holds changes of another era.
     std::optional<relayed_changes> since(const state_revision& revision,
                                          time_point            now) const;
 
--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -917,7 +917,8 @@
     const auto body =
         call(from, changes_path, encode_state_query(revision), changes_timeout);
     auto out = body ? decode_changes(*body) : std::nullopt;
-    if (out) {
+    // A reader whose version has no eras may serve changes of another one.
+    if (out && same_history(out->changes.revision, revision)) {
         table_.record_response(from, daemon_now());
         return out;
     }
--- a/tests/restored_store_test.cpp
+++ b/tests/restored_store_test.cpp
@@ -204,3 +204,24 @@
     CHECK(without->revision.era == 0);
     CHECK(newer(without->revision, {4, 3}));
 }
+
+// Guards against a daemon that asks its reader with a revision of another era:
+// it would get no changes, as if nothing had changed.
+TEST_CASE("a change log serves only revisions of its own era", "[gateway][era]")
+{
+    change_log changes;
+    changes.append({100, 1}, {{make_target("a")}, {102, 1}}, at(0));
+    CHECK(changes.since({101, 1}, at(0)));
+    CHECK_FALSE(changes.since({101, 2}, at(0)));
+    CHECK_FALSE(changes.since({101}, at(0)));
+    // The store was restored: the response is not contiguous with the log.
+    changes.append({102, 1}, {{make_target("b")}, {104, 2}}, at(600));
+    CHECK_FALSE(changes.since({102, 1}, at(600)));
+    CHECK_FALSE(changes.since({103, 2}, at(600)));
+    changes.append({90, 2}, {{make_target("b")}, {91, 2}}, at(700));
+    CHECK_FALSE(changes.since({102, 1}, at(700)));
+    CHECK_FALSE(changes.since({89, 2}, at(700)));
+    REQUIRE(changes.since({90, 2}, at(700)));
+    CHECK(changes.since({90, 2}, at(700))->changes.revision ==
+          state_revision(91, 2));
+}
