Keep what is known of targets when the store comes back older

A list from a restored store shows the published state as it was some seconds ago. It made targets usable that had announced to leave, or were removed, made targets cold again, dropped targets that had joined after the copy, and ended evacuations.

When the era changes, the known facts about the same lifetime of a target now hold against the list: leaving, removed within the last minute, no longer cold. A later write of the entry ends that, as it is by the target itself. Missing targets stay usable for the grace that holds after an outage, and missing evacuations for 10 s, in which operators repeat what was lost.

Trial with an era change that is only noted: "a restored store does not undo what is known of targets", "a restored store does not make targets cold again", "targets that a restored store lacks stay usable for the grace" and "an evacuation that a restored store lacks is held for a time" fail. They pass now.

--- a/src/state_follower.cpp
+++ b/src/state_follower.cpp
@@ -50,6 +50,10 @@
 state_follower::step state_follower::next(time_point now)
 {
     report_gone(targets_.expire(now));
+    if (now >= evacuations_held_until_) {
+        while (!held_evacuations_.empty())
+            set_evacuated({*held_evacuations_.begin(), false}, now);
+    }
     if (now < next_call_at_)
         return {step_kind::sleep, next_call_at_, "", {}};
     superseded_ = false;
@@ -80,7 +84,7 @@
     on_response(now);
     if (superseded_)
         return;
-    note_era(result->revision);
+    note_era(result->revision, now);
     // Configuration and pages are no snapshot: the first watch asks for all
     // changes since this revision.
     first_revision_ = result->revision;
@@ -103,7 +107,7 @@
     if (superseded_)
         return;
     if (!same_history(result->revision, first_revision_)) {
-        note_era(result->revision);
+        note_era(result->revision, now);
         resynchronize();
         return;
     }
@@ -124,6 +128,7 @@
     replace_evacuations(listed_evacuations_, now);
     replace_targets(std::exchange(listed_, {}), now);
     revision_ = first_revision_;
+    restored_ = false;
     phase_    = phase::watch;
 }
 
@@ -134,13 +139,18 @@
     for (const auto& it : failure_domains)
         set_evacuated({it, true}, now);
     for (const auto& it : before) {
-        if (!failure_domains.contains(it))
+        if (failure_domains.contains(it))
+            continue;
+        if (restored_ || now < evacuations_held_until_)
+            held_evacuations_.insert(it);
+        else
             set_evacuated({it, false}, now);
     }
 }
 
 void state_follower::set_evacuated(const domain_evacuation& it, time_point now)
 {
+    held_evacuations_.erase(it.failure_domain);
     if (!targets_.set_evacuated(it.failure_domain, it.active))
         return;
     if (!it.active)
@@ -151,6 +161,8 @@
 
 void state_follower::replace_targets(std::vector<target> list, time_point now)
 {
+    if (restored_)
+        targets_.correct_restored(list, now);
     std::vector<std::pair<std::string, target_change>> added;
     for (const auto& item : list) {
         targets_.note_cold(item, item.cold_for, now);
@@ -171,8 +183,12 @@
 {
     if (!table_ || !targets_known_)
         return std::nullopt;
-    return state_copy{revision_, table_->config().document,
-                      targets_.published(now), targets_.evacuated()};
+    state_copy out{revision_, table_->config().document,
+                   targets_.published(now), targets_.evacuated()};
+    // The receiver would not learn of their end, which is not published.
+    for (const auto& it : held_evacuations_)
+        out.evacuated.erase(it);
+    return out;
 }
 
 bool state_follower::adopt(state_copy copy, configuration config,
@@ -180,11 +196,12 @@
 {
     if (!newer(copy.revision, revision()))
         return false;
-    note_era(copy.revision);
+    note_era(copy.revision, now);
     apply_configuration(std::move(config));
     replace_evacuations(copy.evacuated, now);
     replace_targets(std::move(copy.targets), now);
     revision_   = copy.revision;
+    restored_   = false;
     phase_      = phase::watch;
     superseded_ = true;
     return true;
@@ -209,7 +226,7 @@
         return;
     // The changes of another era are not those after the known revision.
     if (!same_history(result->revision, revision_)) {
-        note_era(result->revision);
+        note_era(result->revision, now);
         resynchronize();
         next_call_at_ = now;
         return;
@@ -303,13 +320,18 @@
     return true;
 }
 
-void state_follower::note_era(const state_revision& at)
+void state_follower::note_era(const state_revision& at, time_point now)
 {
     if (at.era == era_)
         return;
     era_ = at.era;
     if (!targets_known_)
         return;
+    restored_               = true;
+    evacuations_held_until_ = now + times_.evacuation_hold;
+    // Entries that were written after the copy are missing until their targets
+    // write them again.
+    targets_.source_returned(now);
     if (events_.era_changed)
         events_.era_changed(revision_, at);
 }
--- a/src/state_follower.hpp
+++ b/src/state_follower.hpp
@@ -38,6 +38,9 @@
     /// that refuses some of the calls after a restart of all daemons responds
     /// sooner.
     milliseconds ask_peers_after{800};
+    /// Evacuations that are missing after the store was restored from an older
+    /// copy end after this time, within which operators repeat what was lost.
+    milliseconds evacuation_hold{10'000};
     /// Changes relayed by another daemon are used only if the store confirmed
     /// them at most this long ago.
     milliseconds max_relay_age{750};
@@ -153,7 +156,7 @@
     /// \return whether it was one.
     bool fail_outdated(const state_revision& at, time_point now);
     /// Applies that the published state is of this revision's era.
-    void note_era(const state_revision& at);
+    void note_era(const state_revision& at, time_point now);
     void resynchronize();
     void finish_pages(time_point now);
     void replace_targets(std::vector<target> list, time_point now);
@@ -175,13 +178,18 @@
     /// Revision at which the configuration was read; the first watch asks for
     /// the changes after it.
     state_revision first_revision_{};
-    std::uint64_t  era_ = 0;        ///< Of the published state; 0: not known.
-    time_point     next_call_at_{}; ///< No call before this time.
-    time_point     answered_at_;
-    milliseconds   backoff_{0}; ///< Delay after the latest failure; 0: none.
-    bool           targets_known_ = false;
-    bool           lost_          = false;
-    bool           unavailable_ = false; ///< The latest failure was no refusal.
+    std::uint64_t  era_ = 0; ///< Of the published state; 0: not known.
+    /// The state being read is of another era than the known one.
+    bool restored_ = false;
+    /// Evacuations that are not published since the store was restored.
+    std::set<std::string> held_evacuations_;
+    time_point            evacuations_held_until_{};
+    time_point            next_call_at_{}; ///< No call before this time.
+    time_point            answered_at_;
+    milliseconds backoff_{0}; ///< Delay after the latest failure; 0: none.
+    bool         targets_known_ = false;
+    bool         lost_          = false;
+    bool         unavailable_   = false; ///< The latest failure was no refusal.
     /// State was adopted during the current call, whose response is thus older.
     bool superseded_ = false;
 };
--- a/src/target_directory.cpp
+++ b/src/target_directory.cpp
@@ -6,6 +6,13 @@
 
 namespace arbutusgate::gateway {
 
+namespace {
+
+/// Longer than the age of any copy from which a store is restored.
+constexpr seconds removal_retention{60};
+
+} // namespace
+
 target_change target_directory::put(target it)
 {
     const auto known = targets_.find(it.id);
@@ -31,7 +38,8 @@
     const auto id           = it.id;
     const auto service      = it.service;
     by_address_[it.address] = id;
-    targets_[id]            = entry{std::move(it), false};
+    removed_.erase(id);
+    targets_[id] = entry{std::move(it), false};
     rebuild(service);
     return out;
 }
@@ -46,11 +54,38 @@
         return target_change::none;
     }
     const auto service = it->second.value.service;
+    record_removal(it->second.value, now);
     erase(it);
     rebuild(service);
     return target_change::gone;
 }
 
+void target_directory::record_removal(const target& it, time_point now)
+{
+    std::erase_if(removed_, [&](const auto& known) {
+        return now - known.second.at >= removal_retention;
+    });
+    removed_[it.id] = {it.started_at, now};
+}
+
+void target_directory::correct_restored(std::vector<target>& list,
+                                        time_point           now) const
+{
+    std::erase_if(list, [&](const target& it) {
+        const auto known = removed_.find(it.id);
+        return known != removed_.end() &&
+               known->second.started_at == it.started_at &&
+               now - known->second.at < removal_retention;
+    });
+    for (auto& it : list) {
+        const auto* known = find(it.id);
+        if (!known || known->started_at != it.started_at)
+            continue;
+        it.leaving  = it.leaving || known->leaving;
+        it.cold_for = milliseconds{0};
+    }
+}
+
 std::vector<std::string> target_directory::replace_all(std::vector<target> list,
                                                        time_point          now)
 {
--- a/src/target_directory.hpp
+++ b/src/target_directory.hpp
@@ -50,6 +50,10 @@
     /// The source is reachable again after an outage. Entries that are removed
     /// within lapse_grace from now only count as lapsed.
     void source_returned(time_point now) { lapse_until_ = now + lapse_grace_; }
+    /// Corrects a list of a store that was restored from an older copy, which
+    /// shows targets as they were. What is known of the same lifetime of a
+    /// target holds: that it is leaving, was removed, or is no longer cold.
+    void correct_restored(std::vector<target>& list, time_point now) const;
     /// Handles a complete list: entries that are not in it are removed.
     /// \return ids of the removed targets.
     std::vector<std::string> replace_all(std::vector<target> list,
@@ -132,15 +136,24 @@
 
     using entry_map = std::map<std::string, entry>;
 
+    struct removal
+    {
+        std::int64_t started_at = 0; ///< Lifetime of the target.
+        time_point   at{};
+    };
+
     void rebuild(const std::string& service);
     void erase(entry_map::iterator it);
+    void record_removal(const target& it, time_point now);
 
-    milliseconds          lapse_grace_;
-    target_gate           gate_;
-    target_limits         limits_;
-    time_point            lapse_until_{};
-    entry_map             targets_;
-    std::set<std::string> evacuated_; ///< Failure domains.
+    milliseconds  lapse_grace_;
+    target_gate   gate_;
+    target_limits limits_;
+    time_point    lapse_until_{};
+    entry_map     targets_;
+    /// Targets that were removed lately, by id.
+    std::map<std::string, removal> removed_;
+    std::set<std::string>          evacuated_; ///< Failure domains.
     /// By service.
     std::map<std::string, cold_limits, std::less<>> cold_limits_;
     /// Id of the latest target that was published with an address.
--- a/tests/restored_store_test.cpp
+++ b/tests/restored_store_test.cpp
@@ -174,6 +174,104 @@
     CHECK_FALSE(d.usable("a"));
 }
 
+// Guards against work for targets that are known to be leaving or gone, which
+// the older copy shows as ready, and against targets that are then never used.
+TEST_CASE("a restored store does not undo what is known of targets",
+          "[gateway][era]")
+{
+    daemon_state d;
+    d.list(0, {100, 1}, {make_target("a"), make_target("b"), make_target("c")});
+    d.change(500, {102, 1}, {make_target("a", true), target_removed{"b"}});
+    d.change(1000, {95, 2}, {});
+    d.list(1010, {95, 2},
+           {make_target("a"), make_target("b"), make_target("c")});
+    CHECK_FALSE(d.usable("a"));
+    CHECK_FALSE(d.usable("b"));
+    CHECK(d.usable("c"));
+    SECTION("until they write their entries again")
+    {
+        d.change(2000, {97, 2}, {make_target("a"), make_target("b")});
+        CHECK(d.usable("a"));
+        CHECK(d.usable("b"));
+    }
+    SECTION("or start again")
+    {
+        d.change(2000, {97, 2}, {});
+        d.change(3000, {50, 3}, {});
+        d.list(3010, {50, 3},
+               {make_target("a", false, 2), make_target("b", false, 2)});
+        CHECK(d.usable("a"));
+        CHECK(d.usable("b"));
+    }
+}
+
+// Guards against targets that are cold again because the copy is older than the
+// end of their cold time.
+TEST_CASE("a restored store does not make targets cold again", "[gateway][era]")
+{
+    daemon_state d;
+    auto         cold = make_target("a");
+    cold.cold_for     = milliseconds{800};
+    d.list(0, {100, 1}, {cold});
+    const auto limited = [&](int ms) {
+        return d.targets.limits().find(*d.targets.find("a"), at(ms)) != nullptr;
+    };
+    CHECK(limited(799));
+    d.change(1000, {95, 2}, {});
+    d.list(1010, {95, 2}, {cold});
+    CHECK_FALSE(limited(1010));
+}
+
+// Guards against targets that are lost since they joined after the copy, until
+// they write their entries again.
+TEST_CASE("targets that a restored store lacks stay usable for the grace",
+          "[gateway][era]")
+{
+    daemon_state d;
+    d.list(0, {100, 1}, {make_target("a"), make_target("b")});
+    d.change(1000, {95, 2}, {});
+    d.list(1010, {95, 2}, {make_target("a")});
+    CHECK(d.usable("b"));
+    const bool back = GENERATE(false, true);
+    if (back)
+        d.change(2000, {97, 2}, {make_target("b")});
+    d.follower.next(at(3100));
+    CHECK(d.usable("b") == back);
+}
+
+// Guards against work for a failure domain whose evacuation the store has lost,
+// and against one that stays unused because the evacuation had ended.
+TEST_CASE("an evacuation that a restored store lacks is held for a time",
+          "[gateway][era]")
+{
+    daemon_state d;
+    d.list(0, {100, 1}, {make_target("a"), domain_evacuation{"a"}});
+    d.change(1000, {95, 2}, {});
+    d.list(1010, {95, 2}, {make_target("a")});
+    CHECK_FALSE(d.usable("a"));
+    // The end of the evacuation is not published, so that another daemon would
+    // not learn of it.
+    CHECK(d.follower.copy(at(1010))->evacuated.empty());
+    SECTION("until it ends")
+    {
+        d.follower.next(at(10'900));
+        CHECK_FALSE(d.usable("a"));
+        d.follower.next(at(11'001));
+        CHECK(d.usable("a"));
+    }
+    SECTION("until the operators repeat it")
+    {
+        d.change(3000, {97, 2}, {domain_evacuation{"a"}});
+        d.follower.next(at(60'000));
+        CHECK_FALSE(d.usable("a"));
+    }
+    SECTION("until the operators end it")
+    {
+        d.change(3000, {97, 2}, {domain_evacuation{"a", false}});
+        CHECK(d.usable("a"));
+    }
+}
+
 // Guards against a configuration that comes back older with the store: keys
 // that were revoked would be accepted again.
 TEST_CASE("a restored store does not bring back an older configuration",
@@ -188,23 +286,6 @@
     CHECK(d.follower.table()->version() == 8);
 }
 
-// Guards against an era that is lost between daemons, and against a message of
-// a daemon without eras that is read as one of an early era.
-TEST_CASE("messages between daemons carry the era", "[gateway][era]")
-{
-    CHECK(*decode_state_query(encode_state_query({5, 3})) ==
-          state_revision(5, 3));
-    CHECK(decode_state(encode(state_copy{{5, 3}, "", {}}))->revision ==
-          state_revision(5, 3));
-    relayed_changes relayed;
-    relayed.changes.revision = {5, 3};
-    CHECK(decode_changes(encode(std::optional(relayed)))->changes.revision ==
-          state_revision(5, 3));
-    const auto without = decode_state(encode(state_copy{{5}, "", {}}));
-    CHECK(without->revision.era == 0);
-    CHECK(newer(without->revision, {4, 3}));
-}
-
 // Guards against a daemon that asks its reader with a revision of another era:
 // it would get no changes, as if nothing had changed.
 TEST_CASE("a change log serves only revisions of its own era", "[gateway][era]")
@@ -225,3 +306,20 @@
     CHECK(changes.since({90, 2}, at(700))->changes.revision ==
           state_revision(91, 2));
 }
+
+// Guards against an era that is lost between daemons, and against a message of
+// a daemon without eras that is read as one of an early era.
+TEST_CASE("messages between daemons carry the era", "[gateway][era]")
+{
+    CHECK(*decode_state_query(encode_state_query({5, 3})) ==
+          state_revision(5, 3));
+    CHECK(decode_state(encode(state_copy{{5, 3}, "", {}}))->revision ==
+          state_revision(5, 3));
+    relayed_changes relayed;
+    relayed.changes.revision = {5, 3};
+    CHECK(decode_changes(encode(std::optional(relayed)))->changes.revision ==
+          state_revision(5, 3));
+    const auto without = decode_state(encode(state_copy{{5}, "", {}}));
+    CHECK(without->revision.era == 0);
+    CHECK(newer(without->revision, {4, 3}));
+}
