Ignore three more signals that would end a daemon

SIGSTKFLT, SIGXCPU and SIGXFSZ end a process by default, too; the last one is sent for a log file that reaches its size limit. Real-time signals and SIGQUIT keep their default effect.

--- a/src/process_signals.hpp
+++ b/src/process_signals.hpp
@@ -7,7 +7,8 @@
 
 /// Signals that end a process by default and for which the daemons have no use.
 inline constexpr int unused_signals[] = {SIGPIPE,   SIGUSR1, SIGUSR2, SIGALRM,
-                                         SIGVTALRM, SIGPROF, SIGIO,   SIGPWR};
+                                         SIGVTALRM, SIGPROF, SIGIO,   SIGPWR,
+                                         SIGSTKFLT, SIGXCPU, SIGXFSZ};
 
 /// Ignores the unused signals. Called before anything that takes time: a signal
 /// during the start would end the process, too.
--- a/tests/process_signals_test.cpp
+++ b/tests/process_signals_test.cpp
@@ -32,7 +32,7 @@
 TEST_CASE("signals without a meaning do not end a daemon", "[signals]")
 {
     for (const int it : {SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO,
-                         SIGPWR, SIGPIPE})
+                         SIGPWR, SIGPIPE, SIGSTKFLT, SIGXCPU, SIGXFSZ})
     {
         CAPTURE(it);
         CHECK(status_after(it) == 0);
