Check the line of rejected settings again

The test of invalid settings no longer checked that a message names the line, since its unknown key had been replaced by a missing one; it now checks the line and column of a wrong value. The hostile tests end their settings with the marker, as the template does, so that their process reads them at once. Waiting for the first settings returns no reading after SIGTERM, instead of one that says that nothing changed.

--- a/tests/gateway_settings_test.cpp
+++ b/tests/gateway_settings_test.cpp
@@ -114,8 +114,8 @@
     };
     CHECK(message(replaced("listen:", "listens:")).find("listen: missing") !=
           std::string::npos);
-    CHECK(message(replaced("10.1.0.41:8625", "host:8625")).find("listen") !=
-          std::string::npos);
+    CHECK(message(replaced("10.1.0.41:8625", "host:8625"))
+              .find("s.yaml:3:9: listen") == 0);
     CHECK(message(replaced("drain_grace_s: 7.5", "drain_grace_s: -1"))
               .find("drain_grace_s") != std::string::npos);
     CHECK(message(replaced("10.1.0.41:8621", "10.1.0.41:8625"))
--- a/tests/hostile/hostile_clients.cpp
+++ b/tests/hostile/hostile_clients.cpp
@@ -106,7 +106,7 @@
             << "\nmetrics: " << address_of(metrics_) << "\nstore: " << store
             << "\nready_path: /readiness\nmax_descriptors: " << max_descriptors
             << "\nprocessor_share: 0.25\nmemory_mb: " << memory_mb
-            << "\nbounds:\n  drain_grace_s: 8\n";
+            << "\nbounds:\n  drain_grace_s: 8\n...\n";
         out.close();
         pid_ = ::fork();
         if (pid_ == 0) {
--- a/tools/arbutusgate-gateway.cpp
+++ b/tools/arbutusgate-gateway.cpp
@@ -14,6 +14,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <optional>
 
 namespace {
 
@@ -44,11 +45,11 @@
 
 /// Waits until the settings file is complete: the platform may still be writing
 /// it when the process starts.
-/// \return the outcome rejected or accepted; incomplete after the timeout;
-/// unchanged after SIGTERM or SIGINT.
-gateway::settings_reading read_first_settings(gateway::settings_file& file,
-                                              const std::string&      path,
-                                              const sigset_t&         signals)
+/// \return the outcome rejected or accepted, or incomplete after the timeout;
+/// nothing after SIGTERM or SIGINT.
+std::optional<gateway::settings_reading>
+read_first_settings(gateway::settings_file& file, const std::string& path,
+                    const sigset_t& signals)
 {
     const auto deadline = daemon_now() + settings_start_timeout;
     for (;;) {
@@ -57,7 +58,7 @@
             daemon_now() >= deadline)
             return out;
         if (ends_process(wait_for_signal(signals, incomplete_poll_interval)))
-            return {};
+            return std::nullopt;
     }
 }
 
@@ -152,13 +153,13 @@
         return *status;
     gateway::settings_file file(path);
     const auto             read = read_first_settings(file, path, signals);
-    if (read.outcome == reading_state::unchanged)
+    if (!read)
         return exit_status::ok;
-    if (!read.settings) {
-        std::cerr << read.error << '\n';
+    if (!read->settings) {
+        std::cerr << read->error << '\n';
         return exit_status::usage_error;
     }
-    const auto& settings = *read.settings;
+    const auto& settings = *read->settings;
     if (!start_log(settings.log_level, log_output::bounded_output,
                    settings.node)) {
         std::cerr << "unknown log level: " << settings.log_level << '\n';
