Never replace state of a known era by state of an unknown one

Where one era was unknown, only the numbers were compared. That order had a cycle: revision 99 of era 1 replaced 50 of an unknown era, which replaced 10 of era 2, which replaced 99 of era 1. During a release, a daemon that is cut from a restored store could so be turned back by a daemon of the older version, and adopt states in turn. Found by a reader.

State of an unknown era now replaces only another one of that kind. The two tests that stated the comparison by number are changed accordingly; both failed on the code before.

--- a/src/state_revision.hpp
+++ b/src/state_revision.hpp
@@ -42,13 +42,12 @@
     return a.era != 0 && a.era < b.era;
 }
 
-/// Whether \p a is the later state. If one of the eras is unknown, only the
-/// numbers can be compared.
+/// Whether \p a is a later state, which may replace \p b. State of an unknown
+/// era cannot be compared with state of a known one and does not replace it:
+/// it may precede a restoration.
 inline bool newer(const state_revision& a, const state_revision& b)
 {
-    if (earlier_era(a, b) || earlier_era(b, a))
-        return earlier_era(b, a);
-    return a.number > b.number;
+    return a.era != b.era ? a.era > b.era : a.number > b.number;
 }
 
 } // namespace arbutusgate::gateway
--- a/tests/restored_store_test.cpp
+++ b/tests/restored_store_test.cpp
@@ -72,7 +72,9 @@
 } // namespace
 
 // Guards against comparing revisions of different eras by number, and against
-// taking an unknown era, as that of an older daemon, for an earlier one.
+// taking an unknown era, as that of an older daemon, for an earlier one of the
+// store. Three states of which each replaces the next one would be adopted by
+// daemons in turn.
 TEST_CASE("states are ordered by era, then by revision", "[gateway][era]")
 {
     const state_revision low{10, 2};
@@ -82,9 +84,10 @@
     CHECK_FALSE(newer(high, low));
     CHECK(newer({11, 2}, low));
     CHECK_FALSE(newer(low, low));
-    CHECK(newer(unknown, low));
-    CHECK_FALSE(newer(low, unknown));
+    CHECK_FALSE(newer(unknown, low));
+    CHECK(newer(low, unknown));
     CHECK(newer(high, unknown));
+    CHECK(newer({51}, unknown));
     CHECK_FALSE(same_history(unknown, low));
     CHECK_FALSE(earlier_era(unknown, low));
     CHECK(earlier_era(high, low));
@@ -321,5 +324,6 @@
           state_revision(5, 3));
     const auto without = decode_state(encode(state_copy{{5}, "", {}}));
     CHECK(without->revision.era == 0);
-    CHECK(newer(without->revision, {4, 3}));
+    CHECK(newer(without->revision, {4}));
+    CHECK_FALSE(newer(without->revision, {4, 3}));
 }
