Use a target again whose damaged entry a restored store shows as sound

A rejected entry was recorded as a removal of its target. If the store was then restored from a copy made before the damage, its sound entry was ignored until the target wrote again. Rejections are no longer recorded. "a rejected entry may come back with a restored store" failed before.

--- a/src/target_directory.cpp
+++ b/src/target_directory.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/// Longer than the age of any copy from which a store is restored.
+/// The copy from which a store is restored is some seconds old.
 constexpr seconds removal_retention{60};
 
 } // namespace
--- a/src/target_directory.hpp
+++ b/src/target_directory.hpp
@@ -45,7 +45,10 @@
     /// removed.
     target_change reject(const std::string& id, time_point now)
     {
-        return remove(id, now);
+        const auto out = remove(id, now);
+        // The target may be alive, with an entry that another writer damaged.
+        removed_.erase(id);
+        return out;
     }
     /// The source is reachable again after an outage. Entries that are removed
     /// within lapse_grace from now only count as lapsed.
--- a/tests/restored_store_test.cpp
+++ b/tests/restored_store_test.cpp
@@ -208,6 +208,20 @@
     }
 }
 
+// Guards against a live target whose damaged entry was rejected, and which the
+// restored store shows as sound.
+TEST_CASE("a rejected entry may come back with a restored store",
+          "[gateway][era]")
+{
+    daemon_state d;
+    d.list(0, {100, 1}, {make_target("a")});
+    d.change(500, {101, 1}, {target_removed{"a", true}});
+    CHECK_FALSE(d.usable("a"));
+    d.change(1000, {97, 2}, {});
+    d.list(1010, {97, 2}, {make_target("a")});
+    CHECK(d.usable("a"));
+}
+
 // Guards against targets that are cold again because the copy is older than the
 // end of their cold time.
 TEST_CASE("a restored store does not make targets cold again", "[gateway][era]")
