Read the state again 10 s after a restoration

A target that was removed for its silence but lived, and that had written its entry before the list of the new era was read, was left out of that list, and no later change mentioned it: the daemon never used it again. The same held for an adopted copy. Lost evacuations were held from the first response of the new era on, so that a slow list could end them at once.

What is known now holds against lists and copies for 10 s after the first list of the era; then everything is read again and applies as published. That also ends evacuations that were not repeated.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -311,8 +311,10 @@
     };
     out.era_changed = [this](const state_revision& known,
                              const state_revision& published) {
-        ++era_changes;
-        log(log_level::warning,
+        // From an unknown era, this is no sign of a restoration.
+        const bool restored = known.era != 0;
+        era_changes += restored ? 1 : 0;
+        log(restored ? log_level::warning : log_level::info,
             "the published state is of another era; reading it again",
             {{"era", published.era},
              {"revision", published.number},
--- a/src/log_trace.cpp
+++ b/src/log_trace.cpp
@@ -18,9 +18,14 @@
 
 /// Messages that report a state of the daemon, valid until the next of its
 /// kind.
-constexpr std::array<std::string_view, 6> state_messages = {
-    "configuration in force", "store lost", "store regained",
-    "peers changed",          "started",    "draining"};
+constexpr std::array<std::string_view, 7> state_messages = {
+    "configuration in force",
+    "store lost",
+    "store regained",
+    "the published state is of another era; reading it again",
+    "peers changed",
+    "started",
+    "draining"};
 
 std::string string_field(const json::object& fields, std::string_view name)
 {
--- a/src/state_follower.cpp
+++ b/src/state_follower.cpp
@@ -1,5 +1,7 @@
 #include "state_follower.hpp"
 
+#include "text.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -50,9 +52,9 @@
 state_follower::step state_follower::next(time_point now)
 {
     report_gone(targets_.expire(now));
-    if (now >= evacuations_held_until_) {
-        while (!held_evacuations_.empty())
-            set_evacuated({*held_evacuations_.begin(), false}, now);
+    if (relist_at_ && now >= *relist_at_) {
+        relist_at_.reset();
+        resynchronize();
     }
     if (now < next_call_at_)
         return {step_kind::sleep, next_call_at_, "", {}};
@@ -79,12 +81,12 @@
         on_failure(result.status(), now);
         return;
     }
-    if (fail_outdated(result->revision, now))
+    if (!superseded_ && fail_outdated(result->revision, now))
         return;
     on_response(now);
     if (superseded_)
         return;
-    note_era(result->revision, now);
+    note_era(result->revision);
     // Configuration and pages are no snapshot: the first watch asks for all
     // changes since this revision.
     first_revision_ = result->revision;
@@ -101,13 +103,13 @@
         on_failure(result.status(), now);
         return;
     }
-    if (fail_outdated(result->revision, now))
+    if (!superseded_ && fail_outdated(result->revision, now))
         return;
     on_response(now);
     if (superseded_)
         return;
     if (!same_history(result->revision, first_revision_)) {
-        note_era(result->revision, now);
+        note_era(result->revision);
         resynchronize();
         return;
     }
@@ -124,16 +126,34 @@
 
 void state_follower::finish_pages(time_point now)
 {
+    replace_state(std::exchange(listed_, {}), listed_evacuations_,
+                  first_revision_, now);
+}
+
+void state_follower::replace_state(std::vector<target>          targets,
+                                   const std::set<std::string>& evacuated,
+                                   const state_revision&        revision,
+                                   time_point                   now)
+{
+    const bool correct = restored_ || relist_at_;
+    if (restored_) {
+        // Entries that were written after the copy are missing until their
+        // targets write them again.
+        targets_.source_returned(now);
+        relist_at_ = now + times_.restoration_hold;
+        restored_  = false;
+    }
+    if (correct)
+        targets_.correct_restored(targets, now);
     // First, so that no target of an evacuated domain is usable for a moment.
-    replace_evacuations(listed_evacuations_, now);
-    replace_targets(std::exchange(listed_, {}), now);
-    revision_ = first_revision_;
-    restored_ = false;
+    replace_evacuations(evacuated, correct, now);
+    replace_targets(std::move(targets), now);
+    revision_ = revision;
     phase_    = phase::watch;
 }
 
 void state_follower::replace_evacuations(
-    const std::set<std::string>& failure_domains, time_point now)
+    const std::set<std::string>& failure_domains, bool hold, time_point now)
 {
     const auto before = targets_.evacuated();
     for (const auto& it : failure_domains)
@@ -141,7 +161,7 @@
     for (const auto& it : before) {
         if (failure_domains.contains(it))
             continue;
-        if (restored_ || now < evacuations_held_until_)
+        if (hold)
             held_evacuations_.insert(it);
         else
             set_evacuated({it, false}, now);
@@ -161,8 +181,6 @@
 
 void state_follower::replace_targets(std::vector<target> list, time_point now)
 {
-    if (restored_)
-        targets_.correct_restored(list, now);
     std::vector<std::pair<std::string, target_change>> added;
     for (const auto& item : list) {
         targets_.note_cold(item, item.cold_for, now);
@@ -196,13 +214,9 @@
 {
     if (!newer(copy.revision, revision()))
         return false;
-    note_era(copy.revision, now);
+    note_era(copy.revision);
     apply_configuration(std::move(config));
-    replace_evacuations(copy.evacuated, now);
-    replace_targets(std::move(copy.targets), now);
-    revision_   = copy.revision;
-    restored_   = false;
-    phase_      = phase::watch;
+    replace_state(std::move(copy.targets), copy.evacuated, copy.revision, now);
     superseded_ = true;
     return true;
 }
@@ -219,14 +233,14 @@
         on_failure(result.status(), now);
         return;
     }
-    if (fail_outdated(result->revision, now))
+    if (!superseded_ && fail_outdated(result->revision, now))
         return;
     on_response(now);
     if (superseded_)
         return;
     // The changes of another era are not those after the known revision.
     if (!same_history(result->revision, revision_)) {
-        note_era(result->revision, now);
+        note_era(result->revision);
         resynchronize();
         next_call_at_ = now;
         return;
@@ -315,23 +329,20 @@
     if (!earlier_era(at, {0, era_}))
         return false;
     on_failure(absl::UnavailableError(
-                   "the response is of an earlier era than the known state"),
+                   concat("the response is of era ", at.era,
+                          ", but that of the known state is ", era_)),
                now);
     return true;
 }
 
-void state_follower::note_era(const state_revision& at, time_point now)
+void state_follower::note_era(const state_revision& at)
 {
     if (at.era == era_)
         return;
     era_ = at.era;
     if (!targets_known_)
         return;
-    restored_               = true;
-    evacuations_held_until_ = now + times_.evacuation_hold;
-    // Entries that were written after the copy are missing until their targets
-    // write them again.
-    targets_.source_returned(now);
+    restored_ = true;
     if (events_.era_changed)
         events_.era_changed(revision_, at);
 }
--- a/src/state_follower.hpp
+++ b/src/state_follower.hpp
@@ -38,9 +38,10 @@
     /// that refuses some of the calls after a restart of all daemons responds
     /// sooner.
     milliseconds ask_peers_after{800};
-    /// Evacuations that are missing after the store was restored from an older
-    /// copy end after this time, within which operators repeat what was lost.
-    milliseconds evacuation_hold{10'000};
+    /// After the store was restored from an older copy, what is known holds
+    /// against what it publishes for this time, in which operators and targets
+    /// repeat what was lost. Then everything is read again.
+    milliseconds restoration_hold{10'000};
     /// Changes relayed by another daemon are used only if the store confirmed
     /// them at most this long ago.
     milliseconds max_relay_age{750};
@@ -156,12 +157,17 @@
     /// \return whether it was one.
     bool fail_outdated(const state_revision& at, time_point now);
     /// Applies that the published state is of this revision's era.
-    void note_era(const state_revision& at, time_point now);
+    void note_era(const state_revision& at);
     void resynchronize();
     void finish_pages(time_point now);
+    /// Replaces targets and evacuations by those of a list or copy.
+    void replace_state(std::vector<target>          targets,
+                       const std::set<std::string>& evacuated,
+                       const state_revision& revision, time_point now);
     void replace_targets(std::vector<target> list, time_point now);
+    /// \param hold keeps the known evacuations that are missing.
     void replace_evacuations(const std::set<std::string>& failure_domains,
-                             time_point                   now);
+                             bool hold, time_point now);
     void set_evacuated(const domain_evacuation& it, time_point now);
     void report_gone(const std::vector<std::string>& ids);
 
@@ -181,9 +187,11 @@
     std::uint64_t  era_ = 0; ///< Of the published state; 0: not known.
     /// The state being read is of another era than the known one.
     bool restored_ = false;
+    /// When everything is read again after a restoration. Until then, lists are
+    /// corrected by what is known.
+    std::optional<time_point> relist_at_;
     /// Evacuations that are not published since the store was restored.
     std::set<std::string> held_evacuations_;
-    time_point            evacuations_held_until_{};
     time_point            next_call_at_{}; ///< No call before this time.
     time_point            answered_at_;
     milliseconds backoff_{0}; ///< Delay after the latest failure; 0: none.
