Apply what cannot be outdated in the first response of an era

A target that announced to leave in the first response of a new era got work until the whole list was read, which a store that refuses calls may delay. Leaving targets and configurations of that response are now applied at once; neither goes back. "the response that shows a new era is heeded" failed before.

--- a/src/state_follower.cpp
+++ b/src/state_follower.cpp
@@ -238,9 +238,17 @@
     on_response(now);
     if (superseded_)
         return;
-    // The changes of another era are not those after the known revision.
+    // The changes of another era are not those after the known revision. Those
+    // that cannot be outdated are in force at once.
     if (!same_history(result->revision, revision_)) {
         note_era(result->revision);
+        std::erase_if(result->changes, [](const auto& change) {
+            const auto* put = std::get_if<target>(&change);
+            return !(put && put->leaving) &&
+                   !std::holds_alternative<configuration>(change);
+        });
+        for (auto& change : result->changes)
+            apply(std::move(change), now);
         resynchronize();
         next_call_at_ = now;
         return;
--- a/tests/restored_store_test.cpp
+++ b/tests/restored_store_test.cpp
@@ -247,6 +247,20 @@
     CHECK(d.usable("a"));
 }
 
+// Guards against work for a target that says in the first response of the new
+// era that it leaves, if the store then refuses the list.
+TEST_CASE("the response that shows a new era is heeded", "[gateway][era]")
+{
+    daemon_state d;
+    d.list(0, {100, 1}, {make_target("a"), make_target("b")});
+    d.change(1000, {97, 2},
+             {make_target("a", true), target_removed{"b"}, make_config(6)});
+    CHECK_FALSE(d.usable("a"));
+    CHECK(d.usable("b"));
+    CHECK(d.follower.table()->version() == 6);
+    CHECK(d.follower.next(at(1000)).kind == step_kind::read_configuration);
+}
+
 // Guards against targets that are cold again because the copy is older than the
 // end of their cold time.
 TEST_CASE("a restored store does not make targets cold again", "[gateway][era]")
