Do not replace a target by an earlier lifetime from a restored store

A list of a restored store may show an earlier lifetime of a target than the known one, or than the one that was removed last. It replaced the known entry, with its old address, and was used. Such entries are now left out of the list while what is known holds.

--- a/src/target_directory.cpp
+++ b/src/target_directory.cpp
@@ -72,10 +72,13 @@
                                         time_point           now) const
 {
     std::erase_if(list, [&](const target& it) {
-        const auto known = removed_.find(it.id);
-        return known != removed_.end() &&
-               known->second.started_at == it.started_at &&
-               now - known->second.at < removal_retention;
+        const auto* known = find(it.id);
+        if (known && it.started_at < known->started_at)
+            return true;
+        const auto gone = removed_.find(it.id);
+        return gone != removed_.end() &&
+               it.started_at <= gone->second.started_at &&
+               now - gone->second.at < removal_retention;
     });
     for (auto& it : list) {
         const auto* known = find(it.id);
--- a/src/target_directory.hpp
+++ b/src/target_directory.hpp
@@ -54,8 +54,9 @@
     /// within lapse_grace from now only count as lapsed.
     void source_returned(time_point now) { lapse_until_ = now + lapse_grace_; }
     /// Corrects a list of a store that was restored from an older copy, which
-    /// shows targets as they were. What is known of the same lifetime of a
-    /// target holds: that it is leaving, was removed, or is no longer cold.
+    /// shows targets as they were. What is known of the same or a later
+    /// lifetime of a target holds: that it is leaving, was removed or replaced,
+    /// or is no longer cold.
     void correct_restored(std::vector<target>& list, time_point now) const;
     /// Handles a complete list: entries that are not in it are removed.
     /// \return ids of the removed targets.
