Ignore relayed changes that are older than the list

A daemon that relays changes may be behind the pages: its changes undid what they showed, such as that a target is leaving, until it had caught up. This needs no restoration. A response that is older than the list is now ignored; the next one applies everything since the list began.

--- a/src/state_follower.cpp
+++ b/src/state_follower.cpp
@@ -89,7 +89,8 @@
     note_era(result->revision);
     // Configuration and pages are no snapshot: the first watch asks for all
     // changes since this revision.
-    first_revision_ = result->revision;
+    first_revision_  = result->revision;
+    listed_revision_ = result->revision;
     apply_configuration(std::move(result->config));
     phase_ = phase::pages;
     page_.clear();
@@ -119,6 +120,8 @@
         else if (const auto* it = std::get_if<domain_evacuation>(&entry))
             listed_evacuations_.insert(it->failure_domain);
     }
+    if (newer(result->revision, listed_revision_))
+        listed_revision_ = result->revision;
     page_ = result->next_page;
     if (page_.empty())
         finish_pages(now);
@@ -215,6 +218,7 @@
     if (!newer(copy.revision, revision()))
         return false;
     note_era(copy.revision);
+    listed_revision_ = copy.revision;
     apply_configuration(std::move(config));
     replace_state(std::move(copy.targets), copy.evacuated, copy.revision, now);
     superseded_ = true;
@@ -253,6 +257,8 @@
         next_call_at_ = now;
         return;
     }
+    if (newer(listed_revision_, result->revision))
+        return;
     for (auto& change : result->changes)
         apply(std::move(change), now);
     if (newer(result->revision, revision_))
--- a/src/state_follower.hpp
+++ b/src/state_follower.hpp
@@ -184,6 +184,9 @@
     /// Revision at which the configuration was read; the first watch asks for
     /// the changes after it.
     state_revision first_revision_{};
+    /// Latest revision of a list or copy. Responses to a watch that are older
+    /// are of a daemon that is behind; they would undo part of the list.
+    state_revision listed_revision_{};
     std::uint64_t  era_ = 0; ///< Of the published state; 0: not known.
     /// The state being read is of another era than the known one.
     bool restored_ = false;
--- a/tests/gateway_follower_test.cpp
+++ b/tests/gateway_follower_test.cpp
@@ -128,6 +128,23 @@
     CHECK(f.follower.table()->version() == 9);
 }
 
+// Guards against a leaving target that is used again: a daemon that relays
+// changes may be behind the list that was read from the store.
+TEST_CASE("changes that are older than the list are not applied", "[gateway]")
+{
+    fixture f;
+    auto    leaving = make_target("a");
+    leaving.leaving = true;
+    f.synchronize(0, {leaving});
+    f.follower.on_changes(state_changes{{make_target("a")}, 95}, at(10));
+    CHECK(f.targets.usable("s").empty());
+    CHECK(f.follower.next(at(600)).after == 90);
+    f.follower.on_changes(state_changes{{make_target("a"), leaving}, 100},
+                          at(610));
+    CHECK(f.targets.usable("s").empty());
+    CHECK(f.follower.next(at(1300)).after == 100);
+}
+
 // Guards against a busy loop on a store that responds at once, and against
 // watches that are too far apart to put a change in force in time.
 TEST_CASE("watches are spaced and follow the last revision", "[gateway]")
