--- a/tests/soak/gateway_soak.cpp
+++ b/tests/soak/gateway_soak.cpp
@@ -325,7 +325,9 @@
             ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         ::dup2(out, 1);
         ::dup2(out, 2);
-        ::signal(SIGPIPE, SIG_DFL);
+        // Under nohup, SIGHUP would be ignored.
+        for (const int it : {SIGPIPE, SIGHUP})
+            ::signal(it, SIG_DFL);
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         ::execl(program.c_str(), program.c_str(), "--settings",
                 settings_.c_str(), nullptr);
