--- a/tests/soak/gateway_soak.cpp
+++ b/tests/soak/gateway_soak.cpp
@@ -350,6 +350,9 @@
             if (in >> name >> read && read > comment.size())
                 break;
             pause_for(1);
+            if (n == 1999)
+                std::cout << name_ << " has not read its settings after 2000 "
+                          << "pauses of 1 ms\n";
         }
         send(SIGHUP);
         replace_settings(text_);
@@ -387,8 +390,9 @@
     /// \return what it did wrong, or nothing.
     std::string check(int restart_delay_ms)
     {
-        const bool expired = state_ == state::stopping &&
-                             now_ms() > stopped_at() + grace_ms(run_);
+        const auto checked_before = std::exchange(checked_at_, now_ms());
+        const bool expired        = state_ == state::stopping &&
+                             checked_at_ > stopped_at() + grace_ms(run_);
         if (expired)
             send(SIGKILL);
         int        status = 0;
@@ -401,8 +405,14 @@
         restart_at_        = now_ms() + restart_delay_ms;
         if (life()->killed)
             return "";
+        // After a late check, a normal end may have been in time.
         if (expired)
-            return "did not end within the grace";
+            return "did not end within the grace: checked " +
+                   std::to_string(std::lround(checked_at_ - stopped_at())) +
+                   " ms after SIGTERM and " +
+                   std::to_string(std::lround(checked_at_ - checked_before)) +
+                   " ms after the check before, wait status " +
+                   std::to_string(status);
         if (planned && WIFEXITED(status) && WEXITSTATUS(status) == 0)
             return "";
         return "ended by itself, status " + std::to_string(status);
@@ -435,6 +445,7 @@
     pid_t                        pid_        = -1;
     state                        state_      = state::down;
     double                       restart_at_ = 0;
+    double                       checked_at_ = 0;
     mutable std::mutex           mutex_;
     std::shared_ptr<incarnation> life_ = std::make_shared<incarnation>();
 };
