Run the stages of a request as an object that completes or is dropped

Cause: a silent stream runs its stages again to prepare a continuation. The run overwrote the request's own state. Given up half-way, as the stream went on or an order failed, it left stages without a ticket, and the stream was kept with them. At its next silence, result_bytes() dereferenced the null tickets. It is not the only such reader; the others were reached behind checks elsewhere. For the same reason, handles of a run that another one replaced were not released.

Change: stage_run owns the orders and results of one execution; forward_run holds one only when it is complete. A run that is given up withdraws its orders and releases its results in its destructor, so no state of it is left for a stream that is kept.

--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -12,6 +12,7 @@
 #include "problem.hpp"
 #include "region_map.hpp"
 #include "retry_budget.hpp"
+#include "stage_run.hpp"
 #include "state_follower.hpp"
 #include "target_directory.hpp"
 #include "text.hpp"
@@ -25,7 +26,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <map>
 #include <numeric>
 
 namespace arbutusgate::gateway {
@@ -55,12 +55,8 @@
 constexpr milliseconds target_full_retry_after{250};
 /// A stream without an event for longer is resumed at another target.
 constexpr milliseconds stream_silence_timeout{1200};
-/// Estimates used until there is a sample: time to a target's first event, and
-/// time of one stage.
+/// Estimate used until there is a sample.
 constexpr milliseconds default_first_event_time{200};
-constexpr milliseconds default_stage_time{300};
-/// Stage inputs must be read at least this long before they expire.
-constexpr milliseconds input_expiry_margin{300};
 /// Results of at least this size stay in their failure domain where possible.
 constexpr std::uint64_t large_result_bytes      = 200'000;
 constexpr double        large_result_penalty    = 1.0;
@@ -93,6 +89,8 @@
 {
 }
 
+forward_run::~forward_run() = default;
+
 void forward_run::run()
 {
     call_   = parts_.codec.decode_call(exchange_.request());
@@ -110,11 +108,11 @@
     if (!failure)
         failure = admit();
     if (!failure)
-        failure = run_stages();
+        failure = run_stages(first_event_deadline_);
     if (!failure && !caller_gone_)
         failure = call_targets();
     exchange_.on_client_gone(nullptr);
-    release_results();
+    results_.reset();
     if (caller_gone_) {
         parts_.counters.reasons().add(refusal_reason::client_gone);
         log_end("client_gone", 0);
@@ -351,79 +349,6 @@
                        decision.retry_after};
 }
 
-bool forward_run::stage_ready(std::uint32_t stage) const
-{
-    return std::all_of(route_->stages[stage].after.begin(),
-                       route_->stages[stage].after.end(),
-                       [this](std::uint32_t it) {
-                           return it < tickets_.size() && tickets_[it] &&
-                                  tickets_[it]->state == order_state::done;
-                       });
-}
-
-std::vector<std::string> forward_run::inputs_of(std::uint32_t stage) const
-{
-    std::vector<std::string> out;
-    for (const auto it : route_->stages[stage].after) {
-        const auto& handles = tickets_[it]->handles;
-        if (handles.empty()) {
-            // A stage without pieces forwards its own inputs.
-            const auto earlier = inputs_of(it);
-            out.insert(out.end(), earlier.begin(), earlier.end());
-        }
-        out.insert(out.end(), handles.begin(), handles.end());
-    }
-    return out;
-}
-
-std::vector<std::string> forward_run::final_inputs() const
-{
-    std::vector<bool> followed(route_->stages.size(), false);
-    for (const auto& it : route_->stages) {
-        for (const auto n : it.after)
-            followed[n] = true;
-    }
-    std::vector<std::string> out;
-    for (std::uint32_t n = 0; n < route_->stages.size(); ++n) {
-        if (followed[n])
-            continue;
-        const auto& handles = tickets_[n]->handles;
-        out.insert(out.end(), handles.begin(), handles.end());
-    }
-    return out;
-}
-
-/// Estimated time from the completion of a stage to the first event.
-microseconds forward_run::time_after_stage(std::uint32_t stage) const
-{
-    auto out = parts_.times.get(service_->name, default_first_event_time);
-    for (std::uint32_t n = 0; n < route_->stages.size(); ++n) {
-        const auto& it   = route_->stages[n];
-        const auto reads = std::find(it.after.begin(), it.after.end(), stage) !=
-                           it.after.end();
-        if (reads && n > stage)
-            out = std::max(
-                out, time_after_stage(n) +
-                         parts_.times.get(it.service, default_stage_time));
-    }
-    return out;
-}
-
-/// Time by which a stage has to read its inputs: the earliest expiry, less a
-/// margin.
-time_point forward_run::input_read_deadline(std::uint32_t stage) const
-{
-    auto out = first_event_deadline_;
-    for (const auto n : route_->stages[stage].after) {
-        const auto* producer = table_->find_service(route_->stages[n].service);
-        if (producer && producer->stage && completed_at_[n] != time_point{})
-            out = std::min(out, completed_at_[n] +
-                                    producer->stage->result_retention -
-                                    input_expiry_margin);
-    }
-    return out;
-}
-
 /// Failure domain of the target that probably caches the start of the prompt;
 /// empty without prompt affinity.
 std::string forward_run::prompt_cache_domain()
@@ -440,247 +365,80 @@
     return it ? it->failure_domain : "";
 }
 
-stage_order forward_run::make_order(std::uint32_t stage)
-{
-    const auto& step  = route_->stages[stage];
-    const auto  count = stage < call_.pieces.size() ? call_.pieces[stage] : 0;
-    stage_order out;
-    out.service           = step.service;
-    out.group.count       = count;
-    out.group.rank        = priority_;
-    out.permitted_domains = filter_.permitted_domains();
-    const auto rest       = time_after_stage(stage);
-    out.group.goal        = goal_at_ - rest;
-    out.group.limit       = first_event_deadline_ - rest;
-    out.group.limit = std::min(out.group.limit, input_read_deadline(stage));
-    out.group.failure_domain = main_result_domain(step.after);
-    for (const auto it : step.after)
-        out.cross_domain_bytes +=
-            tickets_[it]->handles.size() * route_->stages[it].result_bytes;
-    // Large results are produced in the failure domain of the target that
-    // caches the prompt.
-    if (step.after.empty() && count * step.result_bytes >= large_result_bytes) {
-        out.group.failure_domain = prompt_cache_domain();
-        out.cross_domain_bytes   = count * step.result_bytes;
-    }
-    out.group.result_bytes = step.result_bytes;
-    out.group.kind         = static_cast<std::uint32_t>(
-        XXH3_64bits_withSeed(route_->name.data(), route_->name.size(), stage));
-    out.source = std::make_shared<const stage_source>(stage_source{
-        call_.attempt, stage, step.after.empty() ? call_.piece_key : "",
-        inputs_of(stage)});
-    return out;
-}
-
-/// Submits every stage whose inputs are complete.
-/// \return false, with \p failure set, when an order was refused.
-bool forward_run::submit_stages(run_failure& failure)
-{
-    for (std::uint32_t n = 0; n < route_->stages.size(); ++n) {
-        if (tickets_[n] || !stage_ready(n))
-            continue;
-        auto order = make_order(n);
-        if (order.group.count == 0) {
-            tickets_[n]        = std::make_shared<stage_ticket>();
-            tickets_[n]->state = order_state::done;
-            return submit_stages(failure);
-        }
-        submitted_at_[n] = daemon_now();
-        tickets_[n]      = parts_.stages.submit(std::move(order), signal_);
-        if (tickets_[n]->state == order_state::refused) {
-            failure = stage_failure(*tickets_[n]);
-            return false;
-        }
-    }
-    return true;
-}
-
-run_failure forward_run::stage_failure(const stage_ticket& it) const
+stage_plan forward_run::make_stage_plan(time_point limit)
 {
-    switch (it.state) {
-    case order_state::refused:
-        return {refusal_reason::overloaded, execution::not_run, it.retry_after};
-    case order_state::late:
-        return {refusal_reason::deadline_unreachable, execution::not_run,
-                target_full_retry_after};
-    default:
-        return {refusal_reason::stage_failed, execution::not_run,
-                target_full_retry_after};
-    }
+    return {call_,
+            *table_,
+            *route_,
+            service_->name,
+            priority_,
+            goal_at_,
+            limit,
+            filter_.permitted_domains(),
+            [this] {
+                return prompt_cache_domain();
+            }};
 }
 
-std::optional<run_failure> forward_run::run_stages()
+std::optional<run_failure> forward_run::run_stages(time_point limit)
 {
-    tickets_.resize(route_->stages.size());
-    submitted_at_.resize(route_->stages.size());
-    completed_at_.resize(route_->stages.size());
-    run_failure failure;
-    const auto  settled = [this] {
-        return interrupted() || stream_continues() ||
-               std::any_of(tickets_.begin(), tickets_.end(),
-                            [](const auto& it) {
-                               return it && it->state != order_state::waiting &&
-                                      it->state != order_state::done;
-                           });
-    };
-    const auto all_done = [this] {
-        return std::all_of(tickets_.begin(), tickets_.end(),
-                           [](const auto& it) {
-                               return it && it->state == order_state::done;
-                           });
-    };
-    if (!submit_stages(failure))
-        return failure;
-    while (!all_done() && !settled()) {
-        const auto waiting = [this] {
-            return std::count_if(
-                tickets_.begin(), tickets_.end(), [](const auto& it) {
-                    return it && it->state == order_state::waiting;
-                });
-        };
-        const auto before = waiting();
-        if (!signal_->wait_until(first_event_deadline_, [&] {
+    auto run = std::make_unique<stage_run>(
+        make_stage_plan(limit),
+        stage_run_dependencies{parts_.stages, parts_.times, parts_.targets},
+        signal_);
+    for (;;) {
+        if (auto failed = run->submit())
+            return failed;
+        if (run->complete())
+            break;
+        const auto before = run->waiting();
+        if (!signal_->wait_until(limit, [&] {
                 return interrupted() || stream_continues() ||
-                       waiting() != before;
+                       run->waiting() != before;
             }))
             return run_failure{refusal_reason::deadline_unreachable,
                                execution::not_run, target_full_retry_after};
-        learn_stage_times();
-        release_consumed_results();
+        run->collect();
+        if (caller_gone_)
+            return std::nullopt;
         if (auto refused = refuse_if_quarantined())
             return refused;
         if (auto refused = refuse_if_stopping())
             return refused;
-        if (!settled() && !submit_stages(failure))
-            return failure;
+        if (stream_continues())
+            return run_failure{refusal_reason::stage_failed};
     }
-    if (caller_gone_)
-        return std::nullopt;
     if (auto refused = refuse_if_stopping())
         return refused;
-    for (const auto& it : tickets_) {
-        if (it && it->state != order_state::done)
-            return stage_failure(*it);
-    }
-    // Stages that were not submitted, since the silent stream has gone on.
-    if (!all_done())
-        return run_failure{refusal_reason::stage_failed};
-    const auto inputs = final_inputs();
+    const auto inputs = run->inputs();
     const auto bytes  = std::accumulate(
          inputs.begin(), inputs.end(), std::size_t{0},
          [](std::size_t n, const auto& it) { return n + it.size() + 1; });
     if (bytes > limits::max_header_field)
         return run_failure{refusal_reason::too_large};
-    std::vector<std::uint32_t> all(tickets_.size());
-    std::iota(all.begin(), all.end(), 0U);
-    result_domain_ = main_result_domain(all);
+    results_ = std::move(run);
     return std::nullopt;
 }
 
-/// Adds the times of completed stages to the estimates. Late orders are left
-/// out: they are queued behind others on purpose, so their times do not show
-/// how long an order on time takes.
-void forward_run::learn_stage_times()
+bool forward_run::has_results() const
 {
-    const auto now = daemon_now();
-    for (std::uint32_t n = 0; n < tickets_.size(); ++n) {
-        if (submitted_at_[n] == time_point{} ||
-            tickets_[n]->state != order_state::done)
-            continue;
-        if (now <= goal_at_ - time_after_stage(n))
-            parts_.times.add(route_->stages[n].service, now - submitted_at_[n]);
-        submitted_at_[n] = {};
-        completed_at_[n] = now;
-    }
+    return results_ && daemon_now() < results_->read_deadline();
 }
 
-/// Runs the stages again for a stream that is resumed: its results were
-/// released with the first event, since targets have little result memory.
-/// \return false when a stage failed or the caller left.
-bool forward_run::rerun_stages()
+bool forward_run::prepare_results()
 {
-    if (route_->stages.empty())
+    if (has_results())
         return true;
-    tickets_.clear();
-    completed_at_.clear();
-    submitted_at_.clear();
-    results_released_     = false;
-    first_event_deadline_ = deadline_;
-    const auto failure    = run_stages();
-    const bool whole      = !failure && !caller_gone_;
-    log(log_level::info, "stage results recomputed for a resumed stream",
-        {{"request", call_.attempt}, {"whole", whole}});
+    const auto failure = run_stages(deadline_);
+    const bool whole   = !failure && !caller_gone_;
+    if (!route_->stages.empty())
+        log(log_level::info, "stage results recomputed for a resumed stream",
+            {{"request", call_.attempt}, {"whole", whole}});
     return whole;
 }
 
-/// Releases results that all later stages have read, since targets have little
-/// result memory.
-void forward_run::release_consumed_results()
-{
-    for (std::uint32_t n = 0; n < tickets_.size(); ++n) {
-        if (!tickets_[n] || tickets_[n]->handles.empty())
-            continue;
-        std::size_t readers = 0;
-        bool        read    = true;
-        for (std::uint32_t k = 0; k < tickets_.size(); ++k) {
-            const auto& after = route_->stages[k].after;
-            if (std::find(after.begin(), after.end(), n) == after.end())
-                continue;
-            ++readers;
-            // A stage without pieces forwarded these results, so they are
-            // still needed.
-            read = read && tickets_[k] && !tickets_[k]->handles.empty();
-        }
-        if (readers > 0 && read)
-            parts_.stages.release(route_->stages[n].service,
-                                  std::exchange(tickets_[n]->handles, {}));
-    }
-}
-
-/// Failure domain that holds most bytes of the stages' results.
-std::string
-forward_run::main_result_domain(const std::vector<std::uint32_t>& stages) const
-{
-    std::map<std::string, std::uint64_t> bytes;
-    for (const auto n : stages) {
-        for (const auto& handle : tickets_[n]->handles) {
-            const auto* producer = parts_.targets.find_by_address(
-                std::string_view(handle).substr(0, handle.find('/')));
-            if (producer)
-                bytes[producer->failure_domain] +=
-                    route_->stages[n].result_bytes;
-        }
-    }
-    const auto most = std::max_element(
-        bytes.begin(), bytes.end(),
-        [](const auto& a, const auto& b) { return a.second < b.second; });
-    return most == bytes.end() ? "" : most->first;
-}
-
-void forward_run::release_results()
-{
-    if (std::exchange(results_released_, true))
-        return;
-    for (std::size_t n = 0; n < tickets_.size(); ++n) {
-        const auto& it = tickets_[n];
-        if (!it)
-            continue;
-        if (it->state == order_state::waiting)
-            parts_.stages.withdraw(it);
-        parts_.stages.release(route_->stages[n].service, it->handles);
-    }
-}
-
 // Targets --------------------------------------------------------------------
 
-std::uint64_t forward_run::result_bytes() const
-{
-    std::uint64_t out = 0;
-    for (std::size_t n = 0; n < tickets_.size(); ++n)
-        out += tickets_[n]->handles.size() * route_->stages[n].result_bytes;
-    return out;
-}
-
 std::uint64_t forward_run::affinity() const
 {
     if (!route_->prompt_affine || call_.prompt.size() < 2)
@@ -697,8 +455,8 @@
     hints.tried          = &tried_targets_;
     hints.failure_domain = parts_.failure_domain;
     hints.domain_penalty = other_domain_penalty;
-    if (result_bytes() >= large_result_bytes) {
-        hints.failure_domain = result_domain_;
+    if (results_ && results_->result_bytes() >= large_result_bytes) {
+        hints.failure_domain = results_->main_domain();
         hints.domain_penalty = large_result_penalty;
     }
     hints.affinity     = affinity();
@@ -826,8 +584,8 @@
     std::optional<run_failure> refused;
     std::string_view           not_resumed = "attempts or retry budget";
     for (;;) {
-        const bool prepared = std::exchange(resume_prepared_, false);
-        if (stream_started_ && !prepared && !rerun_stages()) {
+        resume_prepared_ = false;
+        if (stream_started_ && !prepare_results()) {
             not_resumed = "stages";
             break;
         }
@@ -951,7 +709,8 @@
     context.target    = chosen.id;
     context.account   = account_ ? account_->name : "";
     context.time_left = remaining_time();
-    context.inputs    = final_inputs();
+    if (results_)
+        context.inputs = results_->inputs();
     if (service_->engine)
         context.request_priority =
             std::min(9U, default_engine_priority + priority_ - 1);
@@ -1188,7 +947,7 @@
         parts_.times.add(service_->name, now - attempt_started_);
     exchange_.begin_stream(parts_.codec.relay_head(from.head()));
     parts_.counters.observe_first_text(route_->name, now - arrived_at_);
-    release_results();
+    results_.reset();
 }
 
 /// True when another target could resume the stream.
@@ -1229,16 +988,18 @@
 
 bool forward_run::prepare_resume(const target& chosen)
 {
+    // Results of the attempt itself stay: its target may not have read them.
+    const bool held = has_results();
     tried_targets_.push_back(chosen.id);
     // The target may have gone while the stages ran.
     const bool usable = !refuse_if_stopping() && pick_target() &&
-                        rerun_stages() && pick_target();
+                        prepare_results() && pick_target();
     tried_targets_.pop_back();
     const bool continues = stream_continues();
     resume_prepared_     = usable && !interrupted() && !continues &&
                        parts_.budget.take(service_->name, daemon_now());
-    if (!resume_prepared_)
-        release_results();
+    if (!resume_prepared_ && !held)
+        results_.reset();
     log(log_level::info,
         resume_prepared_ ? "silent stream is given up"
                          : "silent stream is kept",
--- a/src/forward_run.hpp
+++ b/src/forward_run.hpp
@@ -6,6 +6,7 @@
 #include "call_permit.hpp"
 #include "call_work.hpp"
 #include "crash_report.hpp"
+#include "run_failure.hpp"
 #include "stage_service.hpp"
 #include "target_connections.hpp"
 #include "target_filter.hpp"
@@ -37,11 +38,13 @@
 class region_map;
 class retry_budget;
 class route_table;
+class stage_run;
 class state_follower;
 class target_directory;
 class time_estimates;
 class trial_source;
 class work_estimator;
+struct stage_plan;
 
 /// Times of a planned stop.
 struct drain_times
@@ -78,20 +81,12 @@
     std::optional<drain_times> drain   = std::nullopt; ///< Set by a stop.
 };
 
-/// Reason and state in which a request ends without a response of a target.
-struct run_failure
-{
-    refusal_reason reason = refusal_reason::internal;
-    execution      result = execution::not_run;
-    /// Earliest useful time for a retry; zero: a retry does not help.
-    milliseconds retry_after{0};
-};
-
 /// Serves one HTTP exchange; used only on the fiber of the exchange.
 class forward_run
 {
 public:
     forward_run(request_dependencies& parts, http_exchange& exchange);
+    ~forward_run();
 
     void run();
     /// Ends the request with an answer, since the daemon stops. Called on the
@@ -122,18 +117,14 @@
     /// Refuses the request when a part of its prompt keeps it from all targets,
     /// unless it becomes the trial of that part.
     std::optional<run_failure> refuse_if_quarantined();
-    std::optional<run_failure> run_stages();
-    bool                       submit_stages(run_failure& failure);
-    stage_order                make_order(std::uint32_t stage);
+    /// Runs the stages and keeps the results for the next attempt. A run that
+    /// does not complete leaves nothing behind.
+    /// \param limit when results are useless.
+    std::optional<run_failure> run_stages(time_point limit);
+    stage_plan                 make_stage_plan(time_point limit);
     std::string                prompt_cache_domain();
-    std::vector<std::string>   inputs_of(std::uint32_t stage) const;
-    std::vector<std::string>   final_inputs() const;
-    std::string
-         main_result_domain(const std::vector<std::uint32_t>& stages) const;
-    bool stage_ready(std::uint32_t stage) const;
-    microseconds time_after_stage(std::uint32_t stage) const;
-    time_point   input_read_deadline(std::uint32_t stage) const;
-    run_failure  stage_failure(const stage_ticket& it) const;
+    /// Whether the next attempt can send its inputs.
+    bool has_results() const;
 
     std::optional<run_failure> call_targets();
     /// \param limited whether targets that limit their calls may be picked.
@@ -175,10 +166,9 @@
     void return_connection(connection_lease lease);
 
     void refuse(const run_failure& it);
-    void release_results();
-    void release_consumed_results();
-    bool rerun_stages();
-    void learn_stage_times();
+    /// Runs the stages for a stream that is resumed, unless their results are
+    /// held. \return false when a stage failed or the caller left.
+    bool prepare_results();
     void on_caller_gone();
     /// Ends what the request waits for: a response, stages or a target.
     void interrupt();
@@ -187,7 +177,6 @@
     bool             stream_continues() const;
     milliseconds     remaining_time() const;
     bool             deadline_passed() const;
-    std::uint64_t    result_bytes() const;
     const call_work* work() const { return work_ ? &*work_ : nullptr; }
     std::uint64_t    affinity() const;
     void             log_end(std::string_view outcome, unsigned status);
@@ -216,14 +205,11 @@
     /// Of services with model engines.
     std::optional<call_work> work_;
 
-    std::vector<std::shared_ptr<stage_ticket>> tickets_; ///< By stage.
-    std::vector<time_point> submitted_at_; ///< By stage; reset when learned.
-    std::vector<time_point> completed_at_; ///< By stage.
-    /// Notified when a ticket changes state and when the caller leaves.
+    /// Notified when a stage order changes state and when the caller leaves.
     std::shared_ptr<fiber_signal> signal_;
-    /// Failure domain that holds most bytes of the stage results.
-    std::string result_domain_;
-    bool        results_released_ = false;
+    /// Completed stages whose results the next attempt sends as inputs; null
+    /// when their results were released.
+    std::unique_ptr<stage_run> results_;
 
     std::vector<std::string> tried_targets_; ///< Ids.
     /// Attempts, without those that ended before anything was sent.
--- a/tests/gateway_fixture.cpp
+++ b/tests/gateway_fixture.cpp
@@ -32,7 +32,8 @@
                    make_route("/staged-stream/", repeat_rule::stream, 2),
                    make_route("/quick/", repeat_rule::idempotent, 2),
                    make_route("/order/", repeat_rule::non_idempotent, 1),
-                   make_route("/cold/", repeat_rule::idempotent, 2)};
+                   make_route("/cold/", repeat_rule::idempotent, 2),
+                   make_route("/chain-stream/", repeat_rule::stream, 3)};
     out.routes[3].may_be_resumed = true;
     out.routes[4].stages         = {{"p", {}, 1000}, {"p", {0}, 1000}};
     out.routes[5].stages         = {{"p", {}, 1000}};
@@ -41,6 +42,9 @@
     out.routes[7].services       = {{"p", 1}};
     out.routes[8].latency_goal   = milliseconds{400};
     out.routes[8].services       = {{"c", 1}};
+    out.routes[9].stages         = {
+                {"p", {}, 1000}, {"p", {0}, 1000}, {"p", {1}, 1000}};
+    out.routes[9].may_be_resumed = true;
     service plain{"s", "", 1000, {}, {}};
     service cold{"c", "", 1000, {}, {}, cold_limits{milliseconds{3000}, 15}};
     service stage{"p", "", 1000, stage_limits{}, {}};
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -206,9 +206,9 @@
 };
 
 /// A gateway with the routes /once/, /again/, /stream/, /resume/, /staged/,
-/// /staged-stream/ and /quick/, whose latency goal is short, of host
-/// "a.example" and the service "s". The route /order/ leads to the service "p"
-/// of the stages.
+/// /staged-stream/, /chain-stream/, which has three stages, and /quick/, whose
+/// latency goal is short, of host "a.example" and the service "s". The route
+/// /order/ leads to the service "p" of the stages.
 class gateway_fixture
 {
 public:
