--- a/src/crash_check.cpp
+++ b/src/crash_check.cpp
@@ -8,6 +8,9 @@
 
 #include <boost/asio/error.hpp>
 
+#include <algorithm>
+#include <utility>
+
 namespace arbutusgate::gateway {
 
 namespace {
@@ -39,22 +42,37 @@
 }
 
 void crash_check::broke_off(const prompt_key& prompt, const target& at,
-                            time_point when)
+                            answer_progress progress, time_point when)
+{
+    if (!is_leaving(at))
+        add(at, {sample_parts(prompt), progress, when, false});
+}
+
+void crash_check::ended_with_connection(const prompt_key& prompt,
+                                        const target&     at,
+                                        answer_progress   progress,
+                                        time_point        when)
 {
     if (is_leaving(at))
-        return;
+        quarantine_.answered(prompt, at, when, answer_progress::whole);
+    else
+        add(at, {sample_parts(prompt), progress, when, true});
+}
+
+void crash_check::add(const target& at, ended_call it)
+{
     auto&      calls   = pending_[at.id];
     const bool running = !calls.empty();
-    calls.emplace_back(sample_parts(prompt), when);
+    calls.push_back(std::move(it));
     if (!running)
         fibers_.spawn([this, at] { check(at); });
 }
 
 void crash_check::fell_silent(const prompt_key& prompt, const target& at,
-                              time_point when)
+                              answer_progress progress, time_point when)
 {
     if (!is_leaving(at))
-        quarantine_.fell_silent(prompt, at, when);
+        quarantine_.fell_silent(prompt, at, when, progress);
 }
 
 void crash_check::check(const target& it)
@@ -63,14 +81,22 @@
     const bool ended = has_ended(it);
     const auto calls = std::exchange(pending_[it.id], {});
     pending_.erase(it.id);
-    log(log_level::info,
-        ended ? "target ended with calls that had no answer"
-              : "target goes on after calls broke off",
-        {{"target", it.id}, {"service", it.service}, {"calls", calls.size()}});
-    if (!ended)
-        return;
-    for (const auto& [prompt, when] : calls)
-        quarantine_.broke_off(prompt, it, when);
+    const auto broken =
+        std::count_if(calls.begin(), calls.end(), [&](const auto& call) {
+            return ended || !call.may_be_whole;
+        });
+    if (broken > 0)
+        log(log_level::info,
+            ended ? "target ended with calls that had no whole answer"
+                  : "target goes on after calls broke off",
+            {{"target", it.id}, {"service", it.service}, {"calls", broken}});
+    for (const auto& call : calls) {
+        if (ended)
+            quarantine_.broke_off(call.prompt, it, call.when, call.progress);
+        else if (call.may_be_whole)
+            quarantine_.answered(call.prompt, it, call.when,
+                                 answer_progress::whole);
+    }
 }
 
 void crash_check::check_while_waiting(std::uint64_t lifetime)
@@ -100,14 +126,14 @@
     const auto at = waiting_.check_at(lifetime);
     if (!at || *at > started_at) // It was heard meanwhile.
         return;
-    const auto prompts = waiting_.take(lifetime, started_at);
-    log(log_level::info, "target ended with calls that had no answer",
+    const auto calls = waiting_.take(lifetime, started_at);
+    log(log_level::info, "target ended with calls that had no whole answer",
         {{"target", it.id},
          {"service", it.service},
-         {"calls", prompts.size()},
+         {"calls", calls.size()},
          {"silent", true}});
-    for (const auto& prompt : prompts)
-        quarantine_.broke_off(prompt, it, now);
+    for (const auto& call : calls)
+        quarantine_.broke_off(call.prompt, it, now, call.progress);
 }
 
 /// A target that does not respond may be cut off from this daemon, as others of
--- a/src/crash_check.hpp
+++ b/src/crash_check.hpp
@@ -10,7 +10,6 @@
 #include <memory>
 #include <set>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace arbutusgate::gateway {
@@ -30,23 +29,37 @@
     {
     }
 
-    /// Watches a call until its first event: the quarantine learns of it when
-    /// the target is silent and accepts no connection.
+    /// Watches a call: the quarantine learns of it when the target is silent
+    /// and accepts no connection.
     /// \return an object that ends the watch; null when the prompt has no part
     /// that other requests may share.
     std::unique_ptr<waiting_calls::entry> watch(const prompt_key& prompt,
                                                 const target&     at);
     /// Bytes of the target arrived on a connection.
     void heard(const target& from, time_point connected_at);
-    /// Handles a call whose connection ended before an event arrived. The
-    /// quarantine learns of it unless the target still accepts connections.
-    void broke_off(const prompt_key& prompt, const target& at, time_point when);
-    /// Handles a call that ended at its timeout without an event.
+    /// Handles a call whose connection ended before the whole of its answer
+    /// arrived. The quarantine learns of it unless the target still accepts
+    /// connections.
+    void broke_off(const prompt_key& prompt, const target& at,
+                   answer_progress progress, time_point when);
+    /// Handles an answer that ended with its connection, which names no other
+    /// end. It is whole if the target still accepts connections.
+    void ended_with_connection(const prompt_key& prompt, const target& at,
+                               answer_progress progress, time_point when);
+    /// Handles a call that ended at its timeout, or that was given up.
     void fell_silent(const prompt_key& prompt, const target& at,
-                     time_point when);
+                     answer_progress progress, time_point when);
 
 private:
-    using broken_call = std::pair<prompt_key, time_point>;
+    struct ended_call
+    {
+        prompt_key      prompt;
+        answer_progress progress = answer_progress::none;
+        time_point      when{};
+        bool            may_be_whole = false;
+    };
+
+    void add(const target& at, ended_call it);
 
     void check(const target& it);
     void check_while_waiting(std::uint64_t lifetime);
@@ -60,10 +73,10 @@
     const target_directory& targets_;
     part_quarantine&        quarantine_;
     /// Calls whose targets are being checked, by the target's id.
-    std::map<std::string, std::vector<broken_call>> pending_;
-    waiting_calls                                   waiting_;
-    std::set<std::uint64_t>                         watched_; ///< Lifetimes.
-    fiber_group                                     fibers_;
+    std::map<std::string, std::vector<ended_call>> pending_;
+    waiting_calls                                  waiting_;
+    std::set<std::uint64_t>                        watched_; ///< Lifetimes.
+    fiber_group                                    fibers_;
 };
 
 } // namespace arbutusgate::gateway
--- a/src/crash_report.hpp
+++ b/src/crash_report.hpp
@@ -31,7 +31,22 @@
 /// Identifies one lifetime of a target.
 std::uint64_t target_lifetime(const target& of);
 
-/// A target ended before it began to answer a request with the part.
+/// How much of an answer arrived.
+enum class answer_progress : std::uint8_t
+{
+    none,    ///< No event, or no byte of a body.
+    begun,   ///< A part of it.
+    lasting, ///< Events over a long time.
+    whole,
+};
+
+/// \param ran from the first to the last event of an answer.
+/// \return progress of an answer that was broken off.
+answer_progress broken_progress(milliseconds ran);
+/// \return progress that an answer without harm shows.
+answer_progress unharmed_progress(milliseconds ran);
+
+/// A target ended while it ran a request with the part.
 struct part_crash
 {
     std::uint64_t lifetime = 0;
@@ -40,20 +55,23 @@
     time_point    at{};
     /// Parts that some request of this crash had besides this one, by number.
     std::vector<std::uint64_t> companions{};
+    /// Of the call with the part that had got furthest.
+    answer_progress progress = answer_progress::none;
 };
 
-/// A target began to answer a request with the part.
+/// A target answered a request with the part.
 struct part_answer
 {
-    std::uint64_t scope = 0;
-    time_point    at{}; ///< The latest one.
+    std::uint64_t   scope = 0;
+    time_point      at{}; ///< The latest one of this progress.
+    answer_progress progress = answer_progress::begun;
 };
 
 struct part_report
 {
     std::uint64_t            part = 0;
     std::vector<part_crash>  crashes; ///< One of each lifetime, by time.
-    std::vector<part_answer> answers; ///< One of each scope.
+    std::vector<part_answer> answers; ///< One of each scope and progress.
     std::uint32_t            trials = 0;
     time_point               last_trial_at{};
 };
--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -724,12 +724,13 @@
          {"resumed", last_event_id_.has_value()}});
     sent_at_        = daemon_now();
     earlier_events_ = events_;
-    // Ends at the first event, which may come long before the call does.
-    waiting_ = parts_.crashes.watch(prompt_, chosen);
+    first_event_at_.reset();
+    reported_progress_ = answer_progress::none;
+    waiting_           = parts_.crashes.watch(prompt_, chosen);
     const auto ec =
         lease->send(request, exchange_.shared_request(), remaining_time());
     if (ec) {
-        report_unanswered(chosen, ec);
+        report_broken(chosen, ec);
         log(log_level::warning, "no response from the target",
             {{"request", call_.attempt},
              {"target", chosen.id},
@@ -778,7 +779,7 @@
         if (!ec)
             ec = lease->read_head(remaining_time());
         if (ec) {
-            report_unanswered(chosen, ec);
+            report_broken(chosen, ec);
             return false;
         }
     }
@@ -786,7 +787,7 @@
 }
 
 /// Only an end of the connection may mean that the target crashed.
-void forward_run::report_unanswered(const target& at, const error_code& ec)
+void forward_run::report_broken(const target& at, const error_code& ec)
 {
     namespace asio_error = boost::asio::error;
     if (interrupted() || prompt_.shared.empty())
@@ -796,9 +797,52 @@
         ec == http::error::partial_message || ec == asio_error::eof ||
         ec == asio_error::connection_reset || ec == asio_error::broken_pipe ||
         ec == asio_error::connection_aborted)
-        parts_.crashes.broke_off(prompt_, at, now);
-    else if (ec == boost::beast::error::timeout || ec == asio_error::timed_out)
-        parts_.crashes.fell_silent(prompt_, at, now);
+        parts_.crashes.broke_off(prompt_, at, progress_when_broken(), now);
+    // A stream that still had events at its deadline was not silent.
+    else if ((ec == boost::beast::error::timeout ||
+              ec == asio_error::timed_out) &&
+             (!first_event_at_ ||
+              now - last_event_at_ >= stream_silence_timeout))
+        parts_.crashes.fell_silent(prompt_, at, progress_when_broken(), now);
+}
+
+void forward_run::report_whole(const target& by, const http_client& from)
+{
+    const auto now = daemon_now();
+    if (prompt_.shared.empty())
+        return;
+    // A target that crashes ends its connections, too.
+    if (from.ends_with_connection())
+        parts_.crashes.ended_with_connection(prompt_, by,
+                                             progress_when_broken(), now);
+    else
+        parts_.quarantine.answered(prompt_, by, now, answer_progress::whole);
+}
+
+milliseconds forward_run::answered_for() const
+{
+    return std::chrono::duration_cast<milliseconds>(last_event_at_ -
+                                                    *first_event_at_);
+}
+
+answer_progress forward_run::progress_when_broken() const
+{
+    return first_event_at_ ? broken_progress(answered_for())
+                           : answer_progress::none;
+}
+
+void forward_run::note_progress(const target& by)
+{
+    last_event_at_ = daemon_now();
+    if (!first_event_at_) {
+        first_event_at_ = last_event_at_;
+        if (waiting_)
+            waiting_->begun(last_event_at_);
+    }
+    const auto progress = unharmed_progress(answered_for());
+    if (progress == std::exchange(reported_progress_, progress))
+        return;
+    parts_.quarantine.answered(prompt_, by, last_event_at_, progress);
 }
 
 call_outcome forward_run::refusal_outcome() const
@@ -869,22 +913,23 @@
     body_reservation memory(lease->context());
     auto             body = lease->read_all(remaining_time(), ec,
                                             http_client::max_body_bytes, &memory);
-    waiting_.reset();
+    const bool good = head_.status >= 200 && head_.status < 300;
+    if (good && !body.empty())
+        note_progress(chosen);
     const bool server_error = head_.status >= 500;
     finish_call(chosen, ec             ? call_outcome::broken
                         : server_error ? call_outcome::error
                                        : call_outcome::done);
     if (ec) {
-        if (body.empty())
-            report_unanswered(chosen, ec);
+        report_broken(chosen, ec);
         log(log_level::warning, "response ended early",
             {{"request", call_.attempt},
              {"target", chosen.id},
              {"error", ec.message()}});
         return attempt_result::failed;
     }
-    if (head_.status >= 200 && head_.status < 300)
-        parts_.quarantine.answered(prompt_, chosen, daemon_now());
+    if (good)
+        report_whole(chosen, *lease);
     return_connection(std::move(lease));
     if (server_error && route_->repeatable() &&
         attempts_ + 1 < route_->max_attempts && !deadline_passed() &&
@@ -913,6 +958,7 @@
         if (!stream_started_)
             begin_stream(*lease);
         exchange_.end_stream();
+        report_whole(chosen, *lease);
         if (work_)
             parts_.work.completed(*work_, events_);
         if (earlier_events_ == 0)
@@ -922,8 +968,7 @@
         return_connection(std::move(lease));
         return attempt_result::answered;
     }
-    if (events_ == earlier_events_)
-        report_unanswered(chosen, ec ? ec : http::error::partial_message);
+    report_broken(chosen, ec ? ec : http::error::partial_message);
     log(log_level::warning, "stream ended early",
         {{"request", call_.attempt},
          {"target", chosen.id},
@@ -1042,10 +1087,8 @@
             const auto now = daemon_now();
             silent_at      = now + stream_silence_timeout;
             parts_.picker.event(chosen.id, call_number_, now);
-            if (events_++ == earlier_events_) {
-                waiting_.reset();
-                parts_.quarantine.answered(prompt_, chosen, now);
-            }
+            ++events_;
+            note_progress(chosen);
         }
         if (events.overflowed())
             ec = boost::asio::error::message_size;
--- a/src/forward_run.hpp
+++ b/src/forward_run.hpp
@@ -153,15 +153,20 @@
     /// Prepares the continuation of a silent stream. \return false when no
     /// other target can take it, or when the stream has gone on meanwhile.
     bool prepare_resume(const target& chosen);
-    /// Records that a call ended without an event, or without the whole of a
-    /// response that is no stream.
-    void         report_unanswered(const target&                    at,
-                                   const boost::system::error_code& ec);
-    bool         may_retry(attempt_result last) const;
-    bool         may_resume();
-    run_failure  attempt_failure(attempt_result last);
-    void         finish_call(const target& chosen, call_outcome how);
-    call_outcome refusal_outcome() const;
+    /// Records that a call ended without the whole of its answer.
+    void report_broken(const target& at, const boost::system::error_code& ec);
+    /// Records that the whole of an answer arrived.
+    void report_whole(const target& by, const http_client& from);
+    /// Records an event, or the body of a response that is no stream.
+    void note_progress(const target& by);
+    /// From the first to the latest event of the attempt.
+    milliseconds    answered_for() const;
+    answer_progress progress_when_broken() const;
+    bool            may_retry(attempt_result last) const;
+    bool            may_resume();
+    run_failure     attempt_failure(attempt_result last);
+    void            finish_call(const target& chosen, call_outcome how);
+    call_outcome    refusal_outcome() const;
     bool skip_foreign_responses(const target& chosen, connection_lease& lease);
     void return_connection(connection_lease lease);
 
@@ -223,11 +228,16 @@
     http_client* silent_stream_ = nullptr;
     /// The stages and the budget of the next attempt are ready.
     bool resume_prepared_ = false;
-    /// Call that waits for its first event.
+    /// Call whose target is watched.
     std::unique_ptr<waiting_calls::entry> waiting_;
-    bool                                  caller_gone_ = false;
-    bool ended_          = false; ///< By end(); takes no further attempt.
-    bool stream_started_ = false; ///< The stream's head was sent.
+    /// First and latest event of the latest attempt; unset: none has arrived.
+    std::optional<time_point> first_event_at_;
+    time_point                last_event_at_{};
+    /// Reported of the latest attempt.
+    answer_progress reported_progress_ = answer_progress::none;
+    bool            caller_gone_       = false;
+    bool            ended_ = false; ///< By end(); takes no further attempt.
+    bool            stream_started_ = false; ///< The stream's head was sent.
     /// The latest attempt ended before its request was sent.
     bool request_unsent_ = false;
     /// The attempt was not sent because its permit was too old by then, or
--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -320,6 +320,11 @@
     return impl_->parser && impl_->parser->is_done();
 }
 
+bool http_client::ends_with_connection() const
+{
+    return impl_->parser && impl_->parser->need_eof();
+}
+
 bool http_client::idle_and_open()
 {
     char       byte = 0;
--- a/src/http_client.hpp
+++ b/src/http_client.hpp
@@ -77,6 +77,9 @@
     bool reusable() const;
     /// True when the body of the response was read completely.
     bool body_complete() const;
+    /// True when the response names no length and has no chunks, so that the
+    /// end of the connection is its end.
+    bool ends_with_connection() const;
     /// True when the connection is open and has no unread data, so that an idle
     /// connection can be used for a request.
     bool idle_and_open();
--- a/src/part_quarantine.cpp
+++ b/src/part_quarantine.cpp
@@ -22,6 +22,14 @@
 constexpr milliseconds settled_interval{500};
 constexpr std::size_t  max_suspect_reports = 2;
 constexpr milliseconds suspect_interval{10'000};
+/// Crashes of a report from which on answers that void some of them are news.
+constexpr std::size_t min_refuted_crashes = 3;
+
+/// An answer that ran for lasting_answer clears crashes that came within
+/// lasting_crash after a first event. The span between them keeps a part that
+/// crashes targets after a time that varies from clearing itself.
+constexpr milliseconds lasting_crash{2000};
+constexpr milliseconds lasting_answer{5000};
 
 std::uint64_t hash(std::string_view text, std::uint64_t seed = 0)
 {
@@ -44,8 +52,30 @@
     return a.at < b.at;
 }
 
+constexpr std::size_t index(answer_progress it)
+{
+    return static_cast<std::size_t>(it) - 1;
+}
+
+constexpr answer_progress next(answer_progress it)
+{
+    return static_cast<answer_progress>(static_cast<std::uint8_t>(it) + 1);
+}
+
 } // namespace
 
+answer_progress broken_progress(milliseconds ran)
+{
+    return ran < lasting_crash ? answer_progress::begun
+                               : answer_progress::lasting;
+}
+
+answer_progress unharmed_progress(milliseconds ran)
+{
+    return ran < lasting_answer ? answer_progress::begun
+                                : answer_progress::lasting;
+}
+
 std::string shared_part_ids(const std::vector<prompt_part>& prompt)
 {
     constexpr std::size_t max_ids = 8;
@@ -97,57 +127,68 @@
 // Evidence -------------------------------------------------------------------
 
 void part_quarantine::remember_answer(std::uint64_t part, std::uint64_t scope,
-                                      time_point now)
+                                      answer_progress progress, time_point now)
 {
     if (answers_.size() >= params_.max_answered_parts / 2)
         older_answers_ = std::exchange(answers_, {});
-    answers_[answer_key(part, scope)] = now;
+    const auto [it, added] =
+        answers_.try_emplace(answer_key(part, scope), answer_times{});
+    if (added)
+        it->second.fill(never);
+    it->second[index(progress)] = now;
 }
 
 std::optional<time_point>
-part_quarantine::answered_at(std::uint64_t part, std::uint64_t scope) const
+part_quarantine::answered_at(std::uint64_t part, std::uint64_t scope,
+                             answer_progress than) const
 {
     const auto key = answer_key(part, scope);
-    if (const auto it = answers_.find(key); it != answers_.end())
-        return it->second;
-    if (const auto it = older_answers_.find(key); it != older_answers_.end())
-        return it->second;
-    return std::nullopt;
+    auto       out = never;
+    for (const auto* list : {&answers_, &older_answers_}) {
+        const auto found = list->find(key);
+        if (found == list->end())
+            continue;
+        const auto& times = found->second;
+        for (auto n = static_cast<std::size_t>(than); n < times.size(); ++n)
+            out = std::max(out, times[n]);
+    }
+    return out == never ? std::nullopt : std::optional(out);
 }
 
 void part_quarantine::answered(const prompt_key& prompt, const target& by,
-                               time_point now)
+                               time_point now, answer_progress progress)
 {
     const auto scope = crash_scope(by);
     for (const auto part : sample_parts(prompt).shared) {
-        remember_answer(part, scope, now);
+        remember_answer(part, scope, progress, now);
         const auto found = parts_.find(part);
         if (found == parts_.end())
             continue;
         auto&      it     = found->second;
         const auto before = it.crashes;
-        add_answer(it.report, {scope, now});
+        const auto weight = it.weight;
+        add_answer(it.report, {scope, now, progress});
         judge(it);
         if (it.crashes != before)
-            add_news(it, before, source::own, now);
+            add_news(it, weight, source::own, now);
     }
 }
 
 void part_quarantine::broke_off(const prompt_key& prompt, const target& at,
-                                time_point now)
+                                time_point now, answer_progress progress)
 {
     ++stats_.accused;
-    accuse(sample_parts(prompt), at, now);
+    accuse(sample_parts(prompt), at, now, progress);
 }
 
 void part_quarantine::fell_silent(const prompt_key& prompt, const target& at,
-                                  time_point now)
+                                  time_point now, answer_progress progress)
 {
     if (prompt.shared.empty())
         return;
     if (silent_calls_.size() >= params_.max_silent_calls)
         silent_calls_.erase(silent_calls_.begin());
-    silent_calls_.push_back({sample_parts(prompt), at, now});
+    silent_calls_.push_back({sample_parts(prompt), at, now, progress});
 }
 
 void part_quarantine::target_changed(const std::string& id,
@@ -159,7 +200,7 @@
     };
     for (const auto& it : silent_calls_) {
         if (ended(it))
-            accuse(it.prompt, it.at, now);
+            accuse(it.prompt, it.at, now, it.progress);
     }
     std::erase_if(silent_calls_, [&](const auto& it) {
         return ended(it) || now - it.ended_at > params_.silence_retention;
@@ -167,22 +208,22 @@
 }
 
 void part_quarantine::accuse(const prompt_key& prompt, const target& at,
-                             time_point now)
+                             time_point now, answer_progress progress)
 {
     const auto lifetime = target_lifetime(at);
     const auto scope    = crash_scope(at);
     note_accused(lifetime, now);
     for (const auto part : prompt.shared) {
-        const auto answered = answered_at(part, scope);
+        const auto answered = answered_at(part, scope, progress);
         if (answered && *answered + params_.answer_margin >= now)
             continue;
         auto&      it     = entry_of(part);
         const auto before = it.crashes;
         add_crash(it.report, {lifetime, prompt.own, scope, now,
-                              companions_of(part, prompt)});
+                              companions_of(part, prompt), progress});
         judge(it);
         if (it.crashes > before)
-            add_news(it, it.crashes, source::own, now);
+            add_news(it, it.weight, source::own, now);
     }
 }
 
@@ -245,6 +286,7 @@
         return;
     auto&      it          = entry_of(report.part);
     const auto before      = it.crashes;
+    const auto weight      = it.weight;
     const auto last_before = last_activity(it);
     const auto trials      = it.report.trials;
     for (const auto& crash : report.crashes) {
@@ -264,8 +306,17 @@
     const bool late = was_convicted && it.convicted &&
                       it.report.trials == trials &&
                       last_activity(it) - last_before < late_crash_interval;
+    // The sender may not know of answers that this daemon knows.
+    const bool refuted =
+        report.crashes.size() >= min_refuted_crashes &&
+        std::any_of(report.crashes.begin(), report.crashes.end(),
+                    [&](const auto& c) {
+                        return counts(report, c) && !counts(it.report, c);
+                    });
+    if (refuted && !is_within(it.news_at, news_time, now))
+        add_news(it, convicting_weight(), source::report, now);
     if ((it.crashes != before || it.report.trials != trials) && !late)
-        add_news(it, std::max(before, it.crashes), source::report, now);
+        add_news(it, std::max(weight, it.weight), source::report, now);
 }
 
 void part_quarantine::merge(const lifetime_report& report, time_point now)
@@ -290,9 +341,10 @@
                          [&](const auto& c) { return c.lifetime == id; }))
             continue;
         const auto before = it.crashes;
+        const auto weight = it.weight;
         judge(it);
         if (it.crashes != before)
-            add_news(it, before, from, now);
+            add_news(it, weight, from, now);
     }
     if (news_)
         news_(from);
@@ -398,9 +450,12 @@
                    it.companions.begin(), it.companions.end(),
                    std::back_inserter(companions));
     companions.resize(std::min(companions.size(), params_.max_companions));
+    // Any of these calls may have caused the crash.
+    const auto progress = std::max(to.progress, it.progress);
     if (it.at < to.at)
         to = it;
     to.companions = std::move(companions);
+    to.progress   = progress;
 }
 
 void part_quarantine::add_crash(part_report& to, const part_crash& it) const
@@ -432,8 +487,9 @@
 {
     auto&      list = to.answers;
     const auto known =
-        std::find_if(list.begin(), list.end(),
-                     [&](const auto& a) { return a.scope == it.scope; });
+        std::find_if(list.begin(), list.end(), [&](const auto& a) {
+            return a.scope == it.scope && a.progress == it.progress;
+        });
     if (known != list.end()) {
         known->at = std::max(known->at, it.at);
         return;
@@ -448,9 +504,9 @@
 void part_quarantine::add_own_answers(part_report& to) const
 {
     for (const auto& it : to.crashes) {
-        const auto at = answered_at(to.part, it.scope);
+        const auto at = answered_at(to.part, it.scope, it.progress);
         if (at && *at + params_.answer_margin >= it.at)
-            add_answer(to, {it.scope, *at});
+            add_answer(to, {it.scope, *at, next(it.progress)});
     }
 }
 
@@ -460,13 +516,20 @@
 {
     const bool answered =
         std::any_of(of.answers.begin(), of.answers.end(), [&](const auto& a) {
-            return a.scope == it.scope && a.at + params_.answer_margin >= it.at;
+            return a.scope == it.scope && a.progress > it.progress &&
+                   a.at + params_.answer_margin >= it.at;
         });
     const auto lives = lifetimes_.find(it.lifetime);
     return !answered &&
            (lives == lifetimes_.end() || lives->second.alive_at <= it.at);
 }
 
+std::size_t part_quarantine::weight_of(const part_crash& it) const
+{
+    return it.progress == answer_progress::none ? params_.min_late_crashes
+                                                : params_.min_crashes;
+}
+
 void part_quarantine::judge(entry& it)
 {
     add_own_answers(it.report);
@@ -476,13 +539,15 @@
     std::optional<time_point> decided_at;
     time_point                last{};
     it.crashes = 0;
+    it.weight  = 0;
     for (const auto& crash : it.report.crashes) {
         requests.insert(crash.request);
         if (it.crashes == 0 || crash.at - last >= params_.crash_spacing) {
             ++it.crashes;
+            it.weight += weight_of(crash);
             last = crash.at;
         }
-        if (!decided_at && it.crashes >= params_.min_crashes &&
+        if (!decided_at && it.weight >= convicting_weight() &&
             (requests.size() >= params_.min_requests ||
              it.crashes >= params_.min_crashes_of_one))
             decided_at = crash.at;
@@ -528,13 +593,18 @@
 /// A scope without crashes is concerned unless a request was answered there.
 bool part_quarantine::is_scope_of(const entry& it, std::uint64_t scope) const
 {
-    const auto same = [scope](const auto& a) {
-        return a.scope == scope;
-    };
-    const auto& report = it.report;
-    return std::any_of(report.crashes.begin(), report.crashes.end(), same) ||
-           (std::none_of(report.answers.begin(), report.answers.end(), same) &&
-            !answered_at(report.part, scope));
+    const auto& report   = it.report;
+    auto        progress = answer_progress::none; // Of the crashes.
+    for (const auto& crash : report.crashes) {
+        if (crash.scope == scope)
+            return true;
+        progress = std::max(progress, crash.progress);
+    }
+    return std::none_of(report.answers.begin(), report.answers.end(),
+                        [&](const auto& a) {
+                            return a.scope == scope && a.progress > progress;
+                        }) &&
+           !answered_at(report.part, scope, progress);
 }
 
 /// A request without a part that may have caused the crashes instead of this
@@ -545,12 +615,17 @@
     const auto& crashes = it.report.crashes;
     if (crashes.empty())
         return false;
-    const auto in_all = [&](std::uint64_t part) {
-        return std::all_of(
-            crashes.begin(), crashes.end(), [part](const auto& c) {
-                return std::binary_search(c.companions.begin(),
-                                          c.companions.end(), part);
-            });
+    // The companion may have been part of another request.
+    const auto stands_in = [&](const entry& other, const part_crash& it) {
+        const auto& list = other.report.crashes;
+        return std::binary_search(it.companions.begin(), it.companions.end(),
+                                  other.report.part) ||
+               std::any_of(list.begin(), list.end(),
+                           [&](const auto& c) { return is_same_crash(c, it); });
+    };
+    const auto in_all = [&](const entry& other) {
+        return std::all_of(crashes.begin(), crashes.end(),
+                           [&](const auto& c) { return stands_in(other, c); });
     };
     const auto& companions = crashes.front().companions;
     return std::any_of(
@@ -559,7 +634,7 @@
             return other != parts_.end() && other->second.convicted &&
                    std::find(prompt.shared.begin(), prompt.shared.end(),
                              part) == prompt.shared.end() &&
-                   in_all(part);
+                   in_all(other->second);
         });
 }
 
@@ -590,7 +665,7 @@
     ++it.report.trials;
     it.report.last_trial_at = now;
     ++stats_.trials;
-    add_news(it, it.crashes, source::own, now);
+    add_news(it, it.weight, source::own, now);
     return true;
 }
 
--- a/src/part_quarantine.hpp
+++ b/src/part_quarantine.hpp
@@ -8,6 +8,7 @@
 
 #include "crash_report.hpp"
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -23,6 +24,10 @@
     /// Crashes that convict a part, if no request with it was answered. Fewer
     /// are a coincidence when targets end for other reasons.
     std::size_t min_crashes = 3;
+    /// The same if all requests with the part broke while they were answered.
+    /// More calls are at a target then than wait for an answer, so that a
+    /// coincidence is likelier.
+    std::size_t min_late_crashes = 5;
     /// Different requests that broke in these crashes.
     std::size_t min_requests = 2;
     /// Crashes that convict a part if one request caused all of them.
@@ -79,7 +84,7 @@
 /// Counts since start.
 struct part_quarantine_stats
 {
-    std::uint64_t accused   = 0; ///< Calls that broke off before an answer.
+    std::uint64_t accused   = 0; ///< Calls that broke off at a target's end.
     std::uint64_t convicted = 0; ///< Quarantines that began.
     std::uint64_t ended     = 0; ///< Quarantines that ended.
     std::uint64_t refuted   = 0; ///< Targets that turned out to be alive.
@@ -98,13 +103,15 @@
 
     // What this daemon sees ---------------------------------------------------
 
-    /// The first event, or the whole of a response that is no stream, arrived.
-    void answered(const prompt_key& prompt, const target& by, time_point now);
-    /// The connection ended before an event arrived.
-    void broke_off(const prompt_key& prompt, const target& at, time_point now);
-    /// The call ended at its timeout without an event.
-    void fell_silent(const prompt_key& prompt, const target& at,
-                     time_point now);
+    /// A part of an answer, or the whole of it, arrived.
+    void answered(const prompt_key& prompt, const target& by, time_point now,
+                  answer_progress progress = answer_progress::begun);
+    /// The connection ended before the whole of an answer arrived.
+    void broke_off(const prompt_key& prompt, const target& at, time_point now,
+                   answer_progress progress = answer_progress::none);
+    /// The call ended at its timeout, or was given up since it was silent.
+    void fell_silent(const prompt_key& prompt, const target& at, time_point now,
+                     answer_progress progress = answer_progress::none);
     /// The target's published entry changed.
     /// \param current null when it was removed.
     void target_changed(const std::string& id, const target* current,
@@ -169,10 +176,11 @@
         part_report report;
         std::size_t crashes   = 0; ///< That count.
         std::size_t requests  = 0; ///< In these crashes.
+        std::size_t weight    = 0; ///< Of these crashes.
         bool        convicted = false;
         time_point  in_force_at{}; ///< If convicted.
         time_point  news_at     = never;
-        std::size_t news_weight = 0;     ///< News of more crashes go first.
+        std::size_t news_weight = 0;     ///< News of more weight go first.
         time_point  reported_at = never; ///< In a message.
     };
     struct lifetime
@@ -186,10 +194,13 @@
     };
     struct silent_call
     {
-        prompt_key prompt;
-        target     at;
-        time_point ended_at{};
+        prompt_key      prompt;
+        target          at;
+        time_point      ended_at{};
+        answer_progress progress = answer_progress::none;
     };
+    /// Times of the latest answers, by their progress less one.
+    using answer_times = std::array<time_point, 3>;
 
     using part_map = std::map<std::uint64_t, entry>;
 
@@ -208,13 +219,23 @@
 
     // What this daemon saw.
     void remember_answer(std::uint64_t part, std::uint64_t scope,
-                         time_point now);
-    std::optional<time_point> answered_at(std::uint64_t part,
-                                          std::uint64_t scope) const;
+                         answer_progress progress, time_point now);
+    /// \return when an answer got further than \p than; nothing: none did.
+    std::optional<time_point> answered_at(std::uint64_t   part,
+                                          std::uint64_t   scope,
+                                          answer_progress than) const;
 
-    void accuse(const prompt_key& prompt, const target& at, time_point now);
+    void accuse(const prompt_key& prompt, const target& at, time_point now,
+                answer_progress progress);
     void note_accused(std::uint64_t lifetime, time_point at);
 
+    /// min_crashes crashes before an answer, or min_late_crashes others, have
+    /// the convicting weight together.
+    std::size_t weight_of(const part_crash& it) const;
+    std::size_t convicting_weight() const
+    {
+        return params_.min_crashes * params_.min_late_crashes;
+    }
     /// Counts the crashes again, and starts or ends the quarantine.
     void judge(entry& it);
     void judge_crashes_of(std::uint64_t lifetime, source from, time_point now);
@@ -239,14 +260,14 @@
     std::vector<silent_call>                    silent_calls_;
     /// Times of the latest answers by part and scope. The older half is dropped
     /// when the newer one is full.
-    std::unordered_map<std::uint64_t, time_point> answers_;
-    std::unordered_map<std::uint64_t, time_point> older_answers_;
-    std::size_t                                   convicted_       = 0;
-    std::uint64_t                                 last_quarantine_ = 0;
-    std::uint64_t                                 last_suspect_    = 0;
-    news_handler                                  news_;
-    verdict_handler                               verdict_;
-    part_quarantine_stats                         stats_;
+    std::unordered_map<std::uint64_t, answer_times> answers_;
+    std::unordered_map<std::uint64_t, answer_times> older_answers_;
+    std::size_t                                     convicted_       = 0;
+    std::uint64_t                                   last_quarantine_ = 0;
+    std::uint64_t                                   last_suspect_    = 0;
+    news_handler                                    news_;
+    verdict_handler                                 verdict_;
+    part_quarantine_stats                           stats_;
 };
 
 } // namespace arbutusgate::gateway
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -136,6 +136,12 @@
     return out;
 }
 
+answer_progress decode_progress(std::uint32_t it)
+{
+    return static_cast<answer_progress>(
+        std::min(it, static_cast<std::uint32_t>(answer_progress::whole)));
+}
+
 } // namespace
 
 void encode(const part_report& it, time_point now, pb::PartReport& out)
@@ -147,6 +153,7 @@
         to.set_request(crash.request);
         to.set_scope(crash.scope);
         to.set_age_ms(to_wire(remaining(now, crash.at)));
+        to.set_progress(static_cast<std::uint32_t>(crash.progress));
         for (const auto part : crash.companions)
             to.add_companions(part);
     }
@@ -154,6 +161,7 @@
         auto& to = *out.add_answers();
         to.set_scope(answer.scope);
         to.set_age_ms(to_wire(remaining(now, answer.at)));
+        to.set_progress(static_cast<std::uint32_t>(answer.progress));
     }
     out.set_trials(it.trials);
     if (it.trials > 0)
@@ -168,13 +176,16 @@
         auto& to = out.crashes.emplace_back(
             part_crash{crash.lifetime(), crash.request(), crash.scope(),
                        now - milliseconds{crash.age_ms()}});
+        to.progress = decode_progress(crash.progress());
         to.companions.assign(crash.companions().begin(),
                              crash.companions().end());
         std::sort(to.companions.begin(), to.companions.end());
     }
     for (const auto& answer : it.answers())
-        out.answers.push_back(
-            {answer.scope(), now - milliseconds{answer.age_ms()}});
+        out.answers.push_back({answer.scope(),
+                               now - milliseconds{answer.age_ms()},
+                               std::max(decode_progress(answer.progress()),
+                                        answer_progress::begun)});
     out.trials = it.trials();
     if (out.trials > 0)
         out.last_trial_at = now - milliseconds{it.last_trial_age_ms()};
--- a/src/waiting_calls.cpp
+++ b/src/waiting_calls.cpp
@@ -27,6 +27,17 @@
     return last_call_;
 }
 
+void waiting_calls::begun(std::uint64_t lifetime, std::uint64_t call,
+                          time_point now)
+{
+    const auto it = targets_.find(lifetime);
+    if (it == targets_.end())
+        return;
+    const auto found = it->second.calls.find(call);
+    if (found != it->second.calls.end())
+        found->second.begun_at = now;
+}
+
 void waiting_calls::remove(std::uint64_t lifetime, std::uint64_t call)
 {
     const auto it = targets_.find(lifetime);
@@ -59,17 +70,23 @@
     return it == targets_.end() ? nullptr : &it->second.info;
 }
 
-std::vector<prompt_key> waiting_calls::take(std::uint64_t lifetime,
-                                            time_point    sent_before)
+std::vector<waiting_calls::silent_call>
+waiting_calls::take(std::uint64_t lifetime, time_point sent_before)
 {
-    std::vector<prompt_key> out;
-    const auto              it = targets_.find(lifetime);
+    std::vector<silent_call> out;
+    const auto               it = targets_.find(lifetime);
     if (it == targets_.end())
         return out;
     std::erase_if(it->second.calls, [&](auto& entry) {
-        const bool taken = entry.second.sent_at < sent_before;
+        auto&      call  = entry.second;
+        const bool taken = call.sent_at < sent_before;
         if (taken)
-            out.push_back(std::move(entry.second.prompt));
+            out.push_back(
+                {std::move(call.prompt),
+                 call.begun_at
+                     ? broken_progress(std::chrono::duration_cast<milliseconds>(
+                           it->second.heard_at - *call.begun_at))
+                     : answer_progress::none});
         return taken;
     });
     if (it->second.calls.empty())
--- a/src/waiting_calls.hpp
+++ b/src/waiting_calls.hpp
@@ -1,5 +1,5 @@
-/// Tells which targets have been silent for so long, while calls wait for their
-/// first event, that they may have ended without closing connections.
+/// Tells which targets have been silent for so long, while calls run there,
+/// that they may have ended without closing connections.
 #pragma once
 
 #include "crash_report.hpp"
@@ -16,8 +16,8 @@
 class waiting_calls
 {
 public:
-    /// A call from when it is sent until its first event. The destructor
-    /// removes the call.
+    /// A call from when it is sent until it ends. The destructor removes the
+    /// call.
     class entry
     {
     public:
@@ -27,6 +27,9 @@
         }
         ~entry() { owner_.remove(lifetime_, call_); }
 
+        /// The first event arrived.
+        void begun(time_point now) { owner_.begun(lifetime_, call_, now); }
+
         entry(const entry&)            = delete;
         entry& operator=(const entry&) = delete;
 
@@ -36,26 +39,34 @@
         std::uint64_t  call_;
     };
 
+    struct silent_call
+    {
+        prompt_key      prompt;
+        answer_progress progress = answer_progress::none;
+    };
+
     /// \return number of the call, of which an entry is made.
     std::uint64_t add(const prompt_key& prompt, const target& at,
                       time_point now);
-    void          remove(std::uint64_t lifetime, std::uint64_t call);
+    void begun(std::uint64_t lifetime, std::uint64_t call, time_point now);
+    void remove(std::uint64_t lifetime, std::uint64_t call);
     /// Bytes of the target arrived, or it accepted a connection.
     void heard(std::uint64_t lifetime, time_point now);
     /// \return when the target must be checked; nullopt when no call waits.
     std::optional<time_point> check_at(std::uint64_t lifetime) const;
     /// \return null when no call waits.
     const target* find(std::uint64_t lifetime) const;
-    /// Removes the calls that were sent before a time.
-    /// \return their prompts.
-    std::vector<prompt_key> take(std::uint64_t lifetime,
-                                 time_point    sent_before);
+    /// Removes and returns the calls that were sent before a time.
+    std::vector<silent_call> take(std::uint64_t lifetime,
+                                  time_point    sent_before);
 
 private:
     struct call
     {
         prompt_key prompt;
         time_point sent_at{};
+        /// First event; unset: none has arrived.
+        std::optional<time_point> begun_at{};
     };
     struct silent_target
     {
--- a/tests/gateway_quarantine_test.cpp
+++ b/tests/gateway_quarantine_test.cpp
@@ -20,8 +20,21 @@
 class crashing_targets
 {
 public:
+    /// How much of a deadly answer is out at the crash, and its form.
+    struct crash_form
+    {
+        bool        silent = false;
+        std::size_t events = 0;     ///< That are out.
+        bool        plain  = false; ///< No stream.
+        /// Without length and chunks: a crash ends the answer.
+        bool ends_with_connection = false;
+    };
+
     explicit crashing_targets(std::size_t n, bool silent = false)
-        : silent_(silent)
+        : crashing_targets(n, crash_form{silent, 0, false, false})
+    {
+    }
+    crashing_targets(std::size_t n, crash_form form) : form_(form)
     {
         for (std::size_t k = 0; k < n; ++k)
             servers_.push_back(std::make_unique<scripted_target>(
@@ -48,26 +61,50 @@
     {
         for (auto text = it.read(); !text.empty(); text = it.read()) {
             if (text.find(deadly_part + ":") == std::string::npos) {
-                it.write(stream_head() + chunk("id: 1\ndata: x\n\n") +
-                         "0\r\n\r\n");
+                it.write(form_.plain
+                             ? answer("data: x")
+                             : stream_head() + chunk("id: 1\ndata: x\n\n") +
+                                   "0\r\n\r\n");
                 continue;
             }
             {
                 std::lock_guard lock(mutex_);
                 crashes_.push_back(std::chrono::steady_clock::now());
             }
-            // A target may send the head before it ends.
-            it.write(stream_head());
+            // A target may send a part of the answer before it ends.
+            begin_answer(it);
             servers_[k]->stop_listening();
-            if (silent_)
+            if (form_.silent)
                 it.wait_closed();
-            else
+            else if (!form_.ends_with_connection)
                 it.reset();
             return;
         }
     }
 
-    bool                                               silent_;
+    void begin_answer(target_session& it) const
+    {
+        if (form_.plain) {
+            it.write(answer(std::string(100, 'x')).substr(0, 180));
+        }
+        else if (form_.ends_with_connection) {
+            const std::string_view chunked = "Transfer-Encoding: chunked\r\n";
+            auto                   head    = stream_head();
+            head.replace(head.find(chunked), chunked.size(), "");
+            it.write(head);
+        }
+        else {
+            it.write(stream_head());
+        }
+        for (std::size_t n = 1; n <= form_.events; ++n) {
+            const auto text = "id: " + std::to_string(n) + "\ndata: x\n\n";
+            it.write(form_.ends_with_connection ? text : chunk(text));
+            // A reset discards what was not read yet.
+            std::this_thread::sleep_for(milliseconds{20});
+        }
+    }
+
+    crash_form                                         form_;
     mutable std::mutex                                 mutex_;
     std::vector<std::chrono::steady_clock::time_point> crashes_;
     std::vector<std::unique_ptr<scripted_target>>      servers_;
@@ -131,6 +168,57 @@
     CHECK(static_cast<std::size_t>(late) <= max_late_requests);
 }
 
+// Guards against a part that crashes its targets after the first event, in
+// resumed streams, in answers that are no streams and in answers that end with
+// their connection: a part of an answer showed that the part is sound.
+TEST_CASE("a prompt part that crashes targets in its answer is found",
+          "[gateway][sockets][quarantine]")
+{
+    using form            = crashing_targets::crash_form;
+    const auto [it, path] = GENERATE(
+        table<form, std::string>({{form{false, 1, false, false}, "/stream/"},
+                                  {form{false, 6, false, false}, "/stream/"},
+                                  {form{false, 2, false, false}, "/resume/"},
+                                  {form{false, 0, true, false}, "/once/"},
+                                  {form{false, 2, false, true}, "/stream/"},
+                                  {form{true, 1, false, false}, "/stream/"}}));
+    crashing_targets         servers(40, it);
+    auto                     fleet = make_fleet(3, servers.targets());
+    const auto&              last  = *fleet.back();
+    std::vector<std::thread> callers;
+    std::chrono::steady_clock::time_point known{};
+    for (int n = 0; n < 32; ++n) {
+        callers.emplace_back([&, n] {
+            fleet[static_cast<std::size_t>(n) % fleet.size()]->exchange(
+                deadly_request(path, n));
+        });
+        std::this_thread::sleep_for(milliseconds{150});
+        const auto crashes = servers.crashes();
+        if (known == std::chrono::steady_clock::time_point{} &&
+            crashes.size() >= 5)
+            known = crashes[4] + stable;
+        if (known != std::chrono::steady_clock::time_point{} &&
+            std::chrono::steady_clock::now() > known + milliseconds{1000})
+            break;
+    }
+    // Another session of the same caller, first part and route is served.
+    auto out = last.exchange(sound_request(path, 0));
+    // Connecting to crashed targets may use up the tries of a request.
+    for (int n = 0; n < 5 && out.find("\"overloaded\"") != std::string::npos;
+         ++n)
+        out = last.exchange(sound_request(path, 0));
+    for (auto& caller : callers)
+        caller.join();
+    const auto crashes = servers.crashes();
+    const auto late    = std::count_if(crashes.begin(), crashes.end(),
+                                       [&](auto at) { return at > known; });
+    CAPTURE(path, it.events, it.plain, it.ends_with_connection, it.silent,
+            crashes.size());
+    CHECK(crashes.size() >= 5);
+    CHECK(static_cast<std::size_t>(late) <= max_late_requests);
+    CHECK(out.find("data: x") != std::string::npos);
+}
+
 // Guards against crashes that are noticed only when calls time out, as the
 // connections to the target stay open.
 TEST_CASE("a prompt part is found when crashes close no connection",
--- a/tests/part_fleet.hpp
+++ b/tests/part_fleet.hpp
@@ -34,6 +34,11 @@
     bool silent_crashes = false;
     /// Requests whose answer begins after 0.9 s or more.
     double slow_share = 0;
+    /// From the first event of a deadly answer to the crash, up to twice as
+    /// long; unset: the target crashes instead of the first event.
+    std::optional<milliseconds> deadly_after{};
+    /// Events of an answer, at most.
+    std::size_t events = 20;
 };
 
 /// One request that reached a target.
@@ -177,6 +182,8 @@
         std::size_t   repeat   = 0;
         std::optional<std::uint64_t> trial; ///< Part of which it is the trial.
         std::uint64_t                waiting = 0; ///< In waiting_calls.
+        time_point                   begun_at{};  ///< If answered.
+        time_point                   last_event_at{};
     };
     struct simulated_target
     {
@@ -444,10 +451,19 @@
                if (this->at(it.daemon).life != it.life)
                    return;
                stop_waiting(it, at);
-               quarantines_[it.daemon]->fell_silent(it.prompt, at, now());
+               quarantines_[it.daemon]->fell_silent(it.prompt, at, now(),
+                                                    progress_of(it));
            });
     }
 
+    static answer_progress progress_of(const call& it)
+    {
+        return it.answered
+                   ? broken_progress(std::chrono::duration_cast<milliseconds>(
+                         it.last_event_at - it.begun_at))
+                   : answer_progress::none;
+    }
+
     bool is_cut_silently(std::size_t k, const target& from) const
     {
         return now() < cut_until_[k] &&
@@ -461,6 +477,7 @@
     }
 
     static constexpr milliseconds connect_timeout{400};
+    static constexpr milliseconds event_interval{120};
 
     /// Like crash_check::has_ended().
     void judge(std::size_t k, const target& it, std::function<void(bool)> done)
@@ -505,8 +522,9 @@
             }
             else if (again && *again <= started) {
                 connected_[k].erase(info.id);
-                for (const auto& prompt : waiting_[k].take(lifetime, started))
-                    quarantines_[k]->broke_off(prompt, info, now());
+                for (const auto& it : waiting_[k].take(lifetime, started))
+                    quarantines_[k]->broke_off(it.prompt, info, now(),
+                                               it.progress);
             }
             check_waiting(k, lifetime);
         });
@@ -529,15 +547,27 @@
         if (!it)
             return;
         if (!it->deadly.empty() && !mended_) {
-            crashes_[it->deadly].push_back(now());
-            crash(t);
-            return;
+            if (!load_.deadly_after) {
+                crashes_[it->deadly].push_back(now());
+                crash(t);
+                return;
+            }
+            const auto after = static_cast<int>(load_.deadly_after->count());
+            schedule(now() + draw_ms(after, 2 * after),
+                     [this, t, target_id, part = it->deadly] {
+                         auto& from = targets_[t];
+                         if (!from.up || from.info.id != target_id)
+                             return;
+                         crashes_[part].push_back(now());
+                         crash(t);
+                     });
         }
         if (chance(in.break_share)) {
             break_all(in, [id](const call& c) { return c.id == id; });
             return;
         }
         it->answered = true;
+        it->begun_at = it->last_event_at = now();
         if (is_cut_silently(it->daemon, in.info)) {
             time_out(*it, in.info);
             std::erase_if(in.calls, [id](const auto& c) { return c.id == id; });
@@ -547,31 +577,62 @@
            [this, c = *it, info = in.info, started = in.started] {
                if (at(c.daemon).life != c.life)
                    return;
-               stop_waiting(c, info);
+               waiting_[c.daemon].begun(target_lifetime(info), c.waiting,
+                                        now());
                connected_[c.daemon][info.id] = now();
                quarantines_[c.daemon]->answered(c.prompt, info, now());
                heard(c.daemon, info, started);
            });
-        const auto events = draw(20);
+        const auto events = draw(load_.events);
         for (std::size_t n = 1; n <= events; ++n) {
-            schedule(now() + milliseconds{120 * n}, [this, t, target_id, id] {
-                auto& from = targets_[t];
-                auto* c =
-                    from.info.id == target_id ? find_call(from, id) : nullptr;
-                if (!c || is_cut_silently(c->daemon, from.info))
-                    return;
-                on(c->daemon, now() + delay(),
-                   [this, k = c->daemon, info = from.info,
-                    started = from.started] { heard(k, info, started); });
+            schedule(now() + event_interval * n, [this, t, target_id, id] {
+                send_event(t, target_id, id);
             });
         }
-        schedule(
-            now() + milliseconds{120 * (events + 1)}, [this, t, target_id, id] {
-                auto& from = targets_[t];
-                if (from.info.id == target_id)
-                    std::erase_if(from.calls,
-                                  [id](const auto& c) { return c.id == id; });
-            });
+        schedule(now() + event_interval * (events + 1),
+                 [this, t, target_id, id] { end_answer(t, target_id, id); });
+    }
+
+    void send_event(std::size_t t, const std::string& target_id,
+                    std::uint64_t id)
+    {
+        auto& from = targets_[t];
+        auto* it   = from.info.id == target_id ? find_call(from, id) : nullptr;
+        if (!it || is_cut_silently(it->daemon, from.info))
+            return;
+        const auto before   = progress_after(it->last_event_at - it->begun_at);
+        it->last_event_at   = now();
+        const auto progress = progress_after(it->last_event_at - it->begun_at);
+        on(it->daemon, now() + delay(),
+           [this, c = *it, info = from.info, started = from.started, progress,
+            rises = progress != before] {
+               heard(c.daemon, info, started);
+               if (rises && at(c.daemon).life == c.life)
+                   quarantines_[c.daemon]->answered(c.prompt, info, now(),
+                                                    progress);
+           });
+    }
+    static answer_progress progress_after(microseconds ran)
+    {
+        return unharmed_progress(std::chrono::duration_cast<milliseconds>(ran));
+    }
+
+    void end_answer(std::size_t t, const std::string& target_id,
+                    std::uint64_t id)
+    {
+        auto& from = targets_[t];
+        auto* it   = from.info.id == target_id ? find_call(from, id) : nullptr;
+        // A deadly answer ends with the crash only.
+        if (!it || (!it->deadly.empty() && !mended_))
+            return;
+        on(it->daemon, now() + delay(), [this, c = *it, info = from.info] {
+            if (at(c.daemon).life != c.life)
+                return;
+            stop_waiting(c, info);
+            quarantines_[c.daemon]->answered(c.prompt, info, now(),
+                                             answer_progress::whole);
+        });
+        std::erase_if(from.calls, [id](const auto& c) { return c.id == id; });
     }
 
     void heard(std::size_t k, const target& from, time_point connected_at)
@@ -588,10 +649,8 @@
         it.up = false;
         if (load_.silent_crashes) {
             // The entry is removed meanwhile.
-            for (auto& c : std::exchange(it.calls, {})) {
-                if (!c.answered)
-                    time_out(c, it.info);
-            }
+            for (auto& c : std::exchange(it.calls, {}))
+                time_out(c, it.info);
             for (std::size_t k = 0; k < size(); ++k)
                 on(k, now() + milliseconds{3600 + 10 * draw(60)},
                    [this, k, id = it.info.id] {
@@ -618,8 +677,7 @@
         std::erase_if(it.calls, which);
         for (const auto& c : broken) {
             if (is_cut_silently(c.daemon, it.info)) {
-                if (!c.answered)
-                    time_out(c, it.info);
+                time_out(c, it.info);
                 continue;
             }
             on(c.daemon, now() + delay(), [this, c, info = it.info] {
@@ -631,19 +689,19 @@
 
     void on_break(call it, const target& info)
     {
-        if (it.answered)
-            return;
         const auto k = it.daemon;
         stop_waiting(it, info);
         // Like crash_check::check().
         on(k, now() + milliseconds{50}, [this, k, it, info, when = now()] {
             judge(k, info, [this, k, it, info, when](bool ended) {
                 if (ended)
-                    quarantines_[k]->broke_off(it.prompt, info, when);
+                    quarantines_[k]->broke_off(it.prompt, info, when,
+                                               progress_of(it));
             });
         });
         it.trial.reset();
-        if (it.attempt < load_.attempts) {
+        const bool begun = std::exchange(it.answered, false);
+        if (!begun && it.attempt < load_.attempts) {
             ++it.attempt;
             it.id = ++next_call_;
             send_request(it);
--- a/tests/part_fleet_test.cpp
+++ b/tests/part_fleet_test.cpp
@@ -60,6 +60,25 @@
     CHECK(f.wrong_verdicts() == 0);
 }
 
+/// Targets crash a time after the first event of a deadly answer, up to twice
+/// as long.
+void check_late_crashes(std::size_t n, milliseconds after)
+{
+    auto load         = load_of(n);
+    load.deadly_after = after;
+    load.events       = 65;
+    load.repeats      = 2;
+    part_fleet f(n, 107 * n + static_cast<unsigned>(after.count()), load);
+    f.run(settle_time(n));
+    f.poison({"dead"});
+    f.run(milliseconds{25'000});
+    CAPTURE(n, after.count(), f.crashes("dead").size());
+    CHECK(f.crashes("dead").size() >= 5);
+    CHECK(f.late("dead") <= max_late);
+    CHECK(f.refusing("dead") == n);
+    CHECK(f.wrong_verdicts() == 0);
+}
+
 } // namespace
 
 // Guards against requests with one part that crash targets one after another,
@@ -81,6 +100,34 @@
     CHECK(f.wrong_verdicts() == 0);
 }
 
+// Guards against a part that crashes its targets only when a part of the answer
+// is out, up to seconds after the first event, and against the refusal of sound
+// requests whose answers were cut by the same crashes, and are repeated. The
+// longest plays are cases of their own.
+TEST_CASE("a fleet finds a part that crashes targets after the first event",
+          "[gateway][parts][fleet]")
+{
+    check_late_crashes(GENERATE(9, 69), milliseconds{GENERATE(20, 400, 3000)});
+}
+
+TEST_CASE("a fleet of 295 finds a part that crashes targets after an event",
+          "[gateway][parts][fleet]")
+{
+    check_late_crashes(295, milliseconds{GENERATE(20, 400, 3000)});
+}
+
+TEST_CASE("a fleet of 361 finds a part that crashes targets after an event",
+          "[gateway][parts][fleet]")
+{
+    check_late_crashes(361, milliseconds{GENERATE(20, 400)});
+}
+
+TEST_CASE("a fleet of 361 finds a part that crashes targets seconds later",
+          "[gateway][parts][fleet]")
+{
+    check_late_crashes(361, milliseconds{3000});
+}
+
 // Guards against two parts of which one hides the other, at once or one after
 // the other.
 TEST_CASE("a fleet keeps two deadly parts from its targets",
--- a/tests/part_quarantine_test.cpp
+++ b/tests/part_quarantine_test.cpp
@@ -1,5 +1,7 @@
 #include "part_quarantine.hpp"
 
+#include "peer_codec.hpp"
+
 #include <catch2/catch.hpp>
 
 using namespace arbutusgate;
@@ -158,6 +160,106 @@
     CHECK(q.convicted() == 0);
 }
 
+// Guards against a part that crashes its targets when a part of the answer is
+// out: each event would clear it.
+TEST_CASE("crashes after the first event quarantine a part", "[gateway][parts]")
+{
+    const auto      ran      = GENERATE(0, 1900, 4000);
+    const auto      progress = broken_progress(milliseconds{ran});
+    part_quarantine q;
+    for (int n = 0; n < 5; ++n) {
+        const auto it = prompt("dead", n);
+        CHECK_FALSE(blocked(q, it, 10'000 * n));
+        q.answered(it, make_target(n), at(10'000 * n));
+        q.broke_off(it, make_target(n), at(10'000 * n + ran), progress);
+        q.answered(prompt("sound", 100 + n), make_target(50),
+                   at(10'000 * n + ran + 10), answer_progress::whole);
+    }
+    CHECK(blocked(q, prompt("dead", 9), 50'000));
+    CHECK_FALSE(blocked(q, prompt("sound", 9), 50'000));
+    // The trial begins to be answered, too.
+    q.answered(prompt("dead", 10), make_target(60), at(110'000));
+    CHECK(blocked(q, prompt("dead", 11), 110'100));
+    q.answered(prompt("dead", 10), make_target(60), at(118'000),
+               answer_progress::whole);
+    CHECK_FALSE(blocked(q, prompt("dead", 11), 118'100));
+}
+
+// Guards against the refusal of sound requests whose answers were cut in the
+// crashes of others: some of their answers run on, or are whole.
+TEST_CASE("answers that got further clear a part of later crashes",
+          "[gateway][parts]")
+{
+    struct answer_case
+    {
+        milliseconds    broken_after;
+        answer_progress unharmed;
+        bool            cleared;
+    };
+    const auto      it = GENERATE(values<answer_case>(
+        {{milliseconds{100}, answer_progress::begun, false},
+              {milliseconds{100}, unharmed_progress(milliseconds{4900}), false},
+              {milliseconds{100}, unharmed_progress(milliseconds{5000}), true},
+              {milliseconds{100}, answer_progress::whole, true},
+              {milliseconds{3000}, unharmed_progress(milliseconds{5000}), false},
+              {milliseconds{3000}, answer_progress::whole, true}}));
+    part_quarantine q;
+    for (int n = 0; n < 6; ++n)
+        q.broke_off(session(n), make_target(n), at(300 * n),
+                    broken_progress(it.broken_after));
+    REQUIRE(q.convicted() == 1);
+    q.answered(session(10), make_target(50), at(1600), it.unharmed);
+    CHECK(q.convicted() == (it.cleared ? 0 : 1));
+}
+
+// Guards against a crash that is taken for one before the answer, so that any
+// event clears it, as another call with the part was still waiting there.
+TEST_CASE("the call that got furthest decides what clears a crash",
+          "[gateway][parts]")
+{
+    const bool      first = GENERATE(false, true);
+    part_quarantine q;
+    for (int n = 0; n < 5; ++n) {
+        const auto call = [&](bool begun) {
+            q.broke_off(session(10 * n + (begun ? 1 : 0)), make_target(n),
+                        at(300 * n),
+                        begun ? answer_progress::begun : answer_progress::none);
+        };
+        call(first);
+        call(!first);
+    }
+    q.answered(session(100), make_target(50), at(1500));
+    CHECK(q.convicted() == 1);
+}
+
+// Guards against daemons that judge by less than what others saw: a progress
+// that is lost on the way would let any event clear the part, or count too
+// much.
+TEST_CASE("reports carry the progress of crashes and answers",
+          "[gateway][parts]")
+{
+    part_quarantine q;
+    for (int n = 0; n < 5; ++n)
+        q.broke_off(session(n), make_target(n), at(300 * n),
+                    answer_progress::begun);
+    q.answered(session(8), make_target(50), at(1400));
+    peer_gossip sent;
+    sent.parts          = q.reports(9, at(1500));
+    const auto received = decode_gossip(encode(sent, at(1500)), at(1500));
+    REQUIRE(received);
+    part_quarantine other;
+    for (const auto& it : received->parts)
+        other.merge(it, at(1500));
+    CHECK(other.convicted() == 1);
+    REQUIRE(other.report(session(0).shared[0]));
+    const auto& report = *other.report(session(0).shared[0]);
+    CHECK(report.crashes.size() == 5);
+    for (const auto& it : report.crashes)
+        CHECK(it.progress == answer_progress::begun);
+    REQUIRE(report.answers.size() == 1);
+    CHECK(report.answers.front().progress == answer_progress::begun);
+}
+
 // Guards against one request that is repeated until it has crashed many
 // targets.
 TEST_CASE("repeats of one request convict its parts", "[gateway][parts]")
--- a/tests/waiting_calls_test.cpp
+++ b/tests/waiting_calls_test.cpp
@@ -57,7 +57,7 @@
     {
         const auto prompts = calls.take(lifetime, start + milliseconds{300});
         REQUIRE(prompts.size() == 1);
-        CHECK(prompts.front().shared == prompt_of("a").shared);
+        CHECK(prompts.front().prompt.shared == prompt_of("a").shared);
         CHECK(calls.check_at(lifetime) == start + milliseconds{300} + silence);
         // The call's own end comes later.
         calls.remove(lifetime, first);
