--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -913,7 +913,7 @@
     body_reservation memory(lease->context());
     auto             body = lease->read_all(remaining_time(), ec,
                                             http_client::max_body_bytes, &memory);
-    const bool good = head_.status >= 200 && head_.status < 300;
+    const bool       good = head_.status >= 200 && head_.status < 300;
     if (good && !body.empty())
         note_progress(chosen);
     const bool server_error = head_.status >= 500;
