Release the stage results of a resumed stream at its first event

A stream that was resumed kept its results in the result memory of the stage targets until it ended, so that less of it was left for other callers. How much callers notice is not measured.

Cause: results were released when the head went to the caller, which happens once, not at the first event of each attempt.

Change: relay_events releases them with the first event of any attempt: the target has read its inputs by then. A later silence runs the stages again.

Evidence: "results of a continuation are released at its first event" failed before ("h/6x" not released while the continuation ran) and passes, with the other tests of chains, stages and silent streams.

--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -980,8 +980,7 @@
     return stream_started_ ? attempt_result::cut : attempt_result::failed;
 }
 
-/// Sends the head to the caller and releases the stage results, which the
-/// target has read by now.
+/// Sends the head to the caller.
 void forward_run::begin_stream(http_client& from)
 {
     stream_started_ = true;
@@ -992,7 +991,6 @@
         parts_.times.add(service_->name, now - attempt_started_);
     exchange_.begin_stream(parts_.codec.relay_head(from.head()));
     parts_.counters.observe_first_text(route_->name, now - arrived_at_);
-    results_.reset();
 }
 
 /// True when another target could resume the stream.
@@ -1109,6 +1107,8 @@
             continue;
         if (!stream_started_)
             begin_stream(from);
+        // The target of this attempt has read its inputs by now.
+        results_.reset();
         if (!exchange_.write(batch)) {
             caller_gone_ = true;
             return false;
--- a/tests/gateway_chain_test.cpp
+++ b/tests/gateway_chain_test.cpp
@@ -191,6 +191,41 @@
         CHECK(n == 1);
 }
 
+// Guards against results that occupy the result memory of their targets for the
+// rest of a resumed stream: they were released with the first event that the
+// caller got, but not with that of a continuation.
+TEST_CASE("results of a continuation are released at its first event",
+          "[gateway][sockets][chain]")
+{
+    recording_stage  stage([](int, const std::string& made) { return made; });
+    std::atomic<int> calls{0};
+    std::map<std::string, int> releases; // While the continuation runs.
+    const auto                 script = [&](target_session& session) {
+        if (session.read().empty())
+            return;
+        if (++calls == 1) {
+            session.write(stream_head() + event(1));
+            return session.wait_closed();
+        }
+        session.write(stream_head() + event(2));
+        releases = stage.releases();
+        session.write(event(3) + "0\r\n\r\n");
+    };
+    scripted_target one(script);
+    scripted_target two(script);
+    gateway_fixture g({make_target("i-1", one.address()),
+                       make_target("i-2", two.address()),
+                       make_target("p-1", stage.address(), "p")});
+    const auto      out = g.exchange(chain_request());
+    CHECK(calls == 2);
+    CHECK(out.ends_with("0\r\n\r\n"));
+    CHECK(releases.size() == std::size_t{2 * stages});
+    for (const auto& [handle, n] : releases) {
+        CAPTURE(handle);
+        CHECK(n == 1);
+    }
+}
+
 // Guards against results of a stage run that stay at their target when the
 // caller leaves, or the daemon stops, while the stages run again.
 TEST_CASE("results of an interrupted stage run are released",
