Name two limits of stage results once

Cause: large_result_bytes and default_first_event_time stood in forward_run and in stage_run. Change: both use those of stage_run.hpp. Measured: nothing; the values are the same.

--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -54,11 +54,7 @@
 constexpr milliseconds no_target_retry_after{1000};
 constexpr milliseconds target_full_retry_after{250};
 /// A stream without an event for longer is resumed at another target.
-constexpr milliseconds stream_silence_timeout{1200};
-/// Estimate used until there is a sample.
-constexpr milliseconds default_first_event_time{200};
-/// Results of at least this size stay in their failure domain where possible.
-constexpr std::uint64_t large_result_bytes      = 200'000;
+constexpr milliseconds  stream_silence_timeout{1200};
 constexpr double        large_result_penalty    = 1.0;
 constexpr double        other_domain_penalty    = 0.02;
 constexpr std::uint32_t default_engine_priority = 5;
--- a/src/stage_run.cpp
+++ b/src/stage_run.cpp
@@ -16,14 +16,11 @@
 
 namespace {
 
-/// Estimates used until there is a sample.
-constexpr milliseconds default_first_event_time{200};
+/// Estimate used until there is a sample.
 constexpr milliseconds default_stage_time{300};
 /// Results must be read at least this long before they expire.
 constexpr milliseconds expiry_margin{300};
-/// Results of at least this size stay in their failure domain where possible.
-constexpr std::uint64_t large_result_bytes = 200'000;
-constexpr milliseconds  late_retry_after{250};
+constexpr milliseconds late_retry_after{250};
 
 run_failure failure_of(const stage_ticket& it)
 {
--- a/src/stage_run.hpp
+++ b/src/stage_run.hpp
@@ -29,6 +29,11 @@
 struct request_head;
 struct route;
 
+/// Results of at least this size stay in their failure domain where possible.
+inline constexpr std::uint64_t large_result_bytes = 200'000;
+/// Estimate of a service's time to the first event until there is a sample.
+inline constexpr milliseconds default_first_event_time{200};
+
 /// What a stage_run executes, and until when.
 struct stage_plan
 {
