Report why a process ends by an exception or a signal

It now writes one with the error or the signal, the address and the calls, also after the overflow of a fiber's stack. It ends as before.

--- a/src/io_thread.cpp
+++ b/src/io_thread.cpp
@@ -1,5 +1,6 @@
 #include "io_thread.hpp"
 
+#include "fatal_errors.hpp"
 #include "fiber_scheduler.hpp"
 #include "fiber_token.hpp"
 
@@ -93,6 +94,7 @@
 
 void io_thread::run()
 {
+    const report_stack reports;
     boost::fibers::use_scheduling_algorithm<fiber_scheduler>(io_);
     auto                              guard = boost::asio::make_work_guard(io_);
     boost::fibers::mutex              mutex;
--- a/tools/arbutusgate-gateway.cpp
+++ b/tools/arbutusgate-gateway.cpp
@@ -1,5 +1,6 @@
 #include "config_files.hpp"
 #include "daemon_clock.hpp"
+#include "fatal_errors.hpp"
 #include "gateway.hpp"
 #include "http_codec.hpp"
 #include "log.hpp"
@@ -145,8 +146,10 @@
 {
     const auto signals = block_signals();
     ignore_unused_signals();
-    std::string  path;
-    option_table options("Usage: arbutusgate-gateway --settings FILE");
+    report_fatal_errors();
+    const report_stack reports;
+    std::string        path;
+    option_table       options("Usage: arbutusgate-gateway --settings FILE");
     options.add_text("settings", "FILE", "settings of this daemon, in YAML",
                      path);
     if (const auto status = options.parse(argc, argv))
