--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -715,9 +715,11 @@
     log(log_level::info, "request sent",
         {{"request", call_.attempt},
          {"target", chosen.id},
+         {"target_version", chosen.version},
          {"in_flight", parts_.picker.in_flight(chosen.id)},
          {"left_ms", context.time_left.count()},
-         {"resumed", last_event_id_.has_value()}});
+         {"resumed", last_event_id_.has_value()},
+         {"takes_up", call_.resumed_attempt}});
     sent_at_        = daemon_now();
     earlier_events_ = events_;
     first_event_at_.reset();
--- a/src/wire_codec.hpp
+++ b/src/wire_codec.hpp
@@ -29,6 +29,12 @@
     std::optional<std::uint32_t> length_hint{};
     std::vector<std::uint32_t>   pieces; ///< Number of pieces of each stage.
     std::string                  piece_key;
+    /// Last event that the client has of a stream that it takes up; unset: the
+    /// stream is new.
+    std::optional<std::string> last_event_id{};
+    /// Attempt of the client that brought the first event of that stream; may
+    /// be empty.
+    std::string resumed_attempt{};
 };
 
 /// Fields that the gateway adds to a call when it forwards it.
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -235,6 +235,12 @@
     CHECK(call.prompt[1].tokens == 410);
     CHECK(call.pieces == std::vector<std::uint32_t>{2, 0, 16});
     CHECK(call.piece_key == "7c1e");
+    CHECK_FALSE(call.last_event_id);
+    auto taken_up = in;
+    taken_up.set("Last-Event-Id", "7");
+    taken_up.set("Resumes", "5b20");
+    CHECK(codec.decode_call(taken_up).last_event_id == "7");
+    CHECK(codec.decode_call(taken_up).resumed_attempt == "5b20");
     call_context context;
     context.target           = "i-1";
     context.account          = "t1";
