--- a/src/crash_report.hpp
+++ b/src/crash_report.hpp
@@ -25,9 +25,8 @@
 /// to request: a bound on what one request leaves behind.
 prompt_key sample_parts(const prompt_key& prompt);
 
-/// Identifies the software that may crash on a part: the service and version of
-/// the target.
-std::uint64_t crash_scope(const target& of);
+/// Identifies the software of a target: its service and version.
+std::uint64_t software_key(const target& of);
 /// Identifies one lifetime of a target.
 std::uint64_t target_lifetime(const target& of);
 
--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -255,7 +255,7 @@
         !filter_.usable(service_->name, daemon_now()).empty())
         return std::nullopt;
     const auto now   = daemon_now();
-    const auto found = parts_.quarantine.find(prompt_, crash_scope(*any), now);
+    const auto found = parts_.quarantine.find(prompt_, software_key(*any), now);
     if (!found)
         return std::nullopt;
     if (found->next_trial_at <= now && parts_.trials.acquire(found->part)) {
--- a/src/node_core.cpp
+++ b/src/node_core.cpp
@@ -591,7 +591,7 @@
     const auto t = impl_->advance(now);
     const auto found =
         impl_->prompts.find({{it.prefix}, it.request},
-                            gateway::crash_scope(impl::target_of(it)), t);
+                            gateway::software_key(impl::target_of(it)), t);
     if (!found)
         return std::nullopt;
     if (found->next_trial_at <= t && impl_->owns_trial(it.prefix, t) &&
--- a/src/part_quarantine.cpp
+++ b/src/part_quarantine.cpp
@@ -114,7 +114,7 @@
     return out;
 }
 
-std::uint64_t crash_scope(const target& of)
+std::uint64_t software_key(const target& of)
 {
     return hash(of.version, hash(of.service));
 }
@@ -158,7 +158,7 @@
 void part_quarantine::answered(const prompt_key& prompt, const target& by,
                                time_point now, answer_progress progress)
 {
-    const auto scope = crash_scope(by);
+    const auto scope = software_key(by);
     for (const auto part : sample_parts(prompt).shared) {
         remember_answer(part, scope, progress, now);
         const auto found = parts_.find(part);
@@ -211,7 +211,7 @@
                              time_point now, answer_progress progress)
 {
     const auto lifetime = target_lifetime(at);
-    const auto scope    = crash_scope(at);
+    const auto scope    = software_key(at);
     note_accused(lifetime, now);
     for (const auto part : prompt.shared) {
         const auto answered = answered_at(part, scope, progress);
--- a/src/target_filter.cpp
+++ b/src/target_filter.cpp
@@ -34,7 +34,7 @@
 
 bool target_filter::is_quarantined(const target& it, time_point now) const
 {
-    const auto found = quarantine_.find(prompt_, crash_scope(it), now);
+    const auto found = quarantine_.find(prompt_, software_key(it), now);
     return found && found->part != trial_;
 }
 
--- a/tests/part_fleet.hpp
+++ b/tests/part_fleet.hpp
@@ -160,7 +160,7 @@
         std::size_t out = 0;
         for (std::size_t k = 0; k < size(); ++k)
             out += at(k).alive &&
-                   quarantines_[k]->find(key, crash_scope(new_type()), now());
+                   quarantines_[k]->find(key, software_key(new_type()), now());
         return out;
     }
     /// Parts of sound requests for which such a request was refused.
@@ -336,7 +336,7 @@
     bool refused(std::size_t k, call& it)
     {
         const auto found =
-            quarantines_[k]->find(it.prompt, crash_scope(new_type()), now());
+            quarantines_[k]->find(it.prompt, software_key(new_type()), now());
         if (!found || found->part == it.trial)
             return false;
         if (found->next_trial_at <= now() && take_trial(k, found->part)) {
--- a/tests/part_quarantine_test.cpp
+++ b/tests/part_quarantine_test.cpp
@@ -43,7 +43,7 @@
 bool blocked(const part_quarantine& by, const prompt_key& key, int ms,
              const target& to = make_target(0))
 {
-    return by.find(key, crash_scope(to), at(ms)).has_value();
+    return by.find(key, software_key(to), at(ms)).has_value();
 }
 
 /// Sends answers on the first part, which all requests share.
@@ -536,7 +536,7 @@
     part_quarantine q;
     for (const auto& it : list)
         q.merge(it, booted);
-    CHECK(q.find(prompt("dead", 9), crash_scope(make_target(0)), booted));
+    CHECK(q.find(prompt("dead", 9), software_key(make_target(0)), booted));
     CHECK(q.reports(9, booted).size() >= 1);
     // Nothing was heard of the targets.
     CHECK(q.lifetime_reports(9, booted).empty());
