--- a/include/arbutusgate/config.hpp
+++ b/include/arbutusgate/config.hpp
@@ -116,6 +116,15 @@
 /// a call to a target carries about 100 of them.
 inline constexpr std::uint32_t max_stage_pieces = 4096;
 
+/// How long a daemon remembers at which software a stream began. Streams last
+/// seconds to a minute.
+inline constexpr auto stream_origin_retention = 60s;
+/// Records of one daemon; 64 bytes each.
+inline constexpr std::size_t max_stream_origins = 32'768;
+/// A stream without a record counts as younger: the store of the platform keeps
+/// its history for this long.
+inline constexpr std::chrono::milliseconds max_unrecorded_stream_age = 20s;
+
 // Requests.
 inline constexpr std::size_t request_body = 1024 * 1024; // bytes
 /// Memory of all response bodies of targets that an I/O thread reads or passes
--- a/include/arbutusgate/types.hpp
+++ b/include/arbutusgate/types.hpp
@@ -88,8 +88,9 @@
     draining,        ///< The daemon accepts no new requests.
     not_ready,       ///< No configuration is in force yet.
     quarantined,     ///< A part of the prompt crashes targets.
-    client_gone,     ///< The caller closed its connection.
-    internal,        ///< Internal error; the log has the details.
+    stream_not_resumable, ///< No target may continue the stream.
+    client_gone,          ///< The caller closed its connection.
+    internal,             ///< Internal error; the log has the details.
     count,
 };
 
--- /dev/null
+++ b/src/fleet_origins.cpp
@@ -0,0 +1,201 @@
+#include "fleet_origins.hpp"
+
+#include "daemon_clock.hpp"
+#include "fiber_group.hpp"
+#include "peer_codec.hpp"
+#include "peer_table.hpp"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <utility>
+
+namespace arbutusgate::gateway {
+
+namespace {
+
+/// Records of this time share a message.
+constexpr milliseconds report_delay{20};
+constexpr milliseconds report_timeout{300};
+/// A client that takes its stream up waits for so long at the most.
+constexpr milliseconds query_timeout{200};
+constexpr milliseconds history_poll_interval{10};
+/// Records in one message to one daemon.
+constexpr std::size_t max_records_sent = 512;
+
+} // namespace
+
+void fleet_origins::begun(std::uint64_t attempt, const std::string& service,
+                          std::uint64_t software)
+{
+    const auto          now = daemon_now();
+    const stream_origin it{attempt, software, now};
+    origins_.record(it, true);
+    // A daemon that comes to the same result needs no record.
+    const auto only = origins_.only_software(
+        {service}, now - limits::max_unrecorded_stream_age, now);
+    if (!only || *only != software)
+        queue_report(it);
+}
+
+void fleet_origins::queue_report(const stream_origin& it)
+{
+    unreported_.push_back(it);
+    if (!std::exchange(reporting_, true))
+        fibers_.spawn([this] {
+            while (!unreported_.empty() && !fibers_.stopping()) {
+                fibers_.sleep_until(daemon_now() + report_delay);
+                send_reports();
+            }
+            reporting_ = false;
+        });
+}
+
+void fleet_origins::send_reports()
+{
+    const auto now   = daemon_now();
+    const auto count = std::min(unreported_.size(), max_records_sent);
+    std::map<std::string, origin_report> by_holder;
+    for (std::size_t n = 0; n < count; ++n) {
+        for (const auto& to : peers_.holders_of(unreported_[n].attempt, now))
+            by_holder[to].origins.push_back(unreported_[n]);
+    }
+    unreported_.erase(unreported_.begin(),
+                      unreported_.begin() + static_cast<std::ptrdiff_t>(count));
+    for (auto& [to, report] : by_holder) {
+        stats_.reported += report.origins.size();
+        fibers_.spawn([this, to = to, body = encode(report, now)] {
+            report_(to, body, report_timeout);
+        });
+    }
+}
+
+std::optional<std::uint64_t>
+fleet_origins::only_software(const origin_query& it) const
+{
+    const auto now = daemon_now();
+    return origins_.only_software(it.services, now - it.max_age, now);
+}
+
+std::optional<std::uint64_t> fleet_origins::find(const origin_query& it)
+{
+    const fiber_group::guest guest(fibers_);
+    if (const auto known = origins_.find(it.attempt))
+        return known;
+    auto only = current_ && current_() ? only_software(it) : std::nullopt;
+    if (!only) {
+        if (const auto told = ask_holders(it))
+            return told;
+        only = only_software(it);
+    }
+    if (!only && !origins_.covers(it.services, daemon_now() - it.max_age)) {
+        read_history(it);
+        only = only_software(it);
+    }
+    stats_.unrecorded += only ? 1 : 0;
+    return only;
+}
+
+/// Merges what the holders know. \return what one of them has on record.
+std::optional<std::uint64_t> fleet_origins::ask_holders(const origin_query& it)
+{
+    struct inquiry
+    {
+        fiber_signal                 changed;
+        std::size_t                  pending = 0;
+        std::optional<std::uint64_t> software;
+    };
+    const auto now   = daemon_now();
+    const auto state = std::make_shared<inquiry>();
+    const auto body  = encode(it);
+    ++stats_.asked;
+    for (const auto& to : peers_.holders_of(it.attempt, now)) {
+        ++state->pending;
+        fibers_.spawn([this, state, to, body, services = it.services,
+                       max_age = it.max_age] {
+            const auto text = ask_(to, body, query_timeout);
+            const auto at   = daemon_now();
+            const auto response =
+                text ? decode_origin_response(*text, at) : std::nullopt;
+            if (response) {
+                for (const auto& seen : response->served)
+                    origins_.note(seen, at);
+                // The response names what served within the age.
+                if (response->known_since)
+                    origins_.extend(services, std::max(*response->known_since,
+                                                       at - max_age));
+                if (response->software)
+                    state->software = response->software;
+            }
+            --state->pending;
+            state->changed.notify();
+        });
+    }
+    state->changed.wait_until(now + query_timeout, [&] {
+        return state->software || state->pending == 0 || fibers_.stopping();
+    });
+    if (!state->software)
+        return std::nullopt;
+    ++stats_.told;
+    origins_.record({it.attempt, *state->software, daemon_now()}, false);
+    return state->software;
+}
+
+/// Clients come back at the same time after a restart of all daemons; one of
+/// their requests reads the history, the others wait for it.
+void fleet_origins::read_history(const origin_query& it)
+{
+    if (!history_)
+        return;
+    if (reading_history_) {
+        const auto deadline = daemon_now() + query_timeout;
+        while (reading_history_ && daemon_now() < deadline &&
+               !fibers_.stopping())
+            fibers_.sleep_until(daemon_now() + history_poll_interval);
+        return;
+    }
+    reading_history_ = true;
+    const auto found = history_(it.max_age);
+    reading_history_ = false;
+    if (!found)
+        return;
+    for (const auto& seen : found->served)
+        origins_.note(seen, daemon_now());
+    origins_.extend(it.services, found->known_since);
+}
+
+void fleet_origins::update(stream_origins::software_map published,
+                           time_point                   now)
+{
+    if (!origins_.update(std::move(published), now))
+        return;
+    for (const auto& it : origins_.own_records())
+        queue_report(it);
+}
+
+std::optional<std::string> fleet_origins::serve_report(const std::string& body)
+{
+    const auto now = daemon_now();
+    const auto it  = decode_origin_report(body, now);
+    if (!it)
+        return std::nullopt;
+    for (const auto& origin : it->origins)
+        origins_.record(origin, false);
+    return std::string{};
+}
+
+std::optional<std::string> fleet_origins::serve_query(const std::string& body)
+{
+    const auto now = daemon_now();
+    const auto it  = decode_origin_query(body);
+    if (!it)
+        return std::nullopt;
+    origin_response out;
+    out.software = origins_.find(it->attempt);
+    out.served   = origins_.served(it->services, now - it->max_age, now);
+    if (current_ && current_())
+        out.known_since = origins_.known_since(it->services);
+    return encode(out, now);
+}
+
+} // namespace arbutusgate::gateway
--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -6,6 +6,7 @@
 #include "log.hpp"
 #include "metrics.hpp"
 #include "notice_handler.hpp"
+#include "origin_source.hpp"
 #include "part_quarantine.hpp"
 #include "permit_source.hpp"
 #include "prior_wait_estimator.hpp"
@@ -14,6 +15,7 @@
 #include "retry_budget.hpp"
 #include "stage_run.hpp"
 #include "state_follower.hpp"
+#include "stream_origins.hpp"
 #include "target_directory.hpp"
 #include "text.hpp"
 #include "time_estimates.hpp"
@@ -180,16 +182,24 @@
         route_->rule == repeat_rule::stream
             ? std::min(deadline_, arrived_at_ + stream_caller_timeout(*route_))
             : deadline_;
-    const auto* share = pick_share(
-        route_->services, std::uniform_real_distribution<>()(parts_.random));
-    service_ = share ? table_->find_service(share->service) : nullptr;
+    filter_.permit_domains(parts_.regions.permitted_domains(
+        route_->regions,
+        account_ ? account_->regions : std::vector<std::string>{}));
+    const bool takes_up = route_->may_be_resumed && call_.last_event_id;
+    if (takes_up) {
+        if (auto refused = find_origin())
+            return refused;
+    }
+    else {
+        const auto* share =
+            pick_share(route_->services,
+                       std::uniform_real_distribution<>()(parts_.random));
+        service_ = share ? table_->find_service(share->service) : nullptr;
+    }
     if (!service_)
         return run_failure{refusal_reason::no_target, execution::not_run,
                            no_target_retry_after};
     parts_.budget.count_request(service_->name, arrived_at_);
-    filter_.permit_domains(parts_.regions.permitted_domains(
-        route_->regions,
-        account_ ? account_->regions : std::vector<std::string>{}));
     if (service_->engine) {
         work_ = parts_.work.estimate(
             call_, *route_, account_ ? account_->name : "", *service_->engine);
@@ -201,6 +211,70 @@
     return std::nullopt;
 }
 
+// Continuations ---------------------------------------------------------------
+
+std::optional<run_failure> forward_run::find_origin()
+{
+    origin_query query;
+    query.attempt = attempt_key(call_.resumed_attempt);
+    for (const auto& it : route_->services)
+        query.services.push_back(it.service);
+    // A client makes several attempts, each no longer than the timeout.
+    query.max_age = limits::max_unrecorded_stream_age;
+    if (route_->timeout > milliseconds{0})
+        query.max_age = std::min(query.max_age, 2 * route_->timeout);
+    const auto software = parts_.origins.find(query);
+    if (!software) {
+        ++parts_.continuations.refused_unknown;
+        return refuse_to_resume("its software is not known");
+    }
+    for (const auto& it : query.services) {
+        filter_.require_software(it, *software);
+        if (filter_.any_permitted(it)) {
+            service_ = table_->find_service(it);
+            ++parts_.continuations.taken_up;
+            return std::nullopt;
+        }
+    }
+    ++parts_.continuations.refused_no_target;
+    return refuse_to_resume("no target of its software is left");
+}
+
+/// The client gets no Retry-After: the same stream cannot be taken up later
+/// either, and it may begin a new one at once.
+run_failure forward_run::refuse_to_resume(std::string_view why)
+{
+    log(log_level::info, "request refused: its stream cannot be continued",
+        {{"request", call_.attempt},
+         {"takes_up", call_.resumed_attempt},
+         {"reason", why}});
+    return {refusal_reason::stream_not_resumable};
+}
+
+bool forward_run::keep_software(const target& chosen)
+{
+    if (!route_->may_be_resumed)
+        return true;
+    // A target may have restarted under its id before the request was sent,
+    // and its new entry may have arrived since.
+    const auto* entry    = parts_.targets.find(chosen.id);
+    const auto  software = software_key(entry ? *entry : chosen);
+    const auto  required = filter_.required_software();
+    if (required && *required != software) {
+        log(log_level::warning, "target runs other software than its stream",
+            {{"request", call_.attempt}, {"target", chosen.id}});
+        return false;
+    }
+    if (stream_started_)
+        return true;
+    filter_.require_software(service_->name, software);
+    const bool takes_up = call_.last_event_id && !call_.resumed_attempt.empty();
+    parts_.origins.begun(
+        attempt_key(takes_up ? call_.resumed_attempt : call_.attempt),
+        service_->name, software);
+    return true;
+}
+
 // Stages ---------------------------------------------------------------------
 
 /// Time that the request may wait for a target and still meet its latency goal.
@@ -618,12 +692,15 @@
             (!resume_prepared_ &&
              !parts_.budget.take(service_->name, daemon_now())))
             break;
+        if (stream_started_ && last == attempt_result::cut)
+            ++parts_.continuations.resumed;
         parts_.counters.reasons().add(
             last == attempt_result::not_run ? retry_reason::target_not_run
             : last == attempt_result::cut   ? retry_reason::stream_resume
                                             : retry_reason::target_failed);
     }
     if (stream_started_) {
+        ++parts_.continuations.not_resumed;
         log(log_level::warning, "stream cut",
             {{"request", call_.attempt},
              {"not_resumed", ended_ ? "draining" : not_resumed}});
@@ -666,9 +743,13 @@
     auto lease     = parts_.connections.open(chosen, connection_use::call, most,
                                              time_to_connect, ec);
     permit_lapsed_ = !may_send(chosen);
-    if (lease && (parts_.targets.gate().refuses(chosen, daemon_now()) ||
-                  parts_.targets.evacuated(chosen) || permit_lapsed_ ||
-                  filter_.is_quarantined(chosen, daemon_now())))
+    const auto* entry     = parts_.targets.find(chosen.id);
+    const bool  restarted = entry && (entry->started_at != chosen.started_at ||
+                                     entry->version != chosen.version);
+    if (lease &&
+        (restarted || parts_.targets.gate().refuses(chosen, daemon_now()) ||
+         parts_.targets.evacuated(chosen) || permit_lapsed_ ||
+         filter_.is_quarantined(chosen, daemon_now())))
     {
         request_unsent_ = true;
         finish_call(chosen, call_outcome::cancelled);
@@ -1057,6 +1138,7 @@
 {
     event_splitter   events;
     body_reservation memory(from.context());
+    bool             first_batch = true;
     // Only whole events show that the target makes progress.
     auto silent_at = daemon_now() + stream_silence_timeout;
     for (;;) {
@@ -1103,6 +1185,10 @@
             return false;
         if (batch.empty())
             continue;
+        if (std::exchange(first_batch, false) && !keep_software(chosen)) {
+            ec = boost::asio::error::operation_aborted;
+            return false;
+        }
         if (!stream_started_)
             begin_stream(from);
         // The target of this attempt has read its inputs by now.
@@ -1141,6 +1227,7 @@
              it.reason == refusal_reason::no_target ||
              it.reason == refusal_reason::not_ready ||
              it.reason == refusal_reason::quarantined ||
+             it.reason == refusal_reason::stream_not_resumable ||
              it.reason == refusal_reason::draining ||
              it.reason == refusal_reason::stage_failed ||
              it.reason == refusal_reason::deadline_unreachable)
--- a/src/forward_run.hpp
+++ b/src/forward_run.hpp
@@ -32,6 +32,7 @@
 namespace gateway {
 
 class crash_check;
+class origin_source;
 class part_quarantine;
 class permit_source;
 class prior_wait_estimator;
@@ -53,6 +54,16 @@
     time_point ends_at;       ///< When open requests are ended.
 };
 
+/// Streams that went on after a break, since start.
+struct continuation_counts
+{
+    std::uint64_t resumed           = 0; ///< Sent on inside their answers.
+    std::uint64_t not_resumed       = 0; ///< Cut, though they had events.
+    std::uint64_t taken_up          = 0; ///< Admitted from their clients.
+    std::uint64_t refused_unknown   = 0; ///< Their software is not known.
+    std::uint64_t refused_no_target = 0; ///< No target of it is left.
+};
+
 /// Dependencies that all requests of one daemon share. They are used only on
 /// the daemon's thread.
 struct request_dependencies
@@ -67,6 +78,8 @@
     part_quarantine&      quarantine;
     crash_check&          crashes;
     trial_source&         trials;
+    origin_source&        origins;
+    continuation_counts&  continuations;
     retry_budget&         budget;
     time_estimates&       times;
     time_estimates&       stream_times; ///< Of whole streams, by route.
@@ -105,6 +118,15 @@
 
     /// Finds the route, account and service of the call and sets its times.
     std::optional<run_failure> resolve();
+    /// Finds the software that may continue the stream that the client takes
+    /// up. Refuses the request when that is not known, or when no target has
+    /// it.
+    std::optional<run_failure> find_origin();
+    run_failure                refuse_to_resume(std::string_view why);
+    /// Keeps the stream at the software of the target that begins it.
+    /// \return false when another target, which goes on with the stream, runs
+    /// other software.
+    bool keep_software(const target& chosen);
     /// Refuses a request with several stages that cannot be served in time.
     std::optional<run_failure> admit();
     std::optional<run_failure> refuse_without_target();
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -18,6 +18,7 @@
 #include "stage_shards.hpp"
 #include "state_follower.hpp"
 #include "state_reader.hpp"
+#include "store_history.hpp"
 #include "target_directory.hpp"
 #include "text.hpp"
 #include "time_estimates.hpp"
@@ -51,6 +52,8 @@
 constexpr milliseconds listen_retry_interval{100};
 /// Peers exchange their capacity in thousandths of a core.
 constexpr double capacity_per_core = 1000;
+/// Published state that the store confirmed longer ago is taken for old.
+constexpr milliseconds max_state_age{2000};
 /// Between requests for the state of other daemons while the store does not
 /// respond.
 constexpr milliseconds peer_state_interval{300};
@@ -209,8 +212,12 @@
     ask_peer_for_changes(const state_revision& after, const follow_times& times,
                          time_point& confirmed);
     follow_events events();
-    void          configured(const route_table& table);
-    void          target_changed(const std::string& id, target_change change);
+    /// Passes on the software of the published targets if that has changed.
+    void note_software();
+    /// Reads which software served before this daemon started.
+    std::optional<fleet_origins::history> read_history(milliseconds max_age);
+    void                                  configured(const route_table& table);
+    void target_changed(const std::string& id, target_change change);
     /// \param period null: the cold time of the target ended.
     void log_cold(const std::string& id, const cold_period* period) const;
     void serve(http_exchange& exchange);
@@ -261,6 +268,9 @@
     std::vector<stage_shard> shards; ///< Of the version and generation below.
     std::uint64_t            shards_version    = 0; ///< Of the configuration.
     std::uint64_t            shards_generation = 0; ///< Of the usable targets.
+    /// Of the targets whose software was passed on.
+    std::uint64_t       software_generation = 0;
+    continuation_counts continuations;
     std::uint64_t evacuation_changes = 0; ///< Begun and ended, since start.
     std::uint64_t era_changes        = 0; ///< Of the published state.
 
@@ -390,13 +400,34 @@
             log_cold(id, period);
         });
     peers->set_state([this] { return state->copy(daemon_now()); });
+    peers->origins().set_state(
+        [this] { return daemon_now() - state->answered_at() <= max_state_age; },
+        [this](milliseconds max_age) { return read_history(max_age); });
     peers->set_changes([this](const state_revision& revision) {
         return changes.since(revision, daemon_now());
     });
-    parts = std::make_unique<request_dependencies>(request_dependencies{
-        codec, *state, targets, picker, *connections, *peers, peers->permits(),
-        quarantine, *crashes, peers->trials(), budget, estimates, stream_times,
-        prior_waits, work, counters, random, regions, settings.failure_domain});
+    parts = std::make_unique<request_dependencies>(
+        request_dependencies{codec,
+                             *state,
+                             targets,
+                             picker,
+                             *connections,
+                             *peers,
+                             peers->permits(),
+                             quarantine,
+                             *crashes,
+                             peers->trials(),
+                             peers->origins(),
+                             continuations,
+                             budget,
+                             estimates,
+                             stream_times,
+                             prior_waits,
+                             work,
+                             counters,
+                             random,
+                             regions,
+                             settings.failure_domain});
     spawn_fiber([this] {
         follow();
         follower_ended.set_value();
@@ -407,6 +438,39 @@
     });
 }
 
+void gateway::impl::note_software()
+{
+    peers->origins().expire(daemon_now());
+    if (!state->targets_known() ||
+        std::exchange(software_generation, targets.generation()) ==
+            targets.generation())
+        return;
+    peers->origins().update(targets.software(), daemon_now());
+}
+
+/// In a large fleet most daemons read nothing of the store, which could not
+/// bear the history for all of them at once.
+std::optional<fleet_origins::history>
+gateway::impl::read_history(milliseconds max_age)
+{
+    if (peers->has_reader())
+        return std::nullopt;
+    const auto history_reader = make_reader(thread.io());
+    const auto found =
+        read_store_history(*history_reader, state->revision(),
+                           settings.bounds.target_heartbeat, max_age);
+    log(log_level::info, "read the history of the targets",
+        {{"covered_ms", found.covered.count()},
+         {"software", found.software.size()}});
+    fleet_origins::history out;
+    const auto             now = daemon_now();
+    // Part of the history may be of any time up to now.
+    for (const auto& [service, software] : found.software)
+        out.served.push_back({service, software, now});
+    out.known_since = now - found.covered;
+    return out;
+}
+
 /// Adopts the published state of other daemons while the store does not respond
 /// to this one, such as after a start during an outage.
 void gateway::impl::follow_peers()
@@ -428,6 +492,7 @@
         const auto revision = found->revision;
         if (!state->adopt(*std::move(found), *std::move(config), daemon_now()))
             continue;
+        note_software();
         peers->set_ready(ready());
         log(log_level::info, "adopted the published state of a peer",
             {{"revision", revision.number},
@@ -481,6 +546,7 @@
         for (const auto& id : targets.gate().expire(daemon_now()))
             log(log_level::info, "target accepts work again", {{"target", id}});
         targets.limits().expire(daemon_now());
+        note_software();
         quarantine.expire(daemon_now());
         const auto step = state->next(daemon_now());
         switch (step.kind) {
@@ -628,6 +694,7 @@
     const auto issued  = peers->permits().issued();
     const auto table   = state->table();
     const auto errors  = work.errors();
+    const auto origins = peers->origins().stats();
     const auto n       = [](auto count) {
         return static_cast<double>(count);
     };
@@ -720,6 +787,26 @@
          true},
         {"call_permits_unanswered_total",
          "Requests of these without an answer.", n(permits.unanswered), true},
+        {"stream_origins_known", "Streams whose software is on record.",
+         n(peers->origins().size())},
+        {"stream_origin_reports_total", "Records sent to other daemons.",
+         n(origins.reported), true},
+        {"stream_origin_queries_total",
+         "Streams whose software other daemons were asked for.",
+         n(origins.asked), true},
+        {"streams_resumed_total",
+         "Broken streams that were sent on inside their answers.",
+         n(continuations.resumed), true},
+        {"streams_cut_total", "Broken streams that were not.",
+         n(continuations.not_resumed), true},
+        {"streams_taken_up_total", "Streams that clients took up again.",
+         n(continuations.taken_up), true},
+        {"streams_refused_unknown_total",
+         "Streams not taken up since their software is not known.",
+         n(continuations.refused_unknown), true},
+        {"streams_refused_no_target_total",
+         "Streams not taken up since no target has their software.",
+         n(continuations.refused_no_target), true},
         {"prompt_parts_quarantined",
          "Parts of prompts that crash targets and keep requests from them.",
          n(quarantine.convicted())},
--- a/src/gateway_settings.cpp
+++ b/src/gateway_settings.cpp
@@ -88,6 +88,8 @@
                       presence::defaulted),
         field<bounds>("target_drain_ms", &bounds::target_drain, ms,
                       presence::defaulted),
+        field<bounds>("target_heartbeat_ms", &bounds::target_heartbeat, ms,
+                      presence::defaulted),
         field<bounds>("retry_ratio", &bounds::retry_ratio,
                       number_value<double>{0, max_retry_ratio},
                       presence::defaulted),
--- a/src/gateway_settings.hpp
+++ b/src/gateway_settings.hpp
@@ -23,7 +23,8 @@
     /// From the announcement of a target that it leaves until it gets no more
     /// work.
     milliseconds target_drain{2000};
-    double       retry_ratio = 0.2;    ///< Retries per request.
+    milliseconds target_heartbeat{1200}; ///< Between two entries of a target.
+    double       retry_ratio = 0.2;      ///< Retries per request.
     milliseconds retry_window{10'000}; ///< Window in which retries are counted.
     /// Retries per window beyond the ratio, of all daemons together.
     double retry_slack = 0;
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -521,6 +521,96 @@
     return out;
 }
 
+namespace {
+
+void encode(const software_sighting& it, time_point now,
+            pb::SoftwareSighting& out)
+{
+    out.set_service(it.service);
+    out.set_software(it.software);
+    out.set_age_ms(to_wire(remaining(now, it.last_at)));
+}
+
+software_sighting decode(const pb::SoftwareSighting& it, time_point now)
+{
+    return {it.service(), it.software(), now - milliseconds{it.age_ms()}};
+}
+
+} // namespace
+
+std::string encode(const origin_report& it, time_point now)
+{
+    pb::StreamOrigins out;
+    for (const auto& origin : it.origins) {
+        auto& to = *out.add_origins();
+        to.set_attempt(origin.attempt);
+        to.set_software(origin.software);
+        to.set_age_ms(to_wire(remaining(now, origin.at)));
+    }
+    return out.SerializeAsString();
+}
+
+std::optional<origin_report> decode_origin_report(const std::string& bytes,
+                                                  time_point         now)
+{
+    pb::StreamOrigins in;
+    if (!in.ParseFromString(bytes))
+        return std::nullopt;
+    origin_report out;
+    for (const auto& it : in.origins())
+        out.origins.push_back(
+            {it.attempt(), it.software(), now - milliseconds{it.age_ms()}});
+    return out;
+}
+
+std::string encode(const origin_query& it)
+{
+    pb::OriginQuery out;
+    out.set_attempt(it.attempt);
+    for (const auto& service : it.services)
+        out.add_services(service);
+    out.set_max_age_ms(to_wire(it.max_age));
+    return out.SerializeAsString();
+}
+
+std::optional<origin_query> decode_origin_query(const std::string& bytes)
+{
+    pb::OriginQuery in;
+    if (!in.ParseFromString(bytes))
+        return std::nullopt;
+    return origin_query{in.attempt(),
+                        {in.services().begin(), in.services().end()},
+                        milliseconds{in.max_age_ms()}};
+}
+
+std::string encode(const origin_response& it, time_point now)
+{
+    pb::OriginResponse out;
+    if (it.software)
+        out.set_software(*it.software);
+    for (const auto& seen : it.served)
+        encode(seen, now, *out.add_served());
+    if (it.known_since)
+        out.set_known_ms(to_wire(remaining(now, *it.known_since)));
+    return out.SerializeAsString();
+}
+
+std::optional<origin_response> decode_origin_response(const std::string& bytes,
+                                                      time_point         now)
+{
+    pb::OriginResponse in;
+    if (!in.ParseFromString(bytes))
+        return std::nullopt;
+    origin_response out;
+    if (in.has_software())
+        out.software = in.software();
+    for (const auto& it : in.served())
+        out.served.push_back(decode(it, now));
+    if (in.has_known_ms())
+        out.known_since = now - milliseconds{in.known_ms()};
+    return out;
+}
+
 std::string encode_release(const std::vector<std::string>& handles)
 {
     pb::StageRelease out;
--- a/src/peer_codec.hpp
+++ b/src/peer_codec.hpp
@@ -3,10 +3,12 @@
 
 #include "change_log.hpp"
 #include "crash_report.hpp"
+#include "origin_source.hpp"
 #include "peer_table.hpp"
 #include "permit_issuer.hpp"
 #include "stage_service.hpp"
 #include "state_reader.hpp"
+#include "stream_origins.hpp"
 
 #include <map>
 #include <optional>
@@ -104,6 +106,29 @@
 std::optional<stage_outcome> decode_outcome(const std::string& bytes,
                                             time_point         now);
 
+/// Streams that began at the sender.
+struct origin_report
+{
+    std::vector<stream_origin> origins;
+};
+
+/// Answer to the query for the origin of a stream.
+struct origin_response
+{
+    std::optional<std::uint64_t>   software; ///< Unset: there is no record.
+    std::vector<software_sighting> served;
+    std::optional<time_point>      known_since;
+};
+
+std::string                  encode(const origin_report& it, time_point now);
+std::optional<origin_report> decode_origin_report(const std::string& bytes,
+                                                  time_point         now);
+std::string                  encode(const origin_query& it);
+std::optional<origin_query>  decode_origin_query(const std::string& bytes);
+std::string                  encode(const origin_response& it, time_point now);
+std::optional<origin_response> decode_origin_response(const std::string& bytes,
+                                                      time_point         now);
+
 std::string encode_release(const std::vector<std::string>& handles);
 std::optional<std::vector<std::string>>
 decode_release(const std::string& bytes);
--- a/src/peer_mesh.cpp
+++ b/src/peer_mesh.cpp
@@ -23,6 +23,9 @@
 constexpr const char* changes_path = "/v1/changes";
 constexpr const char* permits_path = "/v1/permits";
 constexpr const char* trials_path  = "/v1/trials";
+/// Reports of where streams began, and queries for it.
+constexpr const char* origins_path      = "/v1/origins";
+constexpr const char* origin_query_path = "/v1/origins/query";
 /// Name under which the reading of the store has an owner in each failure
 /// domain.
 constexpr std::string_view reader_work = "published state";
@@ -83,7 +86,17 @@
                      milliseconds timeout) {
                   const fiber_group::guest guest(fibers_);
                   return call(address, trials_path, std::move(body), timeout);
-              })
+              }),
+      origins_(
+          table_, fibers_,
+          [this](const std::string& address, std::string body,
+                 milliseconds timeout) {
+              return call(address, origins_path, std::move(body), timeout);
+          },
+          [this](const std::string& address, std::string body,
+                 milliseconds timeout) {
+              return call(address, origin_query_path, std::move(body), timeout);
+          })
 {
     quarantine_.on_news(
         [this](part_quarantine::source from) { on_part_news(from); });
@@ -856,6 +869,15 @@
             return;
         }
     }
+    else if (path == origins_path || path == origin_query_path) {
+        auto response = path == origins_path ? origins_.serve_report(body)
+                                             : origins_.serve_query(body);
+        if (response) {
+            out.body() = *std::move(response);
+            exchange.respond(std::move(out));
+            return;
+        }
+    }
     log(log_level::warning, "invalid message from a peer",
         {{"path", std::string_view(path.data(), path.size())}});
     out.result(http::status::bad_request);
--- a/src/peer_mesh.hpp
+++ b/src/peer_mesh.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "connection_pool.hpp"
+#include "fleet_origins.hpp"
 #include "fleet_permits.hpp"
 #include "fleet_trials.hpp"
 #include "peer_codec.hpp"
@@ -98,6 +99,9 @@
     const fleet_permits& permits() const { return permits_; }
     /// Trials of parts in quarantine.
     fleet_trials& trials() { return trials_; }
+    /// Software at which streams began.
+    fleet_origins&       origins() { return origins_; }
+    const fleet_origins& origins() const { return origins_; }
 
     /// Handles an HTTP request of another daemon.
     void serve(http_exchange& exchange);
@@ -229,6 +233,7 @@
     bool          spreading_       = false; ///< A fiber runs for it.
     fleet_permits permits_;
     fleet_trials  trials_;
+    fleet_origins origins_;
     fiber_group   fibers_;
 };
 
--- a/src/peer_table.cpp
+++ b/src/peer_table.cpp
@@ -323,6 +323,23 @@
     return out;
 }
 
+std::vector<std::string> peer_table::holders_of(std::uint64_t key,
+                                                time_point    now) const
+{
+    auto out = alive(now);
+    if (!large())
+        return out;
+    const auto work  = std::to_string(key);
+    const auto count = std::min(out.size(), params_.record_holders);
+    std::partial_sort(
+        out.begin(), out.begin() + static_cast<std::ptrdiff_t>(count),
+        out.end(), [&](const auto& a, const auto& b) {
+            return rendezvous_hash(work, a) > rendezvous_hash(work, b);
+        });
+    out.resize(count);
+    return out;
+}
+
 std::vector<std::string> peer_table::random_alive(std::size_t count,
                                                   time_point  now)
 {
--- a/src/peer_table.hpp
+++ b/src/peer_table.hpp
@@ -58,6 +58,9 @@
     /// shards. All daemons must know the same candidates, so messages of a
     /// large fleet list them besides the sample of members.
     std::size_t max_candidates = 12;
+    /// Daemons of a large fleet that keep a record besides its maker: two may
+    /// be lost with it.
+    std::size_t record_holders = 3;
     /// Largest interval between a daemon's heartbeats. In a large fleet, those
     /// between gossip rounds send a message with the candidates to one peer.
     milliseconds max_heartbeat_interval{2000};
@@ -168,6 +171,10 @@
     /// Like owner_of(), but without regard to suspicion, on which daemons
     /// differ more often than on who is alive.
     std::string steady_owner_of(std::string_view work, time_point now) const;
+    /// Addresses of the other daemons that keep a record with this key: all of
+    /// a small fleet, few of a large one.
+    std::vector<std::string> holders_of(std::uint64_t key,
+                                        time_point    now) const;
     /// Whether the other daemons know the same candidates, as far as time
     /// tells.
     bool agreed(time_point now) const;
--- /dev/null
+++ b/src/store_history.hpp
@@ -0,0 +1,33 @@
+/// Learns from the history of the store which software served lately.
+#pragma once
+
+#include "arbutusgate/types.hpp"
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace arbutusgate::gateway {
+
+class state_reader;
+struct state_revision;
+
+struct store_history
+{
+    /// Time before the end of the history of which all entries were read.
+    milliseconds covered{0};
+    /// Services and software_key of the targets that wrote entries.
+    std::set<std::pair<std::string, std::uint64_t>> software;
+};
+
+/// Reads the entries that targets wrote before a revision, in steps that
+/// double, until they cover the wanted time or the store has no older ones. May
+/// suspend the fiber.
+/// \param heartbeat interval at which each target writes its entry; it tells
+/// how much time the entries cover.
+store_history read_store_history(state_reader&         reader,
+                                 const state_revision& revision,
+                                 milliseconds heartbeat, milliseconds wanted);
+
+} // namespace arbutusgate::gateway
--- a/src/target_directory.cpp
+++ b/src/target_directory.cpp
@@ -1,5 +1,7 @@
 #include "target_directory.hpp"
 
+#include "crash_report.hpp"
+
 #include <algorithm>
 #include <iterator>
 #include <set>
@@ -20,7 +22,7 @@
     if (known != targets_.end()) {
         const auto& old = known->second.value;
         if (old.started_at == it.started_at && old.address == it.address &&
-            old.service == it.service &&
+            old.service == it.service && old.version == it.version &&
             old.failure_domain == it.failure_domain && !known->second.lapsed)
         {
             if (old.leaving == it.leaving && old.slots == it.slots)
@@ -184,6 +186,15 @@
     targets_.erase(it);
 }
 
+std::map<std::string, std::set<std::uint64_t>>
+target_directory::software() const
+{
+    std::map<std::string, std::set<std::uint64_t>> out;
+    for (const auto& [id, entry] : targets_)
+        out[entry.value.service].insert(software_key(entry.value));
+    return out;
+}
+
 std::vector<target> target_directory::published(time_point now) const
 {
     std::vector<target> out;
--- a/src/target_directory.hpp
+++ b/src/target_directory.hpp
@@ -127,6 +127,8 @@
     std::size_t          size() const { return targets_.size(); }
     /// Increases with each change of the usable targets.
     std::uint64_t generation() const { return generation_; }
+    /// \return software_key of all known targets, by service.
+    std::map<std::string, std::set<std::uint64_t>> software() const;
     /// \return all targets whose entries have not lapsed, with the cold times
     /// that remain.
     std::vector<target> published(time_point now) const;
--- a/src/target_filter.cpp
+++ b/src/target_filter.cpp
@@ -9,6 +9,14 @@
 
 namespace arbutusgate::gateway {
 
+bool target_filter::permits(const target& it) const
+{
+    if (domains_ && !domains_->contains(it.failure_domain))
+        return false;
+    return !software_ || it.service != software_->service ||
+           software_key(it) == software_->key;
+}
+
 const target* target_filter::any_permitted(const std::string& service) const
 {
     const auto& all = targets_.usable(service);
@@ -43,7 +51,7 @@
 {
     const auto& all        = targets_.usable(service);
     const bool  quarantine = quarantine_.active();
-    if (!quarantine && !domains_)
+    if (!quarantine && !domains_ && !software_)
         return all;
     usable_.clear();
     std::copy_if(all.begin(), all.end(), std::back_inserter(usable_),
--- a/src/target_filter.hpp
+++ b/src/target_filter.hpp
@@ -1,7 +1,8 @@
 /// Selects the targets that may run one request.
 ///
 /// Failure: a request reaches a target in a region that its route or account
-/// excludes, or one that a part of its prompt would crash.
+/// excludes, or one that a part of its prompt would crash, or a stream goes on
+/// at another software version than the one that began it.
 #pragma once
 
 #include "gateway_types.hpp"
@@ -35,6 +36,17 @@
     /// \param domains failure domains that may run the request; unset: all.
     void permit_domains(domain_set domains) { domains_ = std::move(domains); }
     const domain_set& permitted_domains() const { return domains_; }
+    /// Leaves out the targets of the service that run other software.
+    /// \param software software_key of the targets that remain.
+    void require_software(std::string service, std::uint64_t software)
+    {
+        software_ = software_of_service{std::move(service), software};
+    }
+    /// \return software_key of the targets that remain; unset: of all.
+    std::optional<std::uint64_t> required_software() const
+    {
+        return software_ ? std::optional(software_->key) : std::nullopt;
+    }
     /// \param part in quarantine that does not keep the request from targets,
     /// since the request is its trial; unset: none.
     void set_trial(std::optional<std::uint64_t> part) { trial_ = part; }
@@ -60,16 +72,21 @@
                   const std::vector<std::string>& tried, time_point now);
 
 private:
-    bool permits(const target& it) const
+    struct software_of_service
     {
-        return !domains_ || domains_->contains(it.failure_domain);
-    }
+        std::string   service;
+        std::uint64_t key = 0;
+    };
+
+    bool permits(const target& it) const;
 
-    const target_directory&      targets_;
-    const part_quarantine&       quarantine_;
-    const prompt_key&            prompt_;
-    domain_set                   domains_;
-    std::optional<std::uint64_t> trial_;
+    const target_directory& targets_;
+    const part_quarantine&  quarantine_;
+    const prompt_key&       prompt_;
+    domain_set              domains_;
+    /// Of the stream that the request continues.
+    std::optional<software_of_service> software_;
+    std::optional<std::uint64_t>       trial_;
     /// Last result of usable(), if that leaves targets out.
     std::vector<const target*> usable_;
 };
--- a/src/types.cpp
+++ b/src/types.cpp
@@ -62,6 +62,8 @@
         return "not_ready";
     case refusal_reason::quarantined:
         return "quarantined";
+    case refusal_reason::stream_not_resumable:
+        return "stream_not_resumable";
     case refusal_reason::client_gone:
         return "client_gone";
     case refusal_reason::internal:
--- a/tests/gateway_version_test.cpp
+++ b/tests/gateway_version_test.cpp
@@ -194,3 +194,20 @@
         CHECK(is_final_refusal(fleet[0]->exchange(
             take_up_request("t" + it.attempt, it.attempt, it.last_id))));
 }
+
+// Guards against streams that are refused although only one software version
+// can have begun them.
+TEST_CASE("a stream of the only software version is taken up after a restart",
+          "[gateway][sockets]")
+{
+    const model_targets        models({"v1", "v1"});
+    std::vector<broken_stream> streams;
+    {
+        const auto fleet = make_fleet(2, models.entries());
+        streams          = break_streams(*fleet[0], 5);
+    }
+    const auto fleet = make_fleet(2, models.entries());
+    for (const auto& it : streams)
+        CHECK(is_whole(fleet[0]->exchange(
+            take_up_request("t" + it.attempt, it.attempt, it.last_id))));
+}
