Soak with two software versions and all gateways killed at once

Clients take up the broken streams of a service whose targets move between two versions. The soak reports a stream with events of both, and take-ups that are lost while two targets of their version serve.

--- a/tests/soak/gateway_soak.cpp
+++ b/tests/soak/gateway_soak.cpp
@@ -3,13 +3,19 @@
 /// requests. Settings are also written in place, in two parts. Clients use
 /// their connections until these end. Beside them, model targets turn slow,
 /// stage targets fail or hang, and gateways are paused, while further clients
-/// send resumable streams with a chain of stages.
+/// send resumable streams with a chain of stages. Others take up streams of a
+/// service with targets of two software versions, some of them after all
+/// gateways were killed at once.
 ///
 /// Counts each connection that ends without a complete response to a request
 /// that the gateway had read, unless the platform's rules excuse it.
 ///   arbutusgate-gateway-soak GATEWAY [--seed N] [--seconds N] [--gateways N]
-///     [--clients N] [--chains N] [--stops N] [--grace SECONDS] [--logs DIR]
+///     [--clients N] [--chains N] [--versions N] [--stops N]
+///     [--grace SECONDS] [--logs DIR]
 /// Exit status: 0 without a violation, 1 with one, 2 if it could not run.
+#include "version_client.hpp"
+#include "version_targets.hpp"
+
 #include "kit.hpp"
 
 #include <atomic>
@@ -44,6 +50,8 @@
 constexpr int slow_interval_ms = 1360;
 constexpr int stage_hang_ms    = 1500;
 constexpr int max_pause_ms     = 1600;
+/// A gateway without disturbance for so long has to keep the rules.
+constexpr double calm_after_ms = 3000;
 
 struct options
 {
@@ -53,6 +61,7 @@
     int         gateways = 3;
     int         clients  = 45;
     int         chains   = 15; ///< Clients of the route with a stage chain.
+    int         versions = 12; ///< Clients of the two software versions.
     int         stops    = 2;  ///< Gateways that stop at the same time.
     int         grace    = 8;  ///< From SIGTERM to SIGKILL, in seconds.
     std::string logs;          ///< Directory of the gateways' logs.
@@ -262,8 +271,13 @@
            "," +
            route("chain", "streaming", "llm",
                  stream + ",\"streamResume\":true" + chain) +
+           "," +
+           route("sided", "streaming", "sided",
+                 stream + ",\"streamResume\":true") +
            R"(],"services":[
 {"name":"orders","healthCheck":"/health","maxConnections":630},
+{"name":"sided","healthCheck":"/health","maxConnections":630,
+ "engine":{"slots":128,"kvCapacity":600000}},
 {"name":"llm","healthCheck":"/health","maxConnections":630,
  "engine":{"slots":128,"kvCapacity":600000}},
 {"name":"pricing","healthCheck":"/health","maxConnections":630,
@@ -280,6 +294,8 @@
     std::atomic<double> stopped_at{never}; ///< SIGTERM.
     std::atomic<bool>   killed{false};     ///< By this program, in its run.
     std::atomic<double> paused_ms{0};      ///< By this program, in all.
+    /// When it was started or, later, last paused or resumed.
+    std::atomic<double> disturbed_at{now_ms()};
 };
 
 /// One gateway. Used by the main thread, which also starts its processes: a
@@ -315,7 +331,14 @@
     int                peer() const { return peer_; }
     state              now() const { return state_; }
     double             stopped_at() const { return life()->stopped_at; }
-    bool               restart_due() const { return now_ms() >= restart_at_; }
+    /// Thread-safe.
+    bool is_calm() const
+    {
+        const auto it = life();
+        return !it->killed && it->stopped_at == never &&
+               now_ms() - it->disturbed_at >= calm_after_ms;
+    }
+    bool restart_due() const { return now_ms() >= restart_at_; }
 
     std::shared_ptr<incarnation> life() const
     {
@@ -415,8 +438,9 @@
     /// Stops the process from running for a time.
     void pause(int ms)
     {
-        paused_at_ = now_ms();
-        resume_at_ = paused_at_ + ms;
+        life()->disturbed_at = now_ms();
+        paused_at_           = now_ms();
+        resume_at_           = paused_at_ + ms;
         send(SIGSTOP);
     }
     bool is_paused() const { return resume_at_ != never; }
@@ -481,8 +505,9 @@
         if (std::exchange(resume_at_, never) == never)
             return;
         send(SIGCONT);
-        const auto it = life();
-        it->paused_ms = it->paused_ms + now_ms() - paused_at_;
+        const auto it    = life();
+        it->paused_ms    = it->paused_ms + now_ms() - paused_at_;
+        it->disturbed_at = now_ms();
     }
     /// A process that reads meanwhile gets the old or the new settings.
     void replace_settings(const std::string& text) const
@@ -765,8 +790,17 @@
 public:
     explicit soak(options it)
         : options_(std::move(it)), random_(options_.seed),
-          fault_random_(options_.seed + 1)
+          fault_random_(options_.seed + 1), version_random_(options_.seed + 2)
     {
+        if (options_.versions > 0)
+            sided_ = std::make_unique<version_soak::version_targets>(
+                [this](const std::string& key, const std::string& value) {
+                    if (value.empty())
+                        state_.remove(key);
+                    else
+                        state_.put(key, value);
+                },
+                options_.seed + 3);
     }
 
     int run()
@@ -796,7 +830,7 @@
         }
         std::atomic<bool>        stop{false};
         const int                count = options_.clients + options_.chains;
-        std::atomic<int>         active{count};
+        std::atomic<int>         active{count + options_.versions};
         std::vector<std::thread> threads;
         for (int n = 0; n < count; ++n)
             threads.emplace_back([&, n] {
@@ -805,6 +839,15 @@
                 client(gateways_, runs_, out_, options_, n, load).run(stop);
                 --active;
             });
+        for (int n = 0; n < options_.versions; ++n)
+            threads.emplace_back([&, n] {
+                version_soak::version_client(
+                    gateway_views(), *sided_, version_counts_,
+                    [this](const std::string& text) { out_.violation(text); },
+                    options_.seed, n)
+                    .run(stop);
+                --active;
+            });
         disturb();
         stop = true;
         // Requests that still run get their responses.
@@ -815,6 +858,9 @@
         }
         for (auto& it : threads)
             it.join();
+        if (version_counts_.loses_streams())
+            out_.violation("clients cannot take up their streams");
+        const auto& versions = version_counts_;
         std::cout << "seed=" << options_.seed
                   << " gateways=" << options_.gateways
                   << " clients=" << options_.clients << " stops=" << stops_
@@ -825,6 +871,13 @@
                   << " requests=" << out_.requests << " whole=" << out_.whole
                   << " failed=" << out_.failed << " unread=" << out_.unread
                   << " excused=" << out_.excused
+                  << " herd_kills=" << herd_kills_
+                  << " begun=" << versions.begun
+                  << " taken_up=" << versions.taken_up
+                  << " continued=" << versions.continued
+                  << " not_continued=" << versions.not_continued
+                  << " refused=" << versions.refused
+                  << " joined=" << versions.joined
                   << " violations=" << out_.violations() << std::endl;
         if (out_.whole < options_.clients)
             return could_not;
@@ -893,6 +946,7 @@
         const auto end        = now_ms() + 1000 * options_.seconds;
         auto       next       = now_ms();
         auto       next_fault = now_ms();
+        auto next_kill = now_ms() + random_in(version_random_, 6000, 12'000);
         while (now_ms() < end) {
             check_processes();
             complete_settings();
@@ -904,6 +958,14 @@
                 next_fault = now_ms() + random_in(fault_random_, 0, 1500);
                 start_fault();
             }
+            if (sided_) {
+                sided_->change_versions(now_ms());
+                if (now_ms() >= next_kill) {
+                    next_kill =
+                        now_ms() + random_in(version_random_, 6000, 12'000);
+                    kill_all();
+                }
+            }
             pause_for(5);
         }
     }
@@ -931,6 +993,23 @@
         else
             stage_faults_[0].hanging_until = now_ms() + time;
     }
+    std::vector<version_soak::gateway_view> gateway_views() const
+    {
+        std::vector<version_soak::gateway_view> out;
+        for (const auto& it : gateways_)
+            out.push_back({it->front(), [&it] {
+                               return it->is_calm();
+                           }});
+        return out;
+    }
+    void kill_all()
+    {
+        ++herd_kills_;
+        for (const auto& it : gateways_) {
+            if (it->now() != gateway_process::state::down)
+                it->kill();
+        }
+    }
     void check_processes()
     {
         for (const auto& it : gateways_) {
@@ -1001,7 +1080,11 @@
     int                                              changes_       = 0;
     int                                              pauses_        = 0;
     int                                              target_faults_ = 0;
+    int                                              herd_kills_    = 0;
     generator                                        fault_random_;
+    generator                                        version_random_;
+    version_soak::version_counts                     version_counts_;
+    std::unique_ptr<version_soak::version_targets>   sided_;
     std::array<target_faults, 2>                     model_faults_;
     std::array<target_faults, 2>                     stage_faults_;
     server orders_[2]{server([this](connection& to, const message& it) {
@@ -1047,6 +1130,8 @@
             out.clients = count;
         else if (name == "--chains")
             out.chains = count;
+        else if (name == "--versions")
+            out.versions = count;
         else if (name == "--stops")
             out.stops = count;
         else if (name == "--grace")
@@ -1059,7 +1144,8 @@
     if (out.gateway.empty() || out.logs.empty()) {
         std::cerr << "usage: arbutusgate-gateway-soak GATEWAY --logs DIR "
                      "[--seed N] [--seconds N] [--gateways N] [--clients N] "
-                     "[--chains N] [--stops N] [--grace SECONDS]\n";
+                     "[--chains N] [--versions N] [--stops N] "
+                     "[--grace SECONDS]\n";
         return could_not;
     }
     ::signal(SIGPIPE, SIG_IGN);
