--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -6,6 +6,7 @@
 #include "fiber_token.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/buffer_body.hpp>
@@ -65,6 +66,11 @@
     template <class Pending>
     void write(std::shared_ptr<Pending> out, milliseconds timeout);
 
+    /// The system reports a reset to one operation only. When that was a write,
+    /// the next read sees the end of the connection, as if the response were
+    /// whole. \return an error if that may have happened.
+    error_code reset_error();
+
     using parser_type = http::response_parser<http::buffer_body>;
 
     boost::beast::tcp_stream   stream;
@@ -164,6 +170,17 @@
                       });
 }
 
+error_code http_client::impl::reset_error()
+{
+    if (writing && !broken) {
+        // The handler of a write that has failed may be due.
+        error_code         ec;
+        asio::steady_timer timer(stream.get_executor(), seconds{0});
+        timer.async_wait(fiber_token{ec});
+    }
+    return broken ? asio::error::connection_reset : error_code{};
+}
+
 error_code http_client::send(const http_request& request, milliseconds timeout)
 {
     impl_->write(std::make_shared<pending_request>(request), timeout);
@@ -219,6 +236,8 @@
         if (n > 0)
             return std::string(data.data(), n);
     }
+    if (ends_with_connection())
+        ec = impl_->reset_error();
     return {};
 }
 
@@ -333,6 +352,9 @@
     socket.non_blocking(true, ec);
     if (!ec)
         socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+    // No later read reports a reset that this call was told of.
+    if (ec && ec != asio::error::would_block && ec != asio::error::eof)
+        impl_->broken = true;
     return ec == asio::error::would_block;
 }
 
--- a/tests/gateway_fault_test.cpp
+++ b/tests/gateway_fault_test.cpp
@@ -84,6 +84,49 @@
     CHECK_FALSE(has(out, "Arbutusgate-Server-Signature"));
 }
 
+// Guards against a part of a response without a length that reaches the caller
+// as the whole: the reset was reported to the upload, which was still being
+// written, and the read saw the end of the connection.
+TEST_CASE("a plain response that is reset during its upload is a failure",
+          "[gateway][sockets]")
+{
+    const auto        delay = GENERATE(0, 2, 20, 200);
+    scripted_target   t([delay](target_session& it) {
+        if (it.read_head().empty())
+            return;
+        it.write(open_ended_head() + "half of the bo");
+        std::this_thread::sleep_for(milliseconds{delay});
+        it.reset();
+    });
+    gateway_fixture   g({make_target("i-1", t.address())});
+    const std::string upload(4'000'000, 'x');
+    for (int n = 0; n < 10; ++n) {
+        const auto out = g.exchange(g.request("/once/", upload));
+        CHECK(out.starts_with("HTTP/1.1 502"));
+        CHECK_FALSE(has(out, "half of the bo"));
+    }
+}
+
+// Guards against the same in a stream, whose part looked like the whole.
+TEST_CASE("a stream that is reset during its upload is cut",
+          "[gateway][sockets]")
+{
+    const auto        delay = GENERATE(0, 20, 200);
+    scripted_target   t([delay](target_session& it) {
+        if (it.read_head().empty())
+            return;
+        it.write(open_ended_head(events_type) + "id: 1\ndata: a\n\n");
+        std::this_thread::sleep_for(milliseconds{delay});
+        it.reset();
+    });
+    gateway_fixture   g({make_target("i-1", t.address())});
+    const std::string upload(4'000'000, 'x');
+    for (int n = 0; n < 10; ++n) {
+        const auto out = g.exchange(g.request("/stream/", upload));
+        CHECK_FALSE(has(out, "\r\n0\r\n\r\n"));
+    }
+}
+
 // Guards against streams without chunks whose end is taken for a failure, or
 // whose failure is taken for the end.
 TEST_CASE("a stream may end with its connection", "[gateway][sockets]")
