--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -28,6 +28,13 @@
 namespace {
 
 constexpr std::size_t read_buffer_bytes = 8 * 1024;
+/// Interim responses that may precede a final one.
+constexpr int max_interim_responses = 8;
+// Status codes of HTTP (RFC 9110, 15).
+constexpr unsigned min_status          = 100;
+constexpr unsigned switching_protocols = 101;
+constexpr unsigned min_final_status    = 200;
+constexpr unsigned max_status          = 599;
 
 } // namespace
 
@@ -200,13 +207,24 @@
 error_code http_client::read_head(milliseconds timeout)
 {
     error_code ec;
-    impl_->parser.emplace();
-    impl_->parser->body_limit(max_body_bytes);
     impl_->stream.expires_after(timeout);
-    http::async_read_header(impl_->stream, impl_->buffer, *impl_->parser,
-                            fiber_token{ec});
-    impl_->broken = impl_->broken || ec;
-    return ec;
+    for (int n = 0; n <= max_interim_responses && !ec; ++n) {
+        impl_->parser.emplace();
+        impl_->parser->body_limit(max_body_bytes);
+        http::async_read_header(impl_->stream, impl_->buffer, *impl_->parser,
+                                fiber_token{ec});
+        if (ec)
+            break;
+        const auto status = impl_->parser->get().result_int();
+        if (status >= min_final_status && status <= max_status)
+            return {};
+        // No request asks for another protocol.
+        if (status < min_status || status > max_status ||
+            status == switching_protocols)
+            ec = http::error::bad_status;
+    }
+    impl_->broken = true;
+    return ec ? ec : http::error::bad_status;
 }
 
 const http::response_header<>& http_client::head() const
--- a/src/http_client.hpp
+++ b/src/http_client.hpp
@@ -35,7 +35,8 @@
     boost::system::error_code connect(const std::string& address,
                                       milliseconds       timeout);
     /// Sends the request and reads the head of the response, which may arrive
-    /// before the whole request is written.
+    /// before the whole request is written. Interim responses are skipped; a
+    /// status that is none of HTTP fails with bad_status.
     /// \param timeout for both together.
     boost::system::error_code send(const http_request& request,
                                    milliseconds        timeout);
--- a/tests/gateway_fault_test.cpp
+++ b/tests/gateway_fault_test.cpp
@@ -411,6 +411,91 @@
     CHECK(count(out, "HTTP/1.1") == 1);
 }
 
+// Guards against an answer whose status is none of HTTP and that reaches the
+// caller as a final one.
+TEST_CASE("a response with an invalid status is a failure",
+          "[gateway][sockets]")
+{
+    const auto      status = GENERATE("000", "099", "600", "700", "999", "101");
+    scripted_target t([&](target_session& it) {
+        if (!it.read().empty())
+            it.write(answer("body", std::string(status) + " Odd"));
+    });
+    gateway_fixture g({make_target("i-1", t.address())});
+    for (const auto* path : {"/once/", "/stream/"}) {
+        const auto out = g.exchange(g.request(path));
+        CAPTURE(status, out);
+        CHECK(out.starts_with("HTTP/1.1 502"));
+        CHECK_FALSE(has(out, "Arbutusgate-Server-Signature"));
+    }
+}
+
+// Guards against an interim response that is taken for the final one, which
+// comes after it.
+TEST_CASE("interim responses are not passed on as the final one",
+          "[gateway][sockets]")
+{
+    const auto status = GENERATE("100 Continue", "103 Early Hints", "199 X");
+    scripted_target t([&](target_session& it) {
+        while (!it.read().empty()) {
+            const auto interim = "HTTP/1.1 " + std::string(status) +
+                                 "\r\nArbutusgate-Attempt-Id: 9c41\r\n"
+                                 "Arbutusgate-Server-Signature: sig\r\n\r\n";
+            it.write(interim + interim + answer("final"));
+        }
+    });
+    gateway_fixture g({make_target("i-1", t.address())});
+    for (int n = 0; n < 3; ++n) {
+        const auto out = g.exchange(g.request("/once/"));
+        CAPTURE(status, out);
+        CHECK(out.starts_with("HTTP/1.1 200 OK\r\n"));
+        CHECK(out.ends_with("final"));
+    }
+}
+
+// Guards against interim responses without end, and against bytes that follow
+// one and are no response.
+TEST_CASE("interim responses without a final one are a failure",
+          "[gateway][sockets]")
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    const bool        endless = GENERATE(true, false);
+    scripted_target   t([&](target_session& it) {
+        if (it.read().empty())
+            return;
+        if (!endless)
+            it.write(interim + "no response\r\n\r\n");
+        while (endless && it.write(interim))
+            continue;
+    });
+    gateway_fixture   g({make_target("i-1", t.address())});
+    CHECK(g.exchange(g.request("/once/")).starts_with("HTTP/1.1 502"));
+}
+
+// Guards against the same in a stage call, whose results would be used.
+TEST_CASE("a stage call with an invalid status has failed",
+          "[gateway][sockets]")
+{
+    const auto       status = GENERATE("000 Odd", "700 Odd", "199 Odd");
+    std::atomic<int> calls{0};
+    scripted_target  stage([&](target_session& it) {
+        for (auto text = it.read(); !text.empty(); text = it.read())
+            it.write(answer(R"({"items":[{"handle":"h/1"}]})",
+                            ++calls == 1 ? status : "200 OK"));
+    });
+    scripted_target  engine([&](target_session& it) {
+        if (!it.read().empty())
+            it.write(answer("done"));
+    });
+    gateway_fixture  g({make_target("i-1", engine.address()),
+                        make_target("p-1", stage.address(), "p")});
+    CHECK(g.exchange(g.request("/staged/", "body",
+                               "Arbutusgate-Pieces: 1,0\r\n"
+                               "Arbutusgate-Piece-Key: kk\r\n"))
+              .ends_with("done"));
+    CHECK(calls >= 2);
+}
+
 // Guards against a response that breaks off in its head and reaches the caller
 // as a success with an empty or a short body.
 TEST_CASE("a response that breaks off in its head is a failure",
