--- a/src/stage_scheduler.cpp
+++ b/src/stage_scheduler.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds release_limit{1000};
 /// Releases have time: they wait for their turn among the calls.
 constexpr milliseconds release_permit_wait{2000};
+/// Before the next request for a permit.
+constexpr milliseconds release_retry_delay{20};
 /// Hold of limited targets while the daemon starts or stops.
 constexpr milliseconds no_permit_source_hold{200};
 /// Delay of a release, so that one call releases several results of a target.
@@ -557,13 +559,22 @@
              now = daemon_now())
         {
             const auto opens = init_.targets.opens_at(to, now);
-            if (opens && *opens > now) {
+            // Results at a target that leaves end with it.
+            if (!opens) {
+                deferred_releases_.erase(to.id);
+                return;
+            }
+            if (*opens > now) {
                 fibers_.sleep_until(*opens);
                 continue;
             }
             const auto permit = acquire_permit(to, release_permit_wait);
-            if (!permit)
+            if (!permit) {
+                // Without a pause, a refusal that sets no time to wait for
+                // would keep all other fibers from running.
+                fibers_.sleep_until(now + release_retry_delay);
                 continue;
+            }
             fibers_.sleep_until(permit->call_at);
             if (may_send(to, *permit))
                 break;
--- a/tests/gateway_limit_test.cpp
+++ b/tests/gateway_limit_test.cpp
@@ -268,6 +268,41 @@
     CHECK(later_releases == 0);
 }
 
+// Guards against a daemon that stops answering: its thread asked for a permit
+// without a pause to release results at a target that limits its calls and
+// leaves.
+TEST_CASE("a daemon answers while a limited target with its results leaves",
+          "[gateway][sockets]")
+{
+    std::atomic<int> calls{0};
+    scripted_target  stage([&](target_session& it) {
+        for (auto text = it.read(); !text.empty(); text = it.read()) {
+            ++calls;
+            it.write(answer(R"({"items":[{"handle":"h/1"}]})", "200 OK",
+                             limit_header("0.1") + "Server-Leaving: 1\r\n"));
+        }
+    });
+    recording_target final_target(answer("x"));
+    gateway_fixture  g({make_target("i-1", final_target.server.address()),
+                        make_target("p-1", stage.address(), "p")});
+    CHECK(has(g.exchange(g.request("/staged/", "body",
+                                   "Arbutusgate-Pieces: 1,0\r\n"
+                                   "Arbutusgate-Piece-Key: k\r\n")),
+              "HTTP/1.1 200"));
+    const auto begin = clock_type::now();
+    while (clock_type::now() - begin < seconds{2}) {
+        const auto sent = clock_type::now();
+        CHECK(has(g.exchange("GET /readyz HTTP/1.1\r\nHost: a\r\n"
+                             "Connection: close\r\n\r\n",
+                             g.daemon().ready_port()),
+                  "HTTP/1.1 200"));
+        CHECK(clock_type::now() - sent < seconds{1});
+        std::this_thread::sleep_for(milliseconds{50});
+    }
+    // Nothing more is sent to a target that leaves.
+    CHECK(calls == 1);
+}
+
 // Guards against requests that wait for a permit until they are late, or that
 // are refused without the time of the next one.
 TEST_CASE("a request that a limit leaves no place for is refused at once",
