--- a/tests/gateway_peer_test.cpp
+++ b/tests/gateway_peer_test.cpp
@@ -489,3 +489,20 @@
     CHECK_FALSE(decode_order("\xff\xff", at(0)));
     CHECK_FALSE(decode_gossip("\xff\xff", at(0)));
 }
+
+// Guards against a header field of a caller that no daemon can read in an
+// order: the owner of the stage would be taken for dead, with the orders of
+// other requests there.
+TEST_CASE("an order carries any bytes of a header field", "[gateway]")
+{
+    const time_point now{seconds{100}};
+    stage_order      order;
+    order.service     = "p";
+    order.group.count = 1;
+    order.source =
+        std::make_shared<stage_source>(stage_source{"a\xff", 0, "k\xfe", {}});
+    const auto out = decode_order(encode(order, now), now);
+    REQUIRE(out);
+    CHECK(out->source->attempt == "a\xff");
+    CHECK(out->source->key == "k\xfe");
+}
