Let no report of a fatal error delay the end of its process

The report waited for a pipe that nobody reads, with the ports of the process open. It is now left out there. Its head is written before the calls, which a damaged stack may not give. A signal that was sent names its sender, and an exception its type. Found by review; a test with a full pipe covers the first.

--- a/src/fatal_errors.cpp
+++ b/src/fatal_errors.cpp
@@ -1,6 +1,8 @@
 #include "fatal_errors.hpp"
 
+#include <cxxabi.h>
 #include <execinfo.h>
+#include <poll.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -9,6 +11,7 @@
 #include <cstdlib>
 #include <exception>
 #include <string_view>
+#include <typeinfo>
 
 /// Start of the program in memory; set by the linker.
 extern "C" const char __executable_start; // NOLINT
@@ -78,9 +81,16 @@
         }
         add("]}\n");
     }
-    void write() const
+    /// Writes what was added and empties the line. Writes nothing if the output
+    /// is a pipe that nobody reads: the process must end all the same.
+    void flush()
     {
-        [[maybe_unused]] const auto n = ::write(STDOUT_FILENO, text_, size_);
+        pollfd out{STDOUT_FILENO, POLLOUT, 0};
+        if (::poll(&out, 1, 0) == 1 && (out.revents & POLLOUT) != 0) {
+            [[maybe_unused]] const auto n =
+                ::write(STDOUT_FILENO, text_, size_);
+        }
+        size_ = 0;
     }
 
 private:
@@ -91,13 +101,23 @@
 void on_fatal_signal(int signal, siginfo_t* info, void*)
 {
     report_line line;
-    line.add(R"({"level":"ERROR","message":"the process ends by a signal",)"
-             R"("signal":)");
+    // The log may have written a part of a line.
+    line.add("\n{\"level\":\"ERROR\",\"message\":"
+             "\"the process ends by a signal\",\"signal\":");
     line.add_number(signal);
-    line.add(R"(,"address":)");
-    line.add_address(reinterpret_cast<std::uintptr_t>(info->si_addr));
+    // A signal that was sent has the sender in place of an address.
+    if (info->si_code <= 0) {
+        line.add(",\"sender\":");
+        line.add_number(info->si_pid);
+    }
+    else {
+        line.add(",\"address\":");
+        line.add_address(reinterpret_cast<std::uintptr_t>(info->si_addr));
+    }
+    // On a damaged stack, the search for the calls may fail.
+    line.flush();
     line.add_calls();
-    line.write();
+    line.flush();
     // SA_RESETHAND has restored the default action.
     ::raise(signal);
 }
@@ -105,8 +125,11 @@
 [[noreturn]] void on_terminate()
 {
     report_line line;
-    line.add(R"({"level":"ERROR","message":"the process ends by an )"
-             R"(exception","error":")");
+    line.add("\n{\"level\":\"ERROR\",\"message\":"
+             "\"the process ends by an exception\",\"type\":\"");
+    if (const auto* type = abi::__cxa_current_exception_type())
+        line.add_escaped(type->name());
+    line.add("\",\"error\":\"");
     if (const auto current = std::current_exception()) {
         try {
             std::rethrow_exception(current);
@@ -119,8 +142,10 @@
         }
     }
     line.add("\"");
+    // On a damaged stack, the search for the calls may fail.
+    line.flush();
     line.add_calls();
-    line.write();
+    line.flush();
     // The line says all that the handler of SIGABRT would.
     std::signal(SIGABRT, SIG_DFL);
     std::abort();
--- a/src/fatal_errors.hpp
+++ b/src/fatal_errors.hpp
@@ -11,7 +11,9 @@
 /// Writes a line before the process ends by an exception that nothing catches,
 /// or by SIGSEGV, SIGBUS, SIGFPE, SIGILL or SIGABRT. The process then ends as
 /// it would without. The line has the form of the log, with the addresses of
-/// the calls, for addr2line with the program's base subtracted.
+/// the calls, for addr2line with the program's base subtracted. Those of an
+/// exception that passes a noexcept function show where it was stopped, not
+/// where it was thrown.
 void report_fatal_errors();
 
 /// Stack for the reports of the calling thread while this object lives: a fiber
--- a/tests/fatal_errors_test.cpp
+++ b/tests/fatal_errors_test.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <fcntl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -23,10 +24,18 @@
 };
 
 /// Runs the action in a child that reports its fatal errors.
-process_end run_in_child(const std::function<void()>& action)
+/// \param full its output is a full pipe at first.
+process_end run_in_child(const std::function<void()>& action, bool full = false)
 {
     int ends[2];
     REQUIRE(::pipe(ends) == 0);
+    if (full) {
+        ::fcntl(ends[1], F_SETFL, O_NONBLOCK);
+        const std::string part(4096, ' ');
+        while (::write(ends[1], part.data(), part.size()) > 0)
+            continue;
+        ::fcntl(ends[1], F_SETFL, 0);
+    }
     const pid_t child = ::fork();
     if (child == 0) {
         ::dup2(ends[1], STDOUT_FILENO);
@@ -39,13 +48,17 @@
     }
     ::close(ends[1]);
     process_end out;
-    char        buf[1024];
+    // A child that waits for its output ends by SIGALRM.
+    int status = 0;
+    if (full)
+        ::waitpid(child, &status, 0);
+    char buf[1024];
     for (auto n = ::read(ends[0], buf, sizeof buf); n > 0;
          n      = ::read(ends[0], buf, sizeof buf))
         out.output.append(buf, static_cast<std::size_t>(n));
     ::close(ends[0]);
-    int status = 0;
-    ::waitpid(child, &status, 0);
+    if (!full)
+        ::waitpid(child, &status, 0);
     out.signal = WIFSIGNALED(status) ? WTERMSIG(status) : 0;
     return out;
 }
@@ -73,6 +86,7 @@
     });
     CHECK(end.signal == SIGABRT);
     CHECK(has(end.output, "the process ends by an exception"));
+    CHECK(has(end.output, "length_error"));
     CHECK(has(end.output, "a \\\"field\\\""));
     CHECK(has(end.output, "\"calls\":[\"0x"));
     CHECK(end.output.ends_with("]}\n"));
@@ -97,5 +111,19 @@
 {
     const auto end = run_in_child([] { ::raise(SIGABRT); });
     CHECK(end.signal == SIGABRT);
-    CHECK(has(end.output, "\"signal\":6"));
+    CHECK(has(end.output, "\"signal\":6,\"sender\":"));
+}
+
+// Guards against a report that keeps the process from ending, with its ports
+// open: nobody reads its output.
+TEST_CASE("a report that nobody reads does not delay the end", "[fatal]")
+{
+    const auto end = run_in_child(
+        [] {
+            std::signal(SIGALRM, SIG_DFL);
+            ::alarm(5);
+            ::raise(SIGABRT);
+        },
+        true);
+    CHECK(end.signal == SIGABRT);
 }
