--- a/include/arbutusgate/config.hpp
+++ b/include/arbutusgate/config.hpp
@@ -121,9 +121,9 @@
 inline constexpr auto stream_origin_retention = 60s;
 /// Records of one daemon; 64 bytes each.
 inline constexpr std::size_t max_stream_origins = 32'768;
-/// A stream without a record counts as younger: the store of the platform keeps
-/// its history for this long.
-inline constexpr std::chrono::milliseconds max_unrecorded_stream_age = 20s;
+/// A stream without a record counts as younger. The store of the platform keeps
+/// a history of 20 s, of which up to two heartbeats of the targets are lost.
+inline constexpr std::chrono::milliseconds max_unrecorded_stream_age = 16s;
 
 // Requests.
 inline constexpr std::size_t request_body = 1024 * 1024; // bytes
--- a/src/fleet_origins.cpp
+++ b/src/fleet_origins.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <map>
-#include <memory>
 #include <utility>
 
 namespace arbutusgate::gateway {
@@ -20,26 +19,40 @@
 /// A client that takes its stream up waits for so long at the most.
 constexpr milliseconds query_timeout{200};
 constexpr milliseconds history_poll_interval{10};
+/// A request waits for so long for the history that another one reads.
+constexpr milliseconds history_timeout{1000};
+/// Between two reads, which cost the store more than other calls.
+constexpr milliseconds history_interval{1000};
 /// Records in one message to one daemon.
 constexpr std::size_t max_records_sent = 512;
 
 } // namespace
 
-void fleet_origins::begun(std::uint64_t attempt, const std::string& service,
-                          std::uint64_t software)
+struct fleet_origins::inquiry
+{
+    fiber_signal                 changed;
+    std::size_t                  pending  = 0;
+    bool                         answered = false; ///< By one holder or more.
+    std::optional<std::uint64_t> software;
+};
+
+void fleet_origins::begun(std::uint64_t                   attempt,
+                          const std::vector<std::string>& services,
+                          std::uint64_t                   software)
 {
     const auto          now = daemon_now();
     const stream_origin it{attempt, software, now};
     origins_.record(it, true);
     // A daemon that comes to the same result needs no record.
     const auto only = origins_.only_software(
-        {service}, now - limits::max_unrecorded_stream_age, now);
+        services, now - limits::max_unrecorded_stream_age, now);
     if (!only || *only != software)
         queue_report(it);
 }
 
 void fleet_origins::queue_report(const stream_origin& it)
 {
+    origins_.mark_reported(it.attempt);
     unreported_.push_back(it);
     if (!std::exchange(reporting_, true))
         fibers_.spawn([this] {
@@ -82,42 +95,48 @@
     const fiber_group::guest guest(fibers_);
     if (const auto known = origins_.find(it.attempt))
         return known;
-    auto only = current_ && current_() ? only_software(it) : std::nullopt;
+    const bool current = current_ && current_();
+    auto       only    = current ? only_software(it) : std::nullopt;
     if (!only) {
-        if (const auto told = ask_holders(it))
-            return told;
+        const auto asked = ask_holders(it);
+        if (asked->software) {
+            ++stats_.told;
+            origins_.record({it.attempt, *asked->software, daemon_now()},
+                            false);
+            return asked->software;
+        }
+        // Cut off from the store and from all others, this daemon may have
+        // missed new software.
+        const bool alone = peers_.daemons() <= 1;
+        if (!current && !asked->answered && !alone)
+            return std::nullopt;
         only = only_software(it);
     }
     if (!only && !origins_.covers(it.services, daemon_now() - it.max_age)) {
-        read_history(it);
+        read_history(it.max_age);
         only = only_software(it);
     }
     stats_.unrecorded += only ? 1 : 0;
     return only;
 }
 
-/// Merges what the holders know. \return what one of them has on record.
-std::optional<std::uint64_t> fleet_origins::ask_holders(const origin_query& it)
+std::shared_ptr<fleet_origins::inquiry>
+fleet_origins::ask_holders(const origin_query& it)
 {
-    struct inquiry
-    {
-        fiber_signal                 changed;
-        std::size_t                  pending = 0;
-        std::optional<std::uint64_t> software;
-    };
-    const auto now   = daemon_now();
-    const auto state = std::make_shared<inquiry>();
-    const auto body  = encode(it);
+    const auto now  = daemon_now();
+    const auto out  = std::make_shared<inquiry>();
+    const auto body = encode(it);
     ++stats_.asked;
     for (const auto& to : peers_.holders_of(it.attempt, now)) {
-        ++state->pending;
-        fibers_.spawn([this, state, to, body, services = it.services,
+        ++out->pending;
+        fibers_.spawn([this, out, to, body, services = it.services,
                        max_age = it.max_age] {
             const auto text = ask_(to, body, query_timeout);
             const auto at   = daemon_now();
             const auto response =
                 text ? decode_origin_response(*text, at) : std::nullopt;
             if (response) {
+                out->answered = true;
                 for (const auto& seen : response->served)
                     origins_.note(seen, at);
                 // The response names what served within the age.
@@ -125,43 +144,43 @@
                     origins_.extend(services, std::max(*response->known_since,
                                                        at - max_age));
                 if (response->software)
-                    state->software = response->software;
+                    out->software = response->software;
             }
-            --state->pending;
-            state->changed.notify();
+            --out->pending;
+            out->changed.notify();
         });
     }
-    state->changed.wait_until(now + query_timeout, [&] {
-        return state->software || state->pending == 0 || fibers_.stopping();
+    out->changed.wait_until(now + query_timeout, [&] {
+        return out->software || out->pending == 0 || fibers_.stopping();
     });
-    if (!state->software)
-        return std::nullopt;
-    ++stats_.told;
-    origins_.record({it.attempt, *state->software, daemon_now()}, false);
-    return state->software;
+    return out;
 }
 
 /// Clients come back at the same time after a restart of all daemons; one of
 /// their requests reads the history, the others wait for it.
-void fleet_origins::read_history(const origin_query& it)
+void fleet_origins::read_history(milliseconds max_age)
 {
+    const auto now = daemon_now();
     if (!history_)
         return;
     if (reading_history_) {
-        const auto deadline = daemon_now() + query_timeout;
-        while (reading_history_ && daemon_now() < deadline &&
+        while (reading_history_ && daemon_now() < now + history_timeout &&
                !fibers_.stopping())
             fibers_.sleep_until(daemon_now() + history_poll_interval);
         return;
     }
+    if (history_read_at_ != time_point{} &&
+        now - history_read_at_ < history_interval)
+        return;
     reading_history_ = true;
-    const auto found = history_(it.max_age);
+    const auto found = history_(max_age);
     reading_history_ = false;
+    history_read_at_ = daemon_now();
     if (!found)
         return;
     for (const auto& seen : found->served)
-        origins_.note(seen, daemon_now());
-    origins_.extend(it.services, found->known_since);
+        origins_.note(seen, history_read_at_);
+    origins_.extend_all(found->known_since);
 }
 
 void fleet_origins::update(stream_origins::software_map published,
@@ -169,7 +188,7 @@
 {
     if (!origins_.update(std::move(published), now))
         return;
-    for (const auto& it : origins_.own_records())
+    for (const auto& it : origins_.unreported())
         queue_report(it);
 }
 
--- a/src/fleet_origins.hpp
+++ b/src/fleet_origins.hpp
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -65,7 +66,7 @@
         history_ = std::move(history);
     }
 
-    void begun(std::uint64_t attempt, const std::string& service,
+    void begun(std::uint64_t attempt, const std::vector<std::string>& services,
                std::uint64_t software) override;
     std::optional<std::uint64_t> find(const origin_query& it) override;
 
@@ -88,8 +89,10 @@
     void                         queue_report(const stream_origin& it);
     void                         send_reports();
     std::optional<std::uint64_t> only_software(const origin_query& it) const;
-    std::optional<std::uint64_t> ask_holders(const origin_query& it);
-    void                         read_history(const origin_query& it);
+    struct inquiry;
+    /// Merges what the holders of the record know.
+    std::shared_ptr<inquiry> ask_holders(const origin_query& it);
+    void                     read_history(milliseconds max_age);
 
     const peer_table&     peers_;
     fiber_group&          fibers_;
@@ -102,6 +105,7 @@
     std::vector<stream_origin> unreported_;
     bool                       reporting_       = false; ///< A fiber runs.
     bool                       reading_history_ = false;
+    time_point                 history_read_at_{}; ///< The latest time.
     stats_type                 stats_;
 };
 
--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -70,6 +70,14 @@
     return id;
 }
 
+std::vector<std::string> service_names(const route& it)
+{
+    std::vector<std::string> out;
+    for (const auto& share : it.services)
+        out.push_back(share.service);
+    return out;
+}
+
 /// How long the callers of a stream wait for its first event.
 milliseconds stream_caller_timeout(const route& it)
 {
@@ -216,9 +224,8 @@
 std::optional<run_failure> forward_run::find_origin()
 {
     origin_query query;
-    query.attempt = attempt_key(call_.resumed_attempt);
-    for (const auto& it : route_->services)
-        query.services.push_back(it.service);
+    query.attempt  = attempt_key(call_.resumed_attempt);
+    query.services = service_names(*route_);
     // A client makes several attempts, each no longer than the timeout.
     query.max_age = limits::max_unrecorded_stream_age;
     if (route_->timeout > milliseconds{0})
@@ -232,7 +239,6 @@
         filter_.require_software(it, *software);
         if (filter_.any_permitted(it)) {
             service_ = table_->find_service(it);
-            ++parts_.continuations.taken_up;
             return std::nullopt;
         }
     }
@@ -265,13 +271,16 @@
             {{"request", call_.attempt}, {"target", chosen.id}});
         return false;
     }
-    if (stream_started_)
+    if (stream_started_) {
+        ++parts_.continuations.resumed;
         return true;
+    }
     filter_.require_software(service_->name, software);
     const bool takes_up = call_.last_event_id && !call_.resumed_attempt.empty();
+    parts_.continuations.taken_up += call_.last_event_id ? 1 : 0;
     parts_.origins.begun(
         attempt_key(takes_up ? call_.resumed_attempt : call_.attempt),
-        service_->name, software);
+        service_names(*route_), software);
     return true;
 }
 
@@ -692,8 +701,6 @@
             (!resume_prepared_ &&
              !parts_.budget.take(service_->name, daemon_now())))
             break;
-        if (stream_started_ && last == attempt_result::cut)
-            ++parts_.continuations.resumed;
         parts_.counters.reasons().add(
             last == attempt_result::not_run ? retry_reason::target_not_run
             : last == attempt_result::cut   ? retry_reason::stream_resume
@@ -1138,7 +1145,7 @@
 {
     event_splitter   events;
     body_reservation memory(from.context());
-    bool             first_batch = true;
+    bool             first_event = true;
     // Only whole events show that the target makes progress.
     auto silent_at = daemon_now() + stream_silence_timeout;
     for (;;) {
@@ -1159,6 +1166,12 @@
         events.add(text);
         std::string batch;
         while (auto it = events.next()) {
+            // The stream goes on after the last event that the caller got, so
+            // that one that is not passed on must not count.
+            if (std::exchange(first_event, false) && !keep_software(chosen)) {
+                ec = boost::asio::error::operation_aborted;
+                return false;
+            }
             if (it->id)
                 last_event_id_ = usable_event_id(std::move(*it->id));
             batch += it->text;
@@ -1185,10 +1198,6 @@
             return false;
         if (batch.empty())
             continue;
-        if (std::exchange(first_batch, false) && !keep_software(chosen)) {
-            ec = boost::asio::error::operation_aborted;
-            return false;
-        }
         if (!stream_started_)
             begin_stream(from);
         // The target of this attempt has read its inputs by now.
--- a/src/forward_run.hpp
+++ b/src/forward_run.hpp
@@ -57,9 +57,9 @@
 /// Streams that went on after a break, since start.
 struct continuation_counts
 {
-    std::uint64_t resumed           = 0; ///< Sent on inside their answers.
+    std::uint64_t resumed           = 0; ///< Inside their answers.
     std::uint64_t not_resumed       = 0; ///< Cut, though they had events.
-    std::uint64_t taken_up          = 0; ///< Admitted from their clients.
+    std::uint64_t taken_up          = 0; ///< By their clients.
     std::uint64_t refused_unknown   = 0; ///< Their software is not known.
     std::uint64_t refused_no_target = 0; ///< No target of it is left.
 };
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -457,7 +457,7 @@
         return std::nullopt;
     const auto history_reader = make_reader(thread.io());
     const auto found =
-        read_store_history(*history_reader, state->revision(),
+        read_store_history(*history_reader, state->revision(), targets.size(),
                            settings.bounds.target_heartbeat, max_age);
     log(log_level::info, "read the history of the targets",
         {{"covered_ms", found.covered.count()},
@@ -795,7 +795,7 @@
          "Streams whose software other daemons were asked for.",
          n(origins.asked), true},
         {"streams_resumed_total",
-         "Broken streams that were sent on inside their answers.",
+         "Broken streams that went on inside their answers.",
          n(continuations.resumed), true},
         {"streams_cut_total", "Broken streams that were not.",
          n(continuations.not_resumed), true},
--- a/src/origin_source.hpp
+++ b/src/origin_source.hpp
@@ -28,9 +28,12 @@
 
     /// Tells the fleet that a stream has begun at the software of a target.
     /// \param attempt attempt_key of the client's attempt.
+    /// \param services that the route leads to: without a record, each of them
+    /// may have begun the stream.
     /// \param software software_key of the target.
-    virtual void begun(std::uint64_t attempt, const std::string& service,
-                       std::uint64_t software) = 0;
+    virtual void begun(std::uint64_t                   attempt,
+                       const std::vector<std::string>& services,
+                       std::uint64_t                   software) = 0;
     /// May suspend the fiber.
     /// \return software_key of the targets that may continue the stream;
     /// nothing when it is not known for certain.
--- a/src/stream_origins.cpp
+++ b/src/stream_origins.cpp
@@ -17,7 +17,7 @@
     // What this daemon passed on itself is certain.
     if (known.own && !own)
         return;
-    known = {it.software, it.at, own};
+    known = {it.software, it.at, own, false};
     order_.emplace_back(it.attempt, it.at);
     while (order_.size() > limits::max_stream_origins)
         drop_oldest();
@@ -30,12 +30,20 @@
                                 : std::optional(it->second.software);
 }
 
-std::vector<stream_origin> stream_origins::own_records() const
+void stream_origins::mark_reported(std::uint64_t attempt)
+{
+    const auto it = records_.find(attempt);
+    if (it != records_.end())
+        it->second.reported = true;
+}
+
+std::vector<stream_origin> stream_origins::unreported() const
 {
     std::vector<stream_origin> out;
     for (const auto& [attempt, at] : order_) {
         const auto it = records_.find(attempt);
-        if (it != records_.end() && it->second.own && it->second.at == at)
+        if (it != records_.end() && it->second.own && !it->second.reported &&
+            it->second.at == at)
             out.push_back({attempt, it->second.software, at});
     }
     return out;
@@ -50,13 +58,17 @@
                 earlier_[service][software] = now;
         }
     }
+    const auto since = now - limits::max_unrecorded_stream_age;
     for (const auto& [service, found] : published) {
-        const auto known = published_.find(service);
-        if (known == published_.end())
-            continue;
-        const auto& before = known->second;
-        renewed = renewed || !std::includes(before.begin(), before.end(),
-                                            found.begin(), found.end());
+        const auto& earlier = earlier_[service];
+        const auto  served  = [&, service = service](std::uint64_t software) {
+            const auto before = earlier.find(software);
+            return published_[service].contains(software) ||
+                   (before != earlier.end() && before->second >= since);
+        };
+        const bool any = !published_[service].empty() || !earlier.empty();
+        renewed        = renewed ||
+                  (any && !std::all_of(found.begin(), found.end(), served));
     }
     published_ = std::move(published);
     if (!followed_since_)
@@ -82,6 +94,12 @@
     }
 }
 
+void stream_origins::extend_all(time_point known_since)
+{
+    if (followed_since_)
+        followed_since_ = std::min(*followed_since_, known_since);
+}
+
 std::optional<time_point>
 stream_origins::known_since(const std::vector<std::string>& services) const
 {
--- a/src/stream_origins.hpp
+++ b/src/stream_origins.hpp
@@ -50,12 +50,15 @@
     /// \param own false for the record of another daemon.
     void                         record(const stream_origin& it, bool own);
     std::optional<std::uint64_t> find(std::uint64_t attempt) const;
-    /// \return own records that are kept, oldest first.
-    std::vector<stream_origin> own_records() const;
-    std::size_t                size() const { return records_.size(); }
+    /// \return own records that were not marked, oldest first.
+    std::vector<stream_origin> unreported() const;
+    /// Marks a record as sent to other daemons.
+    void        mark_reported(std::uint64_t attempt);
+    std::size_t size() const { return records_.size(); }
 
     /// Records the software of all published targets.
-    /// \return true when a service that had targets has new software.
+    /// \return true when a service has software that is new beside what served
+    /// there within limits::max_unrecorded_stream_age.
     bool update(software_map published, time_point now);
     /// Records that software served, as another source tells.
     void note(const software_sighting& it, time_point now);
@@ -68,6 +71,8 @@
     std::vector<software_sighting>
     served(const std::vector<std::string>& services, time_point since,
            time_point now) const;
+    /// The same for all services.
+    void extend_all(time_point known_since);
     /// From when on all software of the services that served is known; unset:
     /// no list of targets is known yet.
     std::optional<time_point>
@@ -94,7 +99,8 @@
     {
         std::uint64_t software = 0;
         time_point    at{};
-        bool          own = false;
+        bool          own      = false;
+        bool          reported = false;
     };
 
     void drop_oldest();
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -208,7 +208,7 @@
 /// A gateway with the routes /once/, /again/, /stream/, /resume/, /staged/,
 /// /staged-stream/, /chain-stream/, which has three stages, and /quick/, whose
 /// latency goal is short, of host "a.example" and the service "s". The route
-/// /order/ leads to the service "p" of the stages.
+/// /order/ leads to the service "p" of the stages, /split/ to "s" and "t".
 class gateway_fixture
 {
 public:
