--- a/src/fleet_origins.cpp
+++ b/src/fleet_origins.cpp
@@ -43,7 +43,7 @@
     const auto          now = daemon_now();
     const stream_origin it{attempt, software, now};
     origins_.record(it, true);
-    // A daemon that comes to the same result needs no record.
+    // Without a record, other daemons come to the same result.
     const auto only = origins_.only_software(
         services, now - limits::max_unrecorded_stream_age, now);
     if (!only || *only != software)
@@ -53,10 +53,10 @@
 void fleet_origins::queue_report(const stream_origin& it)
 {
     origins_.mark_reported(it.attempt);
-    unreported_.push_back(it);
+    outgoing_.push_back(it);
     if (!std::exchange(reporting_, true))
         fibers_.spawn([this] {
-            while (!unreported_.empty() && !fibers_.stopping()) {
+            while (!outgoing_.empty() && !fibers_.stopping()) {
                 fibers_.sleep_until(daemon_now() + report_delay);
                 send_reports();
             }
@@ -67,14 +67,14 @@
 void fleet_origins::send_reports()
 {
     const auto now   = daemon_now();
-    const auto count = std::min(unreported_.size(), max_records_sent);
+    const auto count = std::min(outgoing_.size(), max_records_sent);
     std::map<std::string, origin_report> by_holder;
     for (std::size_t n = 0; n < count; ++n) {
-        for (const auto& to : peers_.holders_of(unreported_[n].attempt, now))
-            by_holder[to].origins.push_back(unreported_[n]);
+        for (const auto& to : peers_.holders_of(outgoing_[n].attempt, now))
+            by_holder[to].origins.push_back(outgoing_[n]);
     }
-    unreported_.erase(unreported_.begin(),
-                      unreported_.begin() + static_cast<std::ptrdiff_t>(count));
+    outgoing_.erase(outgoing_.begin(),
+                    outgoing_.begin() + static_cast<std::ptrdiff_t>(count));
     for (auto& [to, report] : by_holder) {
         stats_.reported += report.origins.size();
         fibers_.spawn([this, to = to, body = encode(report, now)] {
--- a/src/fleet_origins.hpp
+++ b/src/fleet_origins.hpp
@@ -46,7 +46,7 @@
     {
         std::uint64_t reported = 0; ///< Records sent, once for each holder.
         std::uint64_t asked = 0; ///< Streams that other daemons were asked of.
-        std::uint64_t told  = 0; ///< Those of which one had a record.
+        std::uint64_t told  = 0; ///< Of these, on record at another daemon.
         std::uint64_t unrecorded = 0; ///< Streams of the only software.
     };
 
@@ -102,7 +102,7 @@
     history_function      history_;
     stream_origins        origins_;
     /// Records that are sent with the next reports.
-    std::vector<stream_origin> unreported_;
+    std::vector<stream_origin> outgoing_;
     bool                       reporting_       = false; ///< A fiber runs.
     bool                       reading_history_ = false;
     time_point                 history_read_at_{}; ///< The latest time.
--- a/src/stream_origins.hpp
+++ b/src/stream_origins.hpp
@@ -50,7 +50,7 @@
     /// \param own false for the record of another daemon.
     void                         record(const stream_origin& it, bool own);
     std::optional<std::uint64_t> find(std::uint64_t attempt) const;
-    /// \return own records that were not marked, oldest first.
+    /// \return own records that were not sent to other daemons, oldest first.
     std::vector<stream_origin> unreported() const;
     /// Marks a record as sent to other daemons.
     void        mark_reported(std::uint64_t attempt);
@@ -66,13 +66,13 @@
     /// was noted.
     void extend(const std::vector<std::string>& services,
                 time_point                      known_since);
+    /// The same for all services.
+    void extend_all(time_point known_since);
 
     /// \return the software of the services that served at or after a time.
     std::vector<software_sighting>
     served(const std::vector<std::string>& services, time_point since,
            time_point now) const;
-    /// The same for all services.
-    void extend_all(time_point known_since);
     /// From when on all software of the services that served is known; unset:
     /// no list of targets is known yet.
     std::optional<time_point>
@@ -106,7 +106,7 @@
     void drop_oldest();
 
     std::unordered_map<std::uint64_t, entry>         records_;
-    std::deque<std::pair<std::uint64_t, time_point>> order_; ///< By time.
+    std::deque<std::pair<std::uint64_t, time_point>> order_; ///< Oldest first.
     software_map                                     published_;
     /// Software that is no longer published, and when it last was.
     std::map<std::string, std::map<std::uint64_t, time_point>> earlier_;
