Test the end of a response without a body with a final status

"a response that ends early is an error at each byte" took 100 Continue for a whole response, as the client did before interim responses were skipped. 204 takes its place, and 100 is followed by one: the part up to it is an error now.

--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -511,7 +511,8 @@
     const std::string whole = GENERATE(
         "HTTP/1.1 200 OK\r\nServer: a\r\nContent-Length: 4\r\n\r\nbody",
         "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nServer: a\r\n\r\n",
-        "HTTP/1.1 100 Continue\r\n\r\n",
+        "HTTP/1.1 204 No Content\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
         "4\r\nbody\r\n0\r\nTrailer: a\r\n\r\n");
     gateway::test::scripted_target server(
