Encode the store's keys in request targets

Cause: a list continues after the last key of its page, and that key was put into the query as it is. The store refuses such a request line (400), or reads another key, and the list never ends. Daemons that were running went on by watches, so that the fault showed after a restart only.

Change: request_target() encodes each value of a query with Boost.URL; it is the only place that makes queries, also for the platform of arbutusgated. Everything but unreserved characters and "/" is encoded, since url::params() leaves "+" as it is, which servers read as a blank. What the store gets for usual keys is unchanged.

Tests: strict_store is a stand-in that reads request targets by RFC 3986, refuses unknown and repeated parameters, and splits lists into short pages.

--- a/src/platform_client.cpp
+++ b/src/platform_client.cpp
@@ -1,6 +1,7 @@
 #include "platform_client.hpp"
 
 #include "http_client.hpp"
+#include "request_target.hpp"
 
 #include "absl/strings/str_cat.h"
 
@@ -68,16 +69,19 @@
 absl::StatusOr<config_head> platform_client::head(std::uint64_t after,
                                                   milliseconds  wait)
 {
-    return convert(get(absl::StrCat("/v1/config/head?after=", after,
-                                    "&wait_ms=", wait.count()),
-                       wait + response_timeout),
-                   decode_head);
+    return convert(
+        get(request_target("/v1/config/head",
+                           {{"after", std::to_string(after)},
+                            {"wait_ms", std::to_string(wait.count())}}),
+            wait + response_timeout),
+        decode_head);
 }
 
 absl::StatusOr<std::string> platform_client::document(const std::string& name,
                                                       std::uint64_t version)
 {
-    return get(absl::StrCat("/v1/config/document/", name, "?version=", version),
+    return get(request_target("/v1/config/document/" + encode_path(name),
+                              {{"version", std::to_string(version)}}),
                response_timeout);
 }
 
--- a/tests/gateway_fixture.cpp
+++ b/tests/gateway_fixture.cpp
@@ -129,13 +129,16 @@
 
 std::string gateway_fixture::exchange(const std::string& text,
                                       std::uint16_t      port) const
+{
+    return test::exchange(port == 0 ? this->port() : port, text);
+}
+
+std::string exchange(std::uint16_t port, const std::string& text)
 {
     asio::io_context          io;
     tcp::socket               socket(io);
     boost::system::error_code ec;
-    socket.connect(
-        {asio::ip::address_v4::loopback(), port == 0 ? this->port() : port},
-        ec);
+    socket.connect({asio::ip::address_v4::loopback(), port}, ec);
     REQUIRE_FALSE(ec);
     asio::write(socket, asio::buffer(text), ec);
     std::string            out;
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -247,6 +247,10 @@
     std::unique_ptr<gateway> gateway_;
 };
 
+/// Sends raw bytes on a new connection to a port of 127.0.0.1 and reads until
+/// the other side closes it.
+std::string exchange(std::uint16_t port, const std::string& text);
+
 /// Addresses with ports that are free at the moment.
 std::vector<std::string> free_addresses(std::size_t n);
 /// Gateways that know each other, with the same targets.
--- a/tests/hostile/hostile_clients.cpp
+++ b/tests/hostile/hostile_clients.cpp
@@ -8,6 +8,7 @@
 /// Exit status: 0 if the case held, 1 if not, 2 if it could not run.
 #include "gateway_process.hpp"
 #include "hostile_main.hpp"
+#include "store_server.hpp"
 
 #include <iostream>
 
@@ -254,7 +255,7 @@
         const std::string& folder)
 {
     // The threads of the stand-ins still run at the end.
-    auto& state  = *new store;
+    auto& state  = *new store_server;
     auto& target = *new server(serve_target);
     state.put("servers/orders-0",
               server_entry("orders", target.port(), "z-a", 128, unix_ms()));
--- a/tests/hostile/hostile_targets.cpp
+++ b/tests/hostile/hostile_targets.cpp
@@ -8,6 +8,7 @@
 /// Exit status: 0 if the case held, 1 if not, 2 if it could not run.
 #include "gateway_process.hpp"
 #include "hostile_main.hpp"
+#include "store_server.hpp"
 
 #include <iostream>
 
@@ -177,7 +178,7 @@
 class store_front
 {
 public:
-    store_front(const store& behind, flood& endless)
+    store_front(const store_server& behind, flood& endless)
         : address_(behind.address()), endless_(endless)
     {
     }
@@ -343,7 +344,7 @@
         const std::string& folder)
 {
     // The threads of the stand-ins still run at the end.
-    auto& state   = *new store;
+    auto& state   = *new store_server;
     auto& sound   = *new server(serve_sound);
     auto& endless = *new flood(it, 200, "application/json");
     auto& others  = *new server([&](connection& to, const message& request) {
--- /dev/null
+++ b/tests/odd_entry_test.cpp
@@ -0,0 +1,268 @@
+/// Entries of another writer in the store, with names and texts that no target
+/// and no operator writes.
+#include "gateway_fixture.hpp"
+#include "store_client.hpp"
+#include "strict_store.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+using namespace arbutusgate;
+using namespace arbutusgate::gateway;
+using namespace arbutusgate::gateway::test;
+using arbutusgate::test::run_on;
+using arbutusgate::test::strict_store;
+using platform::store_client;
+
+namespace {
+
+constexpr milliseconds call_limit{20'000};
+constexpr int          sound_entries = 14;
+constexpr const char*  no_target     = "no JSON";
+
+/// Sorted after "i-N" and before the next one.
+struct odd_name
+{
+    std::string text;
+    bool        is_unicode = true;
+};
+
+std::vector<odd_name> odd_names()
+{
+    return {{"&"},
+            {"+"},
+            {"#"},
+            {"%"},
+            {"%2"},
+            {"%2G"},
+            {"%41"},
+            {" "},
+            {" x"},
+            {"?="},
+            {"\"\\'<>{}|^`"},
+            {"&after=servers/i-99"},
+            {"&pathPrefix=x"},
+            {"\r\nX-Odd: 1\r\n\r\n"},
+            {std::string("\0", 1)},
+            {"\x7f"},
+            {"\xc3\xa9"}};
+}
+
+std::string number(int n)
+{
+    return (n < 10 ? "0" : "") + std::to_string(n);
+}
+
+std::string entry_of(const std::string& address,
+                     const std::string& service = "s")
+{
+    return R"({"service":")" + service + R"(","address":")" + address +
+           R"(","zone":"z-00","version":"v1","slots":8,"state":"ready",)"
+           R"("coldRemainingMs":0,"sequence":1,"born":1})";
+}
+
+/// Answers requests from the store.
+scripted_target::script serve(strict_store& store)
+{
+    return [&store](target_session& it) {
+        for (auto text = it.read(); !text.empty(); text = it.read()) {
+            if (!it.write(store.respond(text.substr(0, text.find("\r\n")))))
+                return;
+        }
+    };
+}
+
+/// What a client lists, page by page.
+struct listing
+{
+    absl::Status          error;
+    std::set<std::string> targets;
+    std::set<std::string> evacuated;
+    bool                  complete = false;
+};
+
+listing list_all(strict_store& store)
+{
+    // Twice the entries that a test writes, each on a page of its own.
+    constexpr int   max_pages = 64;
+    scripted_target server(serve(store));
+    io_thread       thread;
+    return run_on(thread, [&] {
+        listing      out;
+        store_client client(thread.io(), server.address());
+        std::string  page;
+        for (int n = 0; n < max_pages && !out.complete; ++n) {
+            auto it   = client.read_targets(page, call_limit);
+            out.error = it.status();
+            if (!it.ok())
+                return out;
+            for (const auto& change : it->entries) {
+                if (const auto* found = std::get_if<target>(&change))
+                    out.targets.insert(found->id);
+                if (const auto* found = std::get_if<domain_evacuation>(&change))
+                    out.evacuated.insert(found->failure_domain);
+            }
+            page         = it->next_page;
+            out.complete = page.empty();
+        }
+        return out;
+    });
+}
+
+/// Writes sound targets and evacuations.
+void fill(strict_store& store)
+{
+    for (int n = 0; n < sound_entries; ++n) {
+        store.put("servers/i-" + number(n), entry_of("10.0.0.1:80"));
+        store.put("op/evacuate/i-" + number(n), "{}");
+    }
+}
+
+std::set<std::string> sound_names()
+{
+    std::set<std::string> out;
+    for (int n = 0; n < sound_entries; ++n)
+        out.insert("i-" + number(n));
+    return out;
+}
+
+/// Two daemons before targets, all of one store.
+class store_fleet
+{
+public:
+    explicit store_fleet(strict_store& store) : store_(serve(store))
+    {
+        for (int n = 0; n < sound_entries; ++n) {
+            targets_.push_back(
+                std::make_unique<scripted_target>([](target_session& it) {
+                    while (!it.read().empty())
+                        it.write(answer("ok"));
+                }));
+            store.put("servers/i-" + number(n),
+                      entry_of(targets_.back()->address()));
+        }
+        store.put("op/config",
+                  R"({"version":1,"routes":[{"name":"r","host":"a.example",
+"pathPrefix":"/p/","routeType":"idempotent","timeoutMs":5000,"priority":0,
+"targetLatencyMs":1000,"maxAttempts":2,"service":"s"}],
+"services":[{"name":"s","healthCheck":"/h","maxConnections":200}],
+"tenants":[{"name":"t","apiKeys":["k"]}]})");
+    }
+
+    void start()
+    {
+        const auto peers = free_addresses(2);
+        for (const auto& it : peers) {
+            gateway_settings settings;
+            settings.node           = "n" + it;
+            settings.failure_domain = "z-00";
+            settings.listen = settings.ready = settings.metrics = "127.0.0.1:0";
+            settings.peer                                       = it;
+            settings.seeds                                      = peers;
+            settings.store = store_.address();
+            daemons_.push_back(std::make_unique<gateway::gateway>(gateway_init{
+                settings, codec_, [this](asio::io_context& io) {
+                    return std::make_unique<store_client>(io, store_.address());
+                }}));
+            REQUIRE(daemons_.back()->start().ok());
+        }
+    }
+    /// Ends all daemons and starts new ones.
+    void restart()
+    {
+        daemons_.clear();
+        start();
+    }
+    /// Waits until all daemons are ready.
+    bool await_ready()
+    {
+        constexpr seconds limit{5};
+        const auto        end = std::chrono::steady_clock::now() + limit;
+        for (const auto& it : daemons_) {
+            while (!exchange(it->ready_port(), "GET /readyz HTTP/1.1\r\n"
+                                               "Host: a\r\n"
+                                               "Connection: close\r\n\r\n")
+                        .starts_with("HTTP/1.1 200"))
+            {
+                if (std::chrono::steady_clock::now() > end)
+                    return false;
+                std::this_thread::sleep_for(milliseconds{10});
+            }
+        }
+        return true;
+    }
+    /// \return how many of the requests were served.
+    int serve_requests(int n)
+    {
+        int out = 0;
+        for (int k = 0; k < n; ++k) {
+            const auto& to = daemons_[k % daemons_.size()];
+            out += exchange(to->port(), gateway_fixture::request("/p/x"))
+                           .starts_with("HTTP/1.1 200")
+                       ? 1
+                       : 0;
+        }
+        return out;
+    }
+
+private:
+    scripted_target                                store_;
+    std::vector<std::unique_ptr<scripted_target>>  targets_;
+    platform::http_codec                           codec_;
+    std::vector<std::unique_ptr<gateway::gateway>> daemons_;
+};
+
+} // namespace
+
+// Guards against an entry whose key is not part of the next page's request as
+// it is: the store refuses the request, or sends another page.
+TEST_CASE("a list is complete whatever the names of its entries",
+          "[platform][odd-entry]")
+{
+    const auto   page_items = GENERATE(1, 6);
+    const auto   follows    = GENERATE(std::string(), "i-02", "i-04", "i-13");
+    const auto   is_target  = GENERATE(true, false);
+    const auto   names      = odd_names();
+    const auto   index = GENERATE_COPY(range(std::size_t{0}, names.size()));
+    const auto&  odd   = names[index];
+    strict_store store(static_cast<std::size_t>(page_items));
+    fill(store);
+    store.put((is_target ? "servers/" : "op/evacuate/") + follows + odd.text,
+              no_target);
+    INFO("page_items=" << page_items << " name=" << follows << odd.text);
+    const auto found = list_all(store);
+    CHECK(found.error.message() == "");
+    REQUIRE(found.complete);
+    CHECK(store.refused() == 0);
+    CHECK(found.targets == sound_names());
+    auto evacuated = sound_names();
+    if (!is_target && odd.is_unicode)
+        evacuated.insert(follows + odd.text);
+    CHECK(found.evacuated == evacuated);
+}
+
+// Guards against daemons that do not serve after a restart of all of them,
+// since a page of the store's list ends with an entry of another writer.
+TEST_CASE("all daemons restart while the store lists an odd entry",
+          "[gateway][sockets][odd-entry]")
+{
+    const auto key = GENERATE(std::string("servers/i-04 x"), "servers/i-04%2",
+                              "servers/i-04\r\nX-Odd: 1", "op/evacuate/y%");
+    constexpr int requests = 200;
+    strict_store  store(6);
+    store_fleet   fleet(store);
+    fleet.start();
+    REQUIRE(fleet.await_ready());
+    // The key is the last one of a page.
+    for (const auto* name : {"x-0", "x-1", "x-2", "x-3", "x-4", "z-9"}) {
+        if (key.starts_with("op/"))
+            store.put(std::string("op/evacuate/") + name, "{}");
+    }
+    store.put(key, no_target);
+    fleet.restart();
+    INFO("key=" << key);
+    CHECK(fleet.await_ready());
+    CHECK(fleet.serve_requests(requests) == requests);
+    CHECK(store.refused() == 0);
+}
--- a/tests/soak/gateway_soak.cpp
+++ b/tests/soak/gateway_soak.cpp
@@ -5,7 +5,8 @@
 /// stage targets fail or hang, and gateways are paused, while further clients
 /// send resumable streams with a chain of stages. Others take up streams of a
 /// service with targets of two software versions, some of them after all
-/// gateways were killed at once.
+/// gateways were killed at once. The store's lists span several pages and hold
+/// entries of another writer.
 ///
 /// Counts each connection that ends without a complete response to a request
 /// that the gateway had read, unless the platform's rules excuse it.
@@ -17,6 +18,7 @@
 #include "version_targets.hpp"
 
 #include "kit.hpp"
+#include "store_server.hpp"
 
 #include <atomic>
 #include <cmath>
@@ -810,6 +812,7 @@
             publish_target("llm", models_[n], n, 128);
             publish_target("pricing", stages_[n], n, 4);
         }
+        publish_odd_entries();
         change_configuration();
         for (int n = 0; n < options_.gateways; ++n)
             gateways_.push_back(std::make_unique<gateway_process>(
@@ -896,6 +899,15 @@
             "servers/" + service + "-" + std::to_string(n),
             server_entry(service, it.port(), zone_of(n), slots, unix_ms()));
     }
+    /// Entries of another writer, which name no target and no failure domain
+    /// of this soak.
+    void publish_odd_entries()
+    {
+        for (const auto* name : {"&", "+", "#", "orders-0 %", "stage-1\r\nx"}) {
+            state_.put(std::string("servers/") + name, "no JSON");
+            state_.put(std::string("op/evacuate/") + name, "no JSON");
+        }
+    }
     void change_configuration()
     {
         ++changes_;
@@ -1067,7 +1079,7 @@
     generator                                     random_;
     run_log                                       runs_;
     verdict                                       out_;
-    store                                         state_;
+    store_server                                  state_;
     std::string                                   seeds_;
     std::vector<std::unique_ptr<gateway_process>> gateways_;
     /// Settings files that hold a part, and when they become whole.
