--- a/tests/gateway_follower_test.cpp
+++ b/tests/gateway_follower_test.cpp
@@ -100,6 +100,31 @@
     CHECK(watch.after == 90);
 }
 
+// Guards against a list that begins anew, or without a pause, for each page
+// that fails, and against such a list that no log line reports.
+TEST_CASE("a list goes on at the page that failed", "[gateway]")
+{
+    fixture f;
+    f.follower.on_configuration(read_at(5, 90), at(0));
+    f.follower.on_page(state_page{{make_target("a")}, 100, "servers/a"}, at(4));
+    int reads = 0;
+    int ms    = 4;
+    for (; ms < 10'000; ++ms) {
+        const auto step = f.follower.next(at(ms));
+        if (step.kind == step_kind::sleep)
+            continue;
+        ++reads;
+        REQUIRE(step.kind == step_kind::read_targets);
+        CHECK(step.page == "servers/a");
+        f.follower.on_page(absl::InvalidArgumentError("no later key"), at(ms));
+    }
+    // At 150 ms, 300 ms and then 600 ms after the failure before.
+    CHECK(reads <= 20);
+    CHECK(f.log.back() == "lost");
+    f.follower.on_page(state_page{{make_target("b")}, 130, ""}, at(ms));
+    CHECK(f.targets.size() == 2);
+}
+
 // Guards against a configuration that is published between the reads of the
 // configuration and of the first page, and is never seen.
 TEST_CASE("a change during the first reads is not missed", "[gateway]")
--- a/tests/odd_entry_test.cpp
+++ b/tests/odd_entry_test.cpp
@@ -266,3 +266,40 @@
     CHECK(fleet.serve_requests(requests) == requests);
     CHECK(store.refused() == 0);
 }
+
+// Guards against a list that is read again without a pause, or taken for
+// complete, since the store sends a page that does not move on.
+TEST_CASE("a page that does not move on is an error", "[platform][odd-entry]")
+{
+    const auto empty_prefix =
+        GENERATE(std::string("servers/"), "op/evacuate/", "");
+    strict_store store(6);
+    fill(store);
+    if (empty_prefix.empty())
+        store.repeat_first_page();
+    else
+        store.send_empty_pages(empty_prefix);
+    const auto found = list_all(store);
+    CHECK_FALSE(found.complete);
+    CHECK(absl::IsInvalidArgument(found.error));
+    const auto named = empty_prefix.empty() ? "op/evacuate/i-05" : empty_prefix;
+    CHECK(found.error.message().find(named) != std::string::npos);
+}
+
+// Guards against daemons that use up the store's reads, which all of them
+// share, while a list cannot be completed.
+TEST_CASE("reads of a list that does not move on are paced",
+          "[gateway][sockets][odd-entry]")
+{
+    // Stated by the store for all of 360 daemons together.
+    constexpr double  reads_per_s = 2000. / 360;
+    constexpr seconds time{3};
+    strict_store      store(6);
+    store_fleet       fleet(store);
+    store.repeat_first_page();
+    fleet.start();
+    std::this_thread::sleep_for(time);
+    CHECK(store.requests() <= 2 * reads_per_s * time.count());
+    // The configuration, both lists' first pages and further tries.
+    CHECK(store.requests() >= 2 * 3);
+}
