--- a/tests/odd_entry_test.cpp
+++ b/tests/odd_entry_test.cpp
@@ -46,7 +46,13 @@
             {"\r\nX-Odd: 1\r\n\r\n"},
             {std::string("\0", 1)},
             {"\x7f"},
-            {"\xc3\xa9"}};
+            {"\xc3\xa9"},
+            // Surrogates, which the store sends as escapes, and a byte that is
+            // no UTF-8. An escaped backslash before "u" is no surrogate.
+            {"\xed\xa0\x80", false},
+            {"\xed\xb0\x80\xed\xa0\x80", false},
+            {"\\ud800\xed\xa0\x80\\udc00", false},
+            {"\xff", false}};
 }
 
 std::string number(int n)
@@ -242,13 +248,40 @@
     CHECK(found.evacuated == evacuated);
 }
 
+// Guards against an entry that hides the other changes of a watch.
+TEST_CASE("a watch sends all changes whatever the names of its entries",
+          "[platform][odd-entry]")
+{
+    const auto   is_target = GENERATE(true, false);
+    strict_store store;
+    const auto   prefix = is_target ? "servers/" : "op/evacuate/";
+    for (const auto& it : odd_names()) {
+        store.put(prefix + it.text, no_target);
+        store.remove(prefix + it.text);
+    }
+    store.put("servers/i-1", entry_of("10.0.0.1:80"));
+    scripted_target server(serve(store));
+    io_thread       thread;
+    const auto      found = run_on(thread, [&] {
+        store_client client(thread.io(), server.address());
+        return client.watch(100, milliseconds{0}, call_limit);
+    });
+    REQUIRE(found.ok());
+    REQUIRE_FALSE(found->changes.empty());
+    const auto* last = std::get_if<target>(&found->changes.back());
+    REQUIRE(last);
+    CHECK(last->id == "i-1");
+}
+
 // Guards against daemons that do not serve after a restart of all of them,
 // since a page of the store's list ends with an entry of another writer.
 TEST_CASE("all daemons restart while the store lists an odd entry",
           "[gateway][sockets][odd-entry]")
 {
-    const auto key = GENERATE(std::string("servers/i-04 x"), "servers/i-04%2",
-                              "servers/i-04\r\nX-Odd: 1", "op/evacuate/y%");
+    const auto key =
+        GENERATE(std::string("servers/i-04 x"), "servers/i-04%2",
+                 "servers/i-04\r\nX-Odd: 1", "servers/i-04\xed\xa0\x80",
+                 "op/evacuate/y%", "op/evacuate/y\xff");
     constexpr int requests = 200;
     strict_store  store(6);
     store_fleet   fleet(store);
