Take no target from an entry whose texts fit in no header field

Targets saw: an entry whose key holds a line break and further text, and is sound otherwise, was used as a target, and the text arrived in calls as a header field of its own.

Cause: the id is sent as a field's value, and the HTTP library writes values as they are. The same held for an address: make_address() ignores what follows the digits of an IPv6 scope, and stage calls name the address as their host.

Change: an id must be a field value of RFC 9110, an address must be visible ASCII; other entries name no target, in lists, in watches and in what daemons relay, as the version before relays them. An id with a blank, "&" or "%" inside stays allowed.

--- a/src/http_client.cpp
+++ b/src/http_client.cpp
@@ -4,6 +4,7 @@
 #include "daemon_clock.hpp"
 #include "fiber_signal.hpp"
 #include "fiber_token.hpp"
+#include "field_value.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -63,8 +64,10 @@
         port_text.data(), port_text.data() + port_text.size(), port);
     error_code address_ec;
     const auto address = asio::ip::make_address(host, address_ec);
-    return ec == std::errc{} && end == port_text.data() + port_text.size() &&
-           !address_ec && address.is_v6() == bracketed;
+    // make_address() ignores what follows the digits of a scope.
+    return is_visible_ascii(text) && ec == std::errc{} &&
+           end == port_text.data() + port_text.size() && !address_ec &&
+           address.is_v6() == bracketed;
 }
 
 bool parse_address(std::string_view text, std::string& host,
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -1,5 +1,6 @@
 #include "peer_codec.hpp"
 
+#include "field_value.hpp"
 #include "gateway.pb.h"
 
 #include "arbutusgate/config.hpp"
@@ -61,17 +62,21 @@
     out.set_cold_ms(static_cast<std::uint32_t>(it.cold_for.count()));
 }
 
-target decode(const pb::GatewayTarget& it)
+/// \return nothing for texts that no target can have. Daemons of an earlier
+/// version pass them on.
+std::optional<target> decode(const pb::GatewayTarget& it)
 {
-    return {it.id(),
-            it.service(),
-            it.address(),
-            it.failure_domain(),
-            it.slots(),
-            it.leaving(),
-            it.started_at(),
-            it.version(),
-            milliseconds{it.cold_ms()}};
+    if (!is_field_value(it.id()) || !is_field_value(it.address()))
+        return std::nullopt;
+    return target{it.id(),
+                  it.service(),
+                  it.address(),
+                  it.failure_domain(),
+                  it.slots(),
+                  it.leaving(),
+                  it.started_at(),
+                  it.version(),
+                  milliseconds{it.cold_ms()}};
 }
 
 pb::OrderState encode(order_state it)
@@ -352,8 +357,10 @@
     if (!in.ParseFromString(bytes))
         return std::nullopt;
     state_copy out{{in.revision(), in.era()}, in.configuration(), {}};
-    for (const auto& it : in.targets())
-        out.targets.push_back(decode(it));
+    for (const auto& it : in.targets()) {
+        if (auto found = decode(it))
+            out.targets.push_back(*std::move(found));
+    }
     out.evacuated.insert(in.evacuated().begin(), in.evacuated().end());
     return out;
 }
@@ -400,7 +407,8 @@
     out.age              = milliseconds{in.age_ms()};
     for (const auto& it : in.changes()) {
         if (it.has_target()) {
-            out.changes.changes.emplace_back(decode(it.target()));
+            if (auto found = decode(it.target()))
+                out.changes.changes.emplace_back(*std::move(found));
         }
         else if (it.has_removed()) {
             out.changes.changes.emplace_back(
--- a/tests/odd_entry_test.cpp
+++ b/tests/odd_entry_test.cpp
@@ -1,7 +1,9 @@
 /// Entries of another writer in the store, with names and texts that no target
 /// and no operator writes.
 #include "gateway_fixture.hpp"
+#include "peer_codec.hpp"
 #include "store_client.hpp"
+#include "store_codec.hpp"
 #include "strict_store.hpp"
 
 #include <catch2/catch.hpp>
@@ -68,6 +70,21 @@
            R"("coldRemainingMs":0,"sequence":1,"born":1})";
 }
 
+std::vector<std::string> odd_ids()
+{
+    return {"",
+            " ",
+            " i",
+            "i ",
+            "i\t",
+            "i\r\nX-Odd: 1",
+            "i\nX-Odd: 1",
+            "i\rX-Odd: 1",
+            std::string("i\0", 2),
+            "i\x1b",
+            "i\x7f"};
+}
+
 /// Answers requests from the store.
 scripted_target::script serve(strict_store& store)
 {
@@ -336,3 +353,51 @@
     // The configuration, both lists' first pages and further tries.
     CHECK(store.requests() >= 2 * 3);
 }
+
+// Guards against header fields of another writer in calls of targets: the id of
+// a target is sent as a field's value, its address as the host.
+TEST_CASE("an entry names no target if its texts fit in no header field",
+          "[platform][odd-entry]")
+{
+    for (const auto& id : odd_ids()) {
+        INFO("id=" << id);
+        CHECK_FALSE(platform::decode_target(id, entry_of("10.0.0.1:80")).ok());
+        strict_store store(6);
+        fill(store);
+        store.put("servers/" + id, entry_of("10.0.0.1:80"));
+        CHECK(list_all(store).targets == sound_names());
+    }
+    for (const std::string id : {"i-1", "i 1", "i&+#%1", "\xc3\xa9"})
+        CHECK(platform::decode_target(id, entry_of("10.0.0.1:80")).ok());
+    // Whatever follows the scope of an IPv6 address is read as a number.
+    for (const std::string scope :
+         {"1\\r\\nX-Odd: 1", "1\\nX", "1\\u0000", "1\\t"})
+        CHECK_FALSE(
+            platform::decode_target("i", entry_of("[fe80::1%" + scope + "]:80"))
+                .ok());
+    CHECK(platform::decode_target("i", entry_of("[fe80::1%1]:80")).ok());
+}
+
+// Guards against such entries that a daemon of the version before, which takes
+// them for targets, passes on.
+TEST_CASE("relayed entries name no target if their texts fit in no field",
+          "[gateway][odd-entry]")
+{
+    state_copy copy{{100, 0}, "{}", {make_target("i-1", "10.0.0.1:80")}};
+    std::optional<relayed_changes> changes{relayed_changes{}};
+    changes->changes.changes.emplace_back(copy.targets[0]);
+    for (const auto& id : odd_ids()) {
+        copy.targets.push_back(make_target(id, "10.0.0.1:80"));
+        changes->changes.changes.emplace_back(copy.targets.back());
+    }
+    copy.targets.push_back(make_target("i-2", "[fe80::1%1\r\nX: 1]:80"));
+    changes->changes.changes.emplace_back(copy.targets.back());
+    const auto read_copy = decode_state(encode(copy));
+    REQUIRE(read_copy);
+    REQUIRE(read_copy->targets.size() == 1);
+    CHECK(read_copy->targets[0].id == "i-1");
+    const auto read_changes = decode_changes(encode(changes));
+    REQUIRE(read_changes);
+    REQUIRE(read_changes->changes.changes.size() == 1);
+    CHECK(std::get<target>(read_changes->changes.changes[0]).id == "i-1");
+}
