Count stage results with unusable handles as failed

Targets saw: the handle that a target gave for a result was sent on in a header field, between commas. One with a line break became a field of its own, one with a comma became two inputs.

Cause: any JSON string was taken for a handle.

Change: a handle must be a field value without a comma.

--- a/src/field_value.cpp
+++ b/src/field_value.cpp
@@ -23,6 +23,11 @@
            });
 }
 
+bool is_list_item(std::string_view text)
+{
+    return is_field_value(text) && text.find(',') == text.npos;
+}
+
 bool is_visible_ascii(std::string_view text)
 {
     return std::all_of(text.begin(), text.end(), [](unsigned char it) {
--- a/src/field_value.hpp
+++ b/src/field_value.hpp
@@ -11,6 +11,10 @@
 /// one with line breaks would become further fields.
 bool is_field_value(std::string_view text);
 
+/// Whether the text can be an item of a field's value that lists items between
+/// commas, without quotes.
+bool is_list_item(std::string_view text);
+
 /// Whether all of the text is printable ASCII without blanks, as in an address.
 bool is_visible_ascii(std::string_view text);
 
--- a/src/peer_codec.cpp
+++ b/src/peer_codec.cpp
@@ -543,6 +543,11 @@
     stage_outcome out;
     out.state = decode(in.state());
     out.handles.assign(in.handles().begin(), in.handles().end());
+    // Daemons of an earlier version pass on whatever a target sent.
+    if (!std::all_of(out.handles.begin(), out.handles.end(), is_list_item)) {
+        out.state = order_state::failed;
+        out.handles.clear();
+    }
     out.retry_after = milliseconds{in.retry_after_ms()};
     out.queue.on_time =
         microseconds{static_cast<std::int64_t>(in.on_time_us())};
--- a/tests/odd_entry_test.cpp
+++ b/tests/odd_entry_test.cpp
@@ -401,3 +401,46 @@
     REQUIRE(read_changes->changes.changes.size() == 1);
     CHECK(std::get<target>(read_changes->changes.changes[0]).id == "i-1");
 }
+
+// Guards against header fields or further inputs of a target's own making: the
+// handles of results are sent to other targets in one field, between commas.
+TEST_CASE("a result whose handle fits in no list of inputs counts as failed",
+          "[platform][odd-entry]")
+{
+    const platform::http_codec codec;
+    for (const auto* odd :
+         {"", " ", "a\\r\\nX-Odd: 1", "a\\nb", "a\\u0000", "a,b", "a ", ","})
+    {
+        INFO("handle=" << odd);
+        const auto results = codec.decode_stage_results(
+            R"({"items":[{"handle":"10.0.0.1:80/1"},{"handle":")" +
+                std::string(odd) + R"("},{"handle":"10.0.0.1:80/2"}]})",
+            3);
+        REQUIRE(results.ok());
+        CHECK(results->at(0).handle == "10.0.0.1:80/1");
+        CHECK(results->at(1).handle == "");
+        CHECK(results->at(1).failure == piece_failure::failed);
+        CHECK(results->at(2).handle == "10.0.0.1:80/2");
+    }
+}
+
+// Guards against such handles that a daemon of the version before, which takes
+// them for results, passes on.
+TEST_CASE("an order with a handle that fits in no list of inputs has failed",
+          "[gateway][odd-entry]")
+{
+    stage_outcome outcome;
+    outcome.state    = order_state::done;
+    outcome.handles  = {"10.0.0.1:80/1", "10.0.0.1:80/2"};
+    const auto sound = decode_outcome(encode(outcome, {}), {});
+    REQUIRE(sound);
+    CHECK(sound->state == order_state::done);
+    CHECK(sound->handles == outcome.handles);
+    for (const std::string odd : {"a\r\nX-Odd: 1", "a,b", ""}) {
+        outcome.handles[1] = odd;
+        const auto read    = decode_outcome(encode(outcome, {}), {});
+        REQUIRE(read);
+        CHECK(read->state == order_state::failed);
+        CHECK(read->handles.empty());
+    }
+}
