Never take a target's answer for a refusal of another daemon

Callers saw: a daemon that reaches no target took the header Relay-Refused in a response for "not run", also where the target had sent it and the other daemon only passed it on. The request ran, and the caller got 503, which promises that it did not; with a further daemon it was sent again, whether it may run twice or not.

Cause: the headers of a target are passed on, and nothing told them from those of the daemon between.

Change: only a response that no target signed can be a refusal; what a daemon passes on is always signed. Daemons remove the header from what targets send, for relaying daemons of the version before. Refusals are sent and understood as before in both directions.

--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -1068,7 +1068,7 @@
                                                         connection_lease& lease)
 {
     error_code ec;
-    auto       head = parts_.codec.relay_head(lease->head());
+    auto       head = caller_head(*lease);
     // Until the caller has read the response.
     body_reservation memory(lease->context());
     auto             body = lease->read_all(remaining_time(), ec,
@@ -1140,6 +1140,14 @@
     return stream_started_ ? attempt_result::cut : attempt_result::failed;
 }
 
+/// \return the head for the caller, or for the daemon that relayed the request.
+http_response forward_run::caller_head(const http_client& from) const
+{
+    auto out = parts_.codec.relay_head(from.head());
+    clear_relay_refused(out);
+    return out;
+}
+
 /// Sends the head to the caller.
 void forward_run::begin_stream(http_client& from)
 {
@@ -1149,7 +1157,7 @@
         std::chrono::duration_cast<milliseconds>(now - arrived_at_);
     if (events_ > 0 && now <= goal_at_)
         parts_.times.add(service_->name, now - attempt_started_);
-    exchange_.begin_stream(parts_.codec.relay_head(from.head()));
+    exchange_.begin_stream(caller_head(from));
     parts_.counters.observe_first_text(route_->name, now - arrived_at_);
 }
 
--- a/src/forward_run.hpp
+++ b/src/forward_run.hpp
@@ -185,6 +185,7 @@
     attempt_result relay_response(const target&     chosen,
                                   connection_lease& lease);
     attempt_result relay_stream(const target& chosen, connection_lease& lease);
+    http_response  caller_head(const http_client& from) const;
     void           begin_stream(http_client& from);
     bool           relay_events(const target& chosen, http_client& from,
                                 boost::system::error_code& ec);
--- a/src/relay_terms.cpp
+++ b/src/relay_terms.cpp
@@ -58,9 +58,14 @@
     response.set(refused_header, "1");
 }
 
-bool relay_refused(const http::fields& headers)
+bool relay_refused(const http::fields& headers, bool signed_by_target)
 {
-    return headers.find(refused_header) != headers.end();
+    return !signed_by_target && headers.find(refused_header) != headers.end();
+}
+
+void clear_relay_refused(http_response& response)
+{
+    response.erase(refused_header);
 }
 
 } // namespace arbutusgate::gateway
--- a/src/relay_terms.hpp
+++ b/src/relay_terms.hpp
@@ -26,6 +26,11 @@
 
 /// Marks the response of a daemon that cannot run the request; it has not run.
 void mark_relay_refused(http_response& response);
-bool relay_refused(const http::fields& headers);
+/// Whether a daemon states so. A target may send the same header, which daemons
+/// of an earlier version pass on.
+/// \param signed_by_target whether the response is one that a target signed.
+bool relay_refused(const http::fields& headers, bool signed_by_target);
+/// Removes the mark from the response of a target.
+void clear_relay_refused(http_response& response);
 
 } // namespace arbutusgate::gateway
--- a/src/request_relay.cpp
+++ b/src/request_relay.cpp
@@ -70,8 +70,12 @@
     auto ec =
         client->send(encode_relayed(exchange.request(), terms),
                      exchange.shared_request(), remaining_until(deadline));
-    auto out = result::failed;
-    if (!ec && relay_refused(client->head())) {
+    auto       out = result::failed;
+    const bool refused =
+        !ec &&
+        relay_refused(client->head(),
+                      codec_.decode_response(client->head()).signed_by_target);
+    if (refused) {
         client->read_all(remaining_until(deadline), ec, max_refusal_bytes);
         out = result::not_run;
     }
--- a/tests/gateway_relay_test.cpp
+++ b/tests/gateway_relay_test.cpp
@@ -176,6 +176,53 @@
     CHECK(fleet.cut->exchange(text).starts_with("HTTP/1.1 200"));
 }
 
+// Guards against a request that runs twice since its target names the header
+// with which a daemon states that it did not run a request.
+TEST_CASE("a target's answer never counts as a daemon's refusal",
+          "[gateway][sockets][odd-entry]")
+{
+    const auto odd_answer = answer("whole", "200 OK", "Relay-Refused: 1\r\n");
+    std::atomic<int> runs{0};
+    const auto       serve = [&](target_session& it) {
+        for (auto text = it.read(); !text.empty(); text = it.read()) {
+            const bool counted = text.starts_with("POST /once/");
+            runs += counted ? 1 : 0;
+            it.write(counted ? odd_answer : answer("warm"));
+        }
+    };
+    constexpr int requests = 5;
+    const auto    check    = [&](const gateway_fixture& cut) {
+        await_relay(cut);
+        for (int n = 0; n < requests; ++n) {
+            const auto seen = cut.exchange(gateway_fixture::request("/once/a"));
+            CHECK(seen.starts_with("HTTP/1.1 200"));
+            CHECK(seen.ends_with("\r\n\r\nwhole"));
+        }
+        CHECK(runs == requests);
+    };
+    SECTION("through a daemon of this version")
+    {
+        scripted_target t(serve);
+        cut_fleet       fleet(t.address());
+        check(*fleet.cut);
+        // For cut-off daemons of the version before.
+        CHECK(fleet.sound->exchange(gateway_fixture::request("/once/a"))
+                  .find("Relay-Refused") == std::string::npos);
+    }
+    SECTION("through a daemon of the version before")
+    {
+        scripted_daemon       daemon([&](target_session& it) {
+            ++runs;
+            it.write(answer("whole", "200 OK",
+                                  "Relay-Refused: 1\r\nConnection: close\r\n"));
+        });
+        const auto            addresses = free_addresses(1);
+        const gateway_fixture cut(unreachable_targets(), addresses[0],
+                                  {addresses[0], daemon.address()});
+        check(cut);
+    }
+}
+
 // Guards against a request that is sent again although it may have run: its
 // link broke before a response came.
 TEST_CASE("a broken link is retried only where the route allows it",
