Resume no stream after an event id that fits in no header field

Targets saw: the id of a stream's last event was sent to the target that resumes it as the stream held it, with control characters or a single CR and what followed. A strict server refuses such a request, a lenient one reads another field.

Cause: only LF ended a line when the id was read, and any text within the size limit counted as usable.

Change: a single CR ends the line, as in the specification of event streams. A stream whose last id is no field value (also an empty one, or one with a blank at an end, which a server would not read as sent) is not resumed; that already held for ids that are too long.

--- a/src/event_splitter.cpp
+++ b/src/event_splitter.cpp
@@ -24,14 +24,13 @@
     return std::string_view::npos;
 }
 
+/// A single CR ends a line, too, so that no id holds one.
 std::optional<std::string> event_id(std::string_view event)
 {
     std::optional<std::string> out;
     while (!event.empty()) {
-        const auto end  = event.find('\n');
+        const auto end  = event.find_first_of("\r\n");
         auto       line = event.substr(0, end);
-        if (line.ends_with('\r'))
-            line.remove_suffix(1);
         if (line.starts_with(id_field)) {
             line.remove_prefix(id_field.size());
             if (line.starts_with(' '))
--- a/src/event_splitter.hpp
+++ b/src/event_splitter.hpp
@@ -15,7 +15,8 @@
     std::optional<std::string> id;
 };
 
-/// Accepts the stream split at any byte. Lines end with LF or CR LF.
+/// Accepts the stream split at any byte. Events end with an empty line, which
+/// ends with LF or CR LF.
 class event_splitter
 {
 public:
--- a/src/forward_run.cpp
+++ b/src/forward_run.cpp
@@ -2,6 +2,7 @@
 
 #include "crash_check.hpp"
 #include "event_splitter.hpp"
+#include "field_value.hpp"
 #include "http_server.hpp"
 #include "log.hpp"
 #include "metrics.hpp"
@@ -70,7 +71,7 @@
 /// resumed at such an event.
 std::optional<std::string> usable_event_id(std::string id)
 {
-    if (id.size() > limits::max_header_field)
+    if (id.size() > limits::max_header_field || !is_field_value(id))
         return std::nullopt;
     return id;
 }
--- a/tests/odd_entry_test.cpp
+++ b/tests/odd_entry_test.cpp
@@ -1,5 +1,6 @@
 /// Entries of another writer in the store, with names and texts that no target
 /// and no operator writes.
+#include "event_splitter.hpp"
 #include "gateway_fixture.hpp"
 #include "peer_codec.hpp"
 #include "store_client.hpp"
@@ -444,3 +445,59 @@
         CHECK(read->handles.empty());
     }
 }
+
+// Guards against header fields of a target's own making: the id of a stream's
+// last event is sent to the target that resumes the stream.
+TEST_CASE("an event id ends with its line", "[gateway][odd-entry]")
+{
+    const auto id_of = [](const std::string& lines) {
+        event_splitter events;
+        events.add(lines + "\n\n");
+        const auto it = events.next();
+        REQUIRE(it);
+        return it->id;
+    };
+    CHECK(id_of("id: 7\ndata: a") == "7");
+    CHECK(id_of("id: 7\r\ndata: a") == "7");
+    CHECK(id_of("id: 7\rX-Odd: 1\ndata: a") == "7");
+    CHECK(id_of("data: a\rid: 7") == "7");
+    CHECK(id_of("id: 7\rid: 8\r\ndata: a") == "8");
+    CHECK_FALSE(id_of("data: a"));
+}
+
+// Guards against the same with bytes that no header field may hold: such a
+// stream is not resumed.
+TEST_CASE("a stream is not resumed after an id that fits in no field",
+          "[gateway][sockets][odd-entry]")
+{
+    const auto id = GENERATE(std::string("\x01"), std::string("7\0", 2), "7 ",
+                             " 7", "\x7f", "7");
+    const bool sound = id == "7";
+    std::atomic<int> first{0};
+    scripted_target* server = nullptr;
+    scripted_target  t([&](target_session& it) {
+        for (auto text = it.read(); !text.empty(); text = it.read()) {
+            server->note(text);
+            if (++first == 1) {
+                it.write(stream_head() + chunk("id: " + id + "\ndata: a\n\n"));
+                // A reset may overtake the event.
+                std::this_thread::sleep_for(milliseconds{50});
+                it.reset();
+                return;
+            }
+            it.write(stream_head() + chunk("id: 8\ndata: b\n\n") + "0\r\n\r\n");
+        }
+    });
+    server = &t;
+    const gateway_fixture g(
+        {make_target("i-0", t.address()), make_target("i-1", t.address())});
+    const auto out = g.exchange(gateway_fixture::request("/resume/a"));
+    INFO("id=" << id);
+    // A stream of which the caller got nothing may begin anew.
+    const bool began = out.find("data: a") != std::string::npos;
+    for (const auto& it : t.requests())
+        CHECK((it.find("Last-Event-Id") == std::string::npos ||
+               it.find("\r\nLast-Event-Id: 7\r\n") != std::string::npos));
+    if (began)
+        CHECK(out.ends_with("0\r\n\r\n") == sound);
+}
