Reserve the ports of test addresses that are used later

Cause: free_addresses() closed the ports that it had found. Targets of a test that should refuse connections could then have the port of a listener that one of the test's own daemons opened. Seen in the third run of a loop of this test, six programs at once (one of 185 runs): the daemon that should reach no target had a connection to its own metrics port, so it was not cut off and relayed nothing. In a trial with a server that answers without a signature in place of one target, each request took its whole deadline of 15 s, so that 2,000 tries of await_relay() take 8 hours.

A reserved address refuses connections, and a server can listen there.

--- a/tests/gateway_fixture.cpp
+++ b/tests/gateway_fixture.cpp
@@ -150,27 +150,14 @@
     return out;
 }
 
-std::vector<std::string> free_addresses(std::size_t n)
-{
-    asio::io_context           io;
-    std::vector<tcp::acceptor> acceptors;
-    std::vector<std::string>   out;
-    while (out.size() < n) {
-        acceptors.emplace_back(
-            io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
-        out.push_back("127.0.0.1:" +
-                      std::to_string(acceptors.back().local_endpoint().port()));
-    }
-    return out;
-}
-
 std::vector<std::unique_ptr<gateway_fixture>>
 make_fleet(std::size_t n, const std::vector<target>& targets)
 {
-    const auto                                    peers = free_addresses(n);
+    const reserved_addresses                      peers(n);
     std::vector<std::unique_ptr<gateway_fixture>> out;
-    for (const auto& it : peers)
-        out.push_back(std::make_unique<gateway_fixture>(targets, it, peers));
+    for (const auto& it : peers.all())
+        out.push_back(
+            std::make_unique<gateway_fixture>(targets, it, peers.all()));
     return out;
 }
 
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -5,6 +5,7 @@
 #include "fiber_http.hpp"
 #include "gateway.hpp"
 #include "http_codec.hpp"
+#include "reserved_addresses.hpp"
 #include "state_reader.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -251,8 +252,6 @@
 /// the other side closes it.
 std::string exchange(std::uint16_t port, const std::string& text);
 
-/// Addresses with ports that are free at the moment.
-std::vector<std::string> free_addresses(std::size_t n);
 /// Gateways that know each other, with the same targets.
 std::vector<std::unique_ptr<gateway_fixture>>
 make_fleet(std::size_t n, const std::vector<target>& targets);
--- a/tests/gateway_limit_test.cpp
+++ b/tests/gateway_limit_test.cpp
@@ -399,8 +399,8 @@
 TEST_CASE("a request does not wait for an owner beyond its goal",
           "[gateway][sockets]")
 {
-    limited_target one("2");
-    const auto     peers = free_addresses(2);
+    limited_target           one("2");
+    const reserved_addresses peers(2);
     // A target whose limit the second daemon owns.
     peer_table table({peers[0], 1, 1, "d1", false, 1}, {}, 1);
     table.merge_members({{peers[1], 1, 1, "d1", false, 1}}, time_point{});
@@ -409,9 +409,9 @@
          table.steady_owner_of("limit of " + it.id, time_point{}) != peers[1];
          ++n)
         it.id = "i-" + std::to_string(n);
-    gateway_fixture first({it}, peers[0], peers);
+    gateway_fixture first({it}, peers[0], peers.all());
     {
-        gateway_fixture second({it}, peers[1], peers);
+        gateway_fixture second({it}, peers[1], peers.all());
         first.exchange(first.request("/quick/"));
         std::this_thread::sleep_for(milliseconds{700});
     }
--- a/tests/gateway_relay_test.cpp
+++ b/tests/gateway_relay_test.cpp
@@ -15,18 +15,29 @@
 using fixture_ptr = std::unique_ptr<gateway_fixture>;
 
 /// Targets of service "s" at addresses that refuse connections.
-std::vector<target> unreachable_targets()
+class unreachable_targets
 {
-    std::vector<target> out;
-    for (const auto& it : free_addresses(3))
-        out.push_back(make_target("i-" + std::to_string(out.size()), it));
-    return out;
-}
+public:
+    unreachable_targets()
+    {
+        for (const auto& it : addresses_.all())
+            list_.push_back(
+                make_target("i-" + std::to_string(list_.size()), it));
+    }
+    const std::vector<target>& list() const { return list_; }
+
+private:
+    reserved_addresses  addresses_{3};
+    std::vector<target> list_;
+};
 
 /// Sends requests until the daemon serves its callers through another one.
 void await_relay(const gateway_fixture& to)
 {
-    for (int n = 0; n < 2000; ++n) {
+    // A try may take up to the request's deadline.
+    constexpr seconds limit{60};
+    const auto        end = std::chrono::steady_clock::now() + limit;
+    for (int n = 0; n < 2000 && std::chrono::steady_clock::now() < end; ++n) {
         if (to.exchange(to.request("/again/warm")).starts_with("HTTP/1.1 200"))
             return;
         std::this_thread::sleep_for(milliseconds{5});
@@ -39,15 +50,17 @@
 {
     explicit cut_fleet(const std::string& target)
     {
-        const auto addresses = free_addresses(2);
-        sound                = std::make_unique<gateway_fixture>(
-            std::vector{make_target("i-0", target)}, addresses[1], addresses);
-        cut = std::make_unique<gateway_fixture>(unreachable_targets(),
-                                                addresses[0], addresses);
+        const auto& seeds = addresses.all();
+        sound             = std::make_unique<gateway_fixture>(
+            std::vector{make_target("i-0", target)}, addresses[1], seeds);
+        cut = std::make_unique<gateway_fixture>(targets.list(), addresses[0],
+                                                seeds);
     }
 
-    fixture_ptr sound;
-    fixture_ptr cut;
+    reserved_addresses  addresses{2};
+    unreachable_targets targets;
+    fixture_ptr         sound;
+    fixture_ptr         cut;
 };
 
 /// Stands in for another daemon that reaches targets.
@@ -211,14 +224,15 @@
     }
     SECTION("through a daemon of the version before")
     {
-        scripted_daemon       daemon([&](target_session& it) {
+        scripted_daemon           daemon([&](target_session& it) {
             ++runs;
             it.write(answer("whole", "200 OK",
-                                  "Relay-Refused: 1\r\nConnection: close\r\n"));
+                                      "Relay-Refused: 1\r\nConnection: close\r\n"));
         });
-        const auto            addresses = free_addresses(1);
-        const gateway_fixture cut(unreachable_targets(), addresses[0],
-                                  {addresses[0], daemon.address()});
+        const reserved_addresses  addresses(1);
+        const unreachable_targets targets;
+        const gateway_fixture     cut(targets.list(), addresses[0],
+                                      {addresses[0], daemon.address()});
         check(cut);
     }
 }
@@ -237,12 +251,13 @@
     });
     std::atomic<int>               broken{0};
     scripted_daemon                daemon([&](target_session&) { ++broken; });
-    const auto                     addresses = free_addresses(2);
+    const reserved_addresses       addresses(2);
+    const unreachable_targets      targets;
     const std::vector<std::string> seeds{addresses[0], addresses[1],
                                          daemon.address()};
     const gateway_fixture          sound({make_target("i-0", target.address())},
                                          addresses[1], seeds);
-    const gateway_fixture cut(unreachable_targets(), addresses[0], seeds);
+    const gateway_fixture          cut(targets.list(), addresses[0], seeds);
     // Both other daemons must be known: without one the answer is 503.
     for (int n = 0; n < 2000 && served == 0; ++n) {
         await_relay(cut);
@@ -272,12 +287,13 @@
 // Guards against a part of a stream that looks like the whole.
 TEST_CASE("a stream is cut when its link breaks", "[gateway][sockets]")
 {
-    scripted_daemon       daemon([&](target_session& it) {
+    scripted_daemon           daemon([&](target_session& it) {
         it.write(stream_head() + chunk("id: 1\ndata: a\n\n"));
     });
-    const auto            addresses = free_addresses(1);
-    const gateway_fixture cut(unreachable_targets(), addresses[0],
-                              {addresses[0], daemon.address()});
+    const reserved_addresses  addresses(1);
+    const unreachable_targets targets;
+    const gateway_fixture     cut(targets.list(), addresses[0],
+                                  {addresses[0], daemon.address()});
     await_relay(cut);
     const auto out = cut.exchange(gateway_fixture::request("/stream/a"));
     CHECK(out.starts_with("HTTP/1.1 200"));
@@ -322,9 +338,10 @@
 TEST_CASE("a request that no daemon can run is refused at once",
           "[gateway][sockets]")
 {
-    const auto            addresses = free_addresses(2);
-    const gateway_fixture one(unreachable_targets(), addresses[0], addresses);
-    const gateway_fixture two(unreachable_targets(), addresses[1], addresses);
+    const reserved_addresses  addresses(2);
+    const unreachable_targets targets;
+    const gateway_fixture one(targets.list(), addresses[0], addresses.all());
+    const gateway_fixture two(targets.list(), addresses[1], addresses.all());
     for (int n = 0; n < 20; ++n) {
         const auto start = std::chrono::steady_clock::now();
         const auto out   = one.exchange(gateway_fixture::request("/once/a"));
--- a/tests/odd_entry_test.cpp
+++ b/tests/odd_entry_test.cpp
@@ -176,14 +176,14 @@
 
     void start()
     {
-        const auto peers = free_addresses(2);
-        for (const auto& it : peers) {
+        const reserved_addresses peers(2);
+        for (const auto& it : peers.all()) {
             gateway_settings settings;
             settings.node           = "n" + it;
             settings.failure_domain = "z-00";
             settings.listen = settings.ready = settings.metrics = "127.0.0.1:0";
             settings.peer                                       = it;
-            settings.seeds                                      = peers;
+            settings.seeds                                      = peers.all();
             settings.store = store_.address();
             daemons_.push_back(std::make_unique<gateway::gateway>(gateway_init{
                 settings, codec_, [this](asio::io_context& io) {
