--- a/tests/strict_store.hpp
+++ b/tests/strict_store.hpp
@@ -305,7 +305,7 @@
     int                                      requests_           = 0;
     int                                      refused_            = 0;
     bool                                     repeats_first_page_ = false;
-    std::string                              empty_prefix_{"-"};
+    std::optional<std::string>               empty_prefix_;
 };
 
 } // namespace arbutusgate::test
