--- a/tests/odd_entry_test.cpp
+++ b/tests/odd_entry_test.cpp
@@ -292,20 +292,30 @@
 }
 
 // Guards against daemons that do not serve after a restart of all of them,
-// since a page of the store's list ends with an entry of another writer.
+// since a page of the store's list ends with an entry of another writer, or
+// holds nothing else.
 TEST_CASE("all daemons restart while the store lists an odd entry",
           "[gateway][sockets][odd-entry]")
 {
-    const auto key =
-        GENERATE(std::string("servers/i-04 x"), "servers/i-04%2",
-                 "servers/i-04\r\nX-Odd: 1", "servers/i-04\xed\xa0\x80",
-                 "op/evacuate/y%", "op/evacuate/y\xff");
+    const auto [key, page_items] =
+        GENERATE(table<std::string, int>({{"servers/i-04 x", 6},
+                                          {"servers/i-04%2", 6},
+                                          {"servers/i-04\r\nX-Odd: 1", 6},
+                                          {"servers/i-04\xed\xa0\x80", 6},
+                                          {"op/evacuate/y%", 6},
+                                          {"op/evacuate/y\xff", 6},
+                                          {"servers/&", 1},
+                                          {"servers/+", 1},
+                                          {"servers/#", 1},
+                                          {"servers/&after=servers/i-99", 1},
+                                          {"op/evacuate/&", 1},
+                                          {"op/evacuate/#", 1}}));
     constexpr int requests = 200;
-    strict_store  store(6);
+    strict_store  store(static_cast<std::size_t>(page_items));
     store_fleet   fleet(store);
     fleet.start();
     REQUIRE(fleet.await_ready());
-    // The key is the last one of a page.
+    // So that the key is the last one of a page.
     for (const auto* name : {"x-0", "x-1", "x-2", "x-3", "x-4", "z-9"}) {
         if (key.starts_with("op/"))
             store.put(std::string("op/evacuate/") + name, "{}");
