Keep the port of a test's target that stops listening

In a run of unit beside two more test programs, a sound request of "a prompt part that crashes targets stops reaching them" got 502 once.

Likely cause, not traced by a log of that run: the port of a listener that was bound to port 0 is free again once it is shut down. A target that "crashed" in the test could so be replaced by a server of another test program.

Change: a scripted target listens at a reserved address.

--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -100,8 +100,7 @@
     using script = std::function<void(target_session&)>;
 
     explicit scripted_target(script run)
-        : run_(std::move(run)),
-          acceptor_(io_, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+        : run_(std::move(run)), acceptor_(io_, endpoint_of(reserved_[0])),
           port_(acceptor_.local_endpoint().port()),
           thread_([this] { accept(); })
     {
@@ -117,7 +116,7 @@
             session.join();
     }
 
-    /// Refuses connections from now on.
+    /// Refuses connections from now on. The port stays reserved.
     void stop_listening() { ::shutdown(acceptor_.native_handle(), SHUT_RDWR); }
 
     std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
@@ -150,6 +149,7 @@
 
     script                   run_;
     asio::io_context         io_;
+    reserved_addresses       reserved_{1};
     tcp::acceptor            acceptor_;
     std::uint16_t            port_;
     std::atomic<bool>        stop_{false};
--- a/tests/reserved_addresses.hpp
+++ b/tests/reserved_addresses.hpp
@@ -4,11 +4,19 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <vector>
 
 namespace arbutusgate::gateway::test {
 
+inline boost::asio::ip::tcp::endpoint endpoint_of(const std::string& address)
+{
+    const auto port = std::stoi(address.substr(address.find(':') + 1));
+    return {boost::asio::ip::address_v4::loopback(),
+            static_cast<std::uint16_t>(port)};
+}
+
 /// Addresses of 127.0.0.1 with ports that the system gives to no other socket
 /// while the object lives. Each refuses connections until a server that sets
 /// SO_REUSEADDR listens there.
--- a/tests/reserved_addresses_test.cpp
+++ b/tests/reserved_addresses_test.cpp
@@ -1,24 +1,31 @@
-#include "reserved_addresses.hpp"
+#include "gateway_fixture.hpp"
 
 #include <catch2/catch.hpp>
 
 #include <algorithm>
 
-using arbutusgate::gateway::test::reserved_addresses;
-namespace asio = boost::asio;
-using tcp      = asio::ip::tcp;
+using namespace arbutusgate::gateway::test;
 
 namespace {
 
-tcp::endpoint endpoint_of(const std::string& address)
+std::string address_of(const tcp::acceptor& it)
 {
-    const auto port = std::stoi(address.substr(address.find(':') + 1));
-    return {asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port)};
+    return "127.0.0.1:" + std::to_string(it.local_endpoint().port());
 }
 
-std::string address_of(const tcp::acceptor& it)
+/// \return how many of the listeners that are opened one after another, several
+/// times as many as the system has ports to give, have one of the addresses.
+int count_listeners_at(const std::vector<std::string>& addresses)
 {
-    return "127.0.0.1:" + std::to_string(it.local_endpoint().port());
+    constexpr int    listeners = 100'000;
+    asio::io_context io;
+    int              out = 0;
+    for (int n = 0; n < listeners; ++n) {
+        const tcp::acceptor it(io, {asio::ip::address_v4::loopback(), 0});
+        out += static_cast<int>(
+            std::count(addresses.begin(), addresses.end(), address_of(it)));
+    }
+    return out;
 }
 
 } // namespace
@@ -27,17 +34,17 @@
 // expects no server, or a different daemon.
 TEST_CASE("a reserved port is given to no other socket", "[sockets]")
 {
-    // Several times the ports that the system has to give.
-    constexpr int            listeners = 100'000;
-    asio::io_context         io;
     const reserved_addresses reserved(3);
-    int                      taken = 0;
-    for (int n = 0; n < listeners; ++n) {
-        const tcp::acceptor it(io, {asio::ip::address_v4::loopback(), 0});
-        taken += static_cast<int>(std::count(
-            reserved.all().begin(), reserved.all().end(), address_of(it)));
-    }
-    CHECK(taken == 0);
+    CHECK(count_listeners_at(reserved.all()) == 0);
+}
+
+// Guards against a target of a test that has crashed, but whose address leads
+// to a server of another test program.
+TEST_CASE("a target that stops listening keeps its port", "[sockets]")
+{
+    scripted_target target([](target_session&) {});
+    target.stop_listening();
+    CHECK(count_listeners_at({target.address()}) == 0);
 }
 
 // Guards against daemons that cannot listen at their reserved address.
